--- /dev/null
+++ b/src/apricotpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatcher for sub-second tasks."""
--- /dev/null
+++ b/src/apricotpoint/_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the dispatch policy on virtual time."""
--- /dev/null
+++ b/src/apricotpoint/_control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration log and key registry."""
--- /dev/null
+++ b/src/apricotpoint/_core/__init__.py
@@ -0,0 +1,1 @@
+"""Building blocks shared by all programs."""
--- /dev/null
+++ b/src/apricotpoint/_core/errors.py
@@ -0,0 +1,22 @@
+"""The error type that carries a result code."""
+
+from __future__ import annotations
+
+from apricotpoint._core.codes import ResultCode
+
+
+class ApricotError(Exception):
+    """An error with a numbered result code and a remedy for the user.
+
+    The message names what the user wrote; `remedy` says how to correct it.
+    """
+
+    def __init__(self, code: ResultCode, message: str, *, remedy: str = "") -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        text = f"{self.message} (code {int(self.code)})"
+        return f"{text}: {self.remedy}" if self.remedy else text
--- /dev/null
+++ b/src/apricotpoint/_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Lease holders of backend servers: queues, placement and sending."""
--- /dev/null
+++ b/src/apricotpoint/_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces towards callers, backend servers and operators."""
--- /dev/null
+++ b/src/apricotpoint/_jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their keys and their coordinator."""
--- /dev/null
+++ b/src/apricotpoint/_link/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes."""
--- /dev/null
+++ b/src/apricotpoint/_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator language, queries, commands and state dumps."""
--- /dev/null
+++ b/src/apricotpoint/_programs/__init__.py
@@ -0,0 +1,1 @@
+"""Console programs, one composition root for each."""
--- /dev/null
+++ b/src/apricotpoint/_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes and their codec."""
--- /dev/null
+++ b/src/apricotpoint/_wire/codec.py
@@ -0,0 +1,144 @@
+"""Encoding of messages between the system's own processes.
+
+An envelope carries the wire version, the type name, the sender with its
+incarnation, sequence numbers, and a MAC under the shared key. Fields that a
+newer release adds are ignored by older ones, because msgspec skips unknown
+fields and fills missing ones from defaults.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Sequence
+
+import attrs
+import msgspec
+
+from apricotpoint._wire import announce, configuration, jobs, load, rows, tasks
+
+WIRE_VERSION = 1
+OLDEST_WIRE_VERSION = 1
+
+_MAC_BYTES = 16
+_MODULES = (announce, configuration, jobs, load, rows, tasks)
+
+
+class CodecError(Exception):
+    """A message that cannot be decoded or whose MAC is wrong."""
+
+
+@attrs.frozen
+class Envelope:
+    """A message with its sender.
+
+    `request_id` is not 0 for a request and its reply. `sequence` is not 0 for
+    a message of the reliable stream; `acknowledged` is the highest contiguous
+    sequence received from the peer incarnation `peer_incarnation`. `age_s` is
+    the time that the message has waited at the sender.
+    """
+
+    sender: str
+    incarnation: int
+    message: object
+    request_id: int = 0
+    is_reply: bool = False
+    sequence: int = 0
+    acknowledged: int = 0
+    peer_incarnation: int = 0
+    age_s: float = 0.0
+
+
+@attrs.frozen
+class _Frame:
+    version: int
+    type_name: str
+    sender: str
+    incarnation: int
+    request_id: int
+    is_reply: bool
+    sequence: int
+    acknowledged: int
+    peer_incarnation: int
+    age_s: float
+    body: msgspec.Raw
+
+
+def register(*message_types: type) -> None:
+    """Add message types of another package to the codec, by class name."""
+    for message_type in message_types:
+        _DECODER_BY_NAME[message_type.__name__] = msgspec.msgpack.Decoder(message_type)
+
+
+def encode(envelope: Envelope, key: bytes) -> bytes:
+    """Return the bytes of an envelope, authenticated with `key`."""
+    frame = _Frame(
+        version=WIRE_VERSION,
+        type_name=type(envelope.message).__name__,
+        sender=envelope.sender,
+        incarnation=envelope.incarnation,
+        request_id=envelope.request_id,
+        is_reply=envelope.is_reply,
+        sequence=envelope.sequence,
+        acknowledged=envelope.acknowledged,
+        peer_incarnation=envelope.peer_incarnation,
+        age_s=envelope.age_s,
+        body=msgspec.Raw(_ENCODER.encode(envelope.message)),
+    )
+    payload = _ENCODER.encode(frame)
+    return _mac(payload, key) + payload
+
+
+def decode(data: bytes, keys: Sequence[bytes]) -> Envelope:
+    """Return the envelope in `data` if its MAC is right under one of `keys`.
+
+    Raises `CodecError` for a wrong MAC, an unknown type or a malformed body.
+    """
+    mac, payload = data[:_MAC_BYTES], data[_MAC_BYTES:]
+    if not any(hmac.compare_digest(mac, _mac(payload, key)) for key in keys):
+        raise CodecError("message authentication failed")
+    try:
+        frame = _FRAME_DECODER.decode(payload)
+        if frame.version < OLDEST_WIRE_VERSION:
+            raise CodecError(f"wire version {frame.version} is no longer supported")
+        decoder = _DECODER_BY_NAME.get(frame.type_name)
+        if decoder is None:
+            raise CodecError(f"unknown message type {frame.type_name!r}")
+        message = decoder.decode(frame.body)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f"malformed message: {error}") from error
+    return Envelope(
+        sender=frame.sender,
+        incarnation=frame.incarnation,
+        message=message,
+        request_id=frame.request_id,
+        is_reply=frame.is_reply,
+        sequence=frame.sequence,
+        acknowledged=frame.acknowledged,
+        peer_incarnation=frame.peer_incarnation,
+        age_s=frame.age_s,
+    )
+
+
+def _mac(payload: bytes, key: bytes) -> bytes:
+    return hashlib.blake2b(payload, key=key[:64], digest_size=_MAC_BYTES).digest()
+
+
+@attrs.frozen
+class Nothing:
+    """Carries only the envelope: a heartbeat or an acknowledgement."""
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_FRAME_DECODER = msgspec.msgpack.Decoder(_Frame)
+_DECODER_BY_NAME: dict[str, msgspec.msgpack.Decoder[object]] = {}
+
+register(Nothing)
+for _module in _MODULES:
+    register(
+        *(
+            item
+            for item in vars(_module).values()
+            if isinstance(item, type) and attrs.has(item) and item.__module__ == _module.__name__
+        )
+    )
--- /dev/null
+++ b/src/apricotpoint/_wire/jobs.py
@@ -0,0 +1,112 @@
+"""Job requests and answers, also as forwarded between entry processes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from apricotpoint._wire.tasks import TaskSpec
+
+
+@attrs.frozen
+class JobRequest:
+    """A job as submitted. `valid_until` (unix seconds) is required for caller keys."""
+
+    key: str
+    team: str
+    service: str
+    deadline_ms: int
+    tasks: list[TaskSpec]
+    valid_until: int | None = None
+
+
+@attrs.frozen
+class FailedTask:
+    """A task that its backend server reported as failed."""
+
+    index: int
+    error: str
+
+
+@attrs.frozen
+class Answer:
+    """The whole answer to a job.
+
+    `results` has one value for each task, in order, and only with code 1000.
+    `retry_after_ms` and `others` (caller addresses) accompany refusals.
+    `config_version` and `config_current` describe the configuration in force.
+    """
+
+    key: str
+    code: int
+    message: str = ""
+    results: list[Any] | None = None
+    failed: list[FailedTask] = attrs.Factory(list)
+    retry_after_ms: int | None = None
+    others: list[str] = attrs.Factory(list)
+    config_version: int = 0
+    config_current: bool = True
+
+
+@attrs.frozen
+class SubmitForward:
+    """Passes a request to the coordinator of its key; answered by `AnswerForward`.
+
+    With `attach_only` the receiver must not start the job: it only joins one
+    that it knows.
+    """
+
+    request: JobRequest
+    attach_only: bool
+
+
+@attrs.frozen
+class JobLookup:
+    """Asks the coordinator for the answer of a key, waiting up to `wait_s`."""
+
+    team: str
+    key: str
+    wait_s: float
+
+
+@attrs.frozen
+class CancelForward:
+    """Asks the coordinator to cancel the job of a key."""
+
+    team: str
+    key: str
+
+
+@attrs.frozen
+class AnswerForward:
+    """The answer to `SubmitForward`, `JobLookup` or `CancelForward`; None if still running."""
+
+    answer: Answer | None
+    found: bool = True
+
+
+@attrs.frozen
+class Claim:
+    """Asks the key registry of the home to record a caller key."""
+
+    team: str
+    key: str
+    valid_until: int
+    fingerprint: str
+    entry_id: str
+    incarnation: int
+
+
+@attrs.frozen
+class ClaimReply:
+    """Answer to `Claim`.
+
+    `code` is 4000 (granted), 2107 (other fingerprint), 3105 or 3108. If the
+    key is already recorded, `entry_id` and `incarnation` name its coordinator.
+    """
+
+    code: int
+    entry_id: str = ""
+    incarnation: int = 0
+    existing: bool = False
