--- /dev/null
+++ b/src/apricotpoint/_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the programs, checked at start."""
--- /dev/null
+++ b/src/apricotpoint/_settings/checks.py
@@ -0,0 +1,67 @@
+"""Validators for settings values."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")
+
+Validator = Callable[[Any, "attrs.Attribute[Any]", Any], None]
+
+
+def name(_: object, attribute: attrs.Attribute[Any], value: str) -> None:
+    """Require a name of lower-case letters, digits and hyphens."""
+    if not _NAME.fullmatch(value):
+        raise ValueError(
+            f"{attribute.name}: {value!r} must have 1 to 32 lower-case letters, digits or hyphens"
+        )
+
+
+def names(instance: object, attribute: attrs.Attribute[Any], value: list[str]) -> None:
+    """Require a list of different names."""
+    if not value or len(set(value)) != len(value):
+        raise ValueError(f"{attribute.name}: {value!r} must list one or more different names")
+    for item in value:
+        name(instance, attribute, item)
+
+
+def address(_: object, attribute: attrs.Attribute[Any], value: str) -> None:
+    """Require `IP:port`; names are refused, because processes talk by IP numbers."""
+    host, separator, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = bool(separator) and 0 < int(port) < 65_536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError(f"{attribute.name}: {value!r} must be an IP number and a port, IP:port")
+
+
+def optional_address(instance: object, attribute: attrs.Attribute[Any], value: str) -> None:
+    """Require `IP:port` or an empty string."""
+    if value:
+        address(instance, attribute, value)
+
+
+def addresses(instance: object, attribute: attrs.Attribute[Any], value: dict[str, str]) -> None:
+    """Require a map of names to `IP:port`."""
+    for key, item in value.items():
+        name(instance, attribute, key)
+        address(instance, attribute, item)
+
+
+def between(low: float, high: float, unit: str) -> Validator:
+    """Require a number of `unit` from `low` to `high`."""
+
+    def check(_: object, attribute: attrs.Attribute[Any], value: float) -> None:
+        if not low <= value <= high:
+            raise ValueError(
+                f"{attribute.name}: {value!r} must be from {low:g} to {high:g} {unit}".rstrip()
+            )
+
+    return check
