Add the bench: fakes of links and workers on virtual time, scenarios, figures

The policy must be compared with the ideal and with baselines on the same code as in production. The rig wires the production parts to an in-memory link, fake workers that keep a ledger, and callers, on trio's mock clock.

--- /dev/null
+++ b/src/apricotpoint/_bench/measure.py
@@ -0,0 +1,194 @@
+"""Runs a scenario and derives its figures."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable
+from functools import partial
+
+import anyio
+
+from apricotpoint._bench.figure import Figure, at_most
+from apricotpoint._bench.ideal import IdealWorker, ideal_responses_s
+from apricotpoint._bench.record import JobRecord
+from apricotpoint._bench.rig import CALLER_LATENCY_S, LOCAL_LATENCY_S, Rig
+from apricotpoint._bench.scenario import BURST_S, FAULT_AT_S, Scenario
+from apricotpoint._bench.trace import TracedJob
+from apricotpoint._bench.virtualtime import run_virtual
+from apricotpoint._core.codes import Meaning, ResultCode
+from apricotpoint._settings.deployment import DeploymentSettings
+
+AddFigure = Callable[..., Figure]
+
+SETTLE_S = 3.0
+LIMIT_S = 180.0
+ANSWER_ALLOWANCE_S = 0.05
+RECOVERY_S = 5.0
+
+_RATIO_TARGETS = {"steady-50": 1.10, "steady-80": 1.25}
+_LOST_TARGETS = {"one-failing": 20, "four-failing": 80}
+
+
+def run_scenario(
+    deployment: DeploymentSettings, scenario: Scenario, *, policy: str, seed: int
+) -> list[Figure]:
+    """Run one scenario with one policy on virtual time and return its figures."""
+    trace = scenario.trace(deployment, seed=seed)
+    rig = run_virtual(partial(_run, deployment, scenario, policy, seed, trace), seed=seed)
+    add = partial(at_most, deployment.name, scenario.name, policy)
+    figures = _response_figures(deployment, scenario, trace, rig, add)
+    figures += _message_figures(scenario, rig, add)
+    figures += _promise_figures(rig, add)
+    figures += _fault_figures(scenario, rig, add)
+    return figures
+
+
+async def _run(
+    deployment: DeploymentSettings,
+    scenario: Scenario,
+    policy: str,
+    seed: int,
+    trace: list[TracedJob],
+) -> Rig:
+    rig = Rig(deployment, policy=policy, seed=seed, resubmit_share=scenario.resubmit_share)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_disturb_later, scenario, rig)
+        await rig.run(trace, settle_s=SETTLE_S, limit_s=scenario.seconds + LIMIT_S)
+        group.cancel_scope.cancel()
+    return rig
+
+
+async def _disturb_later(scenario: Scenario, rig: Rig) -> None:
+    await anyio.sleep(SETTLE_S)
+    await scenario.disturb(rig)
+
+
+def _response_figures(
+    deployment: DeploymentSettings,
+    scenario: Scenario,
+    trace: list[TracedJob],
+    rig: Rig,
+    add: AddFigure,
+) -> list[Figure]:
+    workers = [
+        IdealWorker(speed=speed, slots=deployment.workers.slots)
+        for speed in deployment.workers.speeds()
+    ]
+    round_trip_s = 2 * (CALLER_LATENCY_S + LOCAL_LATENCY_S)
+    ideal = ideal_responses_s(trace, workers, round_trip_s=round_trip_s)
+    complete = [record for record in rig.records if record.complete]
+    responses = [record.response_s for record in complete] or [float("inf")]
+    ideal_of_complete = [ideal[record.number] for record in complete] or [1.0]
+    mean, ideal_mean = statistics.fmean(responses), statistics.fmean(ideal_of_complete)
+    p99, ideal_p99 = _quantile(responses, 0.99), _quantile(ideal_of_complete, 0.99)
+    p99_target = 2.0 if scenario.name == "steady-80" else None
+    return [
+        add("complete_share", len(complete) / len(trace), "ratio"),
+        add("response_mean", mean, "s"),
+        add("response_p50", _quantile(responses, 0.5), "s"),
+        add("response_p99", p99, "s"),
+        add("ideal_mean", ideal_mean, "s"),
+        add("ideal_p99", ideal_p99, "s"),
+        add(
+            "ideal_ratio_mean",
+            mean / ideal_mean,
+            "ratio",
+            target=_RATIO_TARGETS.get(scenario.name),
+        ),
+        add("ideal_ratio_p99", p99 / ideal_p99, "ratio", target=p99_target),
+    ]
+
+
+def _message_figures(scenario: Scenario, rig: Rig, add: AddFigure) -> list[Figure]:
+    tasks = sum(len(record.job.tasks) for record in rig.records)
+    own_target = 0.5 if scenario.name == "steady-80" else None
+    wasted = rig.counter_total("holder.wasted.") + rig.counter_total("jobs.wasted.")
+    figures = [
+        add("own_messages_per_task", rig.own_messages() / tasks, "messages", target=own_target),
+        add(
+            "wasted_messages_per_task",
+            wasted / tasks,
+            "messages",
+            target=0.01 if scenario.steady else 0.05,
+        ),
+    ]
+    figures += [
+        add(f"own_messages.{name}", count / tasks, "messages")
+        for name, count in sorted(rig.network.count_by_type.items())
+    ]
+    return figures
+
+
+def _promise_figures(rig: Rig, add: AddFigure) -> list[Figure]:
+    starts: dict[str, int] = {}
+    for worker in rig.worker_by_id.values():
+        for task_id, count in worker.count_by_task.items():
+            starts[task_id] = starts.get(task_id, 0) + count
+    started_jobs = {task_id.split(".")[0] for task_id in starts}
+    false_refusals = sum(
+        1
+        for record in rig.records
+        if record.answer is not None
+        and ResultCode(record.answer.code).meaning is Meaning.NOT_RUN
+        and str(record.number) in started_jobs
+    )
+    late = sum(
+        1
+        for record in rig.records
+        if record.answer is not None and record.response_s > record.deadline_s + ANSWER_ALLOWANCE_S
+    )
+    over_slots = sum(
+        1 for worker in rig.worker_by_id.values() if worker.peak_running > worker.slots
+    )
+    return [
+        add("started_twice", sum(1 for n in starts.values() if n > 1), "tasks", target=0),
+        add(
+            "partial_answers",
+            sum(1 for record in rig.records if not record.whole) + rig.conflicting_answers,
+            "answers",
+            target=0,
+        ),
+        add("false_refusals", false_refusals, "answers", target=0),
+        add("late_answers", late, "answers", target=0),
+        add("silent_callers", _silent(rig), "callers", target=0),
+        add("over_announced_slots", over_slots, "workers", target=0),
+    ]
+
+
+def _silent(rig: Rig) -> int:
+    """Count callers without an answer, except those whose entry process was killed."""
+    return sum(1 for record in rig.records if record.answer is None and not record.lost)
+
+
+def _fault_figures(scenario: Scenario, rig: Rig, add: AddFigure) -> list[Figure]:
+    figures = []
+    if scenario.name in _LOST_TARGETS:
+        lost = sum(worker.failed_starts for worker in rig.worker_by_id.values())
+        figures.append(
+            add("tasks_lost_to_failing", lost, "tasks", target=_LOST_TARGETS[scenario.name])
+        )
+    if scenario.name in ("one-failing", "four-failing", "two-slow", "burst"):
+        after_s = BURST_S if scenario.burst else 0.0
+        before = _mean_between(rig.records, 0.0, FAULT_AT_S)
+        after = _mean_between(rig.records, FAULT_AT_S + after_s + RECOVERY_S, scenario.seconds)
+        figures.append(add("recovered_mean_ratio", after / before, "ratio", target=1.1))
+    if scenario.name == "rolling-restart":
+        failed = sum(1 for record in rig.records if not record.complete)
+        figures.append(add("failed_requests", failed, "requests", target=0))
+    if scenario.noisy_share:
+        mean = _mean_of([r for r in rig.records if r.job.team != "noisy"])
+        figures.append(add("quiet_team_mean", mean, "s"))
+    return figures
+
+
+def _mean_between(records: list[JobRecord], low_s: float, high_s: float) -> float:
+    return _mean_of([record for record in records if low_s <= record.job.at_s < high_s])
+
+
+def _mean_of(records: list[JobRecord]) -> float:
+    responses = [record.response_s for record in records if record.complete]
+    return statistics.fmean(responses) if responses else float("inf")
+
+
+def _quantile(values: list[float], fraction: float) -> float:
+    return sorted(values)[min(int(len(values) * fraction), len(values) - 1)]
--- /dev/null
+++ b/src/apricotpoint/_bench/network.py
@@ -0,0 +1,221 @@
+"""In-memory links between entry processes with latency and cuts."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections import Counter
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
+
+
+@attrs.frozen(order=True)
+class _Delivery:
+    due_at: float
+    number: int
+    sender_id: str = attrs.field(order=False)
+    receiver_id: str = attrs.field(order=False)
+    message: object = attrs.field(order=False)
+    request_id: int = attrs.field(order=False, default=0)
+    is_reply: bool = attrs.field(order=False, default=False)
+    reliable: bool = attrs.field(order=False, default=False)
+    sent_at: float = attrs.field(order=False, default=0.0)
+    to_incarnation: int | None = attrs.field(order=False, default=None)
+
+
+class Network:
+    """Delivers messages between ports after a latency, in order for each pair.
+
+    `latency_s` gives the one-way latency of a pair of process ids; `is_cut`
+    tells whether a pair cannot talk. Reliable messages wait for the end of a
+    cut, others are lost. `count_by_type` counts the messages sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        latency_s: Callable[[str, str], float],
+        is_cut: Callable[[str, str], bool] = lambda _sender, _receiver: False,
+    ) -> None:
+        self.latency_s = latency_s
+        self.is_cut = is_cut
+        self.port_by_id: dict[str, Port] = {}
+        self.count_by_type: Counter[str] = Counter()
+        self._queue: list[_Delivery] = []
+        self._held: list[_Delivery] = []
+        self._numbers = itertools.count(1)
+        self._changed = anyio.Event()
+
+    def add(self, process_id: str, incarnation: int) -> Port:
+        """Connect a process; an earlier incarnation of it is disconnected."""
+        port = Port(self, process_id, incarnation)
+        self.port_by_id[process_id] = port
+        return port
+
+    def remove(self, process_id: str) -> None:
+        """Disconnect a process."""
+        self.port_by_id.pop(process_id, None)
+
+    def post(self, delivery: _Delivery) -> None:
+        """Queue a message for delivery."""
+        self.count_by_type[type(delivery.message).__name__] += 1
+        heapq.heappush(self._queue, delivery)
+        if self._queue[0] is delivery:
+            self._changed.set()
+
+    def number(self) -> int:
+        """Return the next number of a message or request."""
+        return next(self._numbers)
+
+    def release_held(self) -> None:
+        """Deliver the reliable messages whose cut has ended."""
+        held, self._held = self._held, []
+        for delivery in held:
+            heapq.heappush(self._queue, delivery)
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Deliver messages until cancelled."""
+        while True:
+            self._changed = anyio.Event()
+            now = anyio.current_time()
+            while self._queue and self._queue[0].due_at <= now:
+                self._deliver(heapq.heappop(self._queue), now)
+            if not self._queue:
+                await self._changed.wait()
+                continue
+            with anyio.move_on_after(self._queue[0].due_at - now):
+                await self._changed.wait()
+
+    def _deliver(self, delivery: _Delivery, now: float) -> None:
+        if self.is_cut(delivery.sender_id, delivery.receiver_id):
+            if delivery.reliable:
+                self._held.append(delivery)
+            return
+        port = self.port_by_id.get(delivery.receiver_id)
+        if port is None:
+            return
+        # The reliable stream belongs to a pair of incarnations.
+        if delivery.reliable and delivery.to_incarnation not in (None, port.incarnation):
+            return
+        port.receive(delivery, now)
+
+
+class Port:
+    """The `Transport` of one process on a `Network`."""
+
+    def __init__(self, network: Network, process_id: str, incarnation: int) -> None:
+        self.network = network
+        self.process_id = process_id
+        self.incarnation = incarnation
+        self.handlers_by_type: dict[type, Handler] = {}
+        self.request_handlers_by_type: dict[type, RequestHandler] = {}
+        self._heard_at_by_peer: dict[str, float] = {}
+        self._incarnation_by_peer: dict[str, int] = {}
+        self._reply_by_request: dict[int, object] = {}
+        self._event_by_request: dict[int, anyio.Event] = {}
+        self._requests: list[tuple[RequestHandler, Sender, _Delivery]] = []
+        self._requests_changed = anyio.Event()
+
+    def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
+        """Queue a message to a peer."""
+        if peer_id == self.process_id:
+            return False
+        self._post(peer_id, message, reliable=reliable)
+        return True
+
+    async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
+        """Send a request and wait for its reply."""
+        request_id = self.network.number()
+        event = anyio.Event()
+        self._event_by_request[request_id] = event
+        self._post(peer_id, message, request_id=request_id)
+        with anyio.move_on_after(timeout_s):
+            await event.wait()
+        del self._event_by_request[request_id]
+        if not event.is_set():
+            raise PeerUnreachable(f"no reply from {peer_id} within {timeout_s:g} s")
+        return self._reply_by_request.pop(request_id)
+
+    def peers(self) -> list[str]:
+        """Return the ids of all other processes."""
+        return [peer_id for peer_id in self.network.port_by_id if peer_id != self.process_id]
+
+    def heard_ago(self, peer_id: str) -> float:
+        """Return the seconds since the peer was last heard."""
+        heard_at = self._heard_at_by_peer.get(peer_id)
+        return math.inf if heard_at is None else anyio.current_time() - heard_at
+
+    def incarnation_of(self, peer_id: str) -> int | None:
+        """Return the latest incarnation heard from the peer."""
+        return self._incarnation_by_peer.get(peer_id)
+
+    def receive(self, delivery: _Delivery, now: float) -> None:
+        """Hand a delivered message to its handler."""
+        sender_port = self.network.port_by_id.get(delivery.sender_id)
+        incarnation = sender_port.incarnation if sender_port else 0
+        self._heard_at_by_peer[delivery.sender_id] = now
+        self._incarnation_by_peer[delivery.sender_id] = incarnation
+        if delivery.is_reply:
+            event = self._event_by_request.get(delivery.request_id)
+            if event is not None:
+                self._reply_by_request[delivery.request_id] = delivery.message
+                event.set()
+            return
+        waited_s = now - delivery.sent_at
+        sender = Sender(peer_id=delivery.sender_id, incarnation=incarnation, age_s=waited_s)
+        request_handler = self.request_handlers_by_type.get(type(delivery.message))
+        if delivery.request_id and request_handler is not None:
+            self._requests.append((request_handler, sender, delivery))
+            self._requests_changed.set()
+            return
+        handler = self.handlers_by_type.get(type(delivery.message))
+        if handler is not None:
+            handler(sender, delivery.message)
+
+    async def run(self) -> None:
+        """Answer requests until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                self._requests_changed = anyio.Event()
+                requests, self._requests = self._requests, []
+                for request_handler, sender, delivery in requests:
+                    group.start_soon(self._answer, request_handler, sender, delivery)
+                await self._requests_changed.wait()
+
+    async def _answer(
+        self, request_handler: RequestHandler, sender: Sender, delivery: _Delivery
+    ) -> None:
+        reply = await request_handler(sender, delivery.message)
+        self._post(delivery.sender_id, reply, request_id=delivery.request_id, is_reply=True)
+
+    def _post(
+        self,
+        peer_id: str,
+        message: object,
+        *,
+        request_id: int = 0,
+        is_reply: bool = False,
+        reliable: bool = False,
+    ) -> None:
+        now = anyio.current_time()
+        receiver = self.network.port_by_id.get(peer_id)
+        self.network.post(
+            _Delivery(
+                due_at=now + self.network.latency_s(self.process_id, peer_id),
+                number=self.network.number(),
+                sender_id=self.process_id,
+                receiver_id=peer_id,
+                message=message,
+                request_id=request_id,
+                is_reply=is_reply,
+                reliable=reliable,
+                sent_at=now,
+                to_incarnation=receiver.incarnation if receiver else None,
+            )
+        )
--- /dev/null
+++ b/src/apricotpoint/_bench/rig.py
@@ -0,0 +1,334 @@
+"""A deployment on virtual time: production parts, fake links, fake workers, callers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator
+
+import anyio
+import anyio.abc
+import attrs
+
+from apricotpoint._bench.entry import RigEntry
+from apricotpoint._bench.network import Network
+from apricotpoint._bench.record import JobRecord
+from apricotpoint._bench.trace import TracedJob
+from apricotpoint._bench.worker import FakeWorker
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._dispatch.exchange import (
+    AnswerLostError,
+    BackendAddress,
+    RunStatus,
+    Start,
+    StartResult,
+)
+from apricotpoint._settings.deployment import DeploymentSettings
+from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
+from apricotpoint._wire.jobs import Claim, ClaimReply, JobRequest
+
+CALLER_LATENCY_S = 0.001
+DOMAIN_LATENCY_S = 0.0005
+LOCAL_LATENCY_S = 0.0001
+ANNOUNCE_PERIOD_S = 0.5
+DEFAULT_DEADLINE_S = 30.0
+
+
+@attrs.frozen(eq=False)
+class OpenJob:
+    """A submission whose caller still waits."""
+
+    request: JobRequest
+    entry_id: str
+
+
+@attrs.define(eq=False)
+class RunningEntry:
+    """An entry process of the rig with the scope that kills it."""
+
+    entry: RigEntry
+    scope: anyio.CancelScope
+    accepts: bool = True
+    caller_scopes: set[anyio.CancelScope] = attrs.Factory(set)
+
+
+class Rig:
+    """Runs a trace against a deployment and records what callers and workers see.
+
+    Fault scenarios change `cut_domains`, the workers and the entry processes
+    while a trace runs.
+    """
+
+    def __init__(
+        self,
+        deployment: DeploymentSettings,
+        *,
+        policy: str,
+        seed: int,
+        resubmit_share: float = 0.0,
+    ) -> None:
+        self.deployment = deployment
+        self.resubmit_share = resubmit_share
+        self.open_by_number: dict[int, OpenJob] = {}
+        self.conflicting_answers = 0
+        self.random = random.Random(seed)
+        self.cut_domains: set[str] = set()
+        self.records: list[JobRecord] = []
+        self.running_by_id: dict[str, RunningEntry] = {}
+        self.finished_entries: list[RigEntry] = []
+        self.domain_by_process: dict[str, str] = {}
+        self.network = Network(latency_s=self._latency_s, is_cut=self.is_cut)
+        self.worker_by_id = self._make_workers()
+        self.configuration = Configuration(
+            version=1,
+            service_by_name={
+                deployment.service: ServiceConfig(name=deployment.service, policy=policy)
+            },
+            team_by_name={
+                team: TeamConfig(name=team, quota_tasks=100_000) for team in deployment.teams
+            },
+        )
+        self._incarnations = 0
+        self._group: anyio.abc.TaskGroup | None = None
+
+    def is_cut(self, first: str, second: str) -> bool:
+        """Return True if a cut separates the failure domains of two processes."""
+        return self._domains_cut(self.domain_by_process[first], self.domain_by_process[second])
+
+    async def run(self, trace: list[TracedJob], *, settle_s: float, limit_s: float) -> None:
+        """Run a trace after `settle_s` seconds for announcements; wait up to `limit_s` for it."""
+        with anyio.move_on_after(settle_s + limit_s):
+            async with anyio.create_task_group() as group:
+                self._group = group
+                group.start_soon(self.network.run)
+                await self.start_entries()
+                for worker in self.worker_by_id.values():
+                    group.start_soon(self._announce, worker)
+                await anyio.sleep(settle_s)
+                async with anyio.create_task_group() as callers:
+                    started_at = anyio.current_time()
+                    for number, job in enumerate(trace):
+                        await anyio.sleep(max(started_at + job.at_s - anyio.current_time(), 0))
+                        callers.start_soon(self._call, job, number)
+                group.cancel_scope.cancel()
+
+    async def start_entries(self) -> None:
+        """Start one entry process of each weight in every failure domain."""
+        for domain in self.deployment.failure_domains:
+            for index, weight in enumerate(self.deployment.entry_weights):
+                await self.start_entry(f"{domain}-{index + 1}", domain, weight)
+
+    async def start_entry(self, entry_id: str, domain: str, weight: float) -> None:
+        """Start an entry process as a new incarnation."""
+        assert self._group is not None
+        self._incarnations += 1
+        self.domain_by_process[entry_id] = domain
+        entry = RigEntry(
+            entry_id=entry_id,
+            incarnation=self._incarnations,
+            failure_domain=domain,
+            weight=weight,
+            network=self.network,
+            generator=random.Random(self.random.random()),
+            configuration=lambda: self.configuration,
+            claim=self._claim,
+            send_to_backend=lambda address, starts: self._send(entry_id, address, starts),
+            ask_backend=lambda address, start_id: self._ask(entry_id, address, start_id),
+            cancel_on_backend=lambda address, ids: self._cancel(entry_id, address, ids),
+        )
+        running = RunningEntry(entry=entry, scope=anyio.CancelScope())
+        self.running_by_id[entry_id] = running
+        await self._group.start(self._run_entry, running)
+
+    def kill_entry(self, entry_id: str) -> None:
+        """Stop an entry process without any notice."""
+        running = self.running_by_id.pop(entry_id)
+        self.network.remove(entry_id)
+        running.scope.cancel()
+        for scope in running.caller_scopes:
+            scope.cancel()
+
+    async def stop_entry(self, entry_id: str) -> None:
+        """Stop an entry process gracefully: drain, wait until idle, end."""
+        running = self.running_by_id[entry_id]
+        running.entry.draining = True
+        running.entry.coordinator.start_draining()
+        running.accepts = False
+        await anyio.sleep(6)
+        # The parts offer no event for being idle; a stop is rare, so it polls.
+        while not (running.entry.coordinator.idle() and running.entry.holder.idle()):  # noqa: ASYNC110
+            await anyio.sleep(0.05)
+        self.kill_entry(entry_id)
+
+    def own_messages(self) -> int:
+        """Return the number of messages between entry processes so far."""
+        return sum(self.network.count_by_type.values())
+
+    def counter_total(self, prefix: str) -> int:
+        """Return the sum of all counters of all entry processes that start with `prefix`."""
+        entries = [running.entry for running in self.running_by_id.values()]
+        return sum(
+            int(value)
+            for entry in [*entries, *self.finished_entries]
+            for name, value in entry.counters.snapshot().items()
+            if name.startswith(prefix)
+        )
+
+    async def _run_entry(
+        self,
+        running: RunningEntry,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        with running.scope:
+            async with running.entry:
+                task_status.started()
+                await anyio.sleep_forever()
+        self.finished_entries.append(running.entry)
+
+    async def _call(self, job: TracedJob, number: int) -> None:
+        record = JobRecord(
+            job=job,
+            number=number,
+            submitted_at=anyio.current_time(),
+            deadline_s=DEFAULT_DEADLINE_S,
+        )
+        self.records.append(record)
+        running = self._balance()
+        await anyio.sleep(CALLER_LATENCY_S)
+        tasks = [
+            attrs.evolve(task.spec, payload={"run_s": task.run_s, "id": f"{number}.{index}"})
+            for index, task in enumerate(job.tasks)
+        ]
+        request = JobRequest(
+            key=running.entry.coordinator.issue_keys(1)[0],
+            team=job.team,
+            service=self.deployment.service,
+            deadline_ms=int(record.deadline_s * 1000),
+            tasks=tasks,
+        )
+        entry_id = running.entry.entry_id
+        self.open_by_number[number] = OpenJob(request=request, entry_id=entry_id)
+        async with anyio.create_task_group() as group:
+            if self.random.random() < self.resubmit_share:
+                group.start_soon(self._resubmit, request, record)
+            # A killed entry process takes the connection of its callers with it.
+            if self.running_by_id.get(entry_id) is running:
+                with anyio.CancelScope() as scope:
+                    running.caller_scopes.add(scope)
+                    record.answer = await running.entry.coordinator.submit(request)
+                running.caller_scopes.discard(scope)
+                record.lost = scope.cancelled_caught
+        del self.open_by_number[number]
+        await anyio.sleep(CALLER_LATENCY_S)
+        if record.answer is None:
+            return
+        record.answered_at = anyio.current_time()
+        if record.answer.code == ResultCode.COMPLETE:
+            expected = [f"{number}.{index}" for index in range(len(job.tasks))]
+            record.whole = record.answer.results == expected
+
+    async def cancel_job(self, number: int) -> None:
+        """Cancel an open job through the entry process that it was submitted to."""
+        job = self.open_by_number.get(number)
+        running = self.running_by_id.get(job.entry_id) if job else None
+        if job is not None and running is not None:
+            await running.entry.coordinator.cancel(job.request.team, job.request.key)
+
+    async def _resubmit(self, request: JobRequest, record: JobRecord) -> None:
+        await anyio.sleep(self.random.uniform(0.0, 0.5))
+        running = self._balance()
+        answer = await running.entry.coordinator.submit(request)
+        if answer.code != ResultCode.COMPLETE:
+            return
+        expected = [f"{record.number}.{index}" for index in range(len(request.tasks))]
+        if answer.results != expected:
+            self.conflicting_answers += 1
+
+    def _balance(self) -> RunningEntry:
+        running = [item for item in self.running_by_id.values() if item.accepts]
+        return self.random.choice(running)
+
+    async def _announce(self, worker: FakeWorker) -> None:
+        await anyio.sleep(self.random.uniform(0, ANNOUNCE_PERIOD_S))
+        while True:
+            await self._announce_once(worker)
+            await anyio.sleep(ANNOUNCE_PERIOD_S)
+
+    async def _announce_once(self, worker: FakeWorker) -> None:
+        if worker.dead:
+            return
+        reachable = [
+            running
+            for entry_id, running in self.running_by_id.items()
+            if not self._domains_cut(worker.failure_domain, self.domain_by_process[entry_id])
+        ]
+        if not reachable:
+            return
+        running = self.random.choice(reachable)
+        await anyio.sleep(LOCAL_LATENCY_S)
+        reply = running.entry.holder.announce(worker.announcement())
+        await anyio.sleep(LOCAL_LATENCY_S)
+        worker.apply(reply)
+
+    async def _send(
+        self, entry_id: str, address: BackendAddress, starts: list[Start]
+    ) -> AsyncIterator[StartResult]:
+        worker = self.worker_by_id[address.backend_id]
+        latency_s = self._worker_latency_s(entry_id, worker)
+        results = worker.serve(
+            starts, latency_s=latency_s, is_cut=lambda: self._worker_cut(entry_id, worker)
+        )
+        async for result in results:
+            yield result
+
+    async def _ask(self, entry_id: str, address: BackendAddress, start_id: str) -> StartResult:
+        worker = self.worker_by_id[address.backend_id]
+        await anyio.sleep(2 * self._worker_latency_s(entry_id, worker))
+        if worker.dead or self._worker_cut(entry_id, worker):
+            raise AnswerLostError(f"{worker.backend_id} cannot be asked")
+        status = RunStatus.RUNNING if start_id in worker.cancelled else RunStatus.UNKNOWN
+        return StartResult(start_id=start_id, status=status)
+
+    async def _cancel(self, entry_id: str, address: BackendAddress, start_ids: list[str]) -> None:
+        worker = self.worker_by_id[address.backend_id]
+        await anyio.sleep(self._worker_latency_s(entry_id, worker))
+        if not worker.dead and not self._worker_cut(entry_id, worker):
+            worker.cancel(start_ids)
+
+    async def _claim(self, claim: Claim) -> ClaimReply:
+        await anyio.sleep(2 * DOMAIN_LATENCY_S)
+        return ClaimReply(code=int(ResultCode.ACCEPTED))
+
+    def _make_workers(self) -> dict[str, FakeWorker]:
+        size = self.deployment.workers
+        domains = self.deployment.failure_domains
+        workers = {}
+        for index, speed in enumerate(size.speeds()):
+            rack = index // size.per_rack
+            worker = FakeWorker(
+                backend_id=f"w-{index + 1:02}",
+                service=self.deployment.service,
+                failure_domain=domains[rack % len(domains)],
+                rack=f"rack-{rack + 1}",
+                speed=speed,
+                slots=size.slots,
+                connections=size.connections,
+                cores=size.cores,
+                memory_mb=size.memory_mb,
+            )
+            workers[worker.backend_id] = worker
+            self.domain_by_process[worker.backend_id] = worker.failure_domain
+        return workers
+
+    def _latency_s(self, first: str, second: str) -> float:
+        same = self.domain_by_process[first] == self.domain_by_process[second]
+        return LOCAL_LATENCY_S if same else DOMAIN_LATENCY_S
+
+    def _worker_latency_s(self, entry_id: str, worker: FakeWorker) -> float:
+        return self._latency_s(entry_id, worker.backend_id)
+
+    def _worker_cut(self, entry_id: str, worker: FakeWorker) -> bool:
+        return self.is_cut(entry_id, worker.backend_id)
+
+    def _domains_cut(self, first: str, second: str) -> bool:
+        return first != second and (first in self.cut_domains or second in self.cut_domains)
--- /dev/null
+++ b/src/apricotpoint/_bench/scenario.py
@@ -0,0 +1,154 @@
+"""Scenarios of the bench: a load and what goes wrong during it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from apricotpoint._bench.rig import Rig
+from apricotpoint._bench.trace import TracedJob, capacity_tasks_per_s, make_trace
+from apricotpoint._settings.deployment import DeploymentSettings
+
+Disturb = Callable[[Rig], Awaitable[None]]
+
+FAULT_AT_S = 20.0
+BURST_S = 5.0
+
+
+async def _nothing(rig: Rig) -> None:
+    """Leave the deployment undisturbed."""
+
+
+@attrs.frozen
+class Scenario:
+    """A load, relative to capacity, and a disturbance that starts with the trace.
+
+    `burst` multiplies the capacity that arrives for 5 s from second 20 on.
+    `noisy_share` is the load of a second team, relative to capacity.
+    """
+
+    name: str
+    load: float
+    seconds: float = 60.0
+    disturb: Disturb = _nothing
+    burst: float = 0.0
+    declared_error: float = 1.0
+    resubmit_share: float = 0.0
+    steady: bool = False
+    noisy_share: float = 0.0
+
+    def trace(self, deployment: DeploymentSettings, *, seed: int) -> list[TracedJob]:
+        """Return the arrivals of this scenario for a deployment."""
+        capacity = capacity_tasks_per_s(deployment)
+        jobs = make_trace(
+            deployment,
+            tasks_per_s=self.load * capacity,
+            seconds=self.seconds,
+            seed=seed,
+            declared_error=self.declared_error,
+        )
+        if self.burst:
+            jobs += self._burst_jobs(deployment, capacity, seed)
+        if self.noisy_share:
+            jobs += make_trace(
+                deployment,
+                tasks_per_s=self.noisy_share * capacity,
+                seconds=self.seconds,
+                seed=seed + 1,
+                team="noisy",
+            )
+        return sorted(jobs, key=lambda job: job.at_s)
+
+    def _burst_jobs(
+        self, deployment: DeploymentSettings, capacity: float, seed: int
+    ) -> list[TracedJob]:
+        extra = make_trace(
+            deployment,
+            tasks_per_s=(self.burst - self.load) * capacity,
+            seconds=BURST_S,
+            seed=seed + 2,
+            declared_error=self.declared_error,
+        )
+        return [attrs.evolve(job, at_s=job.at_s + FAULT_AT_S) for job in extra]
+
+
+def failing_workers(count: int) -> Disturb:
+    """Return a disturbance in which workers fail everything at once."""
+
+    async def disturb(rig: Rig) -> None:
+        await anyio.sleep(FAULT_AT_S)
+        for worker in list(rig.worker_by_id.values())[:count]:
+            worker.fails = True
+
+    return disturb
+
+
+def slow_workers(count: int, factor: float) -> Disturb:
+    """Return a disturbance in which workers become `factor` times slower."""
+
+    async def disturb(rig: Rig) -> None:
+        await anyio.sleep(FAULT_AT_S)
+        for worker in list(rig.worker_by_id.values())[:count]:
+            worker.speed /= factor
+
+    return disturb
+
+
+async def cancel_wave(rig: Rig) -> None:
+    """Cancel half of all open jobs every 10 s."""
+    while True:
+        await anyio.sleep(10)
+        async with anyio.create_task_group() as group:
+            for number in list(rig.open_by_number):
+                if rig.random.random() < 0.5:
+                    group.start_soon(rig.cancel_job, number)
+
+
+async def rolling_restart(rig: Rig) -> None:
+    """Restart all entry processes gracefully, one after another."""
+    await anyio.sleep(5)
+    for entry_id, running in list(rig.running_by_id.items()):
+        domain, weight = running.entry.failure_domain, running.entry.weight
+        await rig.stop_entry(entry_id)
+        await rig.start_entry(entry_id, domain, weight)
+        await anyio.sleep(2)
+
+
+async def cut_domain(rig: Rig) -> None:
+    """Cut one failure domain off for 60 s."""
+    await anyio.sleep(FAULT_AT_S)
+    rig.cut_domains.add(rig.deployment.failure_domains[0])
+    await anyio.sleep(60)
+    rig.cut_domains.clear()
+    rig.network.release_held()
+
+
+async def kill_entry(rig: Rig) -> None:
+    """Kill an entry process and start it again 5 s later."""
+    await anyio.sleep(FAULT_AT_S)
+    entry_id, running = next(iter(rig.running_by_id.items()))
+    domain, weight = running.entry.failure_domain, running.entry.weight
+    rig.kill_entry(entry_id)
+    await anyio.sleep(5)
+    await rig.start_entry(entry_id, domain, weight)
+
+
+SCENARIOS = [
+    Scenario(name="steady-50", load=0.5, steady=True),
+    Scenario(name="steady-80", load=0.8, steady=True),
+    Scenario(name="steady-95", load=0.95, steady=True),
+    Scenario(name="burst", load=0.5, burst=3.0),
+    Scenario(name="wrong-declarations", load=0.8, declared_error=10.0),
+    Scenario(name="one-failing", load=0.5, disturb=failing_workers(1)),
+    Scenario(name="four-failing", load=0.5, disturb=failing_workers(4)),
+    Scenario(name="two-slow", load=0.5, disturb=slow_workers(2, 10.0)),
+    Scenario(name="cancel-half", load=0.8, disturb=cancel_wave),
+    Scenario(name="rolling-restart", load=0.5, seconds=90.0, disturb=rolling_restart),
+    Scenario(name="domain-cut", load=0.4, seconds=100.0, disturb=cut_domain),
+    Scenario(name="resubmission", load=0.8, resubmit_share=0.2),
+    Scenario(name="entry-killed", load=0.5, disturb=kill_entry),
+    Scenario(name="noisy-team", load=0.3, noisy_share=1.0),
+]
+SCENARIO_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
--- /dev/null
+++ b/src/apricotpoint/_bench/worker.py
@@ -0,0 +1,181 @@
+"""A fake backend server on virtual time that counts what reaches it."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+import attrs
+
+from apricotpoint._dispatch.exchange import (
+    AnswerLostError,
+    NotSentError,
+    RunStatus,
+    Start,
+    StartResult,
+)
+from apricotpoint._wire.announce import Announcement, AnnouncementReply, GuardState, HolderName
+
+_FAST_FAILURE_S = 0.002
+
+
+@attrs.define(eq=False)
+class FakeWorker:
+    """One backend server: speed, slots, failure behaviour and a ledger.
+
+    `count_by_task` counts the starts of each task of the trace, so that a
+    second start is seen whatever ids the product gives it. `peak_running` is
+    the largest number of tasks that ran at a time.
+    """
+
+    backend_id: str
+    service: str
+    failure_domain: str
+    rack: str
+    speed: float
+    slots: int
+    connections: int
+    cores: int
+    memory_mb: int
+    incarnation: int = 1
+    fails: bool = False
+    dead: bool = False
+    leaving: bool = False
+    guard: GuardState = GuardState.RUNNING
+    throttle: float = 1.0
+    running: int = 0
+    peak_running: int = 0
+    refused: int = 0
+    starts: int = 0
+    failed_starts: int = 0
+    cancel_messages: int = 0
+    starts_after_leaving: int = 0
+    sequence: int = 0
+    holder: HolderName | None = None
+    followed: bool = False
+    count_by_task: Counter[str] = attrs.Factory(Counter)
+    cancelled: dict[str, anyio.Event] = attrs.Factory(dict)
+    _cancel_requested: set[str] = attrs.field(factory=set, init=False)
+
+    def announcement(self) -> Announcement:
+        """Return the next announcement."""
+        self.sequence += 1
+        return Announcement(
+            backend_id=self.backend_id,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            clock_s=anyio.current_time(),
+            service=self.service,
+            failure_domain=self.failure_domain,
+            rack=self.rack,
+            address=f"127.0.0.1:{self.incarnation}",
+            slots=self.slots,
+            connections=self.connections,
+            cores=self.cores,
+            memory_mb=self.memory_mb,
+            holder=self.holder,
+            followed=self.followed,
+            running=self.running,
+            leaving=self.leaving,
+            guard=self.guard,
+            throttle=self.throttle,
+        )
+
+    def apply(self, reply: AnnouncementReply) -> None:
+        """Take the holder named in the reply to the latest announcement."""
+        if reply.holder is not None and reply.holder != self.holder:
+            self.followed = self.holder is not None
+            self.holder = reply.holder
+
+    async def serve(
+        self, starts: list[Start], *, latency_s: float, is_cut: Callable[[], bool]
+    ) -> AsyncIterator[StartResult]:
+        """Run starts that arrive after `latency_s` and yield their results."""
+        await anyio.sleep(latency_s)
+        if self.dead or is_cut():
+            raise NotSentError(f"{self.backend_id} refused the connection")
+        if self.running + len(starts) > self.slots:
+            self.refused += len(starts)
+            await anyio.sleep(latency_s)
+            raise NotSentError(f"{self.backend_id} is full")
+        pending = [self._begin(start) for start in starts]
+        heapq.heapify(pending)
+        wake = anyio.Event()
+        for start in starts:
+            self.cancelled[start.start_id] = wake
+        try:
+            while pending:
+                end_s, start_id, start, status = pending[0]
+                with anyio.move_on_after(max(end_s - anyio.current_time(), 0)):
+                    await wake.wait()
+                if self.dead:
+                    raise AnswerLostError(f"{self.backend_id} died")
+                if wake.is_set():
+                    wake = self._renew_wake(pending)
+                    for result in self._take_cancelled(pending):
+                        yield result
+                    continue
+                heapq.heappop(pending)
+                self._end(start_id)
+                await anyio.sleep(latency_s)
+                if is_cut():
+                    raise AnswerLostError(f"{self.backend_id} cannot be reached")
+                yield self._result(start, status)
+        finally:
+            for _, start_id, _, _ in pending:
+                self._end(start_id)
+
+    def cancel(self, start_ids: list[str]) -> None:
+        """Cancel running starts."""
+        self.cancel_messages += 1
+        for start_id in start_ids:
+            event = self.cancelled.get(start_id)
+            if event is not None:
+                self._cancel_requested.add(start_id)
+                event.set()
+
+    def _begin(self, start: Start) -> tuple[float, str, Start, RunStatus]:
+        self.starts += 1
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        self.count_by_task[start.payload["id"]] += 1
+        if self.leaving:
+            self.starts_after_leaving += 1
+        now = anyio.current_time()
+        if self.fails:
+            self.failed_starts += 1
+            return now + _FAST_FAILURE_S, start.start_id, start, RunStatus.FAILED
+        run_s = start.payload["run_s"] / (self.speed * self.throttle)
+        return now + run_s, start.start_id, start, RunStatus.OK
+
+    def _end(self, start_id: str) -> None:
+        self.running -= 1
+        self.cancelled.pop(start_id, None)
+
+    def _renew_wake(self, pending: list[tuple[float, str, Start, RunStatus]]) -> anyio.Event:
+        wake = anyio.Event()
+        for _, start_id, _, _ in pending:
+            self.cancelled[start_id] = wake
+        return wake
+
+    def _take_cancelled(
+        self, pending: list[tuple[float, str, Start, RunStatus]]
+    ) -> list[StartResult]:
+        results = []
+        for item in list(pending):
+            start_id = item[1]
+            if start_id in self._cancel_requested:
+                self._cancel_requested.discard(start_id)
+                pending.remove(item)
+                self._end(start_id)
+                results.append(StartResult(start_id=start_id, status=RunStatus.CANCELLED))
+        heapq.heapify(pending)
+        return results
+
+    def _result(self, start: Start, status: RunStatus) -> StartResult:
+        run_s = 0.0 if self.fails else start.payload["run_s"] / (self.speed * self.throttle)
+        if status is RunStatus.FAILED:
+            return StartResult(start.start_id, status, error="failed at once", run_s=run_s)
+        return StartResult(start.start_id, status, value=start.payload["id"], run_s=run_s)
