--- /dev/null
+++ b/src/apricotpoint/_programs/configrows.py
@@ -0,0 +1,13 @@
+"""Rows of the configuration for operator queries."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+
+def configuration_rows(item_by_name: Mapping[str, Any]) -> list[dict[str, Any]]:
+    """Return one row for each service or team, by name."""
+    return [attrs.asdict(item_by_name[name]) for name in sorted(item_by_name)]
--- /dev/null
+++ b/src/apricotpoint/_programs/entry.py
@@ -0,0 +1,360 @@
+"""`apricot-entry`: the composition root of an entry process."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+import logbook
+
+from apricotpoint._control.claims import claim_function
+from apricotpoint._control.feed import ConfigurationFeed
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.logs import LogSettings, make_setup
+from apricotpoint._core.secrets import load_secrets
+from apricotpoint._core.timers import TimerService
+from apricotpoint._dispatch.cluster import Cluster
+from apricotpoint._dispatch.estimator import KindEstimator
+from apricotpoint._dispatch.holder import Holder
+from apricotpoint._http import announcements, callers, operators
+from apricotpoint._http.backends import BackendClient
+from apricotpoint._http.serve import TlsFiles, serve
+from apricotpoint._jobs.coordinator import Coordinator
+from apricotpoint._link.mesh import Mesh
+from apricotpoint._link.transport import PeerUnreachable
+from apricotpoint._operator.commands import Commands
+from apricotpoint._operator.dump import StateDump, dump_on_signal
+from apricotpoint._programs.configrows import configuration_rows
+from apricotpoint._programs.console import run_commands, settings_commands
+from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint._programs.signals import wait_for_stop_signal
+from apricotpoint._settings.entry import EntrySettings
+from apricotpoint._wire.configuration import Change, ChangeReply, ChangeRequest
+from apricotpoint._wire.load import LoadReport
+
+CHANGE_TIMEOUT_S = 5.0
+IDLE_POLL_S = 0.05
+FOLLOW_PERIOD_S = 0.25
+LIVE_AGE_S = 10.0
+
+_log = logbook.Logger("entry")
+
+
+def main() -> int:
+    """Run the console program and return its exit status."""
+    return run_commands("apricot-entry", settings_commands(EntrySettings, _run))
+
+
+async def _run(settings: EntrySettings) -> None:
+    with make_setup(LogSettings(level=settings.log_level)).applicationbound():
+        await run_entry(settings, shutdown=wait_for_stop_signal)
+
+
+async def run_entry(
+    settings: EntrySettings,
+    *,
+    shutdown: Callable[[], Awaitable[None]],
+    task_status: anyio.abc.TaskStatus[EntryProcess] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry process until `shutdown` returns and its work has been finished.
+
+    Reports the process as task status when all its interfaces listen.
+    """
+    async with EntryProcess(settings) as process, anyio.create_task_group() as group:
+        await group.start(process.serve)
+        if settings.dump_folder:
+            group.start_soon(dump_on_signal, process.state_dump, Path(settings.dump_folder))
+        task_status.started(process)
+        await process.wait_for_stop(shutdown)
+        await process.drain()
+        process.close_interfaces()
+        await process.wait_closed()
+        group.cancel_scope.cancel()
+
+
+class EntryProcess:
+    """All parts of one entry process, wired together.
+
+    Enter it as an async context manager, then start `serve`.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.draining = False
+        self._secrets = load_secrets(Path(settings.secrets_file))
+        self._stack = AsyncExitStack()
+        self._close = anyio.Event()
+        self._closed = anyio.Event()
+        incarnation = new_incarnation()
+        generator = random.Random(incarnation)
+        self._timers = TimerService()
+        self._mesh = Mesh(
+            process_id=settings.entry_id,
+            incarnation=incarnation,
+            listen=settings.peer_bind,
+            address_by_peer={**settings.peer_by_id, **settings.control_by_id},
+            keys=self._secrets.internal_keys(),
+            timers=self._timers,
+            counters=self.counters,
+        )
+        data_folder = Path(settings.data_folder) if settings.data_folder else None
+        self._feed = ConfigurationFeed(
+            transport=self._mesh,
+            control_ids=list(settings.control_by_id),
+            timers=self._timers,
+            counters=self.counters,
+            cache_path=data_folder / "configuration.cache" if data_folder else None,
+        )
+        self._backends = BackendClient(counters=self.counters)
+        self._cluster = Cluster(
+            entry_id=settings.entry_id,
+            incarnation=incarnation,
+            transport=self._mesh,
+            timers=self._timers,
+            make_report=self._report,
+        )
+        estimator = KindEstimator()
+        self._holder = Holder(
+            entry_id=settings.entry_id,
+            incarnation=incarnation,
+            failure_domain=settings.failure_domain,
+            weight=settings.weight,
+            transport=self._mesh,
+            timers=self._timers,
+            counters=self.counters,
+            random=generator,
+            cluster=self._cluster,
+            estimator=estimator,
+            configuration=self._feed.configuration,
+            draining=lambda: self.draining,
+            send_to_backend=self._backends.send,
+            ask_backend=self._backends.ask,
+            cancel_on_backend=self._backends.cancel,
+        )
+        self._coordinator = Coordinator(
+            entry_id=settings.entry_id,
+            incarnation=incarnation,
+            failure_domain=settings.failure_domain,
+            transport=self._mesh,
+            timers=self._timers,
+            counters=self.counters,
+            random=generator,
+            holder=self._holder,
+            cluster=self._cluster,
+            estimator=estimator,
+            claim=claim_function(self._mesh, settings.control_by_domain, settings.failure_domains),
+            configuration=self._feed.configuration,
+            configuration_current=self._feed.current,
+            caller_address=settings.caller_bind,
+        )
+        self.state_dump = StateDump(
+            process_id=settings.entry_id,
+            timers=self._timers,
+            part_by_name={
+                "settings": lambda: attrs.asdict(settings),
+                "incarnation": lambda: incarnation,
+                "draining": lambda: self.draining,
+                "configuration": self._feed.configuration,
+                "configuration_current": self._feed.current,
+                "counters": self.counters.snapshot,
+                "holder": self._holder.dump,
+                "coordinator": self._coordinator.dump,
+                "cluster": lambda: self._cluster.live(LIVE_AGE_S),
+            },
+        )
+        self._commands = Commands(
+            process_id=settings.entry_id,
+            transport=self._mesh,
+            rows_by_table=self._rows_by_table(),
+            configuration=self._feed.configuration,
+            change=self._change,
+            submit=self._coordinator.submit,
+            cancel=self._coordinator.cancel,
+            dump=self.state_dump.build,
+        )
+
+    async def __aenter__(self) -> EntryProcess:
+        await self._stack.__aenter__()
+        for part in (
+            self._timers,
+            self._mesh,
+            self._feed,
+            self._backends,
+            self._cluster,
+            self._holder,
+            self._coordinator,
+        ):
+            await self._stack.enter_async_context(part)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        return await self._stack.__aexit__(exc_type, exc, traceback)
+
+    async def serve(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve callers, announcements and operators until `close_interfaces`."""
+        settings = self.settings
+        caller_app = callers.make_app(
+            self._coordinator,
+            secrets=self._secrets,
+            counters=self.counters,
+            draining=lambda: self.draining,
+        )
+        announce_app = announcements.make_app(
+            self._holder, secrets=self._secrets, counters=self.counters
+        )
+        operator_app = operators.make_app(
+            self._commands,
+            is_operator=lambda token: self._secrets.operator_of(token) is not None,
+            counters=self.counters.snapshot,
+            health=lambda: {"process": settings.entry_id, "draining": self.draining},
+        )
+        async with anyio.create_task_group() as group:
+            for app, bind, tls in (
+                (caller_app, settings.caller_bind, settings.caller_tls),
+                (announce_app, settings.announce_bind, None),
+                (operator_app, settings.operator_bind, settings.operator_tls),
+            ):
+                await group.start(self._serve_app, app, bind, tls)
+            task_status.started()
+        self._closed.set()
+
+    async def wait_for_stop(self, shutdown: Callable[[], Awaitable[None]]) -> None:
+        """Return when `shutdown` returns or the configuration stops this VM.
+
+        Follows drains of this VM in the configuration meanwhile.
+        """
+        async with anyio.create_task_group() as group:
+
+            async def wait_for_signal() -> None:
+                await shutdown()
+                group.cancel_scope.cancel()
+
+            group.start_soon(wait_for_signal)
+            while self.settings.entry_id not in self._feed.configuration().stopped_vms:
+                self._follow_configuration()
+                await anyio.sleep(FOLLOW_PERIOD_S)
+            group.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Refuse new jobs, hand over the backend servers, and finish all work in progress."""
+        _log.info("draining")
+        self._start_draining()
+        await anyio.sleep(self.settings.drain_grace_s)
+        with anyio.move_on_after(self.settings.drain_limit_s) as scope:
+            # The parts offer no event for being idle, and a drain is rare.
+            while not (self._coordinator.idle() and self._holder.idle()):  # noqa: ASYNC110
+                await anyio.sleep(IDLE_POLL_S)
+        if scope.cancelled_caught:
+            _log.warn("work is still in progress after {:g} s", self.settings.drain_limit_s)
+
+    def close_interfaces(self) -> None:
+        """Stop accepting connections; answers in progress are finished."""
+        self._close.set()
+
+    async def wait_closed(self) -> None:
+        """Return when all interfaces have finished."""
+        await self._closed.wait()
+
+    async def _serve_app(
+        self,
+        app: Any,
+        bind: str,
+        tls: TlsFiles | None,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await serve(app, bind, tls, self._close.wait, task_status=task_status)
+
+    def _follow_configuration(self) -> None:
+        versions = [view.report.config_version for view in self._cluster.live(LIVE_AGE_S)]
+        self._feed.heard_version(max(versions))
+        drained = self.settings.entry_id in self._feed.configuration().drained_vms
+        if drained and not self.draining:
+            _log.info("drained by the configuration")
+            self._start_draining()
+        if not drained and self.draining:
+            _log.info("no longer drained")
+            self.draining = False
+            self._coordinator.stop_draining()
+
+    def _start_draining(self) -> None:
+        if not self.draining:
+            self.draining = True
+            self._coordinator.start_draining()
+
+    def _report(self) -> LoadReport:
+        backends = self._holder.backend_loads()
+        return LoadReport(
+            config_version=self._feed.configuration().version,
+            draining=self.draining,
+            weight=self.settings.weight,
+            held_slots=sum(backend.slots for backend in backends),
+            backends=backends,
+            queued_s_by_service=self._holder.queued_s_by_service(),
+            queued_tasks=self._holder.queued_tasks(),
+            failure_domain=self.settings.failure_domain,
+            caller_address=self.settings.caller_bind,
+        )
+
+    def _rows_by_table(self) -> dict[str, Callable[[], list[dict[str, Any]]]]:
+        return {
+            "jobs": self._coordinator.job_rows,
+            "tasks": self._coordinator.task_rows,
+            "backends": self._holder.rows,
+            "vms": self._vm_rows,
+            "services": lambda: configuration_rows(self._feed.configuration().service_by_name),
+            "teams": lambda: configuration_rows(self._feed.configuration().team_by_name),
+        }
+
+    def _vm_rows(self) -> list[dict[str, Any]]:
+        report = self._report()
+        return [
+            {
+                "vm": self.settings.entry_id,
+                "role": "entry",
+                "failure_domain": self.settings.failure_domain,
+                "draining": self.draining,
+                "config_version": report.config_version,
+                "config_current": self._feed.current(),
+                "held_slots": report.held_slots,
+                "queued_tasks": report.queued_tasks,
+                "weight": self.settings.weight,
+            }
+        ]
+
+    async def _change(self, change: Change) -> ChangeReply:
+        """Pass a change to the control processes, one after another.
+
+        The command id makes it safe to repeat a change whose answer was lost.
+        """
+        for control_id in self.settings.control_by_id:
+            try:
+                reply = await self._mesh.request(
+                    control_id, ChangeRequest(change), timeout_s=CHANGE_TIMEOUT_S
+                )
+            except PeerUnreachable:
+                continue
+            assert isinstance(reply, ChangeReply)
+            if reply.code != ResultCode.NO_MAJORITY:
+                return reply
+        return ChangeReply(
+            code=int(ResultCode.NO_MAJORITY),
+            version=self._feed.configuration().version,
+            message="no control process with a majority answered",
+        )
--- a/src/apricotpoint/_settings/entry.py
+++ b/src/apricotpoint/_settings/entry.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from apricotpoint._http.serve import TlsFiles
 from apricotpoint._settings import checks
-from apricotpoint._settings.tls import TlsSettings
 
 
 @attrs.frozen
@@ -37,8 +37,8 @@
     log_level: str = attrs.field(
         default="info", validator=attrs.validators.in_(("debug", "info", "warning", "error"))
     )
-    caller_tls: TlsSettings | None = None
-    operator_tls: TlsSettings | None = None
+    caller_tls: TlsFiles | None = None
+    operator_tls: TlsFiles | None = None
 
     def __attrs_post_init__(self) -> None:
         """Refuse combinations that cannot work."""
