--- /dev/null
+++ b/src/apricotpoint/_jobs/admission.py
@@ -0,0 +1,164 @@
+"""Checks of a request before anything starts."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from apricotpoint._core import keys
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.keys import IssuedKey
+from apricotpoint._jobs.views import ServiceView
+from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
+from apricotpoint._wire.jobs import JobRequest
+
+MAX_TASKS = 10_000
+MAX_DEADLINE_MS = 3_600_000
+_MIN_RETRY_MS = 50
+_MAX_RETRY_MS = 5_000
+
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+
+
+class OverloadError(ApricotError):
+    """A refusal with code 2104 and the time after which to try again."""
+
+    def __init__(self, message: str, *, retry_after_s: float) -> None:
+        super().__init__(ResultCode.OVERLOADED, message, remedy="submit again later")
+        bounded_ms = min(max(int(retry_after_s * 1000), _MIN_RETRY_MS), _MAX_RETRY_MS)
+        self.retry_after_ms = bounded_ms
+
+
+def request_fingerprint(request: JobRequest) -> str:
+    """Return the fingerprint of a request.
+
+    The deadline is left out: a resubmission has less time left, and a
+    forwarded request carries the remaining time.
+    """
+    return keys.fingerprint(_ENCODER.encode([request.service, request.valid_until, request.tasks]))
+
+
+def check_form(request: JobRequest) -> IssuedKey | str:
+    """Return the parsed key of a well-formed request.
+
+    The result does not depend on time or configuration, so a request that has
+    started is never refused here. Raises `ApricotError` with code 2101.
+    """
+    key = keys.parse_key(request.key)
+    if not request.tasks or len(request.tasks) > MAX_TASKS:
+        raise _malformed(f"the job has {len(request.tasks)} tasks", f"send 1 to {MAX_TASKS} tasks")
+    if not 1 <= request.deadline_ms <= MAX_DEADLINE_MS:
+        raise _malformed(f"deadline_ms is {request.deadline_ms}", f"use 1 to {MAX_DEADLINE_MS} ms")
+    for index, spec in enumerate(request.tasks):
+        if min(spec.cores, spec.memory_mb, spec.accelerators) < 0 or (
+            spec.declared_s is not None
+            and not (math.isfinite(spec.declared_s) and spec.declared_s >= 0)
+        ):
+            raise _malformed(f"task {index} declares a negative or infinite size", "correct it")
+    if isinstance(key, str) and request.valid_until is None:
+        raise _malformed(f"key {key!r} has no valid_until", "add valid_until, at most 3600 s ahead")
+    return key
+
+
+def check_validity(key: IssuedKey | str, valid_until: float, wall: float) -> None:
+    """Check the expiry of a key. Raises `ApricotError` with code 2101 or 3105."""
+    if wall >= valid_until:
+        raise ApricotError(
+            ResultCode.KEY_EXPIRED, f"key {str(key)!r} has expired", remedy="use a new key"
+        )
+    allowance_s = keys.CLOCK_ALLOWANCE_S if isinstance(key, IssuedKey) else 0
+    if valid_until - wall > keys.MAX_VALIDITY_S + allowance_s:
+        raise _malformed(
+            f"key {str(key)!r} is valid for {valid_until - wall:.0f} s",
+            f"use a key that is valid for at most {keys.MAX_VALIDITY_S} s",
+        )
+
+
+def check_names(
+    request: JobRequest, configuration: Configuration
+) -> tuple[ServiceConfig, TeamConfig]:
+    """Return the service and team of a request. Raises `ApricotError` with code 2112."""
+    service = configuration.service_by_name.get(request.service)
+    if service is None:
+        raise ApricotError(
+            ResultCode.UNKNOWN_SERVICE,
+            f"service {request.service!r} is unknown",
+            remedy="create the service or correct its name",
+        )
+    team = configuration.team_by_name.get(request.team)
+    if team is None:
+        raise ApricotError(
+            ResultCode.UNKNOWN_SERVICE,
+            f"team {request.team!r} is unknown",
+            remedy="create the team or correct its name",
+        )
+    return service, team
+
+
+def check_quota(team: TeamConfig, *, tasks: int, in_flight: int, entries: int) -> None:
+    """Check the share of a team's quota at this process. Raises `ApricotError` with code 2103.
+
+    The quota is shared evenly by the live entry processes. A job larger than
+    the share is accepted when the team has nothing else in flight here,
+    because no entry process could ever accept it otherwise.
+    """
+    share = math.ceil(team.quota_tasks / max(entries, 1))
+    if in_flight + tasks <= share or (in_flight == 0 and tasks <= team.quota_tasks):
+        return
+    raise ApricotError(
+        ResultCode.OVER_QUOTA,
+        f"team {team.name!r} has {in_flight} tasks in flight here, its share is {share}",
+        remedy="wait for answers or ask for a larger quota",
+    )
+
+
+def check_load(
+    request: JobRequest, service: ServiceConfig, view: ServiceView, work_s: float
+) -> None:
+    """Check resources and predicted wait. Raises `ApricotError` with code 2106 or 2104.
+
+    `work_s` is the work of the job in seconds at speed 1. Without any known
+    backend server nothing is refused: one may announce itself before the
+    deadline.
+    """
+    if not view.known:
+        return
+    checked: set[tuple[int, int, int]] = set()
+    for index, spec in enumerate(request.tasks):
+        size = (spec.cores, spec.memory_mb, spec.accelerators)
+        if size in checked:
+            continue
+        checked.add(size)
+        if not view.could_ever_run(spec):
+            raise ApricotError(
+                ResultCode.CANNOT_RUN,
+                f"task {index} declares {spec.cores} cores, {spec.memory_mb} MB and "
+                f"{spec.accelerators} accelerators, more than any backend server has",
+                remedy="declare less or add a larger backend server",
+            )
+    wait_s = view.wait_s()
+    deadline_s = request.deadline_ms / 1000
+    limit_s = min(deadline_s, service.max_queue_s)
+    # A job of more tasks than slots also waits for its own earlier tasks.
+    drain_s = view.drain_s(work_s) if len(request.tasks) > 1 else 0.0
+    if drain_s >= deadline_s:
+        raise OverloadError(
+            f"the predicted time for the job and the work before it is {drain_s:.2f} s",
+            retry_after_s=drain_s - deadline_s,
+        )
+    if wait_s >= limit_s:
+        raise OverloadError(
+            f"the predicted wait for service {service.name!r} is {wait_s:.2f} s",
+            retry_after_s=wait_s - limit_s,
+        )
+    if view.queued_tasks + len(request.tasks) > max(service.max_tasks_queued, len(request.tasks)):
+        raise OverloadError(
+            f"service {service.name!r} has {view.queued_tasks} tasks waiting",
+            retry_after_s=wait_s / 2,
+        )
+
+
+def _malformed(message: str, remedy: str) -> ApricotError:
+    return ApricotError(ResultCode.MALFORMED, message, remedy=remedy)
--- /dev/null
+++ b/src/apricotpoint/_jobs/job.py
@@ -0,0 +1,209 @@
+"""One job with its tasks and their outcomes."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import anyio
+import attrs
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._wire.jobs import Answer, FailedTask, JobRequest
+from apricotpoint._wire.tasks import OutcomeStatus, TaskOutcome, TaskSpec
+
+
+class TaskState(enum.Enum):
+    """Where a task is, as far as its coordinator knows."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+    FAILED = "failed"
+    NOT_STARTED = "not_started"
+    UNKNOWN = "unknown"
+
+
+_STATE_BY_STATUS = {
+    OutcomeStatus.DONE: TaskState.DONE,
+    OutcomeStatus.FAILED: TaskState.FAILED,
+    OutcomeStatus.NOT_STARTED: TaskState.NOT_STARTED,
+    OutcomeStatus.UNKNOWN: TaskState.UNKNOWN,
+}
+
+
+@attrs.define(eq=False)
+class Batch:
+    """Tasks of one job handed to one incarnation of a lease holder.
+
+    `starts` are the indexes and attempts of its tasks, `open_tasks` counts
+    those without an outcome.
+    """
+
+    batch_id: int
+    job: Job
+    holder_id: str
+    incarnation: int
+    starts: list[tuple[int, int]]
+    open_tasks: int = attrs.field(init=False)
+    cancel_sent: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.open_tasks = len(self.starts)
+
+
+@attrs.define(eq=False)
+class Job:
+    """The tasks of one submission and what is known of them.
+
+    `number` is unique in the incarnation of the coordinator. `deadline_at` is
+    monotonic time. `forward_to` is set when the key belongs to another
+    coordinator, so that every waiting submission asks there.
+    """
+
+    number: int
+    team: str
+    key: str
+    service: str
+    specs: list[TaskSpec]
+    estimates_s: list[float]
+    created_at: float
+    deadline_at: float
+    start_prefix: str
+    states: list[TaskState] = attrs.field(init=False)
+    attempts: list[int] = attrs.field(init=False)
+    values: list[Any] = attrs.field(init=False)
+    count_by_state: dict[TaskState, int] = attrs.field(init=False)
+    batch_by_id: dict[int, Batch] = attrs.Factory(dict)
+    claim_pending: bool = False
+    cancelled: bool = False
+    deadline_passed: bool = False
+    retries: int = 0
+    retry_due: bool = False
+    quota_held: int = 0
+    forward_to: tuple[str, int] | None = None
+    answer: Answer | None = None
+    closed: anyio.Event = attrs.Factory(anyio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        count = len(self.specs)
+        self.states = [TaskState.WAITING] * count
+        self.attempts = [0] * count
+        self.values = [None] * count
+        self.count_by_state = dict.fromkeys(TaskState, 0)
+        self.count_by_state[TaskState.WAITING] = count
+
+    @classmethod
+    def from_request(
+        cls,
+        request: JobRequest,
+        *,
+        estimates_s: list[float],
+        number: int,
+        incarnation: int,
+        now: float,
+        deadline_at: float,
+    ) -> Job:
+        """Return the job of a request with all tasks waiting."""
+        return cls(
+            number=number,
+            team=request.team,
+            key=request.key,
+            service=request.service,
+            specs=request.tasks,
+            estimates_s=estimates_s,
+            created_at=now,
+            deadline_at=deadline_at,
+            start_prefix=f"{incarnation:x}.{number}",
+        )
+
+    def set_state(self, index: int, state: TaskState) -> None:
+        """Change the state of a task."""
+        self.count_by_state[self.states[index]] -= 1
+        self.count_by_state[state] += 1
+        self.states[index] = state
+
+    def open_tasks(self) -> int:
+        """Return the number of tasks without an outcome."""
+        return self.count_by_state[TaskState.WAITING] + self.count_by_state[TaskState.PLACED]
+
+    def waiting(self) -> list[int]:
+        """Return the indexes of the tasks that wait for placement."""
+        if not self.count_by_state[TaskState.WAITING]:
+            return []
+        return [i for i, state in enumerate(self.states) if state is TaskState.WAITING]
+
+    def place(self, index: int) -> str:
+        """Mark a task as handed to a lease holder and return its new start id."""
+        self.attempts[index] += 1
+        self.set_state(index, TaskState.PLACED)
+        return f"{self.start_prefix}.{index}.{self.attempts[index]}"
+
+    def find(self, start_id: str) -> int | None:
+        """Return the index of the task whose latest start has this id, or None."""
+        prefix, _, tail = start_id.rpartition(".")
+        prefix, _, middle = prefix.rpartition(".")
+        if prefix != self.start_prefix or not (middle.isdecimal() and tail.isdecimal()):
+            return None
+        index = int(middle)
+        if index >= len(self.states) or self.attempts[index] != int(tail):
+            return None
+        return index
+
+    def record(self, index: int, outcome: TaskOutcome) -> bool:
+        """Apply an outcome of the latest start of a task; False if it changes nothing.
+
+        A result replaces an earlier "unknown"; every other outcome of a task
+        that already has one is a repetition.
+        """
+        new = _STATE_BY_STATUS[outcome.status]
+        old = self.states[index]
+        ran = new in (TaskState.DONE, TaskState.FAILED)
+        if old is not TaskState.PLACED and not (old is TaskState.UNKNOWN and ran):
+            return False
+        self.set_state(index, new)
+        if ran:
+            self.values[index] = outcome.value if new is TaskState.DONE else outcome.error
+        return True
+
+    def is_doomed(self) -> bool:
+        """Return whether the job can no longer be complete, whatever its other tasks do."""
+        return bool(
+            self.count_by_state[TaskState.UNKNOWN] or self.count_by_state[TaskState.NOT_STARTED]
+        )
+
+    def close_waiting(self) -> None:
+        """Give up the tasks that wait for placement."""
+        for index in self.waiting():
+            self.set_state(index, TaskState.NOT_STARTED)
+
+    def final_code(self) -> ResultCode:
+        """Return the code of a job whose tasks all have an outcome."""
+        count = self.count_by_state
+        total = len(self.states)
+        ran = count[TaskState.DONE] + count[TaskState.FAILED]
+        unstarted = count[TaskState.NOT_STARTED]
+        if ran == total:
+            complete = count[TaskState.DONE] == total
+            return ResultCode.COMPLETE if complete else ResultCode.TASKS_FAILED
+        if unstarted == total:
+            return self._unstarted_code()
+        if self.cancelled:
+            return ResultCode.CANCELLED_AFTER_START
+        return ResultCode.PARTLY_RAN if ran and unstarted else ResultCode.BACKEND_LOST
+
+    def _unstarted_code(self) -> ResultCode:
+        if self.cancelled:
+            return ResultCode.CANCELLED_BEFORE_START
+        # Without any batch the job only waited for a backend server.
+        if not self.deadline_passed or not any(self.attempts):
+            return ResultCode.NO_BACKEND
+        return ResultCode.DEADLINE_BEFORE_START
+
+    def failed_tasks(self) -> list[FailedTask]:
+        """Return the tasks that their backend servers reported as failed."""
+        return [
+            FailedTask(index=i, error=str(self.values[i]))
+            for i, state in enumerate(self.states)
+            if state is TaskState.FAILED
+        ]
--- /dev/null
+++ b/src/apricotpoint/_jobs/placement.py
@@ -0,0 +1,221 @@
+"""Placement policies: which lease holder gets each task of a job."""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from apricotpoint._wire.load import BackendLoad
+from apricotpoint._wire.tasks import TaskSpec
+
+# Round trip to another entry process: 1 ms on the network and 0.4 ms for each message.
+REMOTE_ROUND_TRIP_S = 0.002
+# A batch to a further holder costs two messages, so it has to finish a job's
+# task earlier by this much, or by this share of the run time if that is more.
+BATCH_MARGIN_S = 0.005
+BATCH_MARGIN_SHARE = 0.1
+
+
+@attrs.define(eq=False)
+class Lane:
+    """The slots of one backend server."""
+
+    backend_id: str
+    speed: float
+    slots: int
+    free: int
+    cores: int
+    memory_mb: int
+    accelerators: int
+
+    @classmethod
+    def from_load(cls, load: BackendLoad) -> Lane:
+        """Return the slots that a load report describes."""
+        return cls(
+            backend_id=load.backend_id,
+            speed=max(load.speed, 0.01),
+            slots=load.slots,
+            free=load.free_slots,
+            cores=load.cores,
+            memory_mb=load.memory_mb,
+            accelerators=load.accelerators,
+        )
+
+
+@attrs.define(eq=False)
+class HolderView:
+    """One lease holder's slots for one service, fastest first, and its backlog.
+
+    `backlog_s` is the work in seconds at speed 1 that waits for a slot;
+    `capacity` the work that all slots do in one second. `mean_run_s` is the
+    mean run time of recent tasks.
+    """
+
+    entry_id: str
+    incarnation: int
+    local: bool
+    lanes: list[Lane]
+    backlog_s: float = 0.0
+    draining: bool = False
+    mean_run_s: float = 0.1
+    capacity: float = attrs.field(init=False)
+    slots: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.lanes.sort(key=lambda lane: -lane.speed)
+        self.capacity = sum(lane.speed * lane.slots for lane in self.lanes)
+        self.slots = sum(lane.slots for lane in self.lanes)
+
+    def wait_s(self) -> float:
+        """Return the predicted wait in seconds for a slot."""
+        if any(lane.free > 0 for lane in self.lanes):
+            return 0.0
+        return (self.backlog_s + self.mean_run_s) / max(self.capacity, 0.01)
+
+    def outstanding(self) -> float:
+        """Return the tasks running and waiting for each slot."""
+        busy = sum(lane.slots - lane.free for lane in self.lanes)
+        return (busy + self.backlog_s / max(self.mean_run_s, 0.001)) / max(self.slots, 1)
+
+    def fits(self, spec: TaskSpec) -> bool:
+        """Return whether a backend server here has the resources for a task."""
+        return any(lane_fits(lane, spec) for lane in self.lanes)
+
+    def take(self, spec: TaskSpec, estimate_s: float) -> None:
+        """Count a task as sent to this holder."""
+        lane = self._free_lane(spec)
+        if lane is None:
+            self.backlog_s += estimate_s
+            return
+        lane.free -= 1
+
+    def give_back(self, backend_id: str, estimate_s: float) -> None:
+        """Count a task as ended: its slot is free unless waiting work takes it."""
+        if self.backlog_s > 0:
+            self.backlog_s = max(self.backlog_s - estimate_s, 0.0)
+            return
+        for lane in self.lanes:
+            if lane.backend_id == backend_id:
+                lane.free = min(lane.free + 1, lane.slots)
+                return
+
+    def finish_s(self, spec: TaskSpec, estimate_s: float) -> float:
+        """Return the predicted seconds until a task sent now would end."""
+        trip_s = 0.0 if self.local else REMOTE_ROUND_TRIP_S
+        lane = self._free_lane(spec)
+        if lane is not None:
+            return trip_s + estimate_s / lane.speed
+        mean_speed = self.capacity / max(self.slots, 1)
+        return trip_s + self.wait_s() + estimate_s / max(mean_speed, 0.01)
+
+    def _free_lane(self, spec: TaskSpec) -> Lane | None:
+        for lane in self.lanes:
+            if lane.free > 0 and lane_fits(lane, spec):
+                return lane
+        return None
+
+
+@attrs.define(eq=False)
+class Placed:
+    """A task's holder and its predicted end in seconds from now."""
+
+    index: int
+    spec: TaskSpec
+    estimate_s: float
+    holder: HolderView
+    finish_s: float = 0.0
+
+
+@attrs.frozen
+class TaskView:
+    """A task to place; `estimate_s` is its predicted run time at speed 1."""
+
+    index: int
+    spec: TaskSpec
+    estimate_s: float
+
+
+Policy = Callable[[Sequence[TaskView], Sequence[HolderView]], list[Placed]]
+Choice = Callable[[Sequence[HolderView]], HolderView]
+
+
+def lane_fits(lane: Lane | BackendLoad, spec: TaskSpec) -> bool:
+    """Return whether a backend server has the resources that a task declares."""
+    return (
+        lane.cores >= spec.cores
+        and lane.memory_mb >= spec.memory_mb
+        and lane.accelerators >= spec.accelerators
+    )
+
+
+def predicted(tasks: Sequence[TaskView], holders: Sequence[HolderView]) -> list[Placed]:
+    """Place the longest task first, each where it is predicted to finish first.
+
+    A task that no holder can take is left out of the result.
+    """
+    placed: list[Placed] = []
+    used: set[str] = set()
+    for task in sorted(tasks, key=lambda task: -task.estimate_s):
+        margin_s = max(BATCH_MARGIN_S, BATCH_MARGIN_SHARE * task.estimate_s)
+        best: HolderView | None = None
+        best_score = best_finish = 0.0
+        for holder in holders:
+            if not holder.fits(task.spec):
+                continue
+            finish_s = holder.finish_s(task.spec, task.estimate_s)
+            score = finish_s
+            if not holder.local and holder.entry_id not in used:
+                score += margin_s
+            if best is None or score < best_score:
+                best, best_score, best_finish = holder, score, finish_s
+        if best is None:
+            continue
+        best.take(task.spec, task.estimate_s)
+        used.add(best.entry_id)
+        placed.append(Placed(task.index, task.spec, task.estimate_s, best, best_finish))
+    return placed
+
+
+def make_policies(random: random_module.Random) -> dict[str, Policy]:
+    """Return the placement policies by their name in the configuration."""
+    turn = 0
+
+    def weighted(holders: Sequence[HolderView]) -> HolderView:
+        return random.choices(holders, weights=[max(item.slots, 1) for item in holders])[0]
+
+    def in_turn(holders: Sequence[HolderView]) -> HolderView:
+        nonlocal turn
+        turn += 1
+        return holders[turn % len(holders)]
+
+    def least(holders: Sequence[HolderView]) -> HolderView:
+        return min(holders, key=HolderView.outstanding)
+
+    def better_of_two(holders: Sequence[HolderView]) -> HolderView:
+        return min(weighted(holders), weighted(holders), key=HolderView.outstanding)
+
+    return {
+        "predicted": predicted,
+        "random": _each(weighted),
+        "round_robin": _each(in_turn),
+        "least_outstanding": _each(least),
+        "two_choices": _each(better_of_two),
+    }
+
+
+def _each(choose: Choice) -> Policy:
+    def place(tasks: Sequence[TaskView], holders: Sequence[HolderView]) -> list[Placed]:
+        placed: list[Placed] = []
+        for task in tasks:
+            able = [holder for holder in holders if holder.fits(task.spec)]
+            if not able:
+                continue
+            holder = choose(able)
+            finish_s = holder.finish_s(task.spec, task.estimate_s)
+            holder.take(task.spec, task.estimate_s)
+            placed.append(Placed(task.index, task.spec, task.estimate_s, holder, finish_s))
+        return placed
+
+    return place
--- /dev/null
+++ b/src/apricotpoint/_jobs/table.py
@@ -0,0 +1,159 @@
+"""The job table: one entry for each key until the key expires."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import Callable
+
+import attrs
+
+from apricotpoint._jobs.job import Job
+from apricotpoint._wire.jobs import Answer
+
+# One entry takes about 0.6 kB without its answer, so a full table takes about 120 MB.
+MAX_ENTRIES = 200_000
+MAX_ANSWERS = 20_000
+MAX_ANSWER_BYTES = 16_000_000
+
+
+@attrs.define(eq=False)
+class Entry:
+    """What the coordinator knows of one key.
+
+    `expires_at` is wall time in seconds. `job` is set while outcomes may still
+    arrive. `answer` is the retained answer; `code` stays when it is dropped.
+    `claimed` means that the home has recorded this incarnation.
+    `restartable` means that no task of the key has started or can start.
+    """
+
+    team: str
+    key: str
+    fingerprint: str
+    expires_at: float
+    job: Job | None = None
+    answer: Answer | None = None
+    code: int = 0
+    claimed: bool = False
+    restartable: bool = False
+    size: int = 0
+
+
+class JobTable:
+    """Entries by (team, key), with bounds on entries and on retained answers.
+
+    `dropped`, if set, is called with each entry whose answer is dropped to
+    stay within the bounds. Entries themselves are only removed at expiry, because a
+    removed entry would allow a second start of its key.
+    """
+
+    def __init__(
+        self,
+        *,
+        dropped: Callable[[Entry], None] | None = None,
+        max_entries: int = MAX_ENTRIES,
+        max_answers: int = MAX_ANSWERS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._entry_by_key: dict[tuple[str, str], Entry] = {}
+        self._retained: OrderedDict[tuple[str, str], Entry] = OrderedDict()
+        self._retained_bytes = 0
+        self._keys_by_expiry: dict[int, list[tuple[str, str]]] = {}
+        self._expiries: list[int] = []
+        self.dropped = dropped
+        self._max_entries = max_entries
+        self._max_answers = max_answers
+        self._max_answer_bytes = max_answer_bytes
+
+    def __len__(self) -> int:
+        return len(self._entry_by_key)
+
+    @property
+    def retained_bytes(self) -> int:
+        """Bytes of the retained answers."""
+        return self._retained_bytes
+
+    @property
+    def full(self) -> bool:
+        """Whether no further entry can be added."""
+        return len(self._entry_by_key) >= self._max_entries
+
+    def next_expiry(self) -> int | None:
+        """Return the wall time at which the next entries expire."""
+        return self._expiries[0] if self._expiries else None
+
+    def get(self, team: str, key: str) -> Entry | None:
+        """Return the entry of a key."""
+        return self._entry_by_key.get((team, key))
+
+    def add(self, entry: Entry) -> bool:
+        """Add an entry; False if the table is full."""
+        if self.full:
+            return False
+        name = (entry.team, entry.key)
+        self._entry_by_key[name] = entry
+        self._schedule(name, entry.expires_at)
+        return True
+
+    def remove(self, entry: Entry) -> None:
+        """Remove the entry of a key that belongs to another coordinator."""
+        self._forget_answer(entry)
+        self._entry_by_key.pop((entry.team, entry.key), None)
+
+    def retain(self, entry: Entry, size: int) -> None:
+        """Count an answer of `size` bytes as the latest and drop the oldest beyond the bounds."""
+        name = (entry.team, entry.key)
+        if self._entry_by_key.get(name) is not entry:
+            return
+        self._forget_answer(entry)
+        entry.size = size
+        self._retained[name] = entry
+        self._retained_bytes += size
+        while (
+            len(self._retained) > self._max_answers or self._retained_bytes > self._max_answer_bytes
+        ):
+            _, oldest = self._retained.popitem(last=False)
+            self._retained_bytes -= oldest.size
+            oldest.size = 0
+            oldest.answer = None
+            if self.dropped is not None:
+                self.dropped(oldest)
+
+    def release(self, entry: Entry) -> None:
+        """Stop counting the answer of an entry that is started again."""
+        self._forget_answer(entry)
+        entry.answer = None
+
+    def latest(self, count: int) -> list[Entry]:
+        """Return up to `count` entries with the latest answers, newest first."""
+        return list(itertools.islice(reversed(self._retained.values()), count))
+
+    def expire(self, wall: float) -> list[Entry]:
+        """Remove and return the entries whose keys expired before `wall`.
+
+        An entry whose job still awaits outcomes is returned as well.
+        """
+        expired: list[Entry] = []
+        while self._expiries and self._expiries[0] <= wall:
+            for name in self._keys_by_expiry.pop(heapq.heappop(self._expiries)):
+                entry = self._entry_by_key.get(name)
+                if entry is None or entry.expires_at > wall:
+                    continue
+                self._forget_answer(entry)
+                del self._entry_by_key[name]
+                expired.append(entry)
+        return expired
+
+    def _schedule(self, name: tuple[str, str], expires_at: float) -> None:
+        second = int(expires_at) + 1
+        names = self._keys_by_expiry.get(second)
+        if names is None:
+            self._keys_by_expiry[second] = names = []
+            heapq.heappush(self._expiries, second)
+        names.append(name)
+
+    def _forget_answer(self, entry: Entry) -> None:
+        if self._retained.pop((entry.team, entry.key), None) is not None:
+            self._retained_bytes -= entry.size
+            entry.size = 0
--- a/src/apricotpoint/_wire/jobs.py
+++ b/src/apricotpoint/_wire/jobs.py
@@ -53,8 +53,9 @@
 class SubmitForward:
     """Passes a request to the coordinator of its key; answered by `AnswerForward`.
 
-    With `attach_only` the receiver must not start the job: it only joins one
-    that it knows.
+    With `attach_only` the receiver must not start a job whose key it does not
+    know. One that knows the key is the incarnation that owns it: it joins the
+    job, or starts it again if it was refused before any start.
     """
 
     request: JobRequest
@@ -88,7 +89,11 @@
 
 @attrs.frozen
 class Claim:
-    """Asks the key registry of the home to record a caller key."""
+    """Asks the key registry of the home to record a caller key.
+
+    With `check_only` nothing is recorded: the reply only tells whether the key
+    has a coordinator, so that a refusal given without a claim is true.
+    """
 
     team: str
     key: str
@@ -96,6 +101,7 @@
     fingerprint: str
     entry_id: str
     incarnation: int
+    check_only: bool = False
 
 
 @attrs.frozen
