--- /dev/null
+++ b/src/apricotpoint/_dispatch/announce.py
@@ -0,0 +1,37 @@
+"""Choice of the lease holder that a backend server is told to name."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from apricotpoint._dispatch.cluster import EntryView
+from apricotpoint._wire.announce import HolderName
+
+
+def choose_holder(
+    entries: list[EntryView],
+    *,
+    failure_domain: str,
+    excluded: Collection[str],
+    promised_slots: Mapping[str, int],
+) -> HolderName | None:
+    """Return the live entry process with the fewest slots relative to its weight.
+
+    Those of the failure domain come first. `promised_slots` are slots given
+    by this process that the load reports do not contain yet: without them all
+    backend servers that announce themselves between two reports would get the
+    same holder. None if no entry process can take the backend server.
+    """
+    usable = [
+        entry for entry in entries if not entry.report.draining and entry.entry_id not in excluded
+    ]
+    if not usable:
+        return None
+    near = [entry for entry in usable if entry.report.failure_domain == failure_domain]
+
+    def load(entry: EntryView) -> tuple[float, str]:
+        slots = entry.report.held_slots + promised_slots.get(entry.entry_id, 0)
+        return slots / max(entry.report.weight, 1e-6), entry.entry_id
+
+    chosen = min(near or usable, key=load)
+    return HolderName(chosen.entry_id, chosen.incarnation)
--- /dev/null
+++ b/src/apricotpoint/_dispatch/cluster.py
@@ -0,0 +1,107 @@
+"""Load reports of all entry processes, which are also their heartbeat."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import TracebackType
+
+import attrs
+
+from apricotpoint._core.timers import Subscription, TimerService
+from apricotpoint._link.transport import Sender, Transport
+from apricotpoint._wire.load import LoadReport
+
+REPORT_PERIOD_S = 0.25
+
+# The report of this process is built again after this time, so that several
+# placements in one moment share one report.
+_OWN_REPORT_AGE_S = 0.02
+
+
+@attrs.frozen
+class EntryView:
+    """An entry process as known here; `age_s` is the age of its report in seconds."""
+
+    entry_id: str
+    incarnation: int
+    report: LoadReport
+    age_s: float
+
+
+@attrs.frozen
+class _Heard:
+    incarnation: int
+    report: LoadReport
+    made_at: float
+
+
+class Cluster:
+    """Sends the load report of this process and keeps those of the others."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        incarnation: int,
+        transport: Transport,
+        timers: TimerService,
+        make_report: Callable[[], LoadReport],
+    ) -> None:
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._transport = transport
+        self._timers = timers
+        self._make_report = make_report
+        self._heard_by_id: dict[str, _Heard] = {}
+        self._own: _Heard | None = None
+        self._subscription: Subscription | None = None
+
+    async def __aenter__(self) -> Cluster:
+        self._transport.handlers_by_type[LoadReport] = self._receive
+        self._subscription = self._timers.every(REPORT_PERIOD_S, self._send)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._subscription:
+            self._subscription.cancel()
+        self._transport.handlers_by_type.pop(LoadReport, None)
+
+    def live(self, max_age_s: float) -> list[EntryView]:
+        """Return this process and all entry processes with a report not older than `max_age_s`."""
+        now = self._timers.now()
+        if self._own is None or now - self._own.made_at > _OWN_REPORT_AGE_S:
+            self._own = _Heard(self._incarnation, self._make_report(), now)
+        views = [EntryView(self._entry_id, self._incarnation, self._own.report, 0.0)]
+        views.extend(
+            EntryView(entry_id, heard.incarnation, heard.report, now - heard.made_at)
+            for entry_id, heard in self._heard_by_id.items()
+            if now - heard.made_at <= max_age_s
+        )
+        return views
+
+    def view(self, entry_id: str) -> EntryView | None:
+        """Return the latest report of another entry process, whatever its age."""
+        heard = self._heard_by_id.get(entry_id)
+        if heard is None:
+            return None
+        age_s = self._timers.now() - heard.made_at
+        return EntryView(entry_id, heard.incarnation, heard.report, age_s)
+
+    def _receive(self, sender: Sender, message: object) -> None:
+        assert isinstance(message, LoadReport)
+        made_at = self._timers.now() - sender.age_s
+        known = self._heard_by_id.get(sender.peer_id)
+        if known and known.incarnation == sender.incarnation and known.made_at > made_at:
+            return
+        self._heard_by_id[sender.peer_id] = _Heard(sender.incarnation, message, made_at)
+
+    def _send(self) -> None:
+        report = self._make_report()
+        self._own = _Heard(self._incarnation, report, self._timers.now())
+        for peer_id in self._transport.peers():
+            self._transport.send(peer_id, report)
--- /dev/null
+++ b/src/apricotpoint/_dispatch/queue.py
@@ -0,0 +1,165 @@
+"""Queue of one service, fair between teams."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
+
+import attrs
+
+from apricotpoint._link.transport import Sender
+from apricotpoint._wire.tasks import BatchResult, BatchTask, TaskOutcome
+
+
+class TaskState(enum.Enum):
+    """Where a task is; `BOUND` has a slot but nothing of it has been written."""
+
+    QUEUED = "queued"
+    BOUND = "bound"
+    SENT = "sent"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class Batch:
+    """A `RunBatch` at its lease holder, with the outcomes not yet reported."""
+
+    coordinator: Sender
+    batch_id: int
+    service: str
+    team: str
+    deadline_at: float
+    single: bool
+    reply: Callable[[BatchResult], None]
+    tasks: list[HeldTask] = attrs.Factory(list)
+    waiting: deque[HeldTask] = attrs.Factory(deque)
+    remaining: int = 0
+    outcomes: list[TaskOutcome] = attrs.Factory(list)
+    report_now: bool = False
+    dropped: bool = False
+
+
+@attrs.define(eq=False)
+class HeldTask:
+    """A task of a batch. `backend_id` is where it was bound last."""
+
+    batch: Batch
+    spec: BatchTask
+    state: TaskState = TaskState.QUEUED
+    cancelled: bool = False
+    backend_id: str = ""
+    avoid: str = ""
+    sent_at: float = 0.0
+    ends_at: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Team:
+    name: str
+    virtual_s: float
+    tag: int = 0
+    queued: int = 0
+    batches: deque[Batch] = attrs.Factory(deque)
+
+
+class FairQueue:
+    """Start-time fair queue over teams; within a team by arrival, in a batch by rank.
+
+    `share` returns the weight of a team. Adding and taking a task costs
+    O(log teams), whatever the number of queued tasks.
+    """
+
+    def __init__(self, share: Callable[[str], float]) -> None:
+        self._share = share
+        self._team_by_name: dict[str, _Team] = {}
+        self._heap: list[tuple[float, int, _Team]] = []
+        self._tag = 0
+        self._virtual_s = 0.0
+        self.count = 0
+        self.work_s = 0.0
+
+    def add(self, batch: Batch, tasks: Iterable[HeldTask]) -> None:
+        """Queue the tasks of a new batch."""
+        batch.waiting.extend(sorted(tasks, key=lambda task: task.spec.rank))
+        team = self._team(batch.team)
+        team.batches.append(batch)
+        for task in batch.waiting:
+            self._count(team, task, 1)
+        self._push(team)
+
+    def take(self) -> HeldTask | None:
+        """Remove and return the next task, None if there is none."""
+        while self._heap:
+            virtual_s, tag, team = heapq.heappop(self._heap)
+            if tag != team.tag:
+                continue
+            while team.batches and not team.batches[0].waiting:
+                team.batches.popleft()
+            if not team.batches:
+                self._forget(team)
+                continue
+            task = team.batches[0].waiting.popleft()
+            self._virtual_s = max(self._virtual_s, virtual_s)
+            team.virtual_s = virtual_s + self._cost(task)
+            self._count(team, task, -1)
+            self._push(team)
+            return task
+        return None
+
+    def put_back(self, tasks: list[HeldTask]) -> None:
+        """Return tasks taken before, in the order in which they were taken."""
+        for task in reversed(tasks):
+            team = self._team(task.batch.team)
+            if not task.batch.waiting and (not team.batches or team.batches[0] is not task.batch):
+                team.batches.appendleft(task.batch)
+            task.batch.waiting.appendleft(task)
+            team.virtual_s -= self._cost(task)
+            self._count(team, task, 1)
+            self._push(team)
+
+    def remove(self, batch: Batch) -> list[HeldTask]:
+        """Remove and return the queued tasks of a batch."""
+        removed = list(batch.waiting)
+        batch.waiting.clear()
+        if removed:
+            team = self._team(batch.team)
+            for task in removed:
+                self._count(team, task, -1)
+        return removed
+
+    def batches(self) -> Iterator[Batch]:
+        """Iterate over the batches with queued tasks; not for use on each event."""
+        for team in self._team_by_name.values():
+            yield from (batch for batch in team.batches if batch.waiting)
+
+    def queued_by_team(self) -> dict[str, int]:
+        """Return the number of queued tasks by team."""
+        return {team.name: team.queued for team in self._team_by_name.values() if team.queued}
+
+    def _cost(self, task: HeldTask) -> float:
+        return task.spec.estimate_s / max(self._share(task.batch.team), 1e-6)
+
+    def _team(self, name: str) -> _Team:
+        team = self._team_by_name.get(name)
+        if team is None:
+            team = self._team_by_name[name] = _Team(name, self._virtual_s)
+        elif not team.queued:
+            # A team that had nothing queued gets no credit for that time.
+            team.virtual_s = max(team.virtual_s, self._virtual_s)
+        return team
+
+    def _forget(self, team: _Team) -> None:
+        if team.virtual_s <= self._virtual_s:
+            del self._team_by_name[team.name]
+
+    def _push(self, team: _Team) -> None:
+        self._tag += 1
+        team.tag = self._tag
+        heapq.heappush(self._heap, (team.virtual_s, self._tag, team))
+
+    def _count(self, team: _Team, task: HeldTask, sign: int) -> None:
+        team.queued += sign
+        self.count += sign
+        self.work_s = max(0.0, self.work_s + sign * task.spec.estimate_s) if self.count else 0.0
--- /dev/null
+++ b/src/apricotpoint/_dispatch/speed.py
@@ -0,0 +1,33 @@
+"""Learned speed of a backend server."""
+
+from __future__ import annotations
+
+import attrs
+
+# Each observation reduces the weight of earlier ones to this share, so that
+# about the last 20 tasks count.
+_DECAY = 0.95
+_LOWEST = 0.02
+_HIGHEST = 50.0
+# Weight of the initial speed 1, in seconds of work.
+_PRIOR_S = 0.2
+
+
+@attrs.define(eq=False)
+class Speed:
+    """Decayed ratio of estimated work to run time."""
+
+    _work_s: float = _PRIOR_S
+    _run_s: float = _PRIOR_S
+
+    @property
+    def value(self) -> float:
+        """Work in seconds at speed 1 that is done in one second."""
+        return min(max(self._work_s / self._run_s, _LOWEST), _HIGHEST)
+
+    def observe(self, work_s: float, run_s: float) -> None:
+        """Record a task estimated at `work_s` that ran for `run_s`."""
+        if work_s <= 0 or run_s <= 0:
+            return
+        self._work_s = self._work_s * _DECAY + work_s
+        self._run_s = self._run_s * _DECAY + run_s
