--- a/src/apricotpoint/_dispatch/backend.py
+++ b/src/apricotpoint/_dispatch/backend.py
@@ -40,7 +40,7 @@
     busy_by_start: dict[str, HeldTask] = attrs.Factory(dict)
     cancel_ids: list[str] = attrs.Factory(list)
     exchanges: set[anyio.CancelScope] = attrs.Factory(set)
-    open_exchanges: int = 0
+    asks: set[anyio.CancelScope] = attrs.Factory(set)
     foreign: int = 0
     foreign_until: float = 0.0
     rest_until: float = 0.0
@@ -80,7 +80,7 @@
 
     def free_slots(self, now: float) -> int:
         """Return how many tasks may be sent now, if it is eligible."""
-        if now < self.rest_until or self.open_exchanges >= max(1, self.announcement.connections):
+        if now < self.rest_until or len(self.exchanges) >= max(1, self.announcement.connections):
             return 0
         allowed = self.quarantine.allowed(self.announcement.slots, now)
         used = len(self.busy_by_start) + self.foreign
@@ -115,7 +115,7 @@
         """Give a slot to a task."""
         task.sent_at = now
         task.ends_at = now + task.spec.estimate_s / self.current_speed
-        task.backend_id = self.backend_id
+        task.view = self
         self.busy_by_start[task.spec.start_id] = task
 
     def release(self, task: HeldTask) -> None:
@@ -138,6 +138,12 @@
             self.foreign = min(self.foreign, others)
         self._least_busy.append(len(self.busy_by_start))
 
+    def end(self) -> None:
+        """Give up this incarnation: its exchanges and requests for results end."""
+        self.dead = True
+        for scope in [*self.exchanges, *self.asks]:
+            scope.cancel()
+
     def network_failed(self, now: float) -> None:
         """Rest after a network error or refusal, longer after each one."""
         rest_s = min(_FIRST_REST_S * 2**self.network_errors, _LONGEST_REST_S)
--- a/src/apricotpoint/_dispatch/exchange.py
+++ b/src/apricotpoint/_dispatch/exchange.py
@@ -52,7 +52,14 @@
 
 
 class NotSentError(Exception):
-    """Nothing of the request was written, or it was refused unread; no task started."""
+    """Nothing of the request was written, or it was refused unread; no task started.
+
+    `refused` is True if the backend server received and refused the request.
+    """
+
+    def __init__(self, message: str = "", *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
 
 
 class AnswerLostError(Exception):
--- a/src/apricotpoint/_dispatch/quarantine.py
+++ b/src/apricotpoint/_dispatch/quarantine.py
@@ -35,11 +35,11 @@
             return 0
         return min(self._allowed, slots)
 
-    def succeeded(self, slots: int) -> bool:
+    def succeeded(self, slots: int, now: float) -> bool:
         """Record a task that did not fail; True if this ends the quarantine."""
         self._in_a_row = 0
         self._last.append(True)
-        if not self.active:
+        if not self.active or now < self.probe_at:
             return False
         self._allowed *= 2
         if self._allowed <= slots:
--- a/src/apricotpoint/_dispatch/queue.py
+++ b/src/apricotpoint/_dispatch/queue.py
@@ -5,13 +5,17 @@
 import enum
 import heapq
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 import attrs
 
 from apricotpoint._link.transport import Sender
 from apricotpoint._wire.tasks import BatchResult, BatchTask, TaskOutcome
 
+if TYPE_CHECKING:
+    from apricotpoint._dispatch.backend import BackendView
+
 
 class TaskState(enum.Enum):
     """Where a task is; `BOUND` has a slot but nothing of it has been written."""
@@ -43,13 +47,19 @@
 
 @attrs.define(eq=False)
 class HeldTask:
-    """A task of a batch. `backend_id` is where it was bound last."""
+    """A task of a batch; `view` is where it was bound last.
+
+    `sent_before` marks the second start of an idempotent task: it can no
+    longer be reported as not started. `avoid` is the backend server of the
+    first start.
+    """
 
     batch: Batch
     spec: BatchTask
     state: TaskState = TaskState.QUEUED
     cancelled: bool = False
-    backend_id: str = ""
+    sent_before: bool = False
+    view: BackendView | None = None
     avoid: str = ""
     sent_at: float = 0.0
     ends_at: float = 0.0
@@ -85,9 +95,11 @@
         batch.waiting.extend(sorted(tasks, key=lambda task: task.spec.rank))
         team = self._team(batch.team)
         team.batches.append(batch)
+        inactive = not team.queued
         for task in batch.waiting:
             self._count(team, task, 1)
-        self._push(team)
+        if inactive:
+            self._push(team)
 
     def take(self) -> HeldTask | None:
         """Remove and return the next task, None if there is none."""
@@ -129,10 +141,19 @@
                 self._count(team, task, -1)
         return removed
 
-    def batches(self) -> Iterator[Batch]:
-        """Iterate over the batches with queued tasks; not for use on each event."""
+    def remove_where(self, unwanted: Callable[[HeldTask], bool]) -> list[HeldTask]:
+        """Remove and return queued tasks; reads the whole queue, so not for each event."""
+        removed: list[HeldTask] = []
         for team in self._team_by_name.values():
-            yield from (batch for batch in team.batches if batch.waiting)
+            for batch in team.batches:
+                found = [task for task in batch.waiting if unwanted(task)]
+                if not found:
+                    continue
+                batch.waiting = deque(task for task in batch.waiting if not unwanted(task))
+                for task in found:
+                    self._count(team, task, -1)
+                removed.extend(found)
+        return removed
 
     def queued_by_team(self) -> dict[str, int]:
         """Return the number of queued tasks by team."""
--- a/src/apricotpoint/_wire/load.py
+++ b/src/apricotpoint/_wire/load.py
@@ -11,7 +11,8 @@
 
     `speed` is learned: a task estimated at 1 s runs for 1 / speed seconds.
     `available` is False without a lease, in quarantine, or when it is drained,
-    leaving or stopped.
+    leaving or stopped. `quarantined` lets every holder keep the limit of the
+    service on quarantined backend servers.
     """
 
     backend_id: str
@@ -24,6 +25,7 @@
     cores: int
     memory_mb: int
     accelerators: int
+    quarantined: bool = False
 
 
 @attrs.frozen
--- a/src/apricotpoint/_wire/tasks.py
+++ b/src/apricotpoint/_wire/tasks.py
@@ -56,7 +56,8 @@
     """Asks a lease holder to run tasks of one job.
 
     `deadline_left_s` is the time left at sending; `age_s` of the link is
-    subtracted by the receiver.
+    subtracted by the receiver. `single` is True if the job has one task only;
+    the retry of idempotent tasks is limited to such jobs.
     """
 
     batch_id: int
@@ -64,6 +65,7 @@
     team: str
     deadline_left_s: float
     tasks: list[BatchTask]
+    single: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/testing/dispatch/holder_rig.py
@@ -0,0 +1,294 @@
+"""A holder with fake links and simulated backend servers, on virtual time."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
+from typing import Any
+
+import anyio
+import attrs
+import trio.testing
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._dispatch.cluster import Cluster
+from apricotpoint._dispatch.estimator import KindEstimator
+from apricotpoint._dispatch.exchange import (
+    AnswerLostError,
+    BackendAddress,
+    NotSentError,
+    RunStatus,
+    Start,
+    StartResult,
+)
+from apricotpoint._dispatch.holder import Holder
+from apricotpoint._link.transport import Handler, RequestHandler, Sender
+from apricotpoint._wire.announce import Announcement, HolderName
+from apricotpoint._wire.configuration import Configuration
+from apricotpoint._wire.load import LoadReport
+from apricotpoint._wire.tasks import BatchResult, BatchTask, RunBatch, TaskOutcome, TaskSpec
+
+SELF = HolderName("e1", 1)
+LOCAL = Sender("e1", 1)
+
+
+@attrs.define
+class FakeTransport:
+    """Records what is sent; `accepts` False stands for a full queue."""
+
+    handlers_by_type: dict[type, Handler] = attrs.Factory(dict)
+    request_handlers_by_type: dict[type, RequestHandler] = attrs.Factory(dict)
+    incarnation_by_peer: dict[str, int] = attrs.Factory(dict)
+    sent: list[tuple[str, object]] = attrs.Factory(list)
+    accepts: bool = True
+
+    def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
+        """Record the message."""
+        if self.accepts:
+            self.sent.append((peer_id, message))
+        return self.accepts
+
+    async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
+        """Not used by the holder."""
+        raise NotImplementedError
+
+    def peers(self) -> list[str]:
+        """Return the peers with an incarnation."""
+        return list(self.incarnation_by_peer)
+
+    def heard_ago(self, peer_id: str) -> float:
+        """Return 0: every peer is heard."""
+        return 0.0
+
+    def incarnation_of(self, peer_id: str) -> int | None:
+        """Return the incarnation set by the test."""
+        return self.incarnation_by_peer.get(peer_id)
+
+    def receive(self, peer_id: str, message: object, incarnation: int = 1):
+        """Deliver a message from a peer."""
+        self.handlers_by_type[type(message)](Sender(peer_id, incarnation), message)
+
+
+@attrs.define
+class FakeBackend:
+    """A backend server; `mode` is ok, fail, refuse, unreachable, lose or hang."""
+
+    backend_id: str
+    speed: float = 1.0
+    slots: int = 2
+    mode: str = "ok"
+    asked: str = "result"
+    incarnation: int = 1
+    sequence: int = 0
+    holder: HolderName | None = SELF
+    followed: bool = False
+    running: int = 0
+    more: dict[str, Any] = attrs.Factory(dict)
+    silent: bool = False
+    started_at: dict[str, float] = attrs.Factory(dict)
+    exchanges: list[list[str]] = attrs.Factory(list)
+    cancels: list[list[str]] = attrs.Factory(list)
+    busy: int = 0
+    most_busy: int = 0
+
+    def announcement(self, clock_s: float) -> Announcement:
+        """Return the next announcement."""
+        self.sequence += 1
+        fields: dict[str, Any] = {
+            "service": "desk",
+            "failure_domain": "puebla",
+            "rack": "r1",
+            "address": "127.0.0.1:1",
+            "slots": self.slots,
+            "connections": 64,
+            "cores": 32,
+            "memory_mb": 1000,
+            "running": self.running,
+            "holder": self.holder,
+            "followed": self.followed,
+        }
+        return Announcement(
+            self.backend_id, self.incarnation, self.sequence, clock_s, **(fields | self.more)
+        )
+
+
+@attrs.define
+class Rig:
+    """The holder under test with everything around it."""
+
+    clock: trio.testing.MockClock
+    timers: TimerService
+    transport: FakeTransport
+    counters: Counters
+    backend_by_id: dict[str, FakeBackend]
+    estimator: KindEstimator
+    configuration: Configuration = attrs.Factory(Configuration)
+    draining: bool = False
+    outcomes: dict[str, TaskOutcome] = attrs.Factory(dict)
+    outcome_at: dict[str, float] = attrs.Factory(dict)
+    replies: list[BatchResult] = attrs.Factory(list)
+    _ids: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
+    _holder: Holder | None = None
+    _cluster: Cluster | None = None
+
+    @property
+    def holder(self) -> Holder:
+        """The holder under test."""
+        assert self._holder is not None
+        return self._holder
+
+    @property
+    def cluster(self) -> Cluster:
+        """The load reports around it."""
+        assert self._cluster is not None
+        return self._cluster
+
+    def report(self) -> LoadReport:
+        """Return the load report of the process under test."""
+        loads = self.holder.backend_loads()
+        slots = sum(load.slots for load in loads)
+        return LoadReport(1, self.draining, 1.0, slots, loads, {}, 0, "puebla", "")
+
+    def announce_all(self):
+        """Announce each backend server that is not silent and follow the replies."""
+        for backend in self.backend_by_id.values():
+            if not backend.silent:
+                reply = self.holder.announce(backend.announcement(self.timers.now()))
+                backend.followed |= backend.holder not in (None, reply.holder)
+                backend.holder = reply.holder
+
+    def run(
+        self, count: int = 1, *, work_s: float = 0.1, sender: Sender = LOCAL, **options: Any
+    ) -> list[str]:
+        """Queue a batch of equal tasks and return its start ids."""
+        spec = TaskSpec("hem", **options.pop("spec", {}))
+        slack_s = options.pop("slack_s", 0.0)
+        batch_id = options.pop("batch_id", None) or next(self._ids)
+        start_ids = [f"{batch_id}-{index}" for index in range(count)]
+        tasks = [BatchTask(start_id, spec, work_s, 0, slack_s) for start_id in start_ids]
+        fields = {"team": "a", "deadline_left_s": 10.0, "service": "desk"} | options
+        batch = RunBatch(batch_id=batch_id, tasks=tasks, **fields)
+        self.holder.run(sender, batch, self.reply)
+        return start_ids
+
+    def reply(self, result: BatchResult):
+        """Record outcomes; no task may get two."""
+        self.replies.append(result)
+        for outcome in result.outcomes:
+            assert outcome.start_id not in self.outcomes, "a task was answered twice"
+            self.outcomes[outcome.start_id] = outcome
+            self.outcome_at[outcome.start_id] = self.timers.now()
+
+    def status(self, start_id: str) -> str | None:
+        """Return the outcome of a start, None if it has none yet."""
+        return self.outcomes[start_id].status.value if start_id in self.outcomes else None
+
+    def statuses(self, start_ids: list[str]) -> set[str | None]:
+        """Return the distinct outcomes of starts."""
+        return {self.status(start_id) for start_id in start_ids}
+
+    def starts(self) -> int:
+        """Return how many tasks all backend servers started."""
+        return sum(len(backend.started_at) for backend in self.backend_by_id.values())
+
+    async def send(
+        self, address: BackendAddress, starts: list[Start]
+    ) -> AsyncIterator[StartResult]:
+        """Run starts as `mode` says; a second start of a task fails the test."""
+        backend = self.backend_by_id[address.backend_id]
+        if backend.mode in ("refuse", "unreachable"):
+            raise NotSentError("no", refused=backend.mode == "refuse")
+        backend.exchanges.append([start.start_id for start in starts])
+        for start in starts:
+            assert start.start_id not in backend.started_at, "a task was started twice"
+            backend.started_at[start.start_id] = self.timers.now()
+        backend.busy += len(starts)
+        backend.most_busy = max(backend.most_busy, backend.busy)
+        try:
+            if backend.mode == "lose":
+                raise AnswerLostError
+            if backend.mode == "hang":
+                await anyio.sleep_forever()
+            for start in starts:
+                fails = backend.mode == "fail"
+                run_s = 0.01 if fails else (start.payload or 0.1) / backend.speed
+                await anyio.sleep(max(0, backend.started_at[start.start_id] + run_s - anyio_now()))
+                status = RunStatus.FAILED if fails else RunStatus.OK
+                backend.busy -= 1
+                yield StartResult(start.start_id, status, run_s=run_s)
+        finally:
+            if backend.mode in ("lose", "hang"):
+                backend.busy -= len(starts)
+
+    async def ask(self, address: BackendAddress, start_id: str) -> StartResult:
+        """Answer a request for a result as `asked` says."""
+        backend = self.backend_by_id[address.backend_id]
+        if backend.asked == "lost":
+            raise AnswerLostError
+        if backend.asked == "result":
+            return StartResult(start_id, RunStatus.OK, run_s=0.1)
+        return StartResult(start_id, RunStatus(backend.asked))
+
+    async def cancel(self, address: BackendAddress, start_ids: list[str]) -> None:
+        """Record one cancel message."""
+        self.backend_by_id[address.backend_id].cancels.append(start_ids)
+
+
+def anyio_now() -> float:
+    return anyio.current_time()
+
+
+def play(
+    scenario: Callable[[Rig], Awaitable[None]],
+    *backends: FakeBackend,
+    announces: bool = True,
+    configuration: Configuration | None = None,
+):
+    """Run a scenario against a holder on virtual time."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+
+    async def main() -> None:
+        async with TimerService() as timers:
+            rig = Rig(
+                clock,
+                timers,
+                FakeTransport(),
+                Counters(),
+                {backend.backend_id: backend for backend in backends},
+                KindEstimator(),
+                configuration or Configuration(),
+            )
+            cluster = Cluster(
+                entry_id="e1",
+                incarnation=1,
+                transport=rig.transport,
+                timers=timers,
+                make_report=rig.report,
+            )
+            holder = Holder(
+                entry_id="e1",
+                incarnation=1,
+                failure_domain="puebla",
+                weight=1.0,
+                transport=rig.transport,
+                timers=timers,
+                counters=rig.counters,
+                random=Random(7),
+                cluster=cluster,
+                estimator=rig.estimator,
+                configuration=lambda: rig.configuration,
+                draining=lambda: rig.draining,
+                send_to_backend=rig.send,
+                ask_backend=rig.ask,
+                cancel_on_backend=rig.cancel,
+            )
+            rig._holder, rig._cluster = holder, cluster
+            async with holder, cluster:
+                if announces:
+                    timers.every(0.5, rig.announce_all)
+                    rig.announce_all()
+                await scenario(rig)
+
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
