Test the lease holder under faults

Tasks that fit no held backend server waited until a slot was free or the eligible set shrank after the first tick; they are now refused on arrival and after every change of the set. The run times of a slow backend server were taken for long tasks before its speed was learned; the estimator now waits for three observations.

--- a/src/apricotpoint/_dispatch/holder.py
+++ b/src/apricotpoint/_dispatch/holder.py
@@ -221,9 +221,22 @@
         elif service.queue.count + len(held.tasks) > self._rules(batch.service).max_tasks_queued:
             self._refuse(held.tasks, "queue_full", "the queue of the lease holder is full")
         else:
-            service.queue.add(held, held.tasks)
-            self._add_deadline(held)
-            self._mark(service)
+            self._enqueue(service, held, now)
+
+    def _enqueue(self, service: _Service, batch: Batch, now: float) -> None:
+        tasks = batch.tasks
+        views = [view for view in service.view_by_id.values() if view.eligible(now)]
+        if views:
+            # Without this check a misfit waits until a slot that it cannot use is free.
+            misfits = [task for task in tasks if not _fits_any(task, views)]
+            if misfits:
+                self._refuse(misfits, "no_backend", "no held backend server fits the task")
+                tasks = [task for task in tasks if task.state is TaskState.QUEUED]
+        if not tasks:
+            return
+        service.queue.add(batch, tasks)
+        self._add_deadline(batch)
+        self._mark(service)
 
     def cancel(self, coordinator: Sender, batch_ids: list[int]) -> None:
         """Cancel batches: queued tasks are not started, sent ones are cancelled where they run."""
@@ -578,7 +591,7 @@
     def _check_service(self, service: _Service, now: float) -> None:
         views = [view for view in service.view_by_id.values() if view.eligible(now)]
         eligible_ids = {view.backend_id for view in views}
-        lost = not service.eligible_ids <= eligible_ids
+        changed = service.eligible_ids != eligible_ids
         service.eligible_ids = eligible_ids
         if not service.queue.count or views:
             service.without_backend_since = None
@@ -587,10 +600,8 @@
         elif now - service.without_backend_since >= _NO_BACKEND_S:
             everything = service.queue.remove_where(lambda task: True)
             self._refuse(everything, "no_backend", "the lease holder has no backend server now")
-        if service.queue.count and views and lost:
-            misfits = service.queue.remove_where(
-                lambda task: not any(view.fits(task.spec.spec) for view in views)
-            )
+        if service.queue.count and views and changed:
+            misfits = service.queue.remove_where(lambda task: not _fits_any(task, views))
             self._refuse(misfits, "no_backend", "no held backend server fits the task")
         if service.queue.count:
             self._mark(service)
@@ -877,7 +888,8 @@
         if result.status is RunStatus.OK:
             throttle = speed / view.speed.value
             spec = task.spec.spec
-            self._estimator.observe(batch.service, spec.kind, spec.declared_s, run_s * speed)
+            if view.speed.known:
+                self._estimator.observe(batch.service, spec.kind, spec.declared_s, run_s * speed)
             view.speed.observe(task.spec.estimate_s, run_s * throttle)
             if view.quarantine.succeeded(view.announcement.slots, now):
                 self._counters.add("holder.quarantine.left")
@@ -1055,3 +1067,7 @@
         if batch.outcomes or not batch.tasks:
             self._to_report[id(batch)] = batch
             self._wake.set()
+
+
+def _fits_any(task: HeldTask, views: list[BackendView]) -> bool:
+    return any(view.fits(task.spec.spec) for view in views)
--- a/src/apricotpoint/_dispatch/speed.py
+++ b/src/apricotpoint/_dispatch/speed.py
@@ -11,6 +11,9 @@
 _HIGHEST = 50.0
 # Weight of the initial speed 1, in seconds of work.
 _PRIOR_S = 0.2
+# With fewer observations the run times on a slow backend server would be taken
+# for long tasks.
+_KNOWN_AFTER = 3
 
 
 @attrs.define(eq=False)
@@ -20,6 +23,13 @@
     _work_s: float = _PRIOR_S
     _run_s: float = _PRIOR_S
 
+    _observations: int = 0
+
+    @property
+    def known(self) -> bool:
+        """Return whether run times may be converted to work with this speed."""
+        return self._observations >= _KNOWN_AFTER
+
     @property
     def value(self) -> float:
         """Work in seconds at speed 1 that is done in one second."""
@@ -29,5 +39,6 @@
         """Record a task estimated at `work_s` that ran for `run_s`."""
         if work_s <= 0 or run_s <= 0:
             return
+        self._observations += 1
         self._work_s = self._work_s * _DECAY + work_s
         self._run_s = self._run_s * _DECAY + run_s
--- a/testing/dispatch/holder_rig.py
+++ b/testing/dispatch/holder_rig.py
@@ -129,6 +129,7 @@
     outcomes: dict[str, TaskOutcome] = attrs.Factory(dict)
     outcome_at: dict[str, float] = attrs.Factory(dict)
     replies: list[BatchResult] = attrs.Factory(list)
+    answered: anyio.Event = attrs.Factory(anyio.Event)
     _ids: itertools.count[int] = attrs.Factory(lambda: itertools.count(1))
     _holder: Holder | None = None
     _cluster: Cluster | None = None
@@ -180,6 +181,7 @@
             assert outcome.start_id not in self.outcomes, "a task was answered twice"
             self.outcomes[outcome.start_id] = outcome
             self.outcome_at[outcome.start_id] = self.timers.now()
+        self.answered.set()
 
     def status(self, start_id: str) -> str | None:
         """Return the outcome of a start, None if it has none yet."""
@@ -245,8 +247,9 @@
     *backends: FakeBackend,
     announces: bool = True,
     configuration: Configuration | None = None,
+    backend: str = "trio",
 ):
-    """Run a scenario against a holder on virtual time."""
+    """Run a scenario against a holder, with trio on virtual time."""
     clock = trio.testing.MockClock(autojump_threshold=0)
 
     async def main() -> None:
@@ -291,4 +294,5 @@
                     rig.announce_all()
                 await scenario(rig)
 
-    anyio.run(main, backend="trio", backend_options={"clock": clock})
+    options = {"clock": clock} if backend == "trio" else {}
+    anyio.run(main, backend=backend, backend_options=options)
--- a/testing/dispatch/test_holder.py
+++ b/testing/dispatch/test_holder.py
@@ -2,19 +2,481 @@
 
 from __future__ import annotations
 
+import json
+
 import anyio
-from holder_rig import FakeBackend, Rig, play
+import pytest
+from holder_rig import LOCAL, SELF, FakeBackend, Rig, play
+
+from apricotpoint._link.transport import Sender
+from apricotpoint._wire.announce import Announced, GuardState, HolderName
+from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
+from apricotpoint._wire.load import LoadReport
+from apricotpoint._wire.tasks import BatchResult, BatchTask, CancelBatch, RunBatch, TaskSpec
 
+OTHER = HolderName("e2", 1)
+RETRIES = Configuration(service_by_name={"desk": ServiceConfig("desk", retry_idempotent=True)})
 
-def test_tasks_of_one_batch_share_exchanges_and_never_exceed_the_slots():
+
+@pytest.mark.parametrize("backend", ["trio", "asyncio"])
+def test_tasks_of_one_batch_share_exchanges_and_never_exceed_the_slots(backend: str):
     async def scenario(rig: Rig) -> None:
         start_ids = rig.run(6)
-        await anyio.sleep(2)
+        with anyio.fail_after(10):
+            await rig.answered.wait()
+        assert rig.holder.idle()
         assert rig.statuses(start_ids) == {"done"}
         assert len(rig.replies) == 1
+        assert len(server.exchanges[0]) == 2
+        json.dumps(rig.holder.dump())
+
+    server = FakeBackend("b1")
+    play(scenario, server, backend=backend)
+    assert server.most_busy == 2
+
+
+def test_nothing_is_sent_without_a_lease_and_queued_tasks_are_returned_promptly():
+    async def scenario(rig: Rig) -> None:
+        first = rig.run(2, work_s=5.0, spec={"payload": 5.0})
+        queued = rig.run(3)
+        await anyio.sleep(0.6)
+        server.silent = True
+        await anyio.sleep(3.0)
+        assert rig.statuses(queued) == {"not_started"}
+        assert max(rig.outcome_at.values()) < 0.5 + 2.0 + 1.0
+        late = rig.run(1)
+        await anyio.sleep(1.0)
+        assert rig.statuses(late) == {"not_started"}
+        assert set(server.started_at) == set(first)
+        assert rig.holder.backend_loads() == []
+
+    server = FakeBackend("b1")
+    play(scenario, server)
+
+
+def test_announcements_read_after_a_pause_renew_nothing():
+    async def scenario(rig: Rig) -> None:
+        await anyio.sleep(1.1)
+        stale = [server.announcement(1.2 + 0.5 * n) for n in range(4)]
+        server.silent = True
+        rig.clock.jump(10)
+        for announcement in stale:
+            rig.holder.announce(announcement)
+        start_ids = rig.run(1)
+        await anyio.sleep(0.7)
+        for announcement in [server.announcement(3.5), server.announcement(4.0)]:
+            rig.holder.announce(announcement)
+        await anyio.sleep(0.5)
+        assert server.started_at == {}
+        assert rig.statuses(start_ids) == {"not_started"}
+        server.silent = False
+        await anyio.sleep(0.6)
+        rig.run(1)
+        await anyio.sleep(0.1)
+        assert len(server.started_at) == 1
+
+    server = FakeBackend("b1")
+    play(scenario, server)
+
+
+def test_a_new_holder_waits_and_counts_the_tasks_of_the_earlier_one():
+    async def scenario(rig: Rig) -> None:
+        await anyio.sleep(2.4)
+        assert [load.available for load in rig.holder.backend_loads()] == [False]
+        await anyio.sleep(0.7)
+        rig.run(4, work_s=0.2, spec={"payload": 0.2})
+        await anyio.sleep(0.1)
+        assert len(server.started_at) == 1, "three of four slots are still used"
+        server.running = 0
+        await anyio.sleep(2.0)
+        assert len(server.started_at) == 4
+        rig.run(4, work_s=0.2)
+        await anyio.sleep(0.1)
+        assert len(server.started_at) == 8
+
+    server = FakeBackend("b1", slots=4, running=3, followed=True)
+    play(scenario, server)
+
+
+def test_alternating_holder_names_never_complete_the_wait_for_a_takeover():
+    async def scenario(rig: Rig) -> None:
+        for _ in range(12):
+            rig.holder.announce(server.announcement(rig.timers.now()))
+            server.sequence += 1  # This one named the other holder, elsewhere.
+            await anyio.sleep(0.5)
+        assert not any(load.available for load in rig.holder.backend_loads())
+
+    server = FakeBackend("b1", followed=True)
+    play(scenario, server, announces=False)
+
+
+def test_an_announcement_that_names_another_holder_ends_the_lease_at_once():
+    async def scenario(rig: Rig) -> None:
+        server.holder = OTHER
+        rig.announce_all()
+        rig.run(1)
+        await anyio.sleep(0.2)
+        assert server.started_at == {}
+        assert isinstance(rig.transport.sent[0][1], Announced)
+
+    play(scenario, server := FakeBackend("b1"))
+
+
+def test_a_silent_holder_is_replaced_and_a_live_one_is_kept():
+    async def scenario(rig: Rig) -> None:
+        report = LoadReport(1, False, 1.0, 0, [], {}, 0, "puebla", "")
+        rig.transport.receive("e2", report)
+        server.holder = OTHER
+        await anyio.sleep(2.4)
+        rig.announce_all()
+        assert server.holder == OTHER
+        await anyio.sleep(0.2)
+        rig.announce_all()
+        assert server.holder == SELF
+
+    play(scenario, server := FakeBackend("b1", holder=None), announces=False)
+
+
+def test_backend_servers_that_announce_together_are_spread_over_holders():
+    async def scenario(rig: Rig) -> None:
+        report = LoadReport(1, False, 1.0, 0, [], {}, 0, "puebla", "")
+        far = LoadReport(1, False, 1.0, 0, [], {}, 0, "toluca", "")
+        rig.transport.receive("e2", report)
+        rig.transport.receive("e3", far)
+        for server in servers:
+            server.holder = rig.holder.announce(server.announcement(0.0)).holder
+        assert [server.holder for server in servers].count(SELF) == 4
+        assert [server.holder for server in servers].count(OTHER) == 4
+
+    servers = [FakeBackend(f"b{n}", holder=None) for n in range(8)]
+    play(scenario, *servers, announces=False)
+
+
+def test_a_draining_holder_hands_over_and_finishes_its_sent_tasks():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(2, work_s=8.0, spec={"payload": 8.0})
+        await anyio.sleep(0.1)
+        rig.transport.receive("e2", LoadReport(1, False, 1.0, 0, [], {}, 0, "toluca", ""))
+        rig.draining = True
+        rig.announce_all()
+        assert server.holder == OTHER
+        await anyio.sleep(9)
+        assert rig.statuses(start_ids) == {"done"}
+        assert rig.holder.idle()
+
+    play(scenario, server := FakeBackend("b1"))
+
+
+@pytest.mark.parametrize(
+    "more",
+    [{"leaving": True}, {"guard": GuardState.STOP}, {"guard": GuardState.CHECKPOINT}],
+)
+def test_leaving_and_guard_states_stop_new_sends(more: dict[str, object]):
+    async def scenario(rig: Rig) -> None:
+        server.more = more
+        rig.announce_all()
+        start_ids = rig.run(2)
+        await anyio.sleep(1.1)
+        assert rig.statuses(start_ids) == {"not_started"}
+        assert server.started_at == {}
+
+    play(scenario, server := FakeBackend("b1"))
+
+
+def test_a_drain_in_the_configuration_stops_a_bound_task_before_its_send():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(1)
+        rig.configuration = Configuration(drained_backends=["b1"])
+        await anyio.sleep(1.1)
+        assert rig.statuses(start_ids) == {"not_started"}
+        assert server.started_at == {}
+
+    play(scenario, server := FakeBackend("b1"))
+
+
+def test_a_refused_send_returns_the_task_to_the_queue():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(3)
+        await anyio.sleep(0.5)
+        assert rig.counters.get("holder.wasted.refused") <= 8, "the holder must not spin"
+        server.mode = "ok"
+        await anyio.sleep(3)
+        assert rig.statuses(start_ids) == {"done"}
+
+    play(scenario, server := FakeBackend("b1", mode="refuse"))
+
+
+@pytest.mark.parametrize(
+    ("asked", "status"), [("result", "done"), ("unknown", "unknown"), ("lost", "unknown")]
+)
+def test_a_lost_answer_is_asked_for_and_never_started_again(asked: str, status: str):
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(2, spec={"idempotent": True})
+        await anyio.sleep(0.01)
+        loads = rig.holder.backend_loads()
+        assert loads[0].free_slots == 0 or asked == "result", "an unknown outcome uses its slot"
+        await anyio.sleep(8)
+        assert rig.statuses(start_ids) == {status}
+        assert rig.starts() == 2
+
+    play(scenario, FakeBackend("b1", mode="lose", asked=asked), FakeBackend("b2", mode="refuse"))
+
+
+def test_a_task_that_still_runs_after_a_lost_answer_keeps_its_slot_until_it_ends():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(1)
+        await anyio.sleep(20)
+        assert rig.statuses(start_ids) == {None}
+        assert rig.holder.backend_loads()[0].free_slots == 1
+        server.asked = "result"
+        await anyio.sleep(1)
+        assert rig.statuses(start_ids) == {"done"}
+
+    play(scenario, server := FakeBackend("b1", mode="lose", asked="running"))
+
+
+def test_a_new_incarnation_ends_the_tasks_of_the_old_one_as_unknown():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(2)
+        await anyio.sleep(0.2)
+        server.incarnation, server.sequence, server.mode = 2, 0, "ok"
+        rig.announce_all()
+        await anyio.sleep(0.01)
+        assert rig.statuses(start_ids) == {"unknown"}
+        again = rig.run(2)
+        await anyio.sleep(0.2)
+        assert rig.statuses(again) == {"done"}
+
+    play(scenario, server := FakeBackend("b1", mode="hang"))
+
+
+def test_a_hanging_exchange_ends_a_bounded_time_after_the_lease():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(2)
+        await anyio.sleep(0.1)
+        server.silent = True
+        await anyio.sleep(12)
+        assert rig.statuses(start_ids) == {"unknown"}
+        assert rig.holder.idle()
+
+    play(scenario, server := FakeBackend("b1", mode="hang", asked="lost"))
+
+
+@pytest.mark.parametrize(
+    ("count", "idempotent", "sends", "expected"),
+    [(1, True, 20, 2), (1, False, 20, 1), (2, True, 20, 2), (1, True, 0, 1)],
+)
+def test_only_single_idempotent_tasks_with_budget_start_a_second_time(
+    count: int, idempotent: bool, sends: int, expected: int
+):
+    async def scenario(rig: Rig) -> None:
+        rig.run(sends)
+        await anyio.sleep(2)
+        lost.mode, other.mode = "lose", "unreachable"
+        before = rig.starts()
+        start_ids = rig.run(count, single=True, spec={"idempotent": idempotent})
+        await anyio.sleep(0.01)
+        lost.mode = other.mode = "ok"
+        await anyio.sleep(6)
+        assert rig.starts() - before == expected
+        if expected > count:
+            assert rig.statuses(start_ids) == {"done"}
+            assert start_ids[0] in other.started_at
+        else:
+            assert rig.statuses(start_ids) == {"unknown"}
+
+    lost = FakeBackend("b1", asked="unknown")
+    other = FakeBackend("b2")
+    play(scenario, lost, other, configuration=RETRIES)
+
+
+def test_a_deadline_that_passes_in_the_queue_is_answered_not_started_in_time():
+    async def scenario(rig: Rig) -> None:
+        rig.run(2, work_s=3.0, spec={"payload": 3.0})
+        start_ids = rig.run(4, deadline_left_s=0.5)
+        late = rig.run(1, deadline_left_s=0.5, sender=Sender("e1", 1, age_s=0.6))
+        await anyio.sleep(0.51)
+        assert rig.statuses(start_ids + late) == {"not_started"}
+        assert rig.holder.queued_tasks() == 0
+        await anyio.sleep(5)
+        assert rig.starts() == 2
+
+    play(scenario, FakeBackend("b1"))
+
+
+def test_cancelled_tasks_cost_nothing_when_queued_and_one_message_when_sent():
+    async def scenario(rig: Rig) -> None:
+        sent = rig.run(2, batch_id=101, spec={"payload": 2.0}) + rig.run(
+            2, batch_id=102, spec={"payload": 2.0}
+        )
+        await anyio.sleep(0.05)
+        queued = rig.run(50, batch_id=103)
+        await anyio.sleep(0.05)
+        for batch_id in (101, 102, 103, 103, 999):
+            rig.holder.cancel(LOCAL, [batch_id])
+        bound = rig.run(1, batch_id=104)
+        await anyio.sleep(0.02)
+        assert server.cancels == [sent]
+        assert rig.statuses(queued) == {"not_started"}
+        assert set(server.started_at) == set(sent)
+        assert rig.counters.get("holder.wasted.cancel_unknown") >= 1
+        await anyio.sleep(3)
+        assert rig.statuses(sent + bound) == {"done"}
+
+    play(scenario, server := FakeBackend("b1", slots=4))
+
+
+def test_a_task_cancelled_between_binding_and_send_is_not_sent():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(1, batch_id=7)
+        rig.holder._bind(rig.holder._service("desk"), rig.timers.now())
+        rig.holder.cancel(LOCAL, [7])
+        await anyio.sleep(0.1)
+        assert rig.statuses(start_ids) == {"not_started"}
+        assert server.started_at == {}
+
+    play(scenario, server := FakeBackend("b1"))
+
+
+def test_a_repeated_batch_starts_nothing_and_a_replaced_coordinator_is_dropped():
+    async def scenario(rig: Rig) -> None:
+        rig.transport.incarnation_by_peer["e2"] = 1
+        tasks = [BatchTask(f"s{n}", TaskSpec("hem", 1.0), 1.0) for n in range(6)]
+        batch = RunBatch(1, "desk", "a", 60.0, tasks)
+        rig.transport.receive("e2", batch)
+        rig.transport.receive("e2", batch)
+        await anyio.sleep(0.1)
+        rig.transport.incarnation_by_peer["e2"] = 2
+        rig.transport.receive(
+            "e2", RunBatch(1, "desk", "a", 60.0, [BatchTask("new", tasks[0].spec, 1.0)]), 2
+        )
+        rig.transport.receive("e2", RunBatch(2, "desk", "a", 60.0, tasks[:1]), 1)
+        await anyio.sleep(5)
+        assert sorted(server.started_at) == ["new", "s0", "s1"]
+        results = [message for _, message in rig.transport.sent if isinstance(message, BatchResult)]
+        assert [outcome.start_id for result in results for outcome in result.outcomes] == ["new"]
+        assert rig.counters.get("holder.wasted.repeated_batch") == 1
+        assert rig.counters.get("holder.wasted.stale_coordinator") == 1
+        assert rig.holder.idle()
+
+    play(scenario, server := FakeBackend("b1"))
+
+
+def test_a_result_that_the_link_cannot_take_is_kept_and_sent_later():
+    async def scenario(rig: Rig) -> None:
+        rig.transport.accepts = False
+        rig.transport.receive(
+            "e2", RunBatch(1, "desk", "a", 9.0, [BatchTask("s", TaskSpec("x"), 0.1)])
+        )
+        await anyio.sleep(1)
+        assert not rig.holder.idle()
+        rig.transport.accepts = True
+        await anyio.sleep(0.5)
+        assert sum(isinstance(message, BatchResult) for _, message in rig.transport.sent) == 1
         assert rig.holder.idle()
-        assert len(backend.exchanges[0]) == 2
+        rig.transport.receive("e2", CancelBatch([1]))
+
+    play(scenario, FakeBackend("b1"))
+
+
+def test_a_backend_server_that_fails_everything_loses_few_tasks_and_returns():
+    async def scenario(rig: Rig) -> None:
+        for _ in range(100):
+            rig.run(4, work_s=0.1)
+            await anyio.sleep(0.1)
+        assert len(bad.started_at) <= 20
+        bad.mode = "ok"
+        for _ in range(300):
+            rig.run(10, work_s=0.1)
+            await anyio.sleep(0.1)
+        assert len(bad.started_at) > 100
+        assert rig.counters.get("holder.quarantine.left") == 1
+
+    bad = FakeBackend("b1", slots=4, mode="fail")
+    play(scenario, bad, FakeBackend("b2", slots=4), FakeBackend("b3", slots=4))
+
+
+def test_failures_of_the_tasks_themselves_quarantine_at_most_a_third():
+    async def scenario(rig: Rig) -> None:
+        for _ in range(100):
+            rig.run(6)
+            await anyio.sleep(0.1)
+        quarantined = [load for load in rig.holder.backend_loads() if load.quarantined]
+        assert len(quarantined) == 1
+
+    play(scenario, *(FakeBackend(f"b{n}", mode="fail") for n in range(5)))
+
+
+def test_a_team_far_over_its_quota_hardly_delays_another():
+    async def scenario(rig: Rig) -> None:
+        rig.run(2000, team="big", deadline_left_s=1e4)
+        await anyio.sleep(1)
+        for _ in range(10):
+            sent_at = rig.timers.now()
+            start_ids = rig.run(2, team="small", deadline_left_s=1e4)
+            await anyio.sleep(1)
+            assert max(rig.outcome_at[start_id] for start_id in start_ids) - sent_at < 0.35
+        assert rig.holder.queued_tasks() > 1000
+
+    teams = {"big": TeamConfig("big", quota_tasks=10), "small": TeamConfig("small", quota_tasks=10)}
+    play(scenario, FakeBackend("b1", slots=4), configuration=Configuration(team_by_name=teams))
+
+
+def test_tasks_wait_for_a_fast_slot_where_that_ends_sooner_but_slack_takes_the_slow_one():
+    async def scenario(rig: Rig) -> None:
+        for _ in range(30):
+            rig.run(4, spec={"payload": 0.1})
+            await anyio.sleep(1.1)
+        slow_before = len(slow.started_at)
+        rig.run(4, spec={"payload": 0.1})
+        await anyio.sleep(2)
+        assert len(slow.started_at) == slow_before, "0.2 s on the fast one beat 1 s on the slow one"
+        rig.run(1, slack_s=5.0)
+        await anyio.sleep(2)
+        assert len(slow.started_at) == slow_before + 1
+
+    fast, slow = FakeBackend("b1", slots=2), FakeBackend("b2", slots=2, speed=0.1)
+    play(scenario, fast, slow)
+
+
+def test_a_task_that_waits_for_a_straggler_takes_a_slower_slot_in_the_end():
+    async def scenario(rig: Rig) -> None:
+        for _ in range(30):
+            rig.run(4, spec={"payload": 0.1})
+            await anyio.sleep(1.1)
+        fast.mode = "hang"
+        rig.run(1)
+        await anyio.sleep(0.05)
+        start_ids = rig.run(1)
+        await anyio.sleep(6)
+        assert rig.statuses(start_ids) == {"done"}
+        assert start_ids[0] in slow.started_at
+
+    fast, slow = FakeBackend("b1", slots=1), FakeBackend("b2", slots=1, speed=0.1)
+    play(scenario, fast, slow)
+
+
+@pytest.mark.parametrize("policy", ["random", "round_robin", "least_outstanding", "two_choices"])
+def test_baseline_policies_complete_everything(policy: str):
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(200, deadline_left_s=100.0)
+        await anyio.sleep(40)
+        assert rig.statuses(start_ids) == {"done"}
+        assert min(len(server.started_at) for server in servers) > 20
+
+    servers = [FakeBackend(f"b{n}", speed=1.0 + n) for n in range(3)]
+    rules = {"desk": ServiceConfig("desk", policy=policy)}
+    play(scenario, *servers, configuration=Configuration(service_by_name=rules))
+
+
+def test_a_task_that_no_held_backend_server_fits_is_returned_when_the_last_fitting_one_goes():
+    async def scenario(rig: Rig) -> None:
+        rig.run(4, work_s=3.0, spec={"payload": 3.0})
+        start_ids = rig.run(2, spec={"accelerators": 1})
+        await anyio.sleep(0.1)
+        assert rig.statuses(start_ids) == {None}
+        rig.configuration = Configuration(stopped_backends=["b1"])
+        await anyio.sleep(1)
+        assert rig.statuses(start_ids) == {"not_started"}
 
-    backend = FakeBackend("b1")
-    play(scenario, backend)
-    assert backend.most_busy == 2
+    play(scenario, FakeBackend("b1", more={"accelerators": 2}), FakeBackend("b2"))
