--- /dev/null
+++ b/src/apricotpoint/_http/serve.py
@@ -0,0 +1,87 @@
+"""Serving of an ASGI app with hypercorn."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import attrs
+import hypercorn.asyncio
+from hypercorn.config import Config
+
+# Bounds the wait for a request head on a new or kept connection. It is longer
+# than the 1 s after which BackendClient stops using an idle connection.
+HEAD_TIMEOUT_S = 5
+# Bounds the wait for a client that does not read its answer: Linux applies it
+# to unacknowledged data and to a closed window.
+SEND_TIMEOUT_S = 15
+DEFAULT_GRACE_S = 30.0
+
+
+@attrs.frozen
+class TlsFiles:
+    """Paths of the certificate chain and its private key in PEM format."""
+
+    certificate: Path
+    key: Path
+
+
+async def serve(
+    app: Any,
+    bind: str,
+    tls: TlsFiles | None,
+    shutdown: Callable[[], Awaitable[None]],
+    *,
+    grace_s: float = DEFAULT_GRACE_S,
+    task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve `app` on `bind` ("host:port") until `shutdown` returns.
+
+    Then no connection is accepted any more, and requests in progress get up
+    to `grace_s` seconds to finish. Reports the bound port as task status.
+    Needs the asyncio back end of anyio.
+    """
+    listener = _listen(bind)
+    port = listener.getsockname()[1]
+    config = Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.alpn_protocols = ["http/1.1"]
+    config.keep_alive_timeout = HEAD_TIMEOUT_S
+    config.graceful_timeout = grace_s
+    config.include_server_header = False
+    config.loglevel = "WARNING"
+    if tls is not None:
+        config.certfile = str(tls.certificate)
+        config.keyfile = str(tls.key)
+        config.ssl_handshake_timeout = HEAD_TIMEOUT_S
+    task_status.started(port)
+    try:
+        await hypercorn.asyncio.serve(app, config, shutdown_trigger=shutdown, mode="asgi")
+    except asyncio.InvalidStateError:
+        # hypercorn 0.18 raises this when it is cancelled with open connections.
+        # The checkpoint raises the cancellation instead, if there is one.
+        await anyio.lowlevel.checkpoint()
+        raise
+
+
+def _listen(bind: str) -> socket.socket:
+    host, _, port = bind.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SEND_TIMEOUT_S * 1000)
+        listener.bind((host, int(port)))
+        listener.listen(1024)
+    except OSError:
+        listener.close()
+        raise
+    return listener
