--- /dev/null
+++ b/src/apricotpoint/_backend/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated backend server for tests and demos."""
--- /dev/null
+++ b/src/apricotpoint/_backend/server.py
@@ -0,0 +1,67 @@
+"""One simulated backend server: HTTP interface, runs and announcements."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+
+from apricotpoint._backend.announcer import Announcer
+from apricotpoint._backend.app import make_app
+from apricotpoint._backend.ledger import Ledger
+from apricotpoint._backend.runner import Runner
+from apricotpoint._backend.settings import BackendSettings
+from apricotpoint._core.counters import Counters
+from apricotpoint._http.serve import serve
+
+# Holders stop sending when they see `leaving` in an announcement, which are
+# sent every 0.5 s; three periods allow for one that is lost.
+LEAVING_S = 1.5
+
+
+async def run_backend(
+    settings: BackendSettings,
+    *,
+    key: str,
+    shutdown: Callable[[], Awaitable[None]],
+    incarnation: int | None = None,
+    counters: Counters | None = None,
+    leaving_s: float = LEAVING_S,
+    task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> Ledger:
+    """Run a backend server until `shutdown` returns and its runs have ended.
+
+    Announces `leaving` for `leaving_s` seconds before it refuses new starts.
+    Reports the bound port as task status and returns the ledger.
+    """
+    incarnation = time.time_ns() // 1000 if incarnation is None else incarnation
+    stop = anyio.Event()
+    host = settings.bind.rpartition(":")[0]
+    async with Runner(settings, ledger=Ledger()) as runner, anyio.create_task_group() as group:
+        app = make_app(runner, incarnation=incarnation)
+
+        async def run_server(*, task_status: anyio.abc.TaskStatus[int]) -> None:
+            await serve(app, settings.bind, None, stop.wait, task_status=task_status)
+
+        port = await group.start(run_server)
+        announcer = Announcer(
+            settings,
+            incarnation=incarnation,
+            address=f"{host}:{port}",
+            key=key,
+            running=runner.running,
+            counters=counters or Counters(),
+        )
+        async with anyio.create_task_group() as announcing:
+            announcing.start_soon(announcer.run)
+            task_status.started(port)
+            await shutdown()
+            announcer.leaving = True
+            await anyio.sleep(leaving_s)
+            runner.stopping = True
+            await runner.idle()
+            announcing.cancel_scope.cancel()
+        stop.set()
+    return runner.ledger
