Add mesh of links between own processes

Sockets are used without waiting, with readiness of their file descriptors: pynng's asend raises a bare CancelledError when a scope of anyio cancels it, which anyio 4.16 did not recognise in a trial.

Tests showed that an empty message makes pynng's recv raise RuntimeError, which ended the receiving task, and it is now counted.

The codec returns messages of an unknown type as Unknown, because dropping one from the reliable stream would leave a gap that stops the stream.

--- /dev/null
+++ b/src/apricotpoint/_link/mesh.py
@@ -0,0 +1,251 @@
+"""Links to all other processes of the system."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import secrets
+from collections.abc import Mapping, Sequence
+from types import TracebackType
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import attrs
+import logbook
+import pynng
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._link.peer import MAX_MESSAGE_BYTES, SILENCE_S, PeerLink
+from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
+from apricotpoint._wire import codec
+
+MAX_REQUESTS_IN_PROGRESS = 2000
+FLUSH_S = 0.5
+# The event loop gets a turn after this many messages.
+_RECEIVE_BURST = 64
+
+_log = logbook.Logger("link")
+
+
+@attrs.define(eq=False)
+class _Pending:
+    peer_id: str
+    arrived: anyio.Event = attrs.Factory(anyio.Event)
+    reply: object = None
+
+
+class Mesh:
+    """Implements `Transport` with pynng push/pull sockets over TCP.
+
+    A process listens on one pull socket and has one push socket for each
+    peer. Incarnations of one process id must increase, because messages of
+    an incarnation lower than the highest one heard are dropped. Use as an
+    async context manager; handlers must be registered before.
+    """
+
+    def __init__(
+        self,
+        *,
+        process_id: str,
+        incarnation: int,
+        listen: str,
+        address_by_peer: Mapping[str, str],
+        keys: Sequence[bytes],
+        timers: TimerService,
+        counters: Counters,
+    ) -> None:
+        self.handlers_by_type: dict[type, Handler] = {}
+        self.request_handlers_by_type: dict[type, RequestHandler] = {}
+        self._listen = listen
+        self._keys = list(keys)
+        self._timers = timers
+        self._counters = counters
+        self._pending_by_id: dict[int, _Pending] = {}
+        # A random start keeps late replies to another incarnation apart.
+        self._request_ids = itertools.count(secrets.randbits(48) + 1)
+        self._requests_in_progress = 0
+        self._link_by_id = {
+            peer_id: PeerLink(
+                process_id=process_id,
+                incarnation=incarnation,
+                peer_id=peer_id,
+                address=address,
+                key=self._keys[0],
+                timers=timers,
+                counters=counters,
+            )
+            for peer_id, address in address_by_peer.items()
+            if peer_id != process_id
+        }
+        self._group: anyio.abc.TaskGroup | None = None
+        self._pull: pynng.Pull0 | None = None
+
+    async def __aenter__(self) -> Mesh:
+        self._pull = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
+        try:
+            self._pull.listen(f"tcp://{self._listen}")
+        except pynng.NNGException:
+            self._pull.close()
+            raise
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._receive, self._pull)
+        for link in self._link_by_id.values():
+            self._group.start_soon(link.run)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        assert self._pull is not None
+        if exc_type is None:
+            await self._flush()
+        self._group.cancel_scope.cancel()
+        try:
+            return await self._group.__aexit__(exc_type, exc, traceback)
+        finally:
+            self._pull.close()
+
+    def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
+        """Queue a message; False if the peer is unknown or its queue is full.
+
+        A reliable message is repeated until the receiving incarnation has
+        acknowledged it, and is handled there once and in order.
+        """
+        link = self._link_by_id.get(peer_id)
+        if link is None:
+            self._counters.add("link.unknown_peer")
+            return False
+        return link.send_reliable(message) if reliable else link.send(message)
+
+    async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
+        """Send a request once and return its reply.
+
+        Raises `PeerUnreachable` if there is no reply within `timeout_s`.
+        """
+        link = self._link_by_id.get(peer_id)
+        if link is None:
+            raise PeerUnreachable(f"peer {peer_id!r} is not in the settings")
+        request_id = next(self._request_ids)
+        pending = _Pending(peer_id)
+        self._pending_by_id[request_id] = pending
+        try:
+            if not link.send(message, request_id=request_id):
+                raise PeerUnreachable(f"the queue to {peer_id} is full")
+            with anyio.move_on_after(timeout_s):
+                await pending.arrived.wait()
+        finally:
+            del self._pending_by_id[request_id]
+        if not pending.arrived.is_set():
+            self._counters.add("link.request_timeouts")
+            raise PeerUnreachable(f"no reply from {peer_id} within {timeout_s:g} s")
+        return pending.reply
+
+    def peers(self) -> list[str]:
+        """Return the ids of all known peers."""
+        return list(self._link_by_id)
+
+    def heard_ago(self, peer_id: str) -> float:
+        """Return the seconds since the peer was last heard; infinity if never."""
+        link = self._link_by_id.get(peer_id)
+        return math.inf if link is None else self._timers.now() - link.heard_at
+
+    def incarnation_of(self, peer_id: str) -> int | None:
+        """Return the latest incarnation heard from the peer."""
+        link = self._link_by_id.get(peer_id)
+        return None if link is None else link.peer_incarnation
+
+    async def _flush(self) -> None:
+        """Give messages to live peers a short time to be sent and acknowledged."""
+        with anyio.move_on_after(FLUSH_S, shield=True):
+            for link in self._link_by_id.values():
+                if self._timers.now() - link.heard_at < SILENCE_S:
+                    await link.flushed()
+
+    async def _receive(self, pull: pynng.Pull0) -> None:
+        while True:
+            await anyio.wait_readable(pull.recv_fd)
+            for _ in range(_RECEIVE_BURST):
+                try:
+                    data = pull.recv(block=False)
+                except pynng.TryAgain:
+                    break
+                except RuntimeError:
+                    # pynng 0.9 cannot unpack an empty message, which anyone can send.
+                    self._counters.add("link.undecodable")
+                    continue
+                self._handle(data)
+            await anyio.lowlevel.checkpoint()
+
+    def _handle(self, data: bytes) -> None:
+        try:
+            envelope = codec.decode(data, self._keys)
+        except codec.CodecError:
+            self._counters.add("link.undecodable")
+            return
+        self._counters.add("link.received")
+        link = self._link_by_id.get(envelope.sender)
+        if link is None:
+            self._counters.add("link.unknown_sender")
+            return
+        if not link.accept(envelope):
+            return
+        sender = Sender(envelope.sender, envelope.incarnation, max(0.0, envelope.age_s))
+        if envelope.is_reply:
+            self._handle_reply(envelope)
+        elif envelope.request_id:
+            self._handle_request(link, sender, envelope)
+        elif not isinstance(envelope.message, codec.Nothing):
+            self._handle_message(sender, envelope.message)
+
+    def _handle_reply(self, envelope: codec.Envelope) -> None:
+        pending = self._pending_by_id.get(envelope.request_id)
+        if pending is None or pending.peer_id != envelope.sender:
+            self._counters.add("link.late_replies")
+            return
+        if isinstance(envelope.message, codec.Unknown):
+            self._counters.add("link.unhandled")
+            return
+        pending.reply = envelope.message
+        pending.arrived.set()
+
+    def _handle_message(self, sender: Sender, message: object) -> None:
+        handler = self.handlers_by_type.get(type(message))
+        if handler is None:
+            self._counters.add("link.unhandled")
+            return
+        try:
+            handler(sender, message)
+        except Exception:
+            self._counters.add("link.handler_errors")
+            _log.exception("handler of {} failed", type(message).__name__)
+
+    def _handle_request(self, link: PeerLink, sender: Sender, envelope: codec.Envelope) -> None:
+        handler = self.request_handlers_by_type.get(type(envelope.message))
+        if handler is None:
+            self._counters.add("link.unhandled")
+            return
+        if self._requests_in_progress >= MAX_REQUESTS_IN_PROGRESS:
+            self._counters.add("link.requests_dropped")
+            return
+        assert self._group is not None
+        self._requests_in_progress += 1
+        self._group.start_soon(self._answer, handler, link, sender, envelope)
+
+    async def _answer(
+        self, handler: RequestHandler, link: PeerLink, sender: Sender, envelope: codec.Envelope
+    ) -> None:
+        try:
+            reply = await handler(sender, envelope.message)
+            link.send(reply, request_id=envelope.request_id, is_reply=True)
+        except Exception:
+            self._counters.add("link.handler_errors")
+            _log.exception("handler of {} failed", type(envelope.message).__name__)
+        finally:
+            self._requests_in_progress -= 1
--- a/src/apricotpoint/_wire/codec.py
+++ b/src/apricotpoint/_wire/codec.py
@@ -92,7 +92,9 @@
 def decode(data: bytes, keys: Sequence[bytes]) -> Envelope:
     """Return the envelope in `data` if its MAC is right under one of `keys`.
 
-    Raises `CodecError` for a wrong MAC, an unknown type or a malformed body.
+    A message of an unknown type is returned as `Unknown`, because its envelope
+    still acknowledges messages and counts in the reliable stream. Raises
+    `CodecError` for a wrong MAC or a malformed body.
     """
     mac, payload = data[:_MAC_BYTES], data[_MAC_BYTES:]
     if not any(hmac.compare_digest(mac, _mac(payload, key)) for key in keys):
@@ -103,8 +105,9 @@
             raise CodecError(f"wire version {frame.version} is no longer supported")
         decoder = _DECODER_BY_NAME.get(frame.type_name)
         if decoder is None:
-            raise CodecError(f"unknown message type {frame.type_name!r}")
-        message = decoder.decode(frame.body)
+            message: object = Unknown(frame.type_name)
+        else:
+            message = decoder.decode(frame.body)
     except msgspec.MsgspecError as error:
         raise CodecError(f"malformed message: {error}") from error
     return Envelope(
@@ -129,6 +132,13 @@
     """Carries only the envelope: a heartbeat or an acknowledgement."""
 
 
+@attrs.frozen
+class Unknown:
+    """Stands for a message whose type this release does not know."""
+
+    type_name: str
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _FRAME_DECODER = msgspec.msgpack.Decoder(_Frame)
 _DECODER_BY_NAME: dict[str, msgspec.msgpack.Decoder[object]] = {}
