--- /dev/null
+++ b/src/apricotpoint/_control/feed.py
@@ -0,0 +1,178 @@
+"""The configuration as every process has it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from types import TracebackType
+
+import anyio
+import anyio.abc
+import msgspec
+
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.timers import TimerService
+from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
+from apricotpoint._wire.configuration import ConfigPoll, ConfigUpdate, Configuration
+
+_POLL_S = 1.0
+_REPLY_S = 1.0
+_RETRY_S = 0.25
+_CURRENT_S = 3.0
+_DECODER = msgspec.msgpack.Decoder(Configuration)
+
+
+class ConfigurationFeed:
+    """Keeps the latest configuration by long polls; versions only go up.
+
+    With a `cache_path` a version is synced there before it is in force, so a
+    restart never goes back. Other processes without a disk may ask this one at
+    their start. `storage` is for tests.
+    """
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        control_ids: Sequence[str],
+        timers: TimerService,
+        counters: Counters,
+        cache_path: Path | None = None,
+        storage: Storage | None = None,
+    ) -> None:
+        self._transport = transport
+        self._control_ids = list(control_ids)
+        self._timers = timers
+        self._counters = counters
+        self._cache_path = cache_path
+        if storage is None and cache_path is not None:
+            storage = Storage(cache_path.parent)
+        self._storage = storage
+        self._configuration = Configuration()
+        self._current_at = float("-inf")
+        self._heard_version = 0
+        self._heard = anyio.Event()
+        self._lock = anyio.Lock()
+        self._callbacks: list[Callable[[Configuration], None]] = []
+        self._group: anyio.abc.TaskGroup | None = None
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self._configuration
+
+    def current(self) -> bool:
+        """Return whether a replica in contact with a majority answered in the last 3 s."""
+        return self._timers.now() - self._current_at <= _CURRENT_S
+
+    def subscribe(self, callback: Callable[[Configuration], None]) -> None:
+        """Call `callback` with each new configuration."""
+        self._callbacks.append(callback)
+
+    def heard_version(self, version: int) -> None:
+        """Fetch at once if another process, in a load report, has a higher version."""
+        if version > max(self._heard_version, self._configuration.version):
+            self._heard_version = version
+            self._heard.set()
+
+    async def __aenter__(self) -> ConfigurationFeed:
+        self._read_cache()
+        self._transport.request_handlers_by_type.setdefault(ConfigPoll, self._on_poll)
+        await self._fetch([*self._control_ids, *self._other_ids()])
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._poll)
+        self._group.start_soon(self._fetch_heard)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(exc_type, exc, traceback)
+
+    def _other_ids(self) -> list[str]:
+        return [peer for peer in self._transport.peers() if peer not in self._control_ids]
+
+    async def _on_poll(self, _: Sender, message: object) -> object:
+        assert isinstance(message, ConfigPoll)
+        configuration = self._configuration
+        newer = configuration.version > message.version
+        # Only control processes know whether a version is the latest.
+        return ConfigUpdate(
+            version=configuration.version,
+            current=False,
+            configuration=configuration if newer else None,
+        )
+
+    async def _poll(self) -> None:
+        position = 0
+        while True:
+            if not self._control_ids:
+                await anyio.sleep_forever()
+            control_id = self._control_ids[position % len(self._control_ids)]
+            asked_at = self._timers.now()
+            if not await self._ask(control_id, wait_s=_POLL_S):
+                position += 1
+                # An unreachable replica may refuse at once.
+                await self._timers.sleep(max(0.0, asked_at + _RETRY_S - self._timers.now()))
+
+    async def _fetch_heard(self) -> None:
+        while True:
+            await self._heard.wait()
+            self._heard = anyio.Event()
+            if self._heard_version > self._configuration.version:
+                self._counters.add("configuration.fetched_heard")
+                await self._fetch([*self._control_ids, *self._other_ids()])
+
+    async def _fetch(self, peer_ids: Sequence[str]) -> None:
+        async with anyio.create_task_group() as group:
+            for peer_id in peer_ids:
+                group.start_soon(self._ask, peer_id)
+
+    async def _ask(self, peer_id: str, wait_s: float = 0.0) -> bool:
+        """Ask for a newer version; return whether the peer knows the latest one."""
+        poll = ConfigPoll(version=self._configuration.version, wait_s=wait_s)
+        try:
+            reply = await self._transport.request(peer_id, poll, timeout_s=wait_s + _REPLY_S)
+        except PeerUnreachable:
+            return False
+        if not isinstance(reply, ConfigUpdate):
+            return False
+        if reply.configuration is not None:
+            await self._accept(reply.configuration)
+        if reply.current:
+            self._current_at = self._timers.now()
+        return reply.current
+
+    async def _accept(self, configuration: Configuration) -> None:
+        async with self._lock:
+            if configuration.version <= self._configuration.version:
+                self._counters.add("configuration.refused_older")
+                return
+            if self._storage is not None and self._cache_path is not None:
+                await self._storage.replace_file(
+                    self._cache_path.name, msgspec.msgpack.encode(configuration)
+                )
+            self._configuration = configuration
+            self._counters.set_gauge("configuration.version", configuration.version)
+        for callback in self._callbacks:
+            callback(configuration)
+
+    def _read_cache(self) -> None:
+        if self._cache_path is None or not self._cache_path.exists():
+            return
+        try:
+            self._configuration = _DECODER.decode(self._cache_path.read_bytes())
+        except msgspec.MsgspecError as error:
+            raise ApricotError(
+                ResultCode.LOG_CHECKSUM,
+                f"configuration cache {self._cache_path} cannot be read: {error}",
+                remedy="delete the file; the configuration is fetched again",
+            ) from error
--- /dev/null
+++ b/src/apricotpoint/_control/identity.py
@@ -0,0 +1,99 @@
+"""The identity file of a data folder."""
+
+from __future__ import annotations
+
+import os
+import random
+from pathlib import Path
+
+import attrs
+import msgspec
+
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
+_FILE_NAME = "identity"
+
+
+@attrs.frozen
+class Identity:
+    """Who a data folder belongs to.
+
+    `first` is False for a folder that replaces a lost one. `initialised_at`
+    is in unix seconds. `start_counter` grows with every start; `start_nonce`
+    tells apart two starts with the same counter from copies of one disk.
+    """
+
+    node_id: str
+    disk_id: str
+    first: bool
+    initialised_at: float
+    start_counter: int = 0
+    start_nonce: int = 0
+
+
+async def initialise(
+    storage: Storage, *, node_id: str, first: bool, wall: float, random: random.Random
+) -> Identity:
+    """Create the identity file of an empty data folder.
+
+    `first` is for the first start of a new deployment only; otherwise the
+    folder counts as the replacement of a lost disk. Raises `ApricotError` 5001
+    if the folder already holds state.
+    """
+    storage.folder.mkdir(parents=True, exist_ok=True)
+    if any(storage.folder.iterdir()):
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"data folder {storage.folder} is not empty",
+            remedy="name an empty folder, or start without initialising",
+        )
+    identity = Identity(
+        node_id=node_id,
+        disk_id=f"{random.getrandbits(64):016x}",
+        first=first,
+        initialised_at=wall,
+    )
+    await storage.replace_file(_FILE_NAME, msgspec.json.encode(identity))
+    return identity
+
+
+async def count_start(storage: Storage, *, node_id: str, random: random.Random) -> Identity:
+    """Read the identity, increment its start counter and sync it.
+
+    Raises `ApricotError` 5001 if the folder was never initialised or belongs
+    to another process.
+    """
+    path = storage.folder / _FILE_NAME
+    identity = _read(path)
+    if identity.node_id != node_id:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"data folder {storage.folder} belongs to {identity.node_id!r}, not to {node_id!r}",
+            remedy="name the folder of this process in the settings",
+        )
+    identity = attrs.evolve(
+        identity,
+        start_counter=identity.start_counter + 1,
+        start_nonce=random.getrandbits(63),
+    )
+    await storage.replace_file(_FILE_NAME, msgspec.json.encode(identity))
+    return identity
+
+
+def _read(path: Path) -> Identity:
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Identity)
+    except FileNotFoundError as error:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"data folder {os.fspath(path.parent)} is not initialised",
+            remedy="initialise it; use --first only for a new deployment",
+        ) from error
+    except (OSError, msgspec.MsgspecError) as error:
+        raise ApricotError(
+            ResultCode.LOG_CHECKSUM,
+            f"{path} cannot be read: {error}",
+            remedy="replace the disk content: initialise the folder again without --first",
+        ) from error
--- /dev/null
+++ b/src/apricotpoint/_control/log.py
@@ -0,0 +1,187 @@
+"""The replicated log of one replica, with its term and vote."""
+
+from __future__ import annotations
+
+import attrs
+import msgspec
+
+from apricotpoint._control.messages import Entry, Snapshot
+from apricotpoint._control.records import RecordFile
+from apricotpoint._control.storage import Storage
+
+COMPACT_EVERY = 1_000
+# Entries kept before a snapshot, so that a replica slightly behind needs no snapshot.
+_KEPT_ENTRIES = 200
+
+_FILE_NAME = "log"
+
+
+@attrs.frozen
+class _Ballot:
+    term: int
+    voted_for: str
+
+
+@attrs.frozen
+class _Base:
+    index: int
+    term: int
+    snapshot: Snapshot
+
+
+@attrs.frozen
+class _Record:
+    """One payload of the file. An entry replaces all entries at and after its index."""
+
+    ballot: _Ballot | None = None
+    base: _Base | None = None
+    index: int = 0
+    entry: Entry | None = None
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Record)
+
+
+class Log:
+    """Entries, term and vote, in one file, so that one sync covers them all.
+
+    Changes are in force at once and durable after `sync`; nothing may be
+    acknowledged before. `base_index` is the index before the first entry kept.
+    """
+
+    def __init__(self, storage: Storage, *, initial_members: list[str]) -> None:
+        self._file = RecordFile(storage, _FILE_NAME)
+        self._initial_members = dict.fromkeys(initial_members, "")
+        self.term = 0
+        self.voted_for = ""
+        self.snapshot: Snapshot | None = None
+        self.base_index = 0
+        self.base_term = 0
+        self._entries: list[Entry] = []
+        self._members_at: list[int] = []
+
+    async def open(self) -> None:
+        """Read the file and repair a torn end."""
+        for payload in await self._file.open():
+            record = _DECODER.decode(payload)
+            if record.ballot is not None:
+                self.term, self.voted_for = record.ballot.term, record.ballot.voted_for
+            if record.base is not None:
+                self._set_base(record.base)
+            if record.entry is not None:
+                self._place(record.index, record.entry)
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+    @property
+    def file_bytes(self) -> int:
+        """The size of the file."""
+        return self._file.size
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry, 0 for an empty log."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def snapshot_index(self) -> int:
+        """The last index that the snapshot covers."""
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def members_index(self) -> int:
+        """The index of the entry that set the present members."""
+        return self._members_at[-1] if self._members_at else self.snapshot_index
+
+    def disk_by_member(self) -> dict[str, str]:
+        """Return the members in force, committed or not, with the disk id of each."""
+        if self._members_at:
+            members = self.entry(self._members_at[-1]).disk_by_member
+            assert members is not None
+            return members
+        return self.snapshot.state.disk_by_member if self.snapshot else self._initial_members
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None if it is not in the log."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def entry(self, index: int) -> Entry:
+        """Return the entry at `index`, which must be in the log."""
+        return self._entries[index - self.base_index - 1]
+
+    def entries(self, first: int, limit: int) -> list[Entry]:
+        """Return up to `limit` entries from `first` on."""
+        start = first - self.base_index - 1
+        return self._entries[start : start + limit]
+
+    def set_ballot(self, term: int, voted_for: str) -> None:
+        """Set the term and the vote in it."""
+        self.term, self.voted_for = term, voted_for
+        self._file.append(_ENCODER.encode(_Record(ballot=_Ballot(term, voted_for))))
+
+    def append(self, index: int, entries: list[Entry]) -> None:
+        """Put entries at `index`; entries there and after it are dropped."""
+        for offset, entry in enumerate(entries):
+            self._place(index + offset, entry)
+            self._file.append(_ENCODER.encode(_Record(index=index + offset, entry=entry)))
+
+    async def sync(self) -> None:
+        """Return when everything so far is on disk."""
+        await self._file.sync()
+
+    async def compact(self, snapshot: Snapshot) -> None:
+        """Replace the entries before a snapshot of this log's own state by it."""
+        base_index = max(self.base_index, snapshot.index - _KEPT_ENTRIES)
+        base_term = self.term_at(base_index)
+        assert base_term is not None
+        entries = self.entries(base_index + 1, self.last_index)
+        self._set_base(_Base(base_index, base_term, snapshot))
+        self._place_all(entries)
+        await self._file.rewrite(self._payloads)
+
+    async def install(self, snapshot: Snapshot) -> None:
+        """Take over a snapshot of the leader; entries after it are kept only if they match."""
+        matches = self.term_at(snapshot.index) == snapshot.term
+        entries = self.entries(snapshot.index + 1, self.last_index) if matches else []
+        self._set_base(_Base(snapshot.index, snapshot.term, snapshot))
+        self._place_all(entries)
+        await self._file.rewrite(self._payloads)
+
+    def _set_base(self, base: _Base) -> None:
+        self.base_index, self.base_term, self.snapshot = base.index, base.term, base.snapshot
+        self._entries = []
+        self._members_at = []
+
+    def _place_all(self, entries: list[Entry]) -> None:
+        for offset, entry in enumerate(entries):
+            self._place(self.base_index + 1 + offset, entry)
+
+    def _place(self, index: int, entry: Entry) -> None:
+        del self._entries[index - self.base_index - 1 :]
+        while self._members_at and self._members_at[-1] >= index:
+            self._members_at.pop()
+        self._entries.append(entry)
+        if entry.disk_by_member is not None:
+            self._members_at.append(index)
+
+    def _payloads(self) -> list[bytes]:
+        records = [_Record(ballot=_Ballot(self.term, self.voted_for))]
+        if self.snapshot is not None:
+            records.append(_Record(base=_Base(self.base_index, self.base_term, self.snapshot)))
+        records += [
+            _Record(index=self.base_index + 1 + offset, entry=entry)
+            for offset, entry in enumerate(self._entries)
+        ]
+        return [_ENCODER.encode(record) for record in records]
--- /dev/null
+++ b/src/apricotpoint/_control/node.py
@@ -0,0 +1,359 @@
+"""A control process: replica, key registry and configuration server."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from apricotpoint._control import election, replication
+from apricotpoint._control.identity import Identity, count_start
+from apricotpoint._control.log import Log
+from apricotpoint._control.messages import (
+    Append,
+    ChangeForward,
+    InstallSnapshot,
+    PreVote,
+    StartCheck,
+    StartCheckReply,
+    Vote,
+)
+from apricotpoint._control.registry import Registry
+from apricotpoint._control.replica import (
+    CHANGE_S,
+    ELECTION_S,
+    NOT_ACCEPTED,
+    UNCERTAIN,
+    Replica,
+    Role,
+)
+from apricotpoint._control.starts import Starts
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.timers import TimerService
+from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
+from apricotpoint._wire.configuration import (
+    ChangeReply,
+    ChangeRequest,
+    ConfigPoll,
+    ConfigUpdate,
+)
+from apricotpoint._wire.jobs import Claim
+
+_START_CHECK_S = 1.0
+_LEADER_WAIT_S = 2.0
+_LONGEST_POLL_S = 10.0
+_COMPACT_CLAIMS_S = 10.0
+_MAX_LEARNERS = 8
+
+
+class ControlNode:
+    """All parts of one control process.
+
+    The data folder must have been initialised (`identity.initialise`). A
+    failed sync, a full disk (5103, 5104) or a newer start of this node
+    elsewhere (5105) ends the task group of the node with `ApricotError`; no
+    request is acknowledged after that. `storage` is for tests.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        failure_domain: str,
+        members: Sequence[str],
+        data_folder: Path,
+        transport: Transport,
+        timers: TimerService,
+        counters: Counters,
+        random: random.Random,
+        storage: Storage | None = None,
+    ) -> None:
+        self.node_id = node_id
+        self.failure_domain = failure_domain
+        self._others = sorted(set(members) - {node_id})
+        self._transport = transport
+        self._timers = timers
+        self._counters = counters
+        self._random = random
+        self._storage = storage or Storage(data_folder)
+        self._log = Log(self._storage, initial_members=[*self._others, node_id])
+        self._starts = Starts(self._storage)
+        self._published = anyio.Event()
+        self._checked = anyio.Event()
+        self._group: anyio.abc.TaskGroup | None = None
+        self._identity: Identity
+        self.replica: Replica
+        self.registry: Registry
+
+    async def __aenter__(self) -> ControlNode:
+        identity = await count_start(self._storage, node_id=self.node_id, random=self._random)
+        self._identity = identity
+        self._starts.open()
+        await self._log.open()
+        self.registry = Registry(
+            self._storage,
+            timers=self._timers,
+            counters=self._counters,
+            lost_disk_at=None if identity.first else identity.initialised_at,
+        )
+        await self.registry.open()
+        self.replica = Replica(
+            node_id=self.node_id,
+            identity=identity,
+            log=self._log,
+            transport=self._transport,
+            timers=self._timers,
+            counters=self._counters,
+            random=self._random,
+        )
+        self.replica.on_configuration = self._publish
+        self._handle(StartCheck, self._on_start_check)
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._stop_on_failure)
+        self._group.start_soon(self._run)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        try:
+            return await self._group.__aexit__(exc_type, exc, traceback)
+        finally:
+            self._log.close()
+            self.registry.close()
+
+    def rows(self) -> list[dict[str, Any]]:
+        """Return one row for each control member and learner, as seen from here."""
+        replica = self.replica
+        members = self._log.disk_by_member()
+        rows = []
+        for member_id in sorted({*members, *replica.learner_ids, self.node_id}):
+            progress = replica.progress_by_id.get(member_id)
+            is_self = member_id == self.node_id
+            rows.append(
+                {
+                    "vm": member_id,
+                    "member": member_id in members,
+                    "disk_id": members.get(member_id, ""),
+                    "role": replica.role.value if is_self else "",
+                    "leader": member_id == replica.leader_id,
+                    "match_index": self._log.last_index
+                    if is_self
+                    else progress.match_index
+                    if progress
+                    else None,
+                }
+            )
+        return rows
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process as plain data."""
+        replica = self.replica
+        return {
+            "node_id": self.node_id,
+            "failure_domain": self.failure_domain,
+            "disk_id": self._identity.disk_id,
+            "first_disk": self._identity.first,
+            "start_counter": self._identity.start_counter,
+            "role": replica.role.value,
+            "term": self._log.term,
+            "leader": replica.leader_id,
+            "has_majority": replica.has_majority(),
+            "config_version": replica.state.configuration.version,
+            "commit_index": replica.commit_index,
+            "last_index": self._log.last_index,
+            "snapshot_index": self._log.snapshot_index,
+            "log_bytes": self._log.file_bytes,
+            "members": dict(self._log.disk_by_member()),
+            "learners": sorted(replica.learner_ids),
+            "answers_kept": len(replica.state.answer_by_command),
+            "claims": self.registry.claims,
+            "claims_bytes": self.registry.file_bytes,
+            "failure": str(self._storage.failure) if self._storage.failure else None,
+            "counters": self._counters.snapshot(),
+        }
+
+    async def _run(self) -> None:
+        await self._check_start()
+        self._handle(Append, self._on_append)
+        self._handle(InstallSnapshot, self._on_install)
+        self._handle(PreVote, self._on_pre_vote)
+        self._handle(Vote, self._on_vote)
+        self._handle(Claim, self._on_claim)
+        self._handle(ConfigPoll, self._on_poll)
+        self._handle(ChangeRequest, self._on_change)
+        self._handle(ChangeForward, self._on_forwarded)
+        self._checked.set()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._compact_claims)
+            group.start_soon(self._announce_learner)
+            await self.replica.run(campaign=election.campaign, replicate=replication.replicate)
+
+    async def _stop_on_failure(self) -> None:
+        await self._storage.failed.wait()
+        self._storage.check()
+
+    def _handle(
+        self, message_type: type, handler: Callable[[Sender, Any], Awaitable[object]]
+    ) -> None:
+        async def guarded(sender: Sender, message: object) -> object:
+            try:
+                return await handler(sender, message)
+            except ApricotError:
+                if self._storage.failure is None:
+                    raise
+                # The process is about to stop. The request must stay unanswered.
+                await anyio.sleep_forever()
+                raise
+
+        self._transport.request_handlers_by_type[message_type] = guarded
+
+    # Starts
+
+    def _start(self) -> StartCheck:
+        identity = self._identity
+        return StartCheck(
+            disk_id=identity.disk_id,
+            initialised_at=identity.initialised_at,
+            start_counter=identity.start_counter,
+            start_nonce=identity.start_nonce,
+        )
+
+    async def _check_start(self) -> None:
+        """Return when at least one other control process knows no newer start.
+
+        Without such an answer this disk may be an old one, whose votes and
+        claims would be wrong; the others are asked further in the background.
+        """
+        if not self._others:
+            return
+        assert self._group is not None
+        answered = anyio.Event()
+        for other_id in self._others:
+            self._group.start_soon(self._check_with, other_id, answered)
+        await answered.wait()
+        # The others get a short time to report a newer start.
+        await self._timers.sleep(_START_CHECK_S / 2)
+
+    async def _check_with(self, other_id: str, answered: anyio.Event) -> None:
+        while not await self._report_start(other_id):
+            await self._timers.sleep(_START_CHECK_S / 4)
+        answered.set()
+
+    async def _report_start(self, other_id: str) -> bool:
+        try:
+            reply = await self._transport.request(other_id, self._start(), timeout_s=_START_CHECK_S)
+        except PeerUnreachable:
+            return False
+        assert isinstance(reply, StartCheckReply)
+        if reply.newer:
+            raise ApricotError(
+                ResultCode.OLD_DISK,
+                f"{other_id} has seen start {reply.newest.start_counter} of "
+                f"{self.node_id} from disk {reply.newest.disk_id}; this is start "
+                f"{self._identity.start_counter} from disk {self._identity.disk_id}",
+                remedy="attach the newer disk, or initialise an empty folder without --first",
+            )
+        return True
+
+    async def _on_start_check(self, sender: Sender, message: StartCheck) -> object:
+        reply = await self._starts.report(sender.peer_id, message)
+        replica = self.replica
+        is_member = sender.peer_id in self._log.disk_by_member()
+        if not reply.newer and not is_member and len(replica.learner_ids) < _MAX_LEARNERS:
+            replica.learner_ids.add(sender.peer_id)
+            replica.notify()
+        return reply
+
+    async def _announce_learner(self) -> None:
+        while True:
+            await self._timers.sleep(_START_CHECK_S)
+            replica = self.replica
+            if replica.is_voter() or replica.has_majority():
+                continue
+            for member_id in replica.other_ids():
+                await self._report_start(member_id)
+
+    # Replica
+
+    async def _on_append(self, sender: Sender, message: Append) -> object:
+        return await replication.on_append(self.replica, sender.peer_id, message)
+
+    async def _on_install(self, sender: Sender, message: InstallSnapshot) -> object:
+        return await replication.on_install(self.replica, sender.peer_id, message)
+
+    async def _on_pre_vote(self, sender: Sender, message: PreVote) -> object:
+        return election.on_pre_vote(self.replica, sender.peer_id, message)
+
+    async def _on_vote(self, sender: Sender, message: Vote) -> object:
+        return await election.on_vote(self.replica, sender.peer_id, message)
+
+    # Configuration
+
+    def _publish(self) -> None:
+        self._published.set()
+        self._published = anyio.Event()
+
+    async def _on_poll(self, _: Sender, message: ConfigPoll) -> object:
+        replica = self.replica
+        wait_s = min(message.wait_s, _LONGEST_POLL_S)
+        if wait_s <= 0:
+            # A process that starts needs a version at least as new as any change
+            # answered before, which only the confirmed leader can promise.
+            await replica.confirm(ELECTION_S / 2)
+        with anyio.move_on_after(wait_s):
+            while replica.state.configuration.version <= message.version:
+                await self._published.wait()
+        configuration = replica.state.configuration
+        return ConfigUpdate(
+            version=configuration.version,
+            current=replica.has_majority(),
+            configuration=configuration if configuration.version > message.version else None,
+        )
+
+    async def _on_change(self, _: Sender, message: ChangeRequest) -> object:
+        replica = self.replica
+        await replica.wait_for(lambda: replica.leader_id is not None, _LEADER_WAIT_S)
+        if replica.role is Role.LEADER:
+            return await replica.change(message.change)
+        if replica.leader_id is None:
+            return replica.no_majority(NOT_ACCEPTED)
+        try:
+            reply = await self._transport.request(
+                replica.leader_id,
+                ChangeForward(message.change),
+                timeout_s=2 * CHANGE_S + 0.5,
+            )
+        except PeerUnreachable:
+            return replica.no_majority(UNCERTAIN)
+        assert isinstance(reply, ChangeReply)
+        return reply
+
+    async def _on_forwarded(self, _: Sender, message: ChangeForward) -> object:
+        if self.replica.role is not Role.LEADER:
+            return self.replica.no_majority(NOT_ACCEPTED)
+        return await self.replica.change(message.change)
+
+    # Claims
+
+    async def _on_claim(self, _: Sender, message: Claim) -> object:
+        return await self.registry.claim(message)
+
+    async def _compact_claims(self) -> None:
+        while True:
+            await self._timers.sleep(_COMPACT_CLAIMS_S)
+            await self.registry.compact()
--- /dev/null
+++ b/src/apricotpoint/_control/records.py
@@ -0,0 +1,217 @@
+"""Append-only record files with checksums and group commit."""
+
+from __future__ import annotations
+
+import os
+import struct
+from collections.abc import Callable
+
+import anyio
+import msgspec
+import xxhash
+
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
+# Magic, payload length, index, checksum of the payload, checksum of the header.
+_HEADER = struct.Struct("<4sIQQQ")
+_MAGIC = b"aprc"
+_CHECKED_BYTES = _HEADER.size - 8
+_DECODER = msgspec.msgpack.Decoder(list[bytes])
+
+
+class RecordFile:
+    """A file of records; concurrent writers share one sync.
+
+    Everything appended between two syncs is written as one record. Only one
+    sync runs at a time, so only the last record of the file can be torn: it is
+    truncated by `open`. Any other damage raises `ApricotError` 5102, a missing
+    record 5101.
+    """
+
+    def __init__(self, storage: Storage, name: str) -> None:
+        self._storage = storage
+        self._name = name
+        self._path = storage.folder / name
+        self._descriptor = -1
+        self._next_index = 1
+        self._pending: list[bytes] = []
+        self._appended = 0
+        self._synced = 0
+        self._busy = False
+        self._released = anyio.Event()
+        self.size = 0
+        self.truncated_bytes = 0
+
+    async def open(self) -> list[bytes]:
+        """Open or create the file and return all payloads in the order of writing."""
+        created = not self._path.exists()
+        try:
+            self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+            data = self._path.read_bytes()
+        except OSError as error:
+            raise self._storage.fail(error, self._path) from error
+        payloads, end = self._scan(data)
+        self.size = end
+        self.truncated_bytes = len(data) - end
+        if self.truncated_bytes:
+            os.ftruncate(self._descriptor, end)
+            await self._storage.sync(self._descriptor, self._path)
+        if created:
+            folder = os.open(self._storage.folder, os.O_RDONLY)
+            try:
+                await self._storage.sync(folder, self._storage.folder)
+            finally:
+                os.close(folder)
+        return payloads
+
+    def close(self) -> None:
+        """Close the file; what was appended and not synced is lost."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def append(self, payload: bytes) -> int:
+        """Add a payload and return its ticket for `sync`."""
+        self._storage.check()
+        self._pending.append(payload)
+        self._appended += 1
+        return self._appended
+
+    async def sync(self, ticket: int | None = None) -> None:
+        """Return when the payload of `ticket`, by default the last one, is on disk.
+
+        Raises `ApricotError` 5103 or 5104, then and at every later call, if a
+        write or sync has failed.
+        """
+        wanted = self._appended if ticket is None else ticket
+        while self._synced < wanted:
+            self._storage.check()
+            if self._busy:
+                await self._released.wait()
+                continue
+            # A writer that gives up must not abandon the sync of the others.
+            with anyio.CancelScope(shield=True):
+                await self._write_group()
+        self._storage.check()
+
+    async def rewrite(self, make_payloads: Callable[[], list[bytes]]) -> None:
+        """Replace the whole file atomically.
+
+        `make_payloads` is called when no sync runs; its result must cover
+        everything appended so far.
+        """
+        while self._busy:
+            await self._released.wait()
+        self._storage.check()
+        with anyio.CancelScope(shield=True):
+            self._busy = True
+            try:
+                await self._rewrite(make_payloads())
+            finally:
+                self._release()
+
+    async def _write_group(self) -> None:
+        self._busy = True
+        group, self._pending = self._pending, []
+        target = self._appended
+        try:
+            record = _record(self._next_index, group)
+            self._storage.write(self._descriptor, record, self._path)
+            await self._storage.sync(self._descriptor, self._path)
+            self._next_index += 1
+            self.size += len(record)
+            self._synced = target
+        finally:
+            self._release()
+
+    async def _rewrite(self, payloads: list[bytes]) -> None:
+        self._pending = []
+        target = self._appended
+        temporary = self._storage.folder / f"{self._name}.new"
+        record = _record(1, payloads)
+        try:
+            descriptor = os.open(
+                temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600
+            )
+        except OSError as error:
+            raise self._storage.fail(error, temporary) from error
+        try:
+            self._storage.write(descriptor, record, temporary)
+            await self._storage.sync(descriptor, temporary)
+            await self._storage.rename(temporary, self._path)
+        except BaseException:
+            os.close(descriptor)
+            raise
+        os.close(self._descriptor)
+        self._descriptor = descriptor
+        self._next_index = 2
+        self.size = len(record)
+        self._synced = target
+
+    def _release(self) -> None:
+        self._busy = False
+        self._released.set()
+        self._released = anyio.Event()
+
+    def _scan(self, data: bytes) -> tuple[list[bytes], int]:
+        payloads: list[bytes] = []
+        offset = 0
+        while offset < len(data):
+            header = _parse_header(data, offset)
+            if header is None:
+                if _later_header(data, offset + 1):
+                    raise self._damaged(offset, "a header checksum is wrong")
+                break
+            length, index, checksum = header
+            body = data[offset + _HEADER.size : offset + _HEADER.size + length]
+            end = offset + _HEADER.size + length
+            if len(body) < length or xxhash.xxh3_64_intdigest(body) != checksum:
+                if end < len(data):
+                    raise self._damaged(offset, "a record checksum is wrong")
+                break
+            if index != self._next_index:
+                raise ApricotError(
+                    ResultCode.LOG_TORN,
+                    f"{self._path} has record {index} at byte {offset} instead of "
+                    f"{self._next_index}",
+                    remedy="replace the disk content: initialise the folder again without --first",
+                )
+            payloads.extend(_DECODER.decode(body))
+            self._next_index += 1
+            offset = end
+        return payloads, offset
+
+    def _damaged(self, offset: int, what: str) -> ApricotError:
+        return ApricotError(
+            ResultCode.LOG_CHECKSUM,
+            f"{self._path} is damaged at byte {offset}: {what}",
+            remedy="replace the disk content: initialise the folder again without --first",
+        )
+
+
+def _record(index: int, payloads: list[bytes]) -> bytes:
+    body = msgspec.msgpack.encode(payloads)
+    checked = _HEADER.pack(_MAGIC, len(body), index, xxhash.xxh3_64_intdigest(body), 0)
+    checked = checked[:_CHECKED_BYTES]
+    return checked + xxhash.xxh3_64_digest(checked)[::-1] + body
+
+
+def _parse_header(data: bytes, offset: int) -> tuple[int, int, int] | None:
+    raw = data[offset : offset + _HEADER.size]
+    if len(raw) < _HEADER.size:
+        return None
+    magic, length, index, checksum, header_checksum = _HEADER.unpack(raw)
+    if magic != _MAGIC or xxhash.xxh3_64_intdigest(raw[:_CHECKED_BYTES]) != header_checksum:
+        return None
+    return length, index, checksum
+
+
+def _later_header(data: bytes, start: int) -> bool:
+    offset = data.find(_MAGIC, start)
+    while offset >= 0:
+        if _parse_header(data, offset) is not None:
+            return True
+        offset = data.find(_MAGIC, offset + 1)
+    return False
--- /dev/null
+++ b/src/apricotpoint/_control/registry.py
@@ -0,0 +1,177 @@
+"""The key registry of a failure domain."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import Any
+
+import msgspec
+
+from apricotpoint._control.records import RecordFile
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.keys import CLOCK_ALLOWANCE_S, MAX_VALIDITY_S
+from apricotpoint._core.timers import TimerService
+from apricotpoint._wire.jobs import Claim, ClaimReply
+
+_FILE_NAME = "claims"
+# At about 0.5 KB per claim the registry stays under 512 MB.
+MAX_CLAIMS = 1_000_000
+_COMPACT_BYTES = 1 << 20
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Claim | float] = msgspec.msgpack.Decoder(Claim | float)
+
+
+class Registry:
+    """Claims of caller keys, synced before they are granted.
+
+    `lost_disk_at` is the time in unix seconds at which a lost disk was
+    replaced, None for the first disk. A payload in the file is a claim or the
+    highest registry time so far. Each group of claims is preceded by that
+    time, and compaction syncs it, so a deleted claim stays expired after a
+    restart with a clock that was set back.
+    """
+
+    def __init__(
+        self,
+        storage: Storage,
+        *,
+        timers: TimerService,
+        counters: Counters,
+        lost_disk_at: float | None,
+        max_claims: int = MAX_CLAIMS,
+    ) -> None:
+        self._file = RecordFile(storage, _FILE_NAME)
+        self._timers = timers
+        self._counters = counters
+        self._lost_disk_at = lost_disk_at
+        self._max_claims = max_claims
+        self._highest_time = 0.0
+        self._written_time = 0.0
+        # Claims are kept encoded: that takes a third of the memory of objects.
+        self._encoded_by_key: dict[str, bytes] = {}
+        self._keys_by_expiry: defaultdict[int, list[str]] = defaultdict(list)
+        self._ticket_by_key: dict[str, int] = {}
+        self._expired_to = 0
+
+    async def open(self) -> None:
+        """Read the claims from disk."""
+        for payload in await self._file.open():
+            item = _DECODER.decode(payload)
+            if isinstance(item, Claim):
+                self._keep(item, payload)
+            else:
+                self._highest_time = max(self._highest_time, item)
+        self._written_time = self._highest_time
+        self._expire()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+    def now(self) -> float:
+        """Return the registry time in unix seconds, which never goes back."""
+        self._highest_time = max(self._highest_time, self._timers.wall())
+        return self._highest_time
+
+    @property
+    def claims(self) -> int:
+        """The number of claims held."""
+        return len(self._encoded_by_key)
+
+    @property
+    def file_bytes(self) -> int:
+        """The size of the claims file."""
+        return self._file.size
+
+    async def claim(self, claim: Claim) -> ClaimReply:
+        """Record a claim, or return the one recorded before.
+
+        Code 2101 is given for a `valid_until` too far ahead and 2104 when the
+        registry is full; in both cases nothing was claimed.
+        """
+        started_at = self._timers.now()
+        now = self.now()
+        key = _key(claim)
+        if claim.valid_until < now:
+            return ClaimReply(code=ResultCode.KEY_EXPIRED)
+        encoded = self._encoded_by_key.get(key)
+        if encoded is not None:
+            return await self._existing(key, encoded, claim)
+        if claim.valid_until > now + MAX_VALIDITY_S + CLOCK_ALLOWANCE_S:
+            return ClaimReply(code=ResultCode.MALFORMED)
+        if self._may_be_lost(claim):
+            self._counters.add("claims.may_be_lost")
+            return ClaimReply(code=ResultCode.CLAIM_MAY_BE_LOST)
+        self._expire()
+        if self.claims >= self._max_claims:
+            self._counters.add("claims.refused_full")
+            return ClaimReply(code=ResultCode.OVERLOADED)
+        if now > self._written_time:
+            self._file.append(_ENCODER.encode(float(now)))
+            self._written_time = now
+        encoded = _ENCODER.encode(claim)
+        ticket = self._file.append(encoded)
+        self._keep(claim, encoded)
+        self._ticket_by_key[key] = ticket
+        await self._file.sync(ticket)
+        self._ticket_by_key.pop(key, None)
+        self._counters.add("claims.granted")
+        self._counters.record("claims.latency", self._timers.now() - started_at)
+        return ClaimReply(
+            code=ResultCode.ACCEPTED, entry_id=claim.entry_id, incarnation=claim.incarnation
+        )
+
+    async def compact(self) -> bool:
+        """Delete expired claims; rewrite the file if half of it or more is expired."""
+        self.now()
+        self._expire()
+        live_bytes = sum(map(len, self._encoded_by_key.values()))
+        if self._file.size < _COMPACT_BYTES + 2 * live_bytes:
+            return False
+        await self._file.rewrite(self._payloads)
+        return True
+
+    async def _existing(self, key: str, encoded: bytes, claim: Claim) -> ClaimReply:
+        recorded: Any = _DECODER.decode(encoded)
+        # The recorded claim counts only once it is synced.
+        await self._file.sync(self._ticket_by_key.get(key, 0))
+        same = recorded.fingerprint == claim.fingerprint
+        self._counters.add("claims.existing")
+        return ClaimReply(
+            code=ResultCode.ACCEPTED if same else ResultCode.KEY_CONFLICT,
+            entry_id=recorded.entry_id,
+            incarnation=recorded.incarnation,
+            existing=True,
+        )
+
+    def _payloads(self) -> list[bytes]:
+        self._written_time = self.now()
+        return [_ENCODER.encode(float(self._written_time)), *self._encoded_by_key.values()]
+
+    def _may_be_lost(self, claim: Claim) -> bool:
+        if self._lost_disk_at is None:
+            return False
+        return claim.valid_until <= self._lost_disk_at + MAX_VALIDITY_S + CLOCK_ALLOWANCE_S
+
+    def _keep(self, claim: Claim, encoded: bytes) -> None:
+        key = _key(claim)
+        self._encoded_by_key[key] = encoded
+        self._keys_by_expiry[claim.valid_until].append(key)
+
+    def _expire(self) -> None:
+        # A claim is deleted CLOCK_ALLOWANCE_S after its last valid second.
+        limit = int(self._highest_time) - CLOCK_ALLOWANCE_S
+        if limit <= self._expired_to:
+            return
+        self._expired_to = limit
+        for valid_until in [item for item in self._keys_by_expiry if item < limit]:
+            for key in self._keys_by_expiry.pop(valid_until):
+                self._encoded_by_key.pop(key, None)
+                self._ticket_by_key.pop(key, None)
+
+
+def _key(claim: Claim) -> str:
+    return f"{claim.team}\0{claim.key}"
--- /dev/null
+++ b/src/apricotpoint/_control/replica.py
@@ -0,0 +1,460 @@
+"""One replica of the replicated log."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+
+from apricotpoint._control.identity import Identity
+from apricotpoint._control.log import COMPACT_EVERY, Log
+from apricotpoint._control.messages import AppendReply, Entry, Snapshot, VoteReply
+from apricotpoint._control.state import MEMBER_ACTIONS, State
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._link.transport import Transport
+from apricotpoint._wire.configuration import Change, ChangeReply
+
+# Two heartbeats and one lost request fit into the shortest election time-out.
+HEARTBEAT_S = 0.2
+ELECTION_S = 1.0
+REQUEST_S = 0.5
+SNAPSHOT_REQUEST_S = 2.0
+CHANGE_S = 3.0
+ENTRIES_PER_APPEND = 100
+# A learner may be added as a member when it lacks at most this many entries.
+_CAUGHT_UP_ENTRIES = 50
+
+# True of this request only: an earlier one with the same command id may be accepted.
+NOT_ACCEPTED = "no leader with a majority took this request; send it again with the same command id"
+UNCERTAIN = (
+    "it is not known whether the change will be accepted; "
+    "send it again with the same command id to learn its outcome"
+)
+
+
+class Role(enum.Enum):
+    """The part that a replica takes in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.define(eq=False)
+class Progress:
+    """What the leader knows of one other replica.
+
+    `round` is the last heartbeat round that the replica answered, `acked_at`
+    the time at which the answered request was sent.
+    """
+
+    next_index: int
+    acked_at: float
+    match_index: int = 0
+    round: int = 0
+    disk_id: str = ""
+    first: bool = False
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    term: int
+    done: anyio.Event
+    answer: ChangeReply | None = None
+
+
+class Replica:
+    """Term, role, commit and the tasks of one replica.
+
+    Rules for votes are in `election`, for entries in `replication`. All
+    decisions are taken between two suspensions of a task, so a handler sees
+    no half-done change; after each suspension term and role are checked again.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        identity: Identity,
+        log: Log,
+        transport: Transport,
+        timers: TimerService,
+        counters: Counters,
+        random: random.Random,
+    ) -> None:
+        self.node_id = node_id
+        self.identity = identity
+        self.log = log
+        self.transport = transport
+        self.timers = timers
+        self.counters = counters
+        self.random = random
+        self.role = Role.FOLLOWER
+        self.leader_id: str | None = None
+        self.heard_leader_at = timers.now()
+        self.voted_at = timers.now()
+        self.led_at = timers.now()
+        self.state = State(log.disk_by_member())
+        if log.snapshot is not None:
+            self.state.restore(log.snapshot.state)
+        self.commit_index = log.snapshot_index
+        self.synced_index = 0
+        self.progress_by_id: dict[str, Progress] = {}
+        self.learner_ids: set[str] = set()
+        self.round = 0
+        self.on_configuration: Callable[[], None] = lambda: None
+        self._waiter_by_index: dict[int, _Waiter] = {}
+        self._pulse = anyio.Event()
+        self._compacting = False
+        self._group: anyio.abc.TaskGroup | None = None
+
+    # Events
+
+    def notify(self) -> None:
+        """Wake all tasks that wait for a change of role, log or commit."""
+        self._pulse.set()
+        self._pulse = anyio.Event()
+
+    async def wait_for(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Wait until `condition` holds; False if it does not within `timeout_s`."""
+        with anyio.move_on_after(timeout_s):
+            while not condition():
+                await self._pulse.wait()
+        return condition()
+
+    async def wait_pulse(self, timeout_s: float) -> None:
+        """Wait for the next change, at most `timeout_s`."""
+        with anyio.move_on_after(timeout_s):
+            await self._pulse.wait()
+
+    # Membership
+
+    def disk_is_member(self, member_id: str, disk_id: str, *, first: bool) -> bool:
+        """Return whether a replica with this disk counts in majorities.
+
+        Before the leader has recorded the disk of a member of a new
+        deployment, the disk counts if it was initialised with `--first`.
+        """
+        recorded = self.log.disk_by_member().get(member_id)
+        return recorded == disk_id or (recorded == "" and first)
+
+    def is_voter(self) -> bool:
+        """Return whether this replica itself counts in majorities."""
+        return self.disk_is_member(self.node_id, self.identity.disk_id, first=self.identity.first)
+
+    def other_ids(self) -> list[str]:
+        """Return the other replicas that the leader sends entries to."""
+        return sorted((set(self.log.disk_by_member()) | self.learner_ids) - {self.node_id})
+
+    def majority(self, counts: Callable[[Progress], bool], *, own: bool = True) -> bool:
+        """Return whether `counts` holds for a majority of the members.
+
+        `own` tells whether it holds for this replica.
+        """
+        members = self.log.disk_by_member()
+        number = int(own and self.is_voter())
+        for member_id in members:
+            progress = self.progress_by_id.get(member_id)
+            if progress is not None and self._counts(member_id, progress) and counts(progress):
+                number += 1
+        return number > len(members) // 2
+
+    def _counts(self, member_id: str, progress: Progress) -> bool:
+        return progress.disk_id != "" and self.disk_is_member(
+            member_id, progress.disk_id, first=progress.first
+        )
+
+    # Terms and roles
+
+    def follow(self, term: int, leader_id: str | None) -> None:
+        """Become a follower in `term`, which is not lower than the present one."""
+        if term > self.log.term:
+            self.log.set_ballot(term, "")
+        if self.role is Role.LEADER:
+            self.counters.add("control.stepped_down")
+            self.progress_by_id.clear()
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+        self.notify()
+
+    def lead(self) -> None:
+        """Become the leader of the present term."""
+        self.role = Role.LEADER
+        self.leader_id = self.node_id
+        now = self.timers.now()
+        self.led_at = now
+        # Entries may have been replaced since this replica last synced as leader.
+        self.synced_index = 0
+        self.progress_by_id = {
+            member_id: Progress(next_index=self.log.last_index + 1, acked_at=now)
+            for member_id in self.other_ids()
+        }
+        self.counters.add("control.elected")
+        # Entries of earlier terms are committed only together with one of this term.
+        self.append_as_leader(Entry(term=self.log.term))
+
+    def vote_reply(self, *, granted: bool) -> VoteReply:
+        """Return a vote in the present term."""
+        return VoteReply(
+            term=self.log.term,
+            granted=granted,
+            disk_id=self.identity.disk_id,
+            first=self.identity.first,
+        )
+
+    def append_reply(self, *, matched: bool, match_index: int, next_index: int) -> AppendReply:
+        """Return the answer to a request of a leader."""
+        return AppendReply(
+            term=self.log.term,
+            matched=matched,
+            match_index=match_index,
+            next_index=next_index,
+            disk_id=self.identity.disk_id,
+            first=self.identity.first,
+        )
+
+    # Entries
+
+    def append_as_leader(self, entry: Entry) -> int:
+        """Append an entry of the present term and return its index."""
+        index = self.log.last_index + 1
+        self.log.append(index, [entry])
+        self.notify()
+        return index
+
+    def advance_commit(self) -> None:
+        """As leader, commit what a majority has synced."""
+        if self.role is not Role.LEADER:
+            return
+        index = self.commit_index
+        while index < self.log.last_index and self._is_stored(index + 1):
+            index += 1
+        # Counting is valid only for entries of the own term: an entry of an earlier
+        # term that a majority stores can still be replaced by a later leader.
+        if index > self.commit_index and self.log.term_at(index) == self.log.term:
+            self.commit_to(index)
+            if self.node_id not in self.log.disk_by_member():
+                self.follow(self.log.term, None)
+
+    def _is_stored(self, index: int) -> bool:
+        return self.majority(
+            lambda progress: progress.match_index >= index, own=self.synced_index >= index
+        )
+
+    def commit_to(self, index: int) -> None:
+        """Apply all entries up to `index`."""
+        version = self.state.configuration.version
+        while self.commit_index < min(index, self.log.last_index):
+            self.commit_index += 1
+            entry = self.log.entry(self.commit_index)
+            answer = self.state.apply(entry)
+            waiter = self._waiter_by_index.pop(self.commit_index, None)
+            if waiter is not None:
+                lost = ChangeReply(ResultCode.NO_MAJORITY, version, NOT_ACCEPTED)
+                waiter.answer = answer if entry.term == waiter.term else lost
+                waiter.done.set()
+            if self.commit_index - self.log.snapshot_index >= COMPACT_EVERY:
+                self._start_compaction()
+        if self.state.configuration.version != version:
+            self.on_configuration()
+        self.notify()
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Take over the state of a snapshot that the leader has sent."""
+        self.state.restore(snapshot.state)
+        self.commit_index = snapshot.index
+        for index in [item for item in self._waiter_by_index if item <= snapshot.index]:
+            self._waiter_by_index.pop(index).done.set()
+        self.on_configuration()
+        self.notify()
+
+    def _start_compaction(self) -> None:
+        if self._compacting or self._group is None:
+            return
+        self._compacting = True
+        term = self.log.term_at(self.commit_index)
+        assert term is not None
+        snapshot = Snapshot(index=self.commit_index, term=term, state=self.state.image())
+        self._group.start_soon(self._compact, snapshot)
+
+    async def _compact(self, snapshot: Snapshot) -> None:
+        try:
+            if snapshot.index > self.log.snapshot_index:
+                await self.log.compact(snapshot)
+                self.counters.add("control.compactions")
+        finally:
+            self._compacting = False
+
+    # Requests
+
+    async def change(self, change: Change) -> ChangeReply:
+        """As leader, commit a change and return its answer.
+
+        Code 4102 says in its message whether the change is certainly not
+        accepted or its outcome is unknown.
+        """
+        answer = self.state.answer_by_command.get(change.command_id)
+        if answer is not None:
+            return answer
+        if change.action in MEMBER_ACTIONS and not await self.wait_for(self._is_settled, CHANGE_S):
+            return self.no_majority(NOT_ACCEPTED)
+        if self.role is not Role.LEADER:
+            return self.no_majority(NOT_ACCEPTED)
+        waiter = _Waiter(term=self.log.term, done=anyio.Event())
+        self._waiter_by_index[self.append_as_leader(self._entry_for(change))] = waiter
+        with anyio.move_on_after(CHANGE_S):
+            await waiter.done.wait()
+        return waiter.answer or self.no_majority(UNCERTAIN)
+
+    def no_majority(self, message: str) -> ChangeReply:
+        """Return the answer 4102 with the version known here."""
+        return ChangeReply(ResultCode.NO_MAJORITY, self.state.configuration.version, message)
+
+    async def confirm(self, timeout_s: float) -> bool:
+        """Return whether this replica is the leader and its state is the latest.
+
+        A majority has to answer a heartbeat that is sent after this call, and
+        an entry of the own term has to be committed.
+        """
+        if self.role is not Role.LEADER:
+            return False
+        term = self.log.term
+        self.round += 1
+        wanted = self.round
+        self.notify()
+
+        def is_leader() -> bool:
+            return self.role is Role.LEADER and self.log.term == term
+
+        def is_confirmed() -> bool:
+            return (
+                is_leader()
+                and self.log.term_at(self.commit_index) == term
+                and self.majority(lambda progress: progress.round >= wanted)
+            )
+
+        await self.wait_for(lambda: is_confirmed() or not is_leader(), timeout_s)
+        return is_confirmed()
+
+    def has_majority(self) -> bool:
+        """Return whether there was contact to a majority within an election time-out."""
+        limit = self.timers.now() - ELECTION_S
+        if self.role is Role.LEADER:
+            return self.majority(lambda progress: progress.acked_at >= limit)
+        return self.leader_id is not None and self.heard_leader_at >= limit
+
+    def _is_settled(self) -> bool:
+        return (
+            self.role is not Role.LEADER
+            or self.commit_index == self.log.last_index
+            and self.log.term_at(self.commit_index) == self.log.term
+        )
+
+    def _entry_for(self, change: Change) -> Entry:
+        term = self.log.term
+        if change.action not in MEMBER_ACTIONS:
+            return Entry(term=term, change=change)
+        # Nothing is uncommitted here, so the preview is the answer to come.
+        if self.state.preview(change).code != ResultCode.ACCEPTED:
+            return Entry(term=term, change=change)
+        members = dict(self.log.disk_by_member())
+        if change.action == "remove_member":
+            del members[change.target]
+            return Entry(term=term, change=change, disk_by_member=members)
+        refusal = self._refuse_learner(change.target)
+        if refusal is not None:
+            return Entry(term=term, change=change, refusal=refusal)
+        if change.target != self.node_id:
+            members[change.target] = self.progress_by_id[change.target].disk_id
+        return Entry(term=term, change=change, disk_by_member=members)
+
+    def _refuse_learner(self, member_id: str) -> ChangeReply | None:
+        version = self.state.configuration.version
+        if member_id == self.node_id:
+            return None
+        progress = self.progress_by_id.get(member_id)
+        if progress is None or not progress.disk_id:
+            return ChangeReply(
+                ResultCode.NOT_FOUND,
+                version,
+                f"no control process {member_id!r} has contacted the leader; start it first",
+            )
+        if self.log.last_index - progress.match_index > _CAUGHT_UP_ENTRIES:
+            return ChangeReply(
+                ResultCode.INVALID_COMMAND,
+                version,
+                f"control process {member_id!r} has not caught up: it has "
+                f"{progress.match_index} of {self.log.last_index} entries; try again later",
+            )
+        return None
+
+    # Tasks
+
+    async def run(
+        self,
+        *,
+        campaign: Callable[[Replica], Coroutine[Any, Any, None]],
+        replicate: Callable[[Replica, str], Coroutine[Any, Any, None]],
+    ) -> None:
+        """Run the tasks of the replica until cancelled: one for each peer, and its own."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._sync_own)
+            group.start_soon(self._check_leadership)
+            group.start_soon(campaign, self)
+            running: set[str] = set()
+
+            async def serve(peer_id: str) -> None:
+                await replicate(self, peer_id)
+                running.discard(peer_id)
+
+            while True:
+                for peer_id in set(self.other_ids()) - running:
+                    running.add(peer_id)
+                    group.start_soon(serve, peer_id)
+                await self._pulse.wait()
+
+    async def _sync_own(self) -> None:
+        while True:
+            term, index = self.log.term, self.log.last_index
+            if self.role is not Role.LEADER or index == self.synced_index:
+                await self._pulse.wait()
+                continue
+            await self.log.sync()
+            if self.role is Role.LEADER and self.log.term == term:
+                self.synced_index = index
+                self.advance_commit()
+
+    async def _check_leadership(self) -> None:
+        while True:
+            await self.timers.sleep(HEARTBEAT_S)
+            if self.role is not Role.LEADER:
+                continue
+            # A new leader gets one time-out for its first answers.
+            is_new = self.timers.now() - self.led_at < ELECTION_S
+            if not is_new and not self.has_majority():
+                self.follow(self.log.term, None)
+                continue
+            self.heard_leader_at = self.timers.now()
+            self._record_disks()
+
+    def _record_disks(self) -> None:
+        if not self._is_settled():
+            return
+        members = dict(self.log.disk_by_member())
+        for member_id, recorded in members.items():
+            if recorded:
+                continue
+            if member_id == self.node_id:
+                members[member_id] = self.identity.disk_id
+            elif (progress := self.progress_by_id.get(member_id)) and progress.first:
+                members[member_id] = progress.disk_id
+        if members != self.log.disk_by_member():
+            self.append_as_leader(Entry(term=self.log.term, disk_by_member=members))
--- /dev/null
+++ b/src/apricotpoint/_control/state.py
@@ -0,0 +1,254 @@
+"""The replicated state: configuration, answers to commands, and members."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+
+from apricotpoint._control.messages import Entry, StateImage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._wire.configuration import (
+    Change,
+    ChangeReply,
+    Configuration,
+    ServiceConfig,
+    TeamConfig,
+)
+
+MAX_ANSWERS = 10_000
+MEMBER_ACTIONS = frozenset({"add_member", "remove_member"})
+POLICIES = ("predicted", "random", "round_robin", "least_outstanding", "two_choices")
+
+_MAX_NAME_LENGTH = 64
+
+
+class Refusal(Exception):  # noqa: N818
+    """A change that is not accepted."""
+
+    def __init__(self, code: ResultCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+
+
+class State:
+    """The state that results from the committed entries.
+
+    The same entries give the same state on every replica: nothing here
+    depends on time, on the host or on the order of a dict.
+    """
+
+    def __init__(self, disk_by_member: dict[str, str]) -> None:
+        self.configuration = Configuration()
+        self.disk_by_member = disk_by_member
+        self.answer_by_command: dict[str, ChangeReply] = {}
+
+    def image(self) -> StateImage:
+        """Return the state for a snapshot."""
+        return StateImage(
+            configuration=self.configuration,
+            answers=list(self.answer_by_command.items()),
+            disk_by_member=self.disk_by_member,
+        )
+
+    def restore(self, image: StateImage) -> None:
+        """Take over the state of a snapshot."""
+        self.configuration = image.configuration
+        self.answer_by_command = dict(image.answers)
+        self.disk_by_member = image.disk_by_member
+
+    def apply(self, entry: Entry) -> ChangeReply | None:
+        """Apply one committed entry and return the answer to its change."""
+        if entry.disk_by_member is not None:
+            self.disk_by_member = entry.disk_by_member
+        if entry.change is None:
+            return None
+        answer = self.answer_by_command.get(entry.change.command_id)
+        if answer is not None:
+            return answer
+        answer = entry.refusal or self._answer(entry.change)
+        self.answer_by_command[entry.change.command_id] = answer
+        if len(self.answer_by_command) > MAX_ANSWERS:
+            del self.answer_by_command[next(iter(self.answer_by_command))]
+        return answer
+
+    def preview(self, change: Change) -> ChangeReply:
+        """Return the answer that `change` would get now."""
+        answer = self.answer_by_command.get(change.command_id)
+        if answer is not None:
+            return answer
+        try:
+            self._changed(change)
+        except Refusal as refusal:
+            return self._refused(refusal)
+        return ChangeReply(code=ResultCode.ACCEPTED, version=self.configuration.version + 1)
+
+    def _answer(self, change: Change) -> ChangeReply:
+        try:
+            changed = self._changed(change)
+        except Refusal as refusal:
+            return self._refused(refusal)
+        version = self.configuration.version + 1
+        self.configuration = attrs.evolve(changed, version=version)
+        return ChangeReply(code=ResultCode.ACCEPTED, version=version)
+
+    def _refused(self, refusal: Refusal) -> ChangeReply:
+        return ChangeReply(
+            code=refusal.code, version=self.configuration.version, message=refusal.message
+        )
+
+    def _changed(self, change: Change) -> Configuration:
+        action = _ACTION_BY_NAME.get(change.action)
+        if action is None:
+            raise _invalid(
+                f"action {change.action!r} is not known; use one of "
+                f"{', '.join(sorted(_ACTION_BY_NAME))}"
+            )
+        if not _is_name(change.command_id):
+            raise _invalid("command_id must have 1 to 64 printable characters")
+        if not _is_name(change.target):
+            raise _invalid(
+                f"target {change.target[:_MAX_NAME_LENGTH]!r} of {change.action} must have "
+                "1 to 64 printable characters"
+            )
+        if change.base_version != self.configuration.version:
+            raise Refusal(
+                ResultCode.VERSION_CONFLICT,
+                f"base version {change.base_version} is not the current version "
+                f"{self.configuration.version}; read the configuration and send the change "
+                "again with a new command id",
+            )
+        if change.action in MEMBER_ACTIONS:
+            self._check_member(change)
+        return action(self.configuration, change)
+
+    def _check_member(self, change: Change) -> None:
+        if change.action == "remove_member":
+            if change.target not in self.disk_by_member:
+                raise Refusal(ResultCode.NOT_FOUND, f"{change.target!r} is not a control member")
+            if len(self.disk_by_member) == 1:
+                raise _invalid(f"{change.target!r} is the last control member")
+
+
+def _invalid(message: str) -> Refusal:
+    return Refusal(ResultCode.INVALID_COMMAND, message)
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= _MAX_NAME_LENGTH and text.isprintable() and text == text.strip()
+
+
+def _check_arguments(change: Change, checks: Mapping[str, Callable[[str, Any], None]]) -> None:
+    for name, value in change.arguments.items():
+        check = checks.get(name)
+        if check is None:
+            allowed = f"use {', '.join(sorted(checks))}" if checks else "it takes none"
+            raise _invalid(f"argument {name!r} of {change.action} is not known; {allowed}")
+        check(f"argument {name!r} of {change.action}", value)
+
+
+def _positive_number(name: str, value: Any) -> None:
+    if type(value) not in (int, float) or not 0 < value < float("inf"):
+        raise _invalid(f"{name} must be a number above 0, got {value!r}")
+
+
+def _count(name: str, value: Any) -> None:
+    if type(value) is not int or not 0 <= value < 1 << 53:
+        raise _invalid(f"{name} must be an integer of 0 or more, got {value!r}")
+
+
+def _flag(name: str, value: Any) -> None:
+    if type(value) is not bool:
+        raise _invalid(f"{name} must be true or false, got {value!r}")
+
+
+def _policy(name: str, value: Any) -> None:
+    if value not in POLICIES:
+        raise _invalid(f"{name} must be one of {', '.join(POLICIES)}, got {value!r}")
+
+
+_SERVICE_CHECKS = {
+    "policy": _policy,
+    "max_queue_s": _positive_number,
+    "max_tasks_queued": _count,
+    "retry_idempotent": _flag,
+    "guards": _flag,
+    "quarantine": _flag,
+}
+_TEAM_CHECKS = {"quota_tasks": _count, "weight": _positive_number}
+
+
+def _set_service(configuration: Configuration, change: Change) -> Configuration:
+    _check_arguments(change, _SERVICE_CHECKS)
+    known = configuration.service_by_name
+    service = attrs.evolve(
+        known.get(change.target, ServiceConfig(change.target)), **change.arguments
+    )
+    return attrs.evolve(configuration, service_by_name={**known, change.target: service})
+
+
+def _set_team(configuration: Configuration, change: Change) -> Configuration:
+    _check_arguments(change, _TEAM_CHECKS)
+    known = configuration.team_by_name
+    team = attrs.evolve(known.get(change.target, TeamConfig(change.target)), **change.arguments)
+    return attrs.evolve(configuration, team_by_name={**known, change.target: team})
+
+
+def _remove(field: str, noun: str) -> Callable[[Configuration, Change], Configuration]:
+    def remove(configuration: Configuration, change: Change) -> Configuration:
+        _check_arguments(change, {})
+        known = dict(getattr(configuration, field))
+        if known.pop(change.target, None) is None:
+            raise Refusal(ResultCode.NOT_FOUND, f"{noun} {change.target!r} does not exist")
+        changed: dict[str, Any] = {field: known}
+        return attrs.evolve(configuration, **changed)
+
+    return remove
+
+
+def _add_to(field: str) -> Callable[[Configuration, Change], Configuration]:
+    def add(configuration: Configuration, change: Change) -> Configuration:
+        _check_arguments(change, {})
+        names = {*getattr(configuration, field), change.target}
+        changed: dict[str, Any] = {field: sorted(names)}
+        return attrs.evolve(configuration, **changed)
+
+    return add
+
+
+def _remove_from(*fields: str) -> Callable[[Configuration, Change], Configuration]:
+    def remove(configuration: Configuration, change: Change) -> Configuration:
+        _check_arguments(change, {})
+        if not any(change.target in getattr(configuration, field) for field in fields):
+            raise Refusal(ResultCode.NOT_FOUND, f"{change.target!r} is neither drained nor stopped")
+        kept: dict[str, Any] = {
+            field: [name for name in getattr(configuration, field) if name != change.target]
+            for field in fields
+        }
+        return attrs.evolve(configuration, **kept)
+
+    return remove
+
+
+def _member(configuration: Configuration, change: Change) -> Configuration:
+    # The list of members is in the entry, because it is in force once appended.
+    _check_arguments(change, {})
+    return configuration
+
+
+_ACTION_BY_NAME: dict[str, Callable[[Configuration, Change], Configuration]] = {
+    "set_service": _set_service,
+    "set_team": _set_team,
+    "remove_service": _remove("service_by_name", "service"),
+    "remove_team": _remove("team_by_name", "team"),
+    "drain_vm": _add_to("drained_vms"),
+    "undrain_vm": _remove_from("drained_vms", "stopped_vms"),
+    "stop_vm": _add_to("stopped_vms"),
+    "drain_backend": _add_to("drained_backends"),
+    "undrain_backend": _remove_from("drained_backends", "stopped_backends"),
+    "stop_backend": _add_to("stopped_backends"),
+    "add_member": _member,
+    "remove_member": _member,
+}
