--- /dev/null
+++ b/src/apricotpoint/_core/logs.py
@@ -0,0 +1,68 @@
+"""Set-up of log output."""
+
+from __future__ import annotations
+
+import enum
+import sys
+from typing import Any, TextIO
+
+import attrs
+import logbook
+import msgspec
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
+_TEXT_FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}: "
+_TEXT_FORMAT += "{record.message}"
+
+
+class LogFormat(enum.Enum):
+    """Format of log lines."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+@attrs.frozen
+class LogSettings:
+    """Lowest level that is written, and the format of the lines."""
+
+    level: str = "info"
+    format: LogFormat = LogFormat.TEXT
+
+
+def make_setup(settings: LogSettings, stream: TextIO | None = None) -> logbook.NestedSetup:
+    """Return a set-up that writes to `stream` or stderr.
+
+    Enter `applicationbound()` of the set-up at the start of a program. Raises `ApricotError`
+    with code 5001 for an unknown level.
+    """
+    try:
+        level = logbook.lookup_level(settings.level.upper())
+    except LookupError as error:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"log level {settings.level!r} is unknown",
+            remedy="use one of: debug, info, notice, warning, error, critical",
+        ) from error
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level, bubble=False)
+    if settings.format is LogFormat.JSON:
+        handler.formatter = _format_json
+    else:
+        handler.format_string = _TEXT_FORMAT
+    # Without the null handler, logbook's default handler would write the lines
+    # below the level.
+    return logbook.NestedSetup([logbook.NullHandler(), handler])
+
+
+def _format_json(record: logbook.LogRecord, _: logbook.Handler) -> str:
+    line: dict[str, Any] = {
+        "time": record.time.isoformat(),
+        "level": record.level_name.lower(),
+        "channel": record.channel,
+        "message": record.message,
+    }
+    if record.formatted_exception:
+        line["exception"] = record.formatted_exception
+    return msgspec.json.encode(line).decode()
--- /dev/null
+++ b/src/apricotpoint/_operator/dump.py
@@ -0,0 +1,73 @@
+"""State dump of a process."""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import anyio
+import logbook
+import msgspec
+
+from apricotpoint._core.timers import TimerService
+
+_log = logbook.Logger(__name__)
+
+
+class StateDump:
+    """Builds the state dump of a process from named parts.
+
+    A part is a function that returns JSON-able data. Parts never hold secrets,
+    so nothing is removed from the dump. The error of a failing part takes its
+    place, because the other parts are needed most when something is broken.
+    """
+
+    def __init__(
+        self,
+        *,
+        process_id: str,
+        timers: TimerService,
+        part_by_name: Mapping[str, Callable[[], object]],
+    ) -> None:
+        self._process_id = process_id
+        self._timers = timers
+        self._part_by_name = part_by_name
+
+    def build(self) -> dict[str, Any]:
+        """Return the dump with the process id, its pid and the wall time in unix seconds."""
+        dump: dict[str, Any] = {
+            "process": self._process_id,
+            "pid": os.getpid(),
+            "wall_s": self._timers.wall(),
+        }
+        for name, part in self._part_by_name.items():
+            try:
+                dump[name] = msgspec.to_builtins(part(), str_keys=True)
+            except Exception as error:  # noqa: BLE001
+                dump[name] = {"error": f"{type(error).__name__}: {error}"}
+        return dump
+
+    def write(self, folder: Path) -> Path:
+        """Write the dump to a new file in `folder` and return its path."""
+        dump = self.build()
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / f"{self._process_id}-{int(dump['wall_s'] * 1000)}.json"
+        partial = path.with_suffix(".partial")
+        partial.write_bytes(msgspec.json.format(msgspec.json.encode(dump), indent=2))
+        partial.replace(path)
+        return path
+
+
+async def dump_on_signal(dump: StateDump, folder: Path) -> None:
+    """Write a dump whenever the process receives SIGUSR1; runs until cancelled."""
+    with anyio.open_signal_receiver(signal.SIGUSR1) as signals:
+        async for _ in signals:
+            try:
+                path = dump.write(folder)
+            except OSError as error:
+                _log.error("state dump could not be written to {}: {}", folder, error.strerror)
+            else:
+                _log.info("state dump written to {}", path)
--- /dev/null
+++ b/testing/operator/test_operator_commands.py
@@ -0,0 +1,154 @@
+"""Commands reach all processes, are not executed twice, and hide no missing answer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+from operator_fakes import make_system, run
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._link.transport import PeerUnreachable
+
+CHANGE = "set service order-desk max_queue_s = 20s, guards = false at 7"
+
+
+def test_show_merges_the_rows_of_all_processes():
+    first, _ = make_system()
+    result = run(lambda: first.commands.run("show jobs where state = queued order by key"))
+    assert result.code is ResultCode.ACCEPTED
+    assert [(row["process"], row["key"]) for row in result.rows] == [
+        ("puebla-1", "b"),
+        ("toluca-1", "c"),
+    ]
+    assert result.unreachable == []
+    assert result.config_version == 7
+
+
+def test_equal_rows_of_a_replicated_table_are_shown_once():
+    first, second = make_system()
+    result = run(lambda: first.commands.run("show services"))
+    assert result.rows == [{"name": "order-desk", "processes": 2}]
+    second.configuration = type(second.configuration)()
+    result = run(lambda: first.commands.run("show services"))
+    assert result.rows == [{"name": "order-desk", "processes": 1}]
+
+
+def test_silent_process_is_listed_after_a_second():
+    first, second = make_system()
+    second.transport.silent = True
+
+    async def show() -> tuple[Any, float]:
+        started = anyio.current_time()
+        return await first.commands.run("show jobs"), anyio.current_time() - started
+
+    result, elapsed_s = run(show)
+    assert result.unreachable == ["toluca-1"]
+    assert "toluca-1" in result.message
+    assert len(result.rows) == 2
+    assert elapsed_s == pytest.approx(1.0)
+
+
+def test_cancel_reaches_the_owners_of_the_jobs():
+    first, second = make_system()
+    result = run(lambda: first.commands.run("cancel jobs where state = queued"))
+    assert result.code is ResultCode.ACCEPTED
+    assert first.cancelled == [("hem", "b")]
+    assert second.cancelled == [("cut", "c")]
+    assert {row["code"] for row in result.rows} == {2108}
+
+
+def test_resent_cancellation_spares_jobs_submitted_since():
+    first, _ = make_system()
+    first.cancel_time_s = 0.5
+
+    async def resend() -> Any:
+        async with anyio.create_task_group() as group:
+            for _ in range(2):
+                group.start_soon(first.commands.run, "cancel jobs where team = hem", "c-1")
+            await anyio.sleep(0.1)
+        first.jobs.append({"team": "hem", "key": "new", "state": "queued", "age_s": 0.0})
+        return await first.commands.run("cancel jobs where team = hem", "c-1")
+
+    result = run(resend)
+    assert sorted(first.cancelled) == [("hem", "a"), ("hem", "b")]
+    assert len(result.rows) == 2
+    other = run(lambda: first.commands.run("cancel jobs where team = cut", "c-1"))
+    assert other.code is ResultCode.INVALID_COMMAND
+
+
+def test_cancellation_that_missed_an_owner_is_not_known_and_runs_again():
+    first, second = make_system()
+    second.transport.silent = True
+    result = run(lambda: first.commands.run("cancel jobs where team = cut", "c-1"))
+    assert result.code is ResultCode.COORDINATOR_UNREACHABLE
+    assert result.unreachable == ["toluca-1"]
+    second.transport.silent = False
+    result = run(lambda: first.commands.run("cancel jobs where team = cut", "c-1"))
+    assert result.code is ResultCode.ACCEPTED
+    assert second.cancelled == [("cut", "c")]
+
+
+def test_change_carries_its_base_version_and_the_same_id_on_a_resend():
+    first, second = make_system()
+    first.change_error = PeerUnreachable("toluca-c")
+    lost = run(lambda: first.commands.run(f"{CHANGE} as x-1"))
+    assert lost.code is ResultCode.COORDINATOR_UNREACHABLE
+    result = run(lambda: second.commands.run(CHANGE, "x-1"))
+    assert (result.code, result.version) == (ResultCode.ACCEPTED, 8)
+    assert first.changes == second.changes
+    (change,) = second.changes
+    assert (change.command_id, change.base_version, change.action) == ("x-1", 7, "set_service")
+    assert change.arguments == {"max_queue_s": 20.0, "guards": False}
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        ("create service order-desk at 7", 4103),
+        ("set service order-dsk guards = true at 7", 4104),
+        ("remove team hem at 7", 4104),
+        ("set service order-desk guards = true, guards = false at 7", 4103),
+        ("dump nowhere", 4104),
+        ("submit order-desk team hem deadline 1s task quick", 4103),
+        ("submit order-desk team hem until 9 deadline 1s task quick payload = x", 4103),
+        ("submit order-desk team hem until 9 deadline 1s task quick count = 0", 4103),
+        ("submit order-desk team hem until 9 deadline 1s task quick kores = 1", 4103),
+        ('drain vm puebla-1 at 7 as "not an id"', 4103),
+    ],
+)
+def test_wrong_command_is_refused_and_changes_nothing(text: str, code: int):
+    first, _ = make_system()
+    result = run(lambda: first.commands.run(text))
+    assert (result.code, first.changes, first.requests) == (code, [], [])
+    assert result.message
+    assert result.remedy
+
+
+@pytest.mark.parametrize("base", [6, 8])
+def test_existence_is_left_to_the_log_at_other_versions(base: int):
+    # A resent `create` whose first answer was lost must get that answer, not "exists".
+    first, _ = make_system()
+    result = run(lambda: first.commands.run(f"create service order-desk at {base}"))
+    assert result.code is ResultCode.ACCEPTED
+
+
+def test_resent_submission_has_the_same_key():
+    text = 'submit order-desk team hem until 9 deadline 800ms task q count = 2, payload = "[1]"'
+    first, second = make_system()
+    result = run(lambda: first.commands.run(text, "s-1"))
+    run(lambda: second.commands.run(text, "s-1"))
+    assert result.answer.results == [1, 1]
+    assert first.requests == second.requests
+    (request,) = first.requests
+    assert (request.key, request.valid_until, request.deadline_ms) == ("op-s-1", 9, 800)
+    assert [task.payload for task in request.tasks] == [[1], [1]]
+
+
+def test_dump_of_another_process_is_passed_on():
+    first, second = make_system()
+    assert run(lambda: first.commands.run("dump toluca-1")).dump == {"process": "toluca-1"}
+    second.transport.silent = True
+    result = run(lambda: first.commands.run("dump toluca-1"))
+    assert result.code is ResultCode.COORDINATOR_UNREACHABLE
