--- a/src/apricotpoint/_core/logs.py
+++ b/src/apricotpoint/_core/logs.py
@@ -32,10 +32,10 @@
     format: LogFormat = LogFormat.TEXT
 
 
-def make_setup(settings: LogSettings, stream: TextIO | None = None) -> logbook.NestedSetup:
-    """Return a set-up that writes to `stream` or stderr.
+def make_handler(settings: LogSettings, stream: TextIO | None = None) -> logbook.StreamHandler:
+    """Return a handler that writes to `stream` or stderr.
 
-    Enter `applicationbound()` of the set-up at the start of a program. Raises `ApricotError`
+    Enter `applicationbound()` of the handler at the start of a program. Raises `ApricotError`
     with code 5001 for an unknown level.
     """
     try:
@@ -51,9 +51,7 @@
         handler.formatter = _format_json
     else:
         handler.format_string = _TEXT_FORMAT
-    # Without the null handler, logbook's default handler would write the lines
-    # below the level.
-    return logbook.NestedSetup([logbook.NullHandler(), handler])
+    return handler
 
 
 def _format_json(record: logbook.LogRecord, _: logbook.Handler) -> str:
--- a/testing/core/test_logs.py
+++ b/testing/core/test_logs.py
@@ -9,14 +9,14 @@
 import pytest
 
 from apricotpoint._core.errors import ApricotError
-from apricotpoint._core.logs import LogFormat, LogSettings, make_setup
+from apricotpoint._core.logs import LogFormat, LogSettings, make_handler
 
 _log = logbook.Logger("holder")
 
 
 def lines(settings: LogSettings) -> list[str]:
     stream = io.StringIO()
-    with make_setup(settings, stream).applicationbound():
+    with make_handler(settings, stream).applicationbound():
         _log.info("lease taken")
         _log.warning("quarantined {}", "w-1")
         try:
@@ -42,4 +42,4 @@
 
 def test_unknown_level_is_refused():
     with pytest.raises(ApricotError, match="'loud' is unknown"):
-        make_setup(LogSettings(level="loud"))
+        make_handler(LogSettings(level="loud"))
