--- /dev/null
+++ b/src/apricotpoint/_operator/client.py
@@ -0,0 +1,128 @@
+"""Client of the operator API."""
+
+from __future__ import annotations
+
+import shlex
+import ssl
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import httpx
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
+CONNECT_TIMEOUT_S = 2.0
+# Longer than the slowest command other than a submission: rows for 1 s, then
+# a cancellation for 5 s.
+ANSWER_TIMEOUT_S = 10.0
+
+
+@attrs.frozen
+class ClientSettings:
+    """Settings of apricotctl: addresses (host:port) of operator APIs, token and TLS CA files.
+
+    Without `tls_ca_file` the addresses are used over plain HTTP.
+    """
+
+    addresses: list[str] = attrs.Factory(list)
+    token_file: Path | None = None
+    tls_ca_file: Path | None = None
+
+
+def read_token(path: Path) -> str:
+    """Return the operator token in a file that only its owner may read.
+
+    Raises `ApricotError` with code 5001.
+    """
+    try:
+        if path.stat().st_mode & 0o077:
+            raise ApricotError(
+                ResultCode.INVALID_SETTINGS,
+                f"token file {path} is accessible by group or others",
+                remedy=f"run: chmod 600 {path}",
+            )
+        return path.read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"token file {path} cannot be read: {error}",
+            remedy="set token_file to a file with the operator token",
+        ) from error
+
+
+class OperatorClient:
+    """Sends a command to the first address that answers; use it as a context manager.
+
+    A command is sent to the next address with the same command id, so that it
+    is not executed twice if only its answer was lost.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        *,
+        token: str,
+        tls_ca_file: Path | None = None,
+        transport: httpx.BaseTransport | None = None,
+    ) -> None:
+        self._addresses = addresses
+        self._scheme = "http" if tls_ca_file is None else "https"
+        self._client = httpx.Client(
+            headers={"authorization": f"Bearer {token}"},
+            verify=_tls_context(tls_ca_file),
+            transport=transport,
+            # An operator's proxy settings are meant for other hosts.
+            trust_env=False,
+        )
+
+    def __enter__(self) -> OperatorClient:
+        self._client.__enter__()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._client.close()
+
+    def run(self, text: str, command_id: str, *, run_time_s: float = 0.0) -> dict[str, Any]:
+        """Return the result of a command; `run_time_s` is how long it may take by itself.
+
+        Raises `ApricotError` with code 3101 if no address answers.
+        """
+        failures: list[str] = []
+        for address in self._addresses:
+            try:
+                response = self._client.post(
+                    f"{self._scheme}://{address}/v1/command",
+                    json={"text": text, "command_id": command_id},
+                    timeout=httpx.Timeout(ANSWER_TIMEOUT_S + run_time_s, connect=CONNECT_TIMEOUT_S),
+                )
+                result = response.json()
+            except (httpx.HTTPError, httpx.InvalidURL) as error:
+                failures.append(f"{address}: {str(error) or type(error).__name__}")
+                continue
+            except ValueError:
+                failures.append(f"{address}: HTTP status {response.status_code} without a result")
+                continue
+            if isinstance(result, dict) and isinstance(result.get("code"), int):
+                return result
+            failures.append(f"{address}: HTTP status {response.status_code} without a code")
+        raise ApricotError(
+            ResultCode.COORDINATOR_UNREACHABLE,
+            f"no entry process answered ({'; '.join(failures)})",
+            remedy=f"send the same command again: apricotctl run {shlex.quote(text)}",
+        )
+
+
+def _tls_context(ca_file: Path | None) -> ssl.SSLContext | bool:
+    if ca_file is None:
+        return True
+    try:
+        return ssl.create_default_context(cafile=ca_file)
+    except OSError as error:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"TLS CA file {ca_file} cannot be used: {error}",
+            remedy="set tls_ca_file to a file with PEM certificates",
+        ) from error
--- a/src/apricotpoint/_operator/commands.py
+++ b/src/apricotpoint/_operator/commands.py
@@ -79,7 +79,13 @@
         self._cancellations = Cancellations(
             process_id=process_id, transport=transport, reader=self._reader, cancel=cancel
         )
-        serve_rows(transport, rows_by_table=rows_by_table, dump=dump, cancel=cancel)
+        serve_rows(
+            transport,
+            rows_by_table=rows_by_table,
+            dump=dump,
+            cancel=cancel,
+            recall=self._cancellations.recall,
+        )
 
     async def run(self, text: str, command_id: str | None = None) -> CommandResult:
         """Parse and execute a command; errors are results with their code."""
--- a/src/apricotpoint/_operator/rowservice.py
+++ b/src/apricotpoint/_operator/rowservice.py
@@ -17,6 +17,8 @@
 REPLY_TIMEOUT_S = 1.0
 # The request for the state dump travels as a table with one row.
 DUMP_TABLE = "dump"
+# Followed by a command id: the cancellation that a process executed under it.
+CANCELLATION_TABLE = "cancellation:"
 # Every process has a copy of these tables, so equal rows are shown once.
 _REPLICATED_TABLES = frozenset({"services", "teams", "members"})
 
@@ -59,16 +61,21 @@
     rows_by_table: RowsByTable,
     dump: Callable[[], dict[str, Any]],
     cancel: Cancel | None = None,
+    recall: Callable[[str], list[Row]] | None = None,
 ) -> None:
     """Register the handlers that answer the operator commands run by other processes.
 
-    A process without jobs passes no `cancel`.
+    A process without jobs passes no `cancel`, one without an operator API no
+    `recall`, which returns the cancellation executed under a command id.
     """
 
     async def rows(_: Sender, message: object) -> object:
         assert isinstance(message, RowsRequest)
         if message.table == DUMP_TABLE:
             return RowsReply([dump()])
+        if message.table.startswith(CANCELLATION_TABLE):
+            command_id = message.table.removeprefix(CANCELLATION_TABLE)
+            return RowsReply(recall(command_id) if recall else [])
         return RowsReply(local_rows(rows_by_table, message.table))
 
     async def cancel_jobs(_: Sender, message: object) -> object:
--- a/testing/operator/test_operator_commands.py
+++ b/testing/operator/test_operator_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 import anyio
@@ -60,7 +61,7 @@
 
 
 def test_resent_cancellation_spares_jobs_submitted_since():
-    first, _ = make_system()
+    first, second = make_system()
     first.cancel_time_s = 0.5
 
     async def resend() -> Any:
@@ -74,8 +75,32 @@
     result = run(resend)
     assert sorted(first.cancelled) == [("hem", "a"), ("hem", "b")]
     assert len(result.rows) == 2
-    other = run(lambda: first.commands.run("cancel jobs where team = cut", "c-1"))
-    assert other.code is ResultCode.INVALID_COMMAND
+    for process in (first, second):
+        other = run(partial(process.commands.run, "cancel jobs where team = cut", "c-1"))
+        assert other.code is ResultCode.INVALID_COMMAND
+
+
+def test_cancellation_resent_to_another_process_is_not_executed_again():
+    first, second = make_system()
+    run(lambda: first.commands.run("cancel jobs where team = hem", "c-1"))
+    first.jobs.append({"team": "hem", "key": "new", "state": "queued", "age_s": 0.0})
+    result = run(lambda: second.commands.run("cancel jobs where team = hem", "c-1"))
+    assert [row["key"] for row in result.rows] == ["a", "b"]
+    assert sorted(first.cancelled) == [("hem", "a"), ("hem", "b")]
+
+
+def test_cancellation_resent_while_it_runs_elsewhere_is_not_executed_twice():
+    first, second = make_system()
+    first.cancel_time_s = 0.5
+
+    async def resend() -> Any:
+        async with anyio.create_task_group() as group:
+            group.start_soon(first.commands.run, "cancel jobs where team = hem", "c-1")
+            await anyio.sleep(0.1)
+            return await second.commands.run("cancel jobs where team = hem", "c-1")
+
+    assert run(resend).code is ResultCode.COORDINATOR_UNREACHABLE
+    assert sorted(first.cancelled) == [("hem", "a"), ("hem", "b")]
 
 
 def test_cancellation_that_missed_an_owner_is_not_known_and_runs_again():
