Merge replicated rows by content and report errors of single cancellations

Merging compared every row with every distinct row, which is quadratic for 260 teams on many processes. An error raised by the cancellation of one job would have ended the whole command without a result; it is now the code of that job. 200 generated commands against the API end with a result.

--- a/src/apricotpoint/_operator/rowservice.py
+++ b/src/apricotpoint/_operator/rowservice.py
@@ -8,7 +8,9 @@
 
 import anyio
 import attrs
+import msgspec
 
+from apricotpoint._core.errors import ApricotError
 from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
 from apricotpoint._operator.query import Row
 from apricotpoint._wire.jobs import Answer
@@ -101,7 +103,10 @@
     code_by_job: dict[tuple[str, str], int] = {}
 
     async def cancel_one(team: str, key: str) -> None:
-        code_by_job[team, key] = (await cancel(team, key)).code
+        try:
+            code_by_job[team, key] = (await cancel(team, key)).code
+        except ApricotError as error:
+            code_by_job[team, key] = error.code
 
     async with anyio.create_task_group() as group:
         for team, key in team_keys:
@@ -147,13 +152,10 @@
     ]
     if table not in _REPLICATED_TABLES:
         return merged
-    distinct: list[Row] = []
+    distinct_by_content: dict[bytes, Row] = {}
     for row in merged:
         content = {name: value for name, value in row.items() if name != "process"}
-        for known in distinct:
-            if {name: value for name, value in known.items() if name != "processes"} == content:
-                known["processes"] += 1
-                break
-        else:
-            distinct.append({**content, "processes": 1})
-    return distinct
+        encoded = msgspec.json.encode(content, order="sorted")
+        known = distinct_by_content.setdefault(encoded, {**content, "processes": 0})
+        known["processes"] += 1
+    return list(distinct_by_content.values())
--- a/testing/operator/test_operators_api.py
+++ b/testing/operator/test_operators_api.py
@@ -7,9 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from operator_fakes import make_system, run
-from operator_strategies import TEXTS
+from operator_strategies import STATEMENTS, TEXTS
 
 from apricotpoint._http.operators import MAX_BODY_BYTES, make_app
+from apricotpoint._operator.printing import print_statement
+from apricotpoint._operator.statements import Statement
 
 TOKEN = {"authorization": "Bearer good"}
 
@@ -63,6 +65,7 @@
 
 BODIES = st.one_of(
     st.binary(max_size=40),
+    st.just(b'{"text": "show jobs where a = \\"\\ud800\\""}'),
     st.builds(lambda text: b'{"text": "' + text + b'"}', st.binary(max_size=20)),
 )
 
@@ -75,6 +78,14 @@
     assert response.json()["remedy"]
 
 
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(STATEMENTS)
+def test_no_command_crashes_the_api(statement: Statement):
+    body = {"text": print_statement(statement)}
+    response = call("POST", "/v1/command", json=body, headers=TOKEN)
+    assert response.json()["code"] in {1000, 4000, 4103, 4104}
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(TEXTS)
 def test_no_text_crashes_the_api(text: str):
