--- a/src/apricotpoint/_backend/settings.py
+++ b/src/apricotpoint/_backend/settings.py
@@ -31,7 +31,8 @@
     """Identity, size and behaviour of a simulated backend server.
 
     A task that takes `run_s` seconds at speed 1 takes `run_s / speed` here.
-    `announce_to` lists base URLs of the announcement API.
+    `announce_to` lists base URLs of the announcement API, which are called
+    with the first internal key of `secrets_file`.
     """
 
     backend_id: str
@@ -40,6 +41,7 @@
     rack: str
     bind: str = "127.0.0.1:0"
     announce_to: list[str] = attrs.Factory(list)
+    secrets_file: str = ""
     slots: int = 8
     connections: int = 64
     cores: int = 32
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -40,6 +40,7 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
 from apricotpoint._wire.configuration import (
+    Change,
     ChangeReply,
     ChangeRequest,
     ConfigPoll,
@@ -326,16 +327,23 @@
         )
 
     async def _on_change(self, _: Sender, message: ChangeRequest) -> object:
+        return await self.change(message.change)
+
+    async def change(self, change: Change) -> ChangeReply:
+        """Commit a change, through the leader if this is a follower.
+
+        The reply has code 4102 without a majority.
+        """
         replica = self.replica
         await replica.wait_for(lambda: replica.leader_id is not None, _LEADER_WAIT_S)
         if replica.role is Role.LEADER:
-            return await replica.change(message.change)
+            return await replica.change(change)
         if replica.leader_id is None:
             return replica.no_majority(NOT_ACCEPTED)
         try:
             reply = await self._transport.request(
                 replica.leader_id,
-                ChangeForward(message.change),
+                ChangeForward(change),
                 timeout_s=2 * CHANGE_S + 0.5,
             )
         except PeerUnreachable:
--- a/src/apricotpoint/_jobs/coordinator.py
+++ b/src/apricotpoint/_jobs/coordinator.py
@@ -273,6 +273,10 @@
             self._draining_since = self._timers.now()
             self._counters.add("drain.started")
 
+    def stop_draining(self) -> None:
+        """Accept new jobs again."""
+        self._draining_since = None
+
     def idle(self) -> bool:
         """Return whether no job and no caller waits for an answer.
 
--- /dev/null
+++ b/src/apricotpoint/_load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments against a running system."""
--- /dev/null
+++ b/src/apricotpoint/_load/summary.py
@@ -0,0 +1,84 @@
+"""Summary of a load run."""
+
+from __future__ import annotations
+
+import statistics
+from collections import Counter
+from collections.abc import Sequence
+
+import attrs
+
+from apricotpoint._bench.ideal import IdealWorker, ideal_responses_s
+from apricotpoint._bench.trace import TracedJob
+from apricotpoint._load.outcome import Outcome
+
+
+@attrs.frozen
+class Summary:
+    """Measured figures of a run; `ideal_ratio_mean` compares complete jobs with the ideal."""
+
+    jobs: int
+    tasks: int
+    complete: int
+    failed: int
+    response_p50_ms: float
+    response_p99_ms: float
+    ideal_ratio_mean: float
+    wasted_messages_per_task: float
+    not_whole: int
+    repeated_tasks: int
+    jobs_by_code: dict[str, int]
+
+
+def summarise(
+    trace: Sequence[TracedJob],
+    outcomes: Sequence[Outcome],
+    workers: Sequence[IdealWorker],
+    *,
+    wasted_messages: int,
+    repeated_tasks: int,
+) -> Summary:
+    """Return the figures of a finished run on loopback, where the network time is near zero."""
+    ideal = ideal_responses_s(trace, workers, round_trip_s=0.0)
+    complete = [outcome for outcome in outcomes if outcome.complete]
+    responses_ms = sorted(outcome.response_s * 1000 for outcome in complete)
+    tasks = sum(len(outcome.job.tasks) for outcome in outcomes)
+    ratio = 0.0
+    if complete:
+        mean = statistics.fmean(outcome.response_s for outcome in complete)
+        ratio = mean / statistics.fmean(ideal[outcome.number] for outcome in complete)
+    return Summary(
+        jobs=len(outcomes),
+        tasks=tasks,
+        complete=len(complete),
+        failed=len(outcomes) - len(complete),
+        response_p50_ms=_quantile(responses_ms, 0.5),
+        response_p99_ms=_quantile(responses_ms, 0.99),
+        ideal_ratio_mean=round(ratio, 3),
+        wasted_messages_per_task=round(wasted_messages / max(tasks, 1), 5),
+        not_whole=sum(1 for outcome in outcomes if not outcome.whole),
+        repeated_tasks=repeated_tasks,
+        jobs_by_code=dict(Counter(str(outcome.answer.code) for outcome in outcomes)),
+    )
+
+
+def merge(summaries: Sequence[Summary]) -> dict[str, float]:
+    """Return the figures over several runs; quantiles and the ratio are the largest of them."""
+    tasks = sum(item.tasks for item in summaries)
+    wasted = sum(item.wasted_messages_per_task * item.tasks for item in summaries)
+    return {
+        "jobs": sum(item.jobs for item in summaries),
+        "tasks": tasks,
+        "complete": sum(item.complete for item in summaries),
+        "failed": sum(item.failed for item in summaries),
+        "response_p50_ms": max(item.response_p50_ms for item in summaries),
+        "response_p99_ms": max(item.response_p99_ms for item in summaries),
+        "ideal_ratio_mean": max(item.ideal_ratio_mean for item in summaries),
+        "wasted_messages_per_task": round(wasted / max(tasks, 1), 5),
+    }
+
+
+def _quantile(values: Sequence[float], fraction: float) -> float:
+    if not values:
+        return 0.0
+    return round(values[min(int(len(values) * fraction), len(values) - 1)], 2)
--- a/src/apricotpoint/_programs/backend.py
+++ b/src/apricotpoint/_programs/backend.py
@@ -7,7 +7,7 @@
 
 from apricotpoint._backend.server import run_backend
 from apricotpoint._backend.settings import BackendSettings
-from apricotpoint._core.logs import LogSettings, make_setup
+from apricotpoint._core.logs import LogSettings, make_handler
 from apricotpoint._core.secrets import load_secrets
 from apricotpoint._programs.console import run_commands, settings_commands
 from apricotpoint._programs.signals import wait_for_stop_signal
@@ -20,7 +20,7 @@
 
 async def _run(settings: BackendSettings) -> None:
     key = load_secrets(Path(settings.secrets_file)).internal_keys()[0].decode()
-    with make_setup(LogSettings()).applicationbound():
+    with make_handler(LogSettings()).applicationbound():
         await run_backend(settings, key=key, shutdown=wait_for_stop_signal)
 
 
--- a/src/apricotpoint/_programs/control.py
+++ b/src/apricotpoint/_programs/control.py
@@ -21,7 +21,7 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
-from apricotpoint._core.logs import LogSettings, make_setup
+from apricotpoint._core.logs import LogSettings, make_handler
 from apricotpoint._core.secrets import load_secrets
 from apricotpoint._core.settings import load
 from apricotpoint._core.timers import TimerService
@@ -75,7 +75,7 @@
 
 
 async def _run(settings: ControlSettings) -> None:
-    with make_setup(LogSettings(level=settings.log_level)).applicationbound():
+    with make_handler(LogSettings(level=settings.log_level)).applicationbound():
         await run_control(settings, shutdown=wait_for_stop_signal)
 
 
--- a/src/apricotpoint/_programs/entry.py
+++ b/src/apricotpoint/_programs/entry.py
@@ -18,7 +18,7 @@
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
-from apricotpoint._core.logs import LogSettings, make_setup
+from apricotpoint._core.logs import LogSettings, make_handler
 from apricotpoint._core.secrets import load_secrets
 from apricotpoint._core.timers import TimerService
 from apricotpoint._dispatch.cluster import Cluster
@@ -54,7 +54,7 @@
 
 
 async def _run(settings: EntrySettings) -> None:
-    with make_setup(LogSettings(level=settings.log_level)).applicationbound():
+    with make_handler(LogSettings(level=settings.log_level)).applicationbound():
         await run_entry(settings, shutdown=wait_for_stop_signal)
 
 
@@ -314,8 +314,8 @@
 
     def _rows_by_table(self) -> dict[str, Callable[[], list[dict[str, Any]]]]:
         return {
-            "jobs": self._coordinator.job_rows,
-            "tasks": self._coordinator.task_rows,
+            "jobs": lambda: self._coordinator.rows("jobs"),
+            "tasks": lambda: self._coordinator.rows("tasks"),
             "backends": self._holder.rows,
             "vms": self._vm_rows,
             "services": lambda: configuration_rows(self._feed.configuration().service_by_name),
--- a/src/apricotpoint/_programs/plan.py
+++ b/src/apricotpoint/_programs/plan.py
@@ -90,7 +90,7 @@
         secrets_path=secrets_path,
         controls=controls,
         entries=entries,
-        backends=_backends(deployment, entries, address),
+        backends=_backends(deployment, entries, str(secrets_path), address),
     )
 
 
@@ -125,7 +125,10 @@
 
 
 def _backends(
-    deployment: DeploymentSettings, entries: list[EntrySettings], address: Callable[[], str]
+    deployment: DeploymentSettings,
+    entries: list[EntrySettings],
+    secrets_file: str,
+    address: Callable[[], str],
 ) -> list[BackendSettings]:
     size = deployment.workers
     domains = deployment.failure_domains
@@ -137,6 +140,7 @@
             BackendSettings(
                 backend_id=f"w-{index + 1:02}",
                 service=deployment.service,
+                secrets_file=secrets_file,
                 failure_domain=domain,
                 rack=f"rack-{rack + 1}",
                 bind=address(),
--- a/testing/control/network.py
+++ b/testing/control/network.py
@@ -3,28 +3,15 @@
 from __future__ import annotations
 
 import math
-import os
 import random
-import shutil
 from collections.abc import Awaitable, Callable
-from pathlib import Path
-from typing import Any
 
 import anyio
 import anyio.abc
-import attrs
 import trio.testing
 
-from apricotpoint._control.identity import initialise
-from apricotpoint._control.node import ControlNode
-from apricotpoint._control.replica import Role
-from apricotpoint._control.storage import Storage
-from apricotpoint._core.codes import ResultCode
-from apricotpoint._core.counters import Counters
-from apricotpoint._core.timers import TimerService
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._wire import codec
-from apricotpoint._wire.configuration import Change, ChangeReply, ChangeRequest
 
 KEY = b"test key"
 WALL = 1_800_000_000.0
@@ -107,9 +94,7 @@
         """Send a request and wait for its reply."""
         request_id = len(self._reply_by_request) + 1
         done, replies = self._reply_by_request[request_id] = (anyio.Event(), [])
-        envelope = codec.Envelope(
-            self.peer_id, self._incarnation, message, request_id=request_id
-        )
+        envelope = codec.Envelope(self.peer_id, self._incarnation, message, request_id=request_id)
         self._network.deliver(peer_id, envelope)
         with anyio.move_on_after(timeout_s):
             await done.wait()
