--- a/src/apricotpoint/_backend/runner.py
+++ b/src/apricotpoint/_backend/runner.py
@@ -103,11 +103,18 @@
             fails = self._random.random() < behaviour.fail_probability
             run_s = behaviour.fail_after_s if fails else self._run_s(start)
             status = RunStatus.FAILED if fails else RunStatus.OK
-            value = None if fails else {"backend": self.settings.backend_id}
+            value = None if fails else self._value(start)
             self._runs.append(_Run(start, now, now + run_s, status, value, exchange))
         self._changed.set()
         return exchange
 
+    def _value(self, start: Start) -> dict[str, object]:
+        value: dict[str, object] = {"backend": self.settings.backend_id}
+        if isinstance(start.payload, dict):
+            # Callers check by these that an answer belongs to their own tasks.
+            value |= {name: start.payload[name] for name in ("job", "task") if name in start.payload}
+        return value
+
     def result(self, start_id: str) -> StartResult:
         """Return the kept result of a start, or RUNNING or UNKNOWN."""
         if any(run.start.start_id == start_id for run in self._runs):
--- a/src/apricotpoint/_backend/server.py
+++ b/src/apricotpoint/_backend/server.py
@@ -29,17 +29,22 @@
     incarnation: int | None = None,
     counters: Counters | None = None,
     leaving_s: float = LEAVING_S,
+    ledger: Ledger | None = None,
     task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> Ledger:
     """Run a backend server until `shutdown` returns and its runs have ended.
 
     Announces `leaving` for `leaving_s` seconds before it refuses new starts.
-    Reports the bound port as task status and returns the ledger.
+    Reports the bound port as task status and returns the ledger,
+    which is `ledger` if one is given.
     """
     incarnation = time.time_ns() // 1000 if incarnation is None else incarnation
     stop = anyio.Event()
     host = settings.bind.rpartition(":")[0]
-    async with Runner(settings, ledger=Ledger()) as runner, anyio.create_task_group() as group:
+    async with (
+        Runner(settings, ledger=ledger or Ledger()) as runner,
+        anyio.create_task_group() as group,
+    ):
         app = make_app(runner, incarnation=incarnation)
 
         async def run_server(*, task_status: anyio.abc.TaskStatus[int]) -> None:
--- a/src/apricotpoint/_load/driver.py
+++ b/src/apricotpoint/_load/driver.py
@@ -33,9 +33,7 @@
     async with anyio.create_task_group() as group:
         for number, job in enumerate(trace):
             await anyio.sleep(max(started_at + job.at_s - anyio.current_time(), 0))
-            group.start_soon(
-                _submit, job, number, client, service, deadline_ms, run_id, on_outcome
-            )
+            group.start_soon(_submit, job, number, client, service, deadline_ms, run_id, on_outcome)
 
 
 async def _submit(
