--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,13 @@
 test: setup
 	$(BIN)/python -m pytest
 
+demo: setup
+	$(BIN)/apricot-local demo settings/order-desk.jsonc settings/crock-control.jsonc
+
+bench: setup
+	$(BIN)/python -m apricotpoint._bench --deployment settings/order-desk.jsonc \
+		--deployment settings/crock-control.jsonc --report build/bench
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/apricotpoint/_backend/runner.py
+++ b/src/apricotpoint/_backend/runner.py
@@ -112,7 +112,9 @@
         value: dict[str, object] = {"backend": self.settings.backend_id}
         if isinstance(start.payload, dict):
             # Callers check by these that an answer belongs to their own tasks.
-            value |= {name: start.payload[name] for name in ("job", "task") if name in start.payload}
+            value |= {
+                name: start.payload[name] for name in ("job", "task") if name in start.payload
+            }
         return value
 
     def result(self, start_id: str) -> StartResult:
--- a/src/apricotpoint/_programs/bootstrap.py
+++ b/src/apricotpoint/_programs/bootstrap.py
@@ -11,6 +11,8 @@
 
 READY_TIMEOUT_S = 20.0
 RETRY_S = 0.1
+# The described deployments have one team, which may use all of the system.
+QUOTA_TASKS = 10_000
 
 
 async def create_configuration(
@@ -21,7 +23,7 @@
     Raises `ApricotError` with code 4102 if the changes are not accepted in 20 s.
     """
     commands = [f"create service {deployment.service}"]
-    commands += [f"create team {team}" for team in deployment.teams]
+    commands += [f"create team {team} quota_tasks = {QUOTA_TASKS}" for team in deployment.teams]
     headers = {"authorization": f"Bearer {token}"}
     async with httpx.AsyncClient(headers=headers, trust_env=False, timeout=5.0) as client:
         for version, command in enumerate(commands):
