--- a/src/apricotpoint/_dispatch/backend.py
+++ b/src/apricotpoint/_dispatch/backend.py
@@ -45,6 +45,7 @@
     foreign_until: float = 0.0
     rest_until: float = 0.0
     network_errors: int = 0
+    network_probe: HeldTask | None = None
     blocked: bool = False
     guards: bool = True
     handed_over: bool = False
@@ -80,11 +81,17 @@
 
     def free_slots(self, now: float) -> int:
         """Return how many tasks may be sent now, if it is eligible."""
-        if now < self.rest_until or len(self.exchanges) >= max(1, self.announcement.connections):
+        if now < self.rest_until:
             return 0
-        allowed = self.quarantine.allowed(self.announcement.slots, now)
-        used = len(self.busy_by_start) + self.foreign
-        return max(0, min(self.announcement.slots - used, allowed - len(self.busy_by_start)))
+        said = self.announcement
+        allowed = self.quarantine.allowed(said.slots, now)
+        busy = len(self.busy_by_start)
+        connections = said.connections - len(self.exchanges)
+        free = max(0, min(said.slots - busy - self.foreign, allowed - busy, connections))
+        if self.network_errors:
+            # One task tries the network, so that the others do not wait for its timeout.
+            return 0 if self.network_probe else min(free, 1)
+        return free
 
     def fits(self, spec: TaskSpec) -> bool:
         """Return whether the backend server has what the task needs."""
@@ -117,10 +124,14 @@
         task.ends_at = now + task.spec.estimate_s / self.current_speed
         task.view = self
         self.busy_by_start[task.spec.start_id] = task
+        if self.network_errors:
+            self.network_probe = task
 
     def release(self, task: HeldTask) -> None:
         """Free the slot of a task."""
         self.busy_by_start.pop(task.spec.start_id, None)
+        if self.network_probe is task:
+            self.network_probe = None
         self._least_busy[-1] = min(self._least_busy[-1], len(self.busy_by_start))
 
     def lose(self, task: HeldTask, now: float) -> None:
@@ -133,8 +144,11 @@
         """Take over what an announcement says."""
         self.announcement = announcement
         self.heard_at = now
-        if now >= self.foreign_until:
-            others = max(0, announcement.running - min(self._least_busy))
+        others = max(0, announcement.running - min(self._least_busy))
+        if now < self.lease.starts_at:
+            # The earlier holder may still send until its lease ends.
+            self.foreign = others
+        elif now >= self.foreign_until:
             self.foreign = min(self.foreign, others)
         self._least_busy.append(len(self.busy_by_start))
 
@@ -149,3 +163,4 @@
         rest_s = min(_FIRST_REST_S * 2**self.network_errors, _LONGEST_REST_S)
         self.network_errors = min(self.network_errors + 1, 10)
         self.rest_until = now + rest_s
+        self.network_probe = None
--- a/src/apricotpoint/_dispatch/cluster.py
+++ b/src/apricotpoint/_dispatch/cluster.py
@@ -94,6 +94,9 @@
 
     def _receive(self, sender: Sender, message: object) -> None:
         assert isinstance(message, LoadReport)
+        latest = self._transport.incarnation_of(sender.peer_id)
+        if latest is not None and latest != sender.incarnation:
+            return
         made_at = self._timers.now() - sender.age_s
         known = self._heard_by_id.get(sender.peer_id)
         if known and known.incarnation == sender.incarnation and known.made_at > made_at:
--- a/src/apricotpoint/_dispatch/holder.py
+++ b/src/apricotpoint/_dispatch/holder.py
@@ -38,7 +38,7 @@
 from apricotpoint._dispatch.received import ReceivedBatches
 from apricotpoint._link.transport import Sender, Transport
 from apricotpoint._wire.announce import Announced, Announcement, AnnouncementReply, HolderName
-from apricotpoint._wire.configuration import Configuration, ServiceConfig
+from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
 from apricotpoint._wire.load import BackendLoad
 from apricotpoint._wire.tasks import (
     BatchResult,
@@ -75,6 +75,10 @@
 # while tasks wait for faster slots.
 _MAX_ASIDE = 32
 _SHORTEST_REVISIT_S = 0.005
+_OVERDUE_REVISIT_S = 0.05
+
+# A team that the configuration in force here does not have yet.
+_DEFAULT_TEAM = TeamConfig("")
 
 _LOG = logbook.Logger(__name__)
 
@@ -640,7 +644,8 @@
 
     def _share(self, team: str) -> float:
         rules = self._configuration().team_by_name.get(team)
-        return rules.quota_tasks * rules.weight if rules else 1.0
+        rules = rules or _DEFAULT_TEAM
+        return rules.quota_tasks * rules.weight
 
     def _apply_configuration(self) -> None:
         configuration = self._configuration()
@@ -686,6 +691,9 @@
         for batch in batches.values():
             outcomes, batch.outcomes = batch.outcomes, []
             self._counters.add("holder.result_messages")
+            if not batch.remaining:
+                # The batch stays in the heap of deadlines; its payloads need not.
+                batch.tasks.clear()
             batch.reply(BatchResult(batch.batch_id, outcomes))
         if not (self._dirty or self._to_report or self._to_cancel):
             self._wake = anyio.Event()
@@ -757,7 +765,7 @@
         # predicted end moves while they run.
         later = [time for time in times if time > now]
         if waited_for:
-            later.append(now + 10 * _SHORTEST_REVISIT_S)
+            later.append(now + _OVERDUE_REVISIT_S)
         return max(min(later, default=math.inf), now + _SHORTEST_REVISIT_S)
 
     def _policy(self, service: _Service) -> Policy:
@@ -918,8 +926,7 @@
     def _record_failure(self, view: BackendView, service: str, now: float) -> None:
         if not self._rules(service).quarantine:
             return
-        may_enter = view.quarantine.active or self._may_quarantine(service)
-        if view.quarantine.failed(now, may_enter=may_enter):
+        if view.quarantine.failed(now, may_enter=lambda: self._may_quarantine(service)):
             self._counters.add("holder.quarantine.entered")
             _LOG.warning("backend server {} is in quarantine", view.backend_id)
 
@@ -986,6 +993,9 @@
                 return await self._ask_backend(view.address, task.spec.start_id)
         except AnswerLostError:
             self._counters.add("holder.asks_lost")
+        except Exception:
+            self._counters.add("holder.ask_errors")
+            _LOG.exception("request for a result from backend server {} failed", view.backend_id)
         return None
 
     def _lose(self, view: BackendView, task: HeldTask, reason: str) -> None:
@@ -1028,7 +1038,11 @@
         )
 
     async def _cancel_starts(self, view: BackendView, start_ids: list[str]) -> None:
-        await self._cancel_on_backend(view.address, start_ids)
+        try:
+            await self._cancel_on_backend(view.address, start_ids)
+        except Exception:
+            self._counters.add("holder.cancel_errors")
+            _LOG.exception("cancel message to backend server {} failed", view.backend_id)
 
     # Outcomes
 
--- a/src/apricotpoint/_dispatch/quarantine.py
+++ b/src/apricotpoint/_dispatch/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
@@ -49,11 +50,11 @@
         self._last.clear()
         return True
 
-    def failed(self, now: float, *, may_enter: bool) -> bool:
+    def failed(self, now: float, *, may_enter: Callable[[], bool]) -> bool:
         """Record a failed task; True if the backend server begins to rest.
 
-        With `may_enter` False too many others are in quarantine already, so
-        it continues.
+        `may_enter` returns False if too many others are in quarantine already;
+        then it continues.
         """
         self._in_a_row += 1
         self._last.append(False)
@@ -62,7 +63,7 @@
                 # A task that was sent before the quarantine began.
                 return False
             self._rest_s = min(self._rest_s * 2, _LONGEST_REST_S)
-        elif not may_enter or not self._over_limit():
+        elif not self._over_limit() or not may_enter():
             return False
         self.active = True
         self._allowed = 1
--- a/src/apricotpoint/_dispatch/queue.py
+++ b/src/apricotpoint/_dispatch/queue.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from apricotpoint._dispatch.backend import BackendView
 
+_MAX_TEAMS = 1024
+
 
 class TaskState(enum.Enum):
     """Where a task is; `BOUND` has a slot but nothing of it has been written."""
@@ -68,7 +70,8 @@
 @attrs.define(eq=False)
 class _Team:
     name: str
-    virtual_s: float
+    number: int
+    virtual_ns: int
     tag: int = 0
     queued: int = 0
     batches: deque[Batch] = attrs.Factory(deque)
@@ -84,9 +87,11 @@
     def __init__(self, share: Callable[[str], float]) -> None:
         self._share = share
         self._team_by_name: dict[str, _Team] = {}
-        self._heap: list[tuple[float, int, _Team]] = []
+        self._heap: list[tuple[int, int, int, _Team]] = []
         self._tag = 0
-        self._virtual_s = 0.0
+        self._number = 0
+        # Virtual time is an integer, so that a task put back restores it exactly.
+        self._virtual_ns = 0
         self.count = 0
         self.work_s = 0.0
 
@@ -96,6 +101,9 @@
         team = self._team(batch.team)
         team.batches.append(batch)
         inactive = not team.queued
+        if inactive:
+            # A team that had nothing queued gets no credit for that time.
+            team.virtual_ns = max(team.virtual_ns, self._virtual_ns)
         for task in batch.waiting:
             self._count(team, task, 1)
         if inactive:
@@ -104,17 +112,16 @@
     def take(self) -> HeldTask | None:
         """Remove and return the next task, None if there is none."""
         while self._heap:
-            virtual_s, tag, team = heapq.heappop(self._heap)
+            virtual_ns, _, tag, team = heapq.heappop(self._heap)
             if tag != team.tag:
                 continue
             while team.batches and not team.batches[0].waiting:
                 team.batches.popleft()
             if not team.batches:
-                self._forget(team)
                 continue
             task = team.batches[0].waiting.popleft()
-            self._virtual_s = max(self._virtual_s, virtual_s)
-            team.virtual_s = virtual_s + self._cost(task)
+            self._virtual_ns = max(self._virtual_ns, virtual_ns)
+            team.virtual_ns = virtual_ns + self._cost(task)
             self._count(team, task, -1)
             self._push(team)
             return task
@@ -127,7 +134,7 @@
             if not task.batch.waiting and (not team.batches or team.batches[0] is not task.batch):
                 team.batches.appendleft(task.batch)
             task.batch.waiting.appendleft(task)
-            team.virtual_s -= self._cost(task)
+            team.virtual_ns -= self._cost(task)
             self._count(team, task, 1)
             self._push(team)
 
@@ -159,26 +166,34 @@
         """Return the number of queued tasks by team."""
         return {team.name: team.queued for team in self._team_by_name.values() if team.queued}
 
-    def _cost(self, task: HeldTask) -> float:
-        return task.spec.estimate_s / max(self._share(task.batch.team), 1e-6)
+    def _cost(self, task: HeldTask) -> int:
+        return int(task.spec.estimate_s * 1e9 / max(self._share(task.batch.team), 1e-6))
 
     def _team(self, name: str) -> _Team:
         team = self._team_by_name.get(name)
         if team is None:
-            team = self._team_by_name[name] = _Team(name, self._virtual_s)
-        elif not team.queued:
-            # A team that had nothing queued gets no credit for that time.
-            team.virtual_s = max(team.virtual_s, self._virtual_s)
+            if len(self._team_by_name) >= _MAX_TEAMS:
+                self._forget_teams()
+            self._number += 1
+            team = self._team_by_name[name] = _Team(name, self._number, self._virtual_ns)
         return team
 
-    def _forget(self, team: _Team) -> None:
-        if team.virtual_s <= self._virtual_s:
-            del self._team_by_name[team.name]
+    def _forget_teams(self) -> None:
+        """Forget the teams that have nothing queued and owe nothing."""
+        self._team_by_name = {
+            team.name: team
+            for team in self._team_by_name.values()
+            if team.queued or team.virtual_ns > self._virtual_ns
+        }
 
     def _push(self, team: _Team) -> None:
+        if len(self._heap) > 64 + 4 * len(self._team_by_name):
+            # Entries that were replaced stay in the heap until they are read.
+            self._heap = [entry for entry in self._heap if entry[2] == entry[3].tag]
+            heapq.heapify(self._heap)
         self._tag += 1
         team.tag = self._tag
-        heapq.heappush(self._heap, (team.virtual_s, self._tag, team))
+        heapq.heappush(self._heap, (team.virtual_ns, team.number, self._tag, team))
 
     def _count(self, team: _Team, task: HeldTask, sign: int) -> None:
         team.queued += sign
