Test stale first announcements and usage that rises before a takeover

Two deliberate defects had survived: trusting an announcement of an unknown backend server that was read after a pause, and not counting tasks that the earlier holder starts during the wait.

--- a/testing/dispatch/holder_rig.py
+++ b/testing/dispatch/holder_rig.py
@@ -32,6 +32,7 @@
 
 SELF = HolderName("e1", 1)
 LOCAL = Sender("e1", 1)
+REPORT = LoadReport(1, False, 1.0, 0, [], {}, 0, "puebla", "")
 
 
 @attrs.define
--- a/testing/dispatch/test_holder.py
+++ b/testing/dispatch/test_holder.py
@@ -6,7 +6,7 @@
 
 import anyio
 import pytest
-from holder_rig import LOCAL, SELF, FakeBackend, Rig, play
+from holder_rig import LOCAL, REPORT, SELF, FakeBackend, Rig, play
 
 from apricotpoint._link.transport import Sender
 from apricotpoint._wire.announce import Announced, GuardState, HolderName
@@ -60,8 +60,9 @@
         stale = [server.announcement(1.2 + 0.5 * n) for n in range(4)]
         server.silent = True
         rig.clock.jump(10)
-        for announcement in stale:
+        for announcement in [*stale, FakeBackend("not heard before").announcement(1.2)]:
             rig.holder.announce(announcement)
+        assert not any(load.available for load in rig.holder.backend_loads())
         start_ids = rig.run(1)
         await anyio.sleep(0.7)
         for announcement in [server.announcement(3.5), server.announcement(4.0)]:
@@ -81,6 +82,7 @@
 
 def test_a_new_holder_waits_and_counts_the_tasks_of_the_earlier_one():
     async def scenario(rig: Rig) -> None:
+        server.running = 3  # The earlier holder sends until its lease ends.
         await anyio.sleep(2.4)
         assert [load.available for load in rig.holder.backend_loads()] == [False]
         await anyio.sleep(0.7)
@@ -94,7 +96,7 @@
         await anyio.sleep(0.1)
         assert len(server.started_at) == 8
 
-    server = FakeBackend("b1", slots=4, running=3, followed=True)
+    server = FakeBackend("b1", slots=4, running=1, followed=True)
     play(scenario, server)
 
 
@@ -124,8 +126,7 @@
 
 def test_a_silent_holder_is_replaced_and_a_live_one_is_kept():
     async def scenario(rig: Rig) -> None:
-        report = LoadReport(1, False, 1.0, 0, [], {}, 0, "puebla", "")
-        rig.transport.receive("e2", report)
+        rig.transport.receive("e2", REPORT)
         server.holder = OTHER
         await anyio.sleep(2.4)
         rig.announce_all()
@@ -139,9 +140,8 @@
 
 def test_backend_servers_that_announce_together_are_spread_over_holders():
     async def scenario(rig: Rig) -> None:
-        report = LoadReport(1, False, 1.0, 0, [], {}, 0, "puebla", "")
         far = LoadReport(1, False, 1.0, 0, [], {}, 0, "toluca", "")
-        rig.transport.receive("e2", report)
+        rig.transport.receive("e2", REPORT)
         rig.transport.receive("e3", far)
         for server in servers:
             server.holder = rig.holder.announce(server.announcement(0.0)).holder
--- a/testing/dispatch/test_parts.py
+++ b/testing/dispatch/test_parts.py
@@ -7,7 +7,7 @@
 
 import anyio
 import pytest
-from holder_rig import LOCAL, FakeBackend, Rig, play
+from holder_rig import LOCAL, REPORT, FakeBackend, Rig, play
 
 from apricotpoint._dispatch.budget import RetryBudget
 from apricotpoint._dispatch.estimator import KindEstimator
@@ -16,11 +16,8 @@
 from apricotpoint._dispatch.queue import Batch, FairQueue, HeldTask
 from apricotpoint._dispatch.received import ReceivedBatches
 from apricotpoint._dispatch.speed import Speed
-from apricotpoint._wire.load import LoadReport
 from apricotpoint._wire.tasks import BatchTask, TaskSpec
 
-REPORT = LoadReport(1, False, 1.0, 0, [], {}, 0, "puebla", "")
-
 
 def renew(lease: Lease, sequence: int, clock_s: float, received_at: float):
     lease.renew(sequence=sequence, clock_s=clock_s, received_at=received_at, replaces=False)
