Test the replicated log under cuts, kills, lost disks and failed syncs

Seen: remove_member was refused with 4104, because the new list of members was applied before the change was checked against the old one. Conclusion: the change is checked first.

--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -416,7 +416,7 @@
                 running.discard(peer_id)
 
             while True:
-                for peer_id in set(self.other_ids()) - running:
+                for peer_id in sorted(set(self.other_ids()) - running):
                     running.add(peer_id)
                     group.start_soon(serve, peer_id)
                 await self._pulse.wait()
--- a/src/apricotpoint/_control/state.py
+++ b/src/apricotpoint/_control/state.py
@@ -61,17 +61,10 @@
 
     def apply(self, entry: Entry) -> ChangeReply | None:
         """Apply one committed entry and return the answer to its change."""
+        # The change is checked against the members before it.
+        answer = self._answer_once(entry) if entry.change is not None else None
         if entry.disk_by_member is not None:
             self.disk_by_member = entry.disk_by_member
-        if entry.change is None:
-            return None
-        answer = self.answer_by_command.get(entry.change.command_id)
-        if answer is not None:
-            return answer
-        answer = entry.refusal or self._answer(entry.change)
-        self.answer_by_command[entry.change.command_id] = answer
-        if len(self.answer_by_command) > MAX_ANSWERS:
-            del self.answer_by_command[next(iter(self.answer_by_command))]
         return answer
 
     def preview(self, change: Change) -> ChangeReply:
@@ -85,6 +78,17 @@
             return self._refused(refusal)
         return ChangeReply(code=ResultCode.ACCEPTED, version=self.configuration.version + 1)
 
+    def _answer_once(self, entry: Entry) -> ChangeReply:
+        assert entry.change is not None
+        answer = self.answer_by_command.get(entry.change.command_id)
+        if answer is not None:
+            return answer
+        answer = entry.refusal or self._answer(entry.change)
+        self.answer_by_command[entry.change.command_id] = answer
+        if len(self.answer_by_command) > MAX_ANSWERS:
+            del self.answer_by_command[next(iter(self.answer_by_command))]
+        return answer
+
     def _answer(self, change: Change) -> ChangeReply:
         try:
             changed = self._changed(change)
--- a/testing/control/network.py
+++ b/testing/control/network.py
@@ -5,7 +5,6 @@
 import math
 import os
 import random
-import shutil
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -37,6 +36,15 @@
     anyio.run(test, backend="trio", backend_options={"clock": clock})
 
 
+async def wait_until(condition: Callable[[], bool], within_s: float = 20.0) -> None:
+    """Wait for a condition in virtual time; `TimeoutError` if it does not come true."""
+    with anyio.fail_after(within_s):
+        while True:
+            if condition():
+                return
+            await anyio.sleep(0.01)
+
+
 class Network:
     """Delivers messages after 0.5 ms, except where it is told otherwise.
 
@@ -87,7 +95,9 @@
         self.request_handlers_by_type: dict[type, RequestHandler] = {}
         self.peer_id = peer_id
         self._network = network
-        self._scope = anyio.CancelScope()
+        self._scopes: list[anyio.CancelScope] = []
+        self._closed = False
+        self._last_request = 0
         self._reply_by_request: dict[int, tuple[anyio.Event, list[object]]] = {}
         self._incarnation = random.Random(f"{peer_id}{anyio.current_time()}").getrandbits(32)
         network.endpoint_by_id[peer_id] = self
@@ -96,7 +106,9 @@
         """Stop receiving and end all handlers."""
         if self._network.endpoint_by_id.get(self.peer_id) is self:
             del self._network.endpoint_by_id[self.peer_id]
-        self._scope.cancel()
+        self._closed = True
+        for scope in list(self._scopes):
+            scope.cancel()
 
     def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
         """Send a message."""
@@ -105,14 +117,16 @@
 
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request and wait for its reply."""
-        request_id = len(self._reply_by_request) + 1
-        done, replies = self._reply_by_request[request_id] = (anyio.Event(), [])
-        envelope = codec.Envelope(
-            self.peer_id, self._incarnation, message, request_id=request_id
-        )
+        self._last_request += 1
+        request_id = self._last_request
+        done: anyio.Event = anyio.Event()
+        replies: list[object] = []
+        self._reply_by_request[request_id] = (done, replies)
+        envelope = codec.Envelope(self.peer_id, self._incarnation, message, request_id=request_id)
         self._network.deliver(peer_id, envelope)
         with anyio.move_on_after(timeout_s):
             await done.wait()
+        del self._reply_by_request[request_id]
         if not replies:
             raise PeerUnreachable(peer_id)
         return replies[0]
@@ -120,9 +134,9 @@
     async def receive(self, envelope: codec.Envelope) -> None:
         """Handle a message, request or reply."""
         if envelope.is_reply:
-            done, replies = self._reply_by_request.get(envelope.request_id, (None, []))
-            replies.append(envelope.message)
-            if done is not None:
+            if envelope.request_id in self._reply_by_request:
+                done, replies = self._reply_by_request[envelope.request_id]
+                replies.append(envelope.message)
                 done.set()
             return
         handler = self.request_handlers_by_type.get(type(envelope.message))
@@ -130,23 +144,21 @@
             return
         sender = Sender(envelope.sender, envelope.incarnation)
         with anyio.CancelScope() as scope:
-            self._network.group.start_soon(self._cancel_with_endpoint, scope)
+            self._scopes.append(scope)
             reply = await handler(sender, envelope.message)
-            if self._scope.cancel_called:
-                return
-            self._network.deliver(
-                envelope.sender,
-                codec.Envelope(
-                    self.peer_id,
-                    self._incarnation,
-                    reply,
-                    request_id=envelope.request_id,
-                    is_reply=True,
-                ),
-            )
-
-    async def _cancel_with_endpoint(self, scope: anyio.CancelScope) -> None:
-        raise NotImplementedError
+        self._scopes.remove(scope)
+        if scope.cancel_called or self._closed:
+            return
+        self._network.deliver(
+            envelope.sender,
+            codec.Envelope(
+                self.peer_id,
+                self._incarnation,
+                reply,
+                request_id=envelope.request_id,
+                is_reply=True,
+            ),
+        )
 
     def peers(self) -> list[str]:
         """Return all processes that run."""
@@ -159,3 +171,214 @@
     def incarnation_of(self, peer_id: str) -> int | None:
         """Return None: not used by the control processes."""
         return None
+
+
+class Disk:
+    """A data folder that loses at a crash what was not synced."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.sync_s = 0.002
+        self.sync_error: OSError | None = None
+        self.write_error: OSError | None = None
+        self.life = 0
+        self._synced_bytes_by_inode: dict[int, int] = {}
+        self._random = random.Random(folder.name)
+
+    def storage(self) -> Storage:
+        """Return the storage of one life of the process."""
+        life = self.life
+
+        async def sync(descriptor: int) -> None:
+            status = os.fstat(descriptor)
+            await anyio.sleep(self.sync_s)
+            if self.sync_error is not None:
+                raise self.sync_error
+            if life != self.life:
+                raise OSError(5, "the process is killed")
+            self._synced_bytes_by_inode[status.st_ino] = status.st_size
+
+        def write(descriptor: int, data: bytes) -> int:
+            if self.write_error is not None:
+                raise self.write_error
+            return os.write(descriptor, data)
+
+        return Storage(self.folder, sync=sync, write=write)
+
+    def crash(self) -> None:
+        """Lose bytes that were not synced; a random part of them is kept."""
+        for path in self.folder.iterdir():
+            synced = self._synced_bytes_by_inode.get(path.stat().st_ino, 0)
+            if path.stat().st_size > synced:
+                unsynced = path.stat().st_size - synced
+                os.truncate(path, synced + self._random.randrange(unsynced + 1))
+
+
+@attrs.define
+class _Process:
+    scope: anyio.CancelScope
+    endpoint: Endpoint
+    ended: anyio.Event
+    node: ControlNode | None = None
+
+
+class Cluster:
+    """Control nodes on one network, with a client."""
+
+    def __init__(self, group: anyio.abc.TaskGroup, folder: Path, seed: int = 1) -> None:
+        self.network = Network(group, seed)
+        self.clock_offset = 0.0
+        self.timers = TimerService(wall=lambda: WALL + anyio.current_time() + self.clock_offset)
+        self.disk_by_id: dict[str, Disk] = {}
+        self.exit_code_by_id: dict[str, ResultCode] = {}
+        self.counters_by_id: dict[str, Counters] = {}
+        self.client = Endpoint(self.network, "client")
+        self._process_by_id: dict[str, _Process] = {}
+        self._folder = folder
+        self._seed = seed
+        self._disks = 0
+        self._random = random.Random(seed)
+
+    async def initialise(self, node_id: str, *, first: bool = True) -> Disk:
+        """Give a node an empty, initialised disk."""
+        self._disks += 1
+        disk = Disk(self._folder / f"{node_id}-{self._disks}")
+        await initialise(
+            disk.storage(),
+            node_id=node_id,
+            first=first,
+            wall=self.timers.wall(),
+            random=self._random,
+        )
+        self.disk_by_id[node_id] = disk
+        return disk
+
+    async def start(self, *node_ids: str) -> None:
+        """Start nodes and wait until they run or have ended."""
+        for node_id in node_ids:
+            process = _Process(anyio.CancelScope(), Endpoint(self.network, node_id), anyio.Event())
+            self._process_by_id[node_id] = process
+            self.exit_code_by_id.pop(node_id, None)
+            self.network.group.start_soon(self._serve, node_id, process)
+        await anyio.sleep(0.1)
+
+    async def start_first(self) -> None:
+        """Initialise and start all nodes of a new deployment and wait for a leader."""
+        for node_id in IDS:
+            await self.initialise(node_id)
+        await self.start(*IDS)
+        await self.leader()
+
+    async def _serve(self, node_id: str, process: _Process) -> None:
+        counters = self.counters_by_id[node_id] = Counters()
+        disk = self.disk_by_id[node_id]
+        with process.scope:
+            try:
+                async with ControlNode(
+                    node_id=node_id,
+                    failure_domain=f"domain-{node_id}",
+                    members=IDS,
+                    data_folder=disk.folder,
+                    transport=process.endpoint,
+                    timers=self.timers,
+                    counters=counters,
+                    random=random.Random(f"{self._seed}{node_id}{disk.life}"),
+                    storage=disk.storage(),
+                ) as node:
+                    process.node = node
+                    await anyio.sleep_forever()
+            except* Exception as errors:
+                if not process.scope.cancel_called:
+                    self.exit_code_by_id[node_id] = _code(errors)
+        process.endpoint.close()
+        process.ended.set()
+
+    async def kill(self, *node_ids: str, crash: bool = True) -> None:
+        """End nodes at once; with `crash` their disks lose what was not synced."""
+        for node_id in node_ids:
+            process = self._process_by_id.pop(node_id)
+            self.disk_by_id[node_id].life += 1
+            process.endpoint.close()
+            process.scope.cancel()
+            await process.ended.wait()
+            if crash:
+                self.disk_by_id[node_id].crash()
+
+    def is_running(self, node_id: str) -> bool:
+        """Return whether a node runs."""
+        process = self._process_by_id.get(node_id)
+        return process is not None and not process.ended.is_set()
+
+    def node(self, node_id: str) -> ControlNode:
+        """Return a running node."""
+        node = self._process_by_id[node_id].node
+        assert node is not None
+        return node
+
+    def nodes(self) -> list[ControlNode]:
+        """Return all running nodes."""
+        return [
+            process.node
+            for process in self._process_by_id.values()
+            if process.node is not None and not process.ended.is_set()
+        ]
+
+    async def leader(self, *, among: list[str] | None = None, within_s: float = 20.0) -> str:
+        """Wait for a leader that knows a majority and return its id."""
+        with anyio.fail_after(within_s):
+            while True:
+                for node in self.nodes():
+                    wanted = among is None or node.node_id in among
+                    replica = getattr(node, "replica", None)
+                    if wanted and replica and replica.role is Role.LEADER:
+                        settled = replica.log.term_at(replica.commit_index) == replica.log.term
+                        if settled and replica.has_majority():
+                            return node.node_id
+                await anyio.sleep(0.05)
+
+    async def change(
+        self, node_id: str, command_id: str, base_version: int, **other: Any
+    ) -> ChangeReply:
+        """Send a change as the client; 4102 if there is no answer."""
+        change = Change(
+            command_id=command_id,
+            base_version=base_version,
+            action=other.pop("action", "drain_vm"),
+            target=other.pop("target", command_id),
+            arguments=other,
+        )
+        try:
+            reply = await self.client.request(node_id, ChangeRequest(change), timeout_s=9.5)
+        except PeerUnreachable:
+            return ChangeReply(ResultCode.NO_MAJORITY, -1, "no answer")
+        assert isinstance(reply, ChangeReply)
+        return reply
+
+    async def replace_disk(self, node_id: str) -> Disk:
+        """Give a killed node a new disk, not as a new deployment."""
+        return await self.initialise(node_id, first=False)
+
+
+def _code(errors: BaseException) -> ResultCode:
+    while isinstance(errors, BaseExceptionGroup):
+        errors = errors.exceptions[0]
+    code = getattr(errors, "code", None)
+    if code is None:
+        raise errors
+    assert isinstance(code, ResultCode)
+    return code
+
+
+def with_cluster(
+    test: Callable[[Cluster], Awaitable[None]], folder: Path, *, seed: int = 1
+) -> None:
+    """Run a test on a started cluster of three nodes."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            cluster = Cluster(group, folder, seed)
+            await cluster.start_first()
+            await test(cluster)
+            group.cancel_scope.cancel()
+
+    run(main)
--- /dev/null
+++ b/testing/control/test_replication.py
@@ -0,0 +1,334 @@
+"""The replicated log over a network that cuts, and processes and disks that are lost."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import anyio
+import pytest
+from network import IDS, Cluster, wait_until, with_cluster
+
+from apricotpoint._core.codes import ResultCode
+
+
+def others(node_id: str) -> list[str]:
+    return [item for item in IDS if item != node_id]
+
+
+async def change_at(cluster: Cluster, node_id: str, version: int) -> None:
+    reply = await cluster.change(node_id, f"cmd-{version}", version)
+    assert (reply.code, reply.version) == (ResultCode.ACCEPTED, version + 1)
+
+
+async def assert_same_everywhere(cluster: Cluster, version: int) -> None:
+    await wait_until(
+        lambda: all(node.replica.state.configuration.version >= version for node in cluster.nodes())
+    )
+    states = [node.replica.state.configuration for node in cluster.nodes()]
+    assert all(state == states[0] for state in states)
+    assert states[0].version == version
+
+
+def test_change_is_committed_through_any_replica(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        for version, node_id in enumerate(IDS):
+            await change_at(cluster, node_id, version)
+        await assert_same_everywhere(cluster, 3)
+
+    with_cluster(test, tmp_path)
+
+
+def test_of_equal_base_versions_one_wins(tmp_path: Path):
+    """Two operators race; both must not be told that they won."""
+
+    async def test(cluster: Cluster) -> None:
+        codes = []
+
+        async def send(node_id: str) -> None:
+            reply = await cluster.change(node_id, f"race-{node_id}", 0)
+            assert reply.version == 1
+            codes.append(reply.code)
+
+        async with anyio.create_task_group() as group:
+            for node_id in IDS:
+                group.start_soon(send, node_id)
+        assert sorted(codes) == [4000, 4101, 4101]
+
+    with_cluster(test, tmp_path)
+
+
+def test_isolated_leader_steps_down_and_follows_after_heal(tmp_path: Path):
+    """A leader cut off for a long time must not answer changes or keep its own entries."""
+
+    async def test(cluster: Cluster) -> None:
+        old = await cluster.leader()
+        cluster.network.isolate(old)
+        cluster.network.cuts -= {("client", old), (old, "client")}
+        lost = await cluster.change(old, "lost", 0)
+        assert lost.code == ResultCode.NO_MAJORITY
+        assert "not known" in lost.message
+        new = await cluster.leader(among=others(old))
+        await change_at(cluster, new, 0)
+        await anyio.sleep(600)
+        assert not cluster.node(old).replica.has_majority()
+        refused = await cluster.change(old, "refused", 0)
+        assert "no leader" in refused.message
+        term = cluster.node(new).replica.log.term
+        cluster.network.cuts.clear()
+        await assert_same_everywhere(cluster, 1)
+        assert await cluster.leader() == new
+        assert cluster.node(new).replica.log.term == term
+
+    with_cluster(test, tmp_path)
+
+
+@pytest.mark.parametrize("inward", [True, False])
+@pytest.mark.parametrize("outward", [True, False])
+def test_isolated_follower_does_not_disturb(tmp_path: Path, inward: bool, outward: bool):
+    """A follower that hears nothing must not raise the term; pre-vote prevents it."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        follower = others(leader)[0]
+        term = cluster.node(leader).replica.log.term
+        cluster.network.isolate(follower, inward=inward, outward=outward)
+        await anyio.sleep(300)
+        await change_at(cluster, leader, 0)
+        cluster.network.cuts.clear()
+        await anyio.sleep(5)
+        assert await cluster.leader() == leader
+        assert cluster.node(leader).replica.log.term == term
+        await assert_same_everywhere(cluster, 1)
+
+    with_cluster(test, tmp_path)
+
+
+def test_reads_are_refused_by_a_leader_without_majority(tmp_path: Path):
+    """A deposed leader that has not noticed must not confirm its state as the latest."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        replica = cluster.node(leader).replica
+        assert await replica.confirm(0.5)
+        cluster.network.isolate(leader)
+        assert not await replica.confirm(0.5)
+        assert not await cluster.node(others(leader)[0]).replica.confirm(0.5)
+
+    with_cluster(test, tmp_path)
+
+
+def test_restart_after_1000_changes(tmp_path: Path):
+    """All replicas restart from snapshot and log without losing a change."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        for version in range(1_050):
+            await change_at(cluster, leader, version)
+        await anyio.sleep(1)
+        assert all(node.replica.log.snapshot_index >= 1_000 for node in cluster.nodes())
+        await cluster.kill(*IDS)
+        await cluster.start(*IDS)
+        await cluster.leader()
+        await assert_same_everywhere(cluster, 1_050)
+        # A command from before the snapshot, resent, gets its first answer.
+        again = await cluster.change("c1", "cmd-7", 7)
+        assert (again.code, again.version) == (ResultCode.ACCEPTED, 8)
+
+    with_cluster(test, tmp_path)
+
+
+def test_snapshot_is_installed_on_a_replica_far_behind(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        behind = others(leader)[0]
+        await cluster.kill(behind)
+        for version in range(1_300):
+            await change_at(cluster, leader, version)
+        await cluster.start(behind)
+        await assert_same_everywhere(cluster, 1_300)
+        assert cluster.counters_by_id[leader].get("control.snapshots_sent") >= 1
+        again = await cluster.change(behind, "cmd-3", 3)
+        assert (again.code, again.version) == (ResultCode.ACCEPTED, 4)
+
+    with_cluster(test, tmp_path)
+
+
+def test_resent_command_gets_its_first_answer_from_a_new_leader(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        old = await cluster.leader()
+        first = await cluster.change(old, "same", 0)
+        conflict = await cluster.change(old, "conflict", 0)
+        assert conflict.code == ResultCode.VERSION_CONFLICT
+        await cluster.kill(old)
+        new = await cluster.leader()
+        assert await cluster.change(new, "same", 0) == first
+        assert await cluster.change(new, "conflict", 0) == conflict
+
+    with_cluster(test, tmp_path)
+
+
+def test_uncertain_change_is_resolved_by_resending(tmp_path: Path):
+    """An answer lost with the leader must not lead to a second version."""
+
+    async def test(cluster: Cluster) -> None:
+        old = await cluster.leader()
+        cluster.network.cuts.add((old, "client"))
+        assert (await cluster.change(old, "lost-answer", 0)).message == "no answer"
+        await cluster.kill(old)
+        new = await cluster.leader()
+        reply = await cluster.change(new, "lost-answer", 0)
+        assert (reply.code, reply.version) == (ResultCode.ACCEPTED, 1)
+        await assert_same_everywhere(cluster, 1)
+
+    with_cluster(test, tmp_path)
+
+
+def test_second_replica_lost_right_after_a_repair(tmp_path: Path):
+    """After a lost disk is replaced and added again, the loss of another keeps all changes."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        repaired, third = others(leader)
+        await change_at(cluster, leader, 0)
+        await cluster.kill(repaired)
+        await cluster.replace_disk(repaired)
+        await cluster.start(repaired)
+        await anyio.sleep(5)
+        reply = await cluster.change(leader, "add", 1, action="add_member", target=repaired)
+        assert reply.code == ResultCode.ACCEPTED, reply
+        await cluster.kill(leader)
+        assert await cluster.leader() in (repaired, third)
+        await change_at(cluster, third, 2)
+        await assert_same_everywhere(cluster, 3)
+
+    with_cluster(test, tmp_path)
+
+
+def test_replaced_disk_does_not_count_before_it_is_added(tmp_path: Path):
+    """A lost disk forgets its votes and entries; with it there is no majority of two."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        lost, third = others(leader)
+        await cluster.kill(lost)
+        await cluster.replace_disk(lost)
+        await cluster.start(lost)
+        await anyio.sleep(3)
+        await cluster.kill(third)
+        reply = await cluster.change(leader, "alone", 0)
+        assert reply.code == ResultCode.NO_MAJORITY
+        await anyio.sleep(5)
+        assert not any(node.replica.has_majority() for node in cluster.nodes())
+
+    with_cluster(test, tmp_path)
+
+
+def test_old_disk_put_back_ends_the_process(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        old_disk = cluster.disk_by_id["c1"]
+        await cluster.kill("c1")
+        await cluster.replace_disk("c1")
+        await cluster.start("c1")
+        await anyio.sleep(5)
+        await cluster.kill("c1")
+        cluster.disk_by_id["c1"] = old_disk
+        await cluster.start("c1")
+        await anyio.sleep(5)
+        assert cluster.exit_code_by_id["c1"] == ResultCode.OLD_DISK
+
+    with_cluster(test, tmp_path)
+
+
+def test_member_change_is_refused_for_an_unknown_process(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        reply = await cluster.change("c1", "add", 0, action="add_member", target="c9")
+        assert reply.code == ResultCode.NOT_FOUND
+        assert "c9" in reply.message
+        again = await cluster.change("c2", "add", 0, action="add_member", target="c9")
+        assert again == reply
+
+    with_cluster(test, tmp_path)
+
+
+def test_learner_joins_and_replaces_a_removed_member(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        await cluster.initialise("c4", first=False)
+        await cluster.start("c4")
+        await anyio.sleep(3)
+        removed = others(leader)[0]
+        assert (
+            await cluster.change(leader, "add", 0, action="add_member", target="c4")
+        ).code == ResultCode.ACCEPTED
+        await cluster.kill(removed)
+        assert (
+            await cluster.change(leader, "out", 1, action="remove_member", target=removed)
+        ).code == ResultCode.ACCEPTED
+        await cluster.kill(leader)
+        await cluster.leader()
+        await change_at(cluster, others(leader)[1], 2)
+        assert removed not in cluster.node("c4").dump()["members"]
+
+    with_cluster(test, tmp_path)
+
+
+def test_leader_can_be_removed(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        reply = await cluster.change(leader, "out", 0, action="remove_member", target=leader)
+        assert reply.code == ResultCode.ACCEPTED
+        new = await cluster.leader(among=others(leader))
+        await change_at(cluster, new, 1)
+        assert not cluster.node(leader).replica.is_voter()
+
+    with_cluster(test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    ("kind", "code"),
+    [("sync", ResultCode.SYNC_FAILED), ("write", ResultCode.DISK_FULL)],
+)
+def test_failed_disk_stops_the_process_and_nothing_is_acknowledged(
+    tmp_path: Path, kind: str, code: ResultCode
+):
+    """After a failed sync the kernel may report success for data it has dropped."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        disk = cluster.disk_by_id[leader]
+        if kind == "sync":
+            disk.sync_error = OSError(5, "Input/output error")
+        else:
+            disk.write_error = OSError(28, "No space left on device")
+        reply = await cluster.change(leader, "x", 0)
+        assert reply.code == ResultCode.NO_MAJORITY
+        assert cluster.exit_code_by_id[leader] == code
+        new = await cluster.leader()
+        assert (await cluster.change(new, "x", 0)).version == 1
+
+    with_cluster(test, tmp_path)
+
+
+def test_vote_is_not_given_before_it_is_synced(tmp_path: Path):
+    """A vote that a crash forgets could be given twice in one term."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        voter, candidate = others(leader)
+        disk = cluster.disk_by_id[voter]
+        disk.sync_s = 0.3
+        await cluster.kill(leader)
+        replica = cluster.node(voter).replica
+        first_term = replica.log.term
+        await wait_until(lambda: replica.log.term > first_term and replica.log.voted_for != "")
+        given_to, term = replica.log.voted_for, replica.log.term
+        # The vote is in memory but its sync is still running.
+        await anyio.sleep(0.05)
+        if given_to == candidate:
+            assert cluster.node(candidate).replica.log.term == term
+            assert cluster.node(candidate).replica.role.value == "candidate"
+        await cluster.kill(voter)
+        await anyio.sleep(1)
+        assert cluster.node(candidate).replica.role.value != "leader"
+
+    with_cluster(test, tmp_path)
