--- a/testing/control/network.py
+++ b/testing/control/network.py
@@ -187,6 +187,10 @@
 
     def storage(self) -> Storage:
         """Return the storage of one life of the process."""
+        return self.storage_at(self.folder)
+
+    def storage_at(self, folder: Path) -> Storage:
+        """Return the storage of another folder on this disk."""
         life = self.life
 
         async def sync(descriptor: int) -> None:
@@ -203,7 +207,7 @@
                 raise self.write_error
             return os.write(descriptor, data)
 
-        return Storage(self.folder, sync=sync, write=write)
+        return Storage(folder, sync=sync, write=write)
 
     def crash(self) -> None:
         """Lose bytes that were not synced; a random part of them is kept."""
--- a/testing/control/test_cluster_machine.py
+++ b/testing/control/test_cluster_machine.py
@@ -15,8 +15,8 @@
 import anyio
 import anyio.from_thread
 import attrs
-import pytest
 import trio.testing
+from anyio.abc import TaskStatus
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
@@ -79,13 +79,19 @@
         self._portal = self._resources.enter_context(
             anyio.from_thread.start_blocking_portal("trio", {"clock": self._clock})
         )
-        self._group = self._resources.enter_context(
-            self._portal.wrap_async_context_manager(anyio.create_task_group())
-        )
-        self._resources.callback(self._portal.call, self._group.cancel_scope.cancel)
+        host, _ = self._portal.start_task(self._host)
+        self._resources.callback(host.result)
+        self._resources.callback(lambda: self._portal.call(self._ended.set))
         self._commands = 0
         self._run(self._start, folder)
 
+    async def _host(self, *, task_status: TaskStatus[None]) -> None:
+        async with anyio.create_task_group() as self._group:
+            self._ended = anyio.Event()
+            task_status.started()
+            await self._ended.wait()
+            self._group.cancel_scope.cancel()
+
     async def _start(self, folder: Path) -> None:
         self.cluster = Cluster(self._group, folder)
         await self.cluster.start_first()
@@ -189,7 +195,6 @@
         self.oracle.check_end(cluster.node(leader).replica.state.configuration.drained_vms)
 
 
-@pytest.mark.filterwarnings("ignore::trio.TrioDeprecationWarning")
 def test_cluster_keeps_its_promises_under_random_faults():
     run_state_machine_as_test(
         ClusterMachine,
--- /dev/null
+++ b/testing/control/test_feed.py
@@ -0,0 +1,128 @@
+"""The configuration feed: versions only go up, and a stale copy says so."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import anyio
+from network import IDS, Cluster, Endpoint, wait_until, with_cluster
+
+from apricotpoint._control.feed import ConfigurationFeed
+from apricotpoint._core.counters import Counters
+
+
+def make_feed(
+    cluster: Cluster, name: str, *, control_ids: list[str] = IDS, cache: Path | None = None
+) -> ConfigurationFeed:
+    return ConfigurationFeed(
+        transport=Endpoint(cluster.network, name),
+        control_ids=control_ids,
+        timers=cluster.timers,
+        counters=Counters(),
+        cache_path=cache,
+        storage=None if cache is None else cluster.disk_by_id["c1"].storage_at(cache.parent),
+    )
+
+
+def test_change_arrives_everywhere_within_5_s(tmp_path: Path):
+    """Promise P8, also for a process that polls a replica which is cut off."""
+
+    async def test(cluster: Cluster) -> None:
+        async with make_feed(cluster, "e1") as feed, make_feed(cluster, "e2") as other:
+            leader = await cluster.leader()
+            cluster.network.isolate("c1" if leader != "c1" else "c2")
+            await cluster.change(leader, "a", 0)
+            await anyio.sleep(5)
+            assert feed.configuration().version == other.configuration().version == 1
+            assert feed.current()
+
+    with_cluster(test, tmp_path)
+
+
+def test_partitioned_process_keeps_its_version_and_is_not_current(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        await cluster.change(leader, "a", 0)
+        async with make_feed(cluster, "e1") as feed:
+            assert feed.configuration().version == 1
+            assert feed.current()
+            cluster.network.isolate("e1")
+            await anyio.sleep(4)
+            assert not feed.current()
+            await cluster.change(leader, "b", 1)
+            assert feed.configuration().version == 1
+            cluster.network.cuts.clear()
+            await anyio.sleep(5)
+            assert feed.current()
+            assert feed.configuration().version == 2
+
+    with_cluster(test, tmp_path)
+
+
+def test_process_that_reaches_only_a_minority_is_not_current(tmp_path: Path):
+    """An isolated replica answers, but does not know whether its version is the latest."""
+
+    async def test(cluster: Cluster) -> None:
+        for node_id in ("c2", "c3"):
+            cluster.network.cuts |= {("c1", node_id), (node_id, "c1")}
+        await anyio.sleep(5)
+        async with make_feed(cluster, "e1", control_ids=["c1"]) as feed:
+            await anyio.sleep(5)
+            assert not feed.current()
+
+    with_cluster(test, tmp_path)
+
+
+def test_cached_version_is_not_replaced_by_an_older_one_after_a_restart(tmp_path: Path):
+    """A replica that was cut off answers with an older version than the cache has."""
+
+    async def test(cluster: Cluster) -> None:
+        cache = tmp_path / "entry" / "configuration"
+        cache.parent.mkdir()
+        leader = await cluster.leader()
+        behind = next(item for item in IDS if item != leader)
+        await cluster.change(await cluster.leader(), "a", 0)
+        await anyio.sleep(1)
+        for node_id in IDS:
+            cluster.network.cuts |= {(behind, node_id), (node_id, behind)}
+        await cluster.change(await cluster.leader(), "b", 1)
+        async with make_feed(cluster, "e1", cache=cache) as feed:
+            assert feed.configuration().version == 2
+        async with make_feed(cluster, "e1", control_ids=[behind], cache=cache) as feed:
+            versions = []
+            feed.subscribe(lambda configuration: versions.append(configuration.version))
+            await anyio.sleep(5)
+            assert feed.configuration().version == 2
+            assert versions == []
+
+    with_cluster(test, tmp_path)
+
+
+def test_start_takes_the_highest_version_of_all_that_answer(tmp_path: Path):
+    """Without any control process reachable, another process has the configuration."""
+
+    async def test(cluster: Cluster) -> None:
+        await cluster.change(await cluster.leader(), "a", 0)
+        async with make_feed(cluster, "e1"):
+            for node_id in IDS:
+                cluster.network.cuts |= {("e2", node_id), (node_id, "e2")}
+            async with make_feed(cluster, "e2") as feed:
+                assert feed.configuration().version == 1
+                assert not feed.current()
+
+    with_cluster(test, tmp_path)
+
+
+def test_higher_version_heard_is_fetched_at_once(tmp_path: Path):
+    async def test(cluster: Cluster) -> None:
+        async with make_feed(cluster, "e1", control_ids=["c1"]) as feed:
+            leader = await cluster.leader(among=["c1", "c2", "c3"])
+            cluster.network.cuts |= {("c1", "e1")}
+            async with make_feed(cluster, "e2"):
+                await cluster.change(leader, "a", 0)
+                await anyio.sleep(2)
+                assert feed.configuration().version == 0
+                feed.heard_version(1)
+                await wait_until(lambda: feed.configuration().version == 1, 0.05)
+
+    with_cluster(test, tmp_path)
--- /dev/null
+++ b/testing/control/test_records.py
@@ -0,0 +1,162 @@
+"""Record files: what a crash, a damaged disk and a failed sync may do to them."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import anyio
+import pytest
+from network import Disk, run
+
+from apricotpoint._control.identity import count_start, initialise
+from apricotpoint._control.records import RecordFile
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
+
+async def write_records(disk: Disk, count: int) -> None:
+    file = RecordFile(disk.storage(), "log")
+    await file.open()
+    for number in range(count):
+        file.append(b"payload %d" % number)
+        await file.sync()
+    file.close()
+
+
+async def read_records(disk: Disk) -> list[bytes]:
+    file = RecordFile(disk.storage(), "log")
+    try:
+        return await file.open()
+    finally:
+        file.close()
+
+
+def test_concurrent_writers_share_one_sync(tmp_path: Path):
+    async def test() -> None:
+        syncs = 0
+
+        async def count(_: int) -> None:
+            nonlocal syncs
+            syncs += 1
+            await anyio.sleep(0.005)
+
+        storage = Disk(tmp_path).storage()
+        storage._sync = count
+        file = RecordFile(storage, "log")
+        await file.open()
+        syncs = 0
+        async with anyio.create_task_group() as group:
+            for _ in range(100):
+                group.start_soon(file.sync, file.append(b"x"))
+        assert syncs <= 2
+        file.close()
+
+    run(test)
+
+
+def test_torn_last_record_is_truncated_at_every_length(tmp_path: Path):
+    """A crash may leave any part of the last record; the earlier ones must stay."""
+
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        await write_records(disk, 3)
+        whole = (tmp_path / "log").read_bytes()
+        record_bytes = len(whole) // 3
+        for length in range(2 * record_bytes, len(whole)):
+            (tmp_path / "log").write_bytes(whole[:length])
+            assert await read_records(disk) == [b"payload 0", b"payload 1"]
+            assert (tmp_path / "log").stat().st_size == 2 * record_bytes
+
+    run(test)
+
+
+def test_every_flipped_bit_before_the_last_record_is_found(tmp_path: Path):
+    """Damage of synced records must stop the process, not shorten the log."""
+
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        await write_records(disk, 3)
+        whole = (tmp_path / "log").read_bytes()
+        for position in range(2 * len(whole) // 3):
+            damaged = bytearray(whole)
+            damaged[position] ^= 1 << (position % 8)
+            (tmp_path / "log").write_bytes(damaged)
+            with pytest.raises(ApricotError) as caught:
+                await read_records(disk)
+            assert caught.value.code == ResultCode.LOG_CHECKSUM
+
+    run(test)
+
+
+def test_missing_record_is_found(tmp_path: Path):
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        await write_records(disk, 3)
+        whole = (tmp_path / "log").read_bytes()
+        record_bytes = len(whole) // 3
+        (tmp_path / "log").write_bytes(whole[:record_bytes] + whole[2 * record_bytes :])
+        with pytest.raises(ApricotError) as caught:
+            await read_records(disk)
+        assert caught.value.code == ResultCode.LOG_TORN
+
+    run(test)
+
+
+def test_no_use_after_a_failed_sync(tmp_path: Path):
+    """The next sync may report success for data that the kernel has dropped."""
+
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        storage = disk.storage()
+        file = RecordFile(storage, "log")
+        await file.open()
+        disk.sync_error = OSError(5, "Input/output error")
+        for _ in range(2):
+            with pytest.raises(ApricotError) as caught:
+                await file.sync(file.append(b"x"))
+            assert caught.value.code == ResultCode.SYNC_FAILED
+            disk.sync_error = None
+        with pytest.raises(ApricotError):
+            await storage.replace_file("other", b"x")
+        assert not (tmp_path / "other").exists()
+        file.close()
+
+    run(test)
+
+
+def test_rewrite_keeps_what_is_appended_meanwhile(tmp_path: Path):
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        file = RecordFile(disk.storage(), "log")
+        await file.open()
+        await file.sync(file.append(b"old"))
+        async with anyio.create_task_group() as group:
+            group.start_soon(file.rewrite, lambda: [b"compacted"])
+            await anyio.sleep(0.001)
+            group.start_soon(file.sync, file.append(b"new"))
+        file.close()
+        disk.crash()
+        assert await read_records(disk) == [b"compacted", b"new"]
+
+    run(test)
+
+
+def test_start_counter_grows_and_a_used_folder_is_not_initialised_again(tmp_path: Path):
+    """A folder initialised twice would forget that its state is lost or old."""
+
+    async def test() -> None:
+        disk = Disk(tmp_path / "data")
+        seed = random.Random(1)
+        with pytest.raises(ApricotError, match="5001"):
+            await count_start(disk.storage(), node_id="c1", random=seed)
+        made = await initialise(disk.storage(), node_id="c1", first=True, wall=1.0, random=seed)
+        for number in (1, 2):
+            started = await count_start(disk.storage(), node_id="c1", random=seed)
+            assert (started.disk_id, started.start_counter) == (made.disk_id, number)
+        with pytest.raises(ApricotError, match="5001"):
+            await initialise(disk.storage(), node_id="c1", first=True, wall=1.0, random=seed)
+        with pytest.raises(ApricotError, match="belongs to 'c1'"):
+            await count_start(disk.storage(), node_id="c2", random=seed)
+
+    run(test)
--- /dev/null
+++ b/testing/control/test_state.py
@@ -0,0 +1,111 @@
+"""Changes: every action, precise refusals, and answers that never change."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from apricotpoint._control.messages import Entry, StateImage
+from apricotpoint._control.state import MAX_ANSWERS, State
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._wire.configuration import Change, ChangeReply
+
+
+def apply(state: State, action: str, target: str, **arguments: Any) -> ChangeReply:
+    change = Change(
+        command_id=f"c{len(state.answer_by_command)}",
+        base_version=state.configuration.version,
+        action=action,
+        target=target,
+        arguments=arguments,
+    )
+    reply = state.apply(Entry(term=1, change=change))
+    assert reply is not None
+    return reply
+
+
+def test_every_action_changes_the_configuration():
+    state = State({"c1": "d1", "c2": "d2"})
+    steps = [
+        ("set_service", "order desk", {"policy": "two_choices", "max_queue_s": 5}),
+        ("set_service", "order desk", {"retry_idempotent": True}),
+        ("set_team", "hem", {"quota_tasks": 7, "weight": 0.5}),
+        ("set_team", "spare", {}),
+        ("remove_team", "spare", {}),
+        ("set_service", "spare", {}),
+        ("remove_service", "spare", {}),
+        ("drain_vm", "e1", {}),
+        ("stop_vm", "e2", {}),
+        ("drain_vm", "e3", {}),
+        ("undrain_vm", "e3", {}),
+        ("drain_backend", "b1", {}),
+        ("drain_backend", "b3", {}),
+        ("undrain_backend", "b3", {}),
+        ("stop_backend", "b2", {}),
+    ]
+    for version, (action, target, arguments) in enumerate(steps, start=1):
+        reply = apply(state, action, target, **arguments)
+        assert (reply.code, reply.version) == (ResultCode.ACCEPTED, version), reply
+    configuration = state.configuration
+    service = configuration.service_by_name["order desk"]
+    assert (service.policy, service.max_queue_s, service.retry_idempotent) == (
+        "two_choices",
+        5,
+        True,
+    )
+    assert list(configuration.team_by_name) == ["hem"]
+    assert (configuration.drained_vms, configuration.stopped_vms) == (["e1"], ["e2"])
+    assert (configuration.drained_backends, configuration.stopped_backends) == (["b1"], ["b2"])
+
+
+@pytest.mark.parametrize(
+    ("action", "target", "arguments", "words"),
+    [
+        ("explode", "x", {}, "'explode' is not known"),
+        ("set_service", "s", {"policy": "best"}, "must be one of predicted"),
+        ("set_service", "s", {"max_queue_s": -1}, "got -1"),
+        ("set_service", "s", {"max_queue_s": float("nan")}, "got nan"),
+        ("set_service", "s", {"max_tasks_queued": True}, "got True"),
+        ("set_service", "s", {"guards": "yes"}, "true or false, got 'yes'"),
+        ("set_service", "s", {"polcy": "random"}, "'polcy' of set_service is not known"),
+        ("set_team", "t", {"quota_tasks": 1.5}, "got 1.5"),
+        ("drain_vm", "e1", {"now": True}, "it takes none"),
+        ("drain_vm", "", {}, "1 to 64"),
+        ("drain_vm", "x" * 65, {}, "1 to 64"),
+    ],
+)
+def test_invalid_change_is_refused_precisely(
+    action: str, target: str, arguments: dict[str, Any], words: str
+):
+    state = State({"c1": "d1"})
+    reply = apply(state, action, target, **arguments)
+    assert (reply.code, reply.version) == (ResultCode.INVALID_COMMAND, 0)
+    assert words in reply.message
+
+
+@pytest.mark.parametrize(
+    "action",
+    ["remove_service", "remove_team", "undrain_vm", "undrain_backend", "remove_member"],
+)
+def test_unknown_target_is_not_found(action: str):
+    reply = apply(State({"c1": "d1"}), action, "nobody")
+    assert reply.code == ResultCode.NOT_FOUND
+    assert "nobody" in reply.message
+
+
+def test_answers_are_kept_in_snapshots_and_bounded():
+    state = State({"c1": "d1"})
+    for _ in range(MAX_ANSWERS):
+        apply(state, "drain_vm", "e1")
+    first = state.answer_by_command["c0"]
+    image = msgspec.msgpack.decode(msgspec.msgpack.encode(state.image()), type=StateImage)
+    restored = State({})
+    restored.restore(image)
+    again = restored.apply(Entry(term=9, change=Change("c0", 0, "stop_vm", "e9")))
+    assert again == first
+    assert restored.configuration == state.configuration
+    restored.apply(Entry(term=9, change=Change("one more", 0, "stop_vm", "e9")))
+    assert len(restored.answer_by_command) == MAX_ANSWERS
+    assert "c0" not in restored.answer_by_command
