Split the coordinator into runner, home, answers, schedule and rows

Views of other holders are now kept until their next report, and the first free lane is remembered, because both were rebuilt or walked for each burst and task.

--- /dev/null
+++ b/src/apricotpoint/_jobs/home.py
@@ -0,0 +1,74 @@
+"""Claims of caller keys at their home."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.keys import CLOCK_ALLOWANCE_S
+from apricotpoint._core.timers import TimerService
+from apricotpoint._jobs.table import Entry
+from apricotpoint._link.transport import PeerUnreachable
+from apricotpoint._wire.jobs import Claim, ClaimReply
+
+
+class Home:
+    """Asks the key registries on behalf of one incarnation of an entry process."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        incarnation: int,
+        claim: Callable[[Claim], Awaitable[ClaimReply]],
+        timers: TimerService,
+        counters: Counters,
+    ) -> None:
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._claim = claim
+        self._timers = timers
+        self._counters = counters
+
+    async def ask(self, entry: Entry, deadline_at: float, *, check_only: bool) -> ClaimReply | None:
+        """Send a claim, or ask for one, until the deadline; None without a reply."""
+        message = Claim(
+            team=entry.team,
+            key=entry.key,
+            valid_until=int(entry.expires_at - CLOCK_ALLOWANCE_S),
+            fingerprint=entry.fingerprint,
+            entry_id=self._entry_id,
+            incarnation=self._incarnation,
+            check_only=check_only,
+        )
+        self._counters.add("claims.checked" if check_only else "claims.sent")
+        reply: ClaimReply | None = None
+        with anyio.move_on_after(deadline_at - self._timers.now()):
+            try:
+                reply = await self._claim(message)
+            except PeerUnreachable:
+                self._counters.add("claims.unreachable")
+        return reply
+
+    def read(self, entry: Entry, reply: ClaimReply) -> tuple[str, int] | None:
+        """Return the other coordinator named by a reply, None if the key is free or ours.
+
+        Raises `ApricotError` if the key must not be started anywhere.
+        """
+        if reply.code != ResultCode.ACCEPTED:
+            raise ApricotError(ResultCode(reply.code), f"the claim of key {entry.key!r} failed")
+        if not reply.existing or (reply.entry_id, reply.incarnation) == (
+            self._entry_id,
+            self._incarnation,
+        ):
+            return None
+        if reply.entry_id == self._entry_id:
+            raise ApricotError(
+                ResultCode.COORDINATOR_UNREACHABLE,
+                f"key {entry.key!r} belongs to an earlier incarnation of {self._entry_id}",
+            )
+        return reply.entry_id, reply.incarnation
--- a/src/apricotpoint/_jobs/placement.py
+++ b/src/apricotpoint/_jobs/placement.py
@@ -58,19 +58,21 @@
     local: bool
     lanes: list[Lane]
     backlog_s: float = 0.0
-    draining: bool = False
     mean_run_s: float = 0.1
     capacity: float = attrs.field(init=False)
     slots: int = attrs.field(init=False)
+    _first: int = attrs.field(init=False, default=0)
+    _index_by_backend: dict[str, int] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.lanes.sort(key=lambda lane: -lane.speed)
         self.capacity = sum(lane.speed * lane.slots for lane in self.lanes)
         self.slots = sum(lane.slots for lane in self.lanes)
+        self._index_by_backend = {lane.backend_id: i for i, lane in enumerate(self.lanes)}
 
     def wait_s(self) -> float:
         """Return the predicted wait in seconds for a slot."""
-        if any(lane.free > 0 for lane in self.lanes):
+        if self._skip_full() < len(self.lanes):
             return 0.0
         return (self.backlog_s + self.mean_run_s) / max(self.capacity, 0.01)
 
@@ -96,10 +98,11 @@
         if self.backlog_s > 0:
             self.backlog_s = max(self.backlog_s - estimate_s, 0.0)
             return
-        for lane in self.lanes:
-            if lane.backend_id == backend_id:
-                lane.free = min(lane.free + 1, lane.slots)
-                return
+        index = self._index_by_backend.get(backend_id)
+        if index is not None:
+            lane = self.lanes[index]
+            lane.free = min(lane.free + 1, lane.slots)
+            self._first = min(self._first, index)
 
     def finish_s(self, spec: TaskSpec, estimate_s: float) -> float:
         """Return the predicted seconds until a task sent now would end."""
@@ -111,11 +114,20 @@
         return trip_s + self.wait_s() + estimate_s / max(mean_speed, 0.01)
 
     def _free_lane(self, spec: TaskSpec) -> Lane | None:
-        for lane in self.lanes:
+        for index in range(self._skip_full(), len(self.lanes)):
+            lane = self.lanes[index]
             if lane.free > 0 and lane_fits(lane, spec):
                 return lane
         return None
 
+    def _skip_full(self) -> int:
+        """Return the index of the first lane with a free slot."""
+        # The index is kept, because a walk over all lanes for each task would
+        # make the placement of a large job quadratic.
+        while self._first < len(self.lanes) and self.lanes[self._first].free <= 0:
+            self._first += 1
+        return self._first
+
 
 @attrs.define(eq=False)
 class Placed:
--- /dev/null
+++ b/src/apricotpoint/_jobs/rows.py
@@ -0,0 +1,58 @@
+"""Rows of jobs and tasks for operator queries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from apricotpoint._jobs.job import Job, TaskState
+from apricotpoint._jobs.table import Entry
+
+
+def job_row(entry: Entry, *, coordinator: str, now: float) -> dict[str, Any]:
+    """Return the row of a key in the table `jobs`."""
+    row: dict[str, Any] = {
+        "team": entry.team,
+        "key": entry.key,
+        "coordinator": coordinator,
+        "code": entry.code,
+        "state": "finished",
+        "expires_at": entry.expires_at,
+    }
+    job = entry.job
+    if job is None:
+        return row
+    row["state"] = _job_state(job)
+    row["service"] = job.service
+    row["age_s"] = now - job.created_at
+    row["tasks"] = len(job.states)
+    row.update({state.value: count for state, count in job.count_by_state.items()})
+    return row
+
+
+def task_rows(entry: Entry, *, coordinator: str) -> Iterator[dict[str, Any]]:
+    """Yield the rows of an unfinished job in the table `tasks`."""
+    job = entry.job
+    if job is None:
+        return
+    for index, state in enumerate(job.states):
+        yield {
+            "team": entry.team,
+            "key": entry.key,
+            "index": index,
+            "state": state.value,
+            "attempt": job.attempts[index],
+            "kind": job.specs[index].kind if job.specs else "",
+            "service": job.service,
+            "coordinator": coordinator,
+        }
+
+
+def _job_state(job: Job) -> str:
+    if job.deadline_passed:
+        return "late"
+    if job.cancelled:
+        return "cancelling"
+    if job.claim_pending:
+        return "claiming"
+    return "running" if job.count_by_state[TaskState.PLACED] else "waiting"
--- /dev/null
+++ b/src/apricotpoint/_jobs/runner.py
@@ -0,0 +1,441 @@
+"""Runs jobs: hands their tasks to lease holders and collects the outcomes."""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable
+
+import msgspec
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._jobs.answers import Answers
+from apricotpoint._jobs.job import Batch, Job, TaskState
+from apricotpoint._jobs.placement import Placed, TaskView, make_policies
+from apricotpoint._jobs.ports import Estimator, LocalHolder
+from apricotpoint._jobs.schedule import NO_JOB, Schedule
+from apricotpoint._jobs.table import Entry, JobTable
+from apricotpoint._jobs.views import Views
+from apricotpoint._link.transport import Sender, Transport
+from apricotpoint._wire.configuration import Configuration
+from apricotpoint._wire.tasks import (
+    BatchResult,
+    BatchTask,
+    CancelBatch,
+    OutcomeStatus,
+    RunBatch,
+    TaskOutcome,
+)
+
+# Lease holders give up queued tasks this much before the deadline, so that
+# their report arrives in time to prove that nothing started.
+_HOLDER_MARGIN_S = 0.02
+_HOLDER_MARGIN_SHARE = 0.05
+_RETRY_FIRST_S = 0.05
+_RETRY_MAX_S = 0.5
+# Reached after 6 s of retries; a job that waits for a backend server costs no
+# message and is only bounded by its deadline.
+_MAX_PLACEMENTS = 16
+# Cancellations within this time go to a lease holder as one message.
+_CANCEL_WAVE_S = 0.002
+# Bytes counted for a retained answer besides its results.
+_ANSWER_OVERHEAD = 200
+
+_RESTARTABLE = frozenset(
+    {
+        ResultCode.DEADLINE_BEFORE_START,
+        ResultCode.NO_BACKEND,
+        ResultCode.HOME_UNREACHABLE,
+    }
+)
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=repr)
+
+
+class JobRunner:
+    """The open jobs of a coordinator, their batches and the tasks in flight of each team.
+
+    Every method returns at once. A job is closed when each of its tasks has an
+    outcome; its answer is kept in the job table.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        incarnation: int,
+        transport: Transport,
+        timers: TimerService,
+        counters: Counters,
+        random: random_module.Random,
+        holder: LocalHolder,
+        views: Views,
+        estimator: Estimator,
+        configuration: Callable[[], Configuration],
+        answers: Answers,
+        table: JobTable,
+    ) -> None:
+        self.views = views
+        self.entry_by_job: dict[int, Entry] = {}
+        self.unanswered: set[int] = set()
+        self.tasks_by_team: dict[str, int] = {}
+        self.batch_ids_by_holder: dict[tuple[str, int], set[int]] = {}
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._self = Sender(entry_id, incarnation)
+        self._transport = transport
+        self._timers = timers
+        self._counters = counters
+        self._policies = make_policies(random)
+        self._holder = holder
+        self._estimator = estimator
+        self._configuration = configuration
+        self._answers = answers
+        self._table = table
+        table.dropped = self._dropped
+        self._schedule = Schedule(timers=timers, counters=counters, open_jobs=self.entry_by_job)
+        self._batch_by_id: dict[int, Batch] = {}
+        self._cancels_by_holder: dict[tuple[str, int], list[int]] = {}
+        self._next_batch = 0
+        transport.handlers_by_type[BatchResult] = self._handle_result
+
+    async def run(self) -> None:
+        """Keep the deadlines and retries of the jobs."""
+        await self._schedule.run()
+
+    def add(self, entry: Entry, job: Job) -> None:
+        """Open a job; `place` starts it."""
+        entry.job = job
+        job.quota_held = len(job.specs)
+        self.tasks_by_team[job.team] = self.tasks_by_team.get(job.team, 0) + job.quota_held
+        self.entry_by_job[job.number] = entry
+        self.unanswered.add(job.number)
+        self._counters.add("jobs.accepted")
+        self._counters.add("tasks.accepted", len(job.specs))
+        self._schedule.at(job.deadline_at, job.number, self._pass_deadline_of)
+
+    def cancel(self, entry: Entry, job: Job) -> None:
+        """Cancel the tasks of a job. A job whose claim is pending ends when the home answers."""
+        if job.cancelled:
+            return
+        job.cancelled = True
+        self._counters.add("jobs.cancelled")
+        if job.claim_pending:
+            return
+        job.close_waiting()
+        self._cancel_batches(job)
+        self.settle(entry, job)
+
+    def find_lost_holders(self) -> None:
+        """Give up the batches of lease holders that have a new incarnation."""
+        for holder_id, incarnation in list(self.batch_ids_by_holder):
+            if holder_id == self._entry_id:
+                continue
+            if self._transport.incarnation_of(holder_id) not in (None, incarnation):
+                self._lose_holder(holder_id, incarnation)
+
+    def counts(self) -> dict[str, int]:
+        """Return sizes for the state dump."""
+        return {
+            "open_jobs": len(self.entry_by_job),
+            "unanswered_jobs": len(self.unanswered),
+            "open_batches": len(self._batch_by_id),
+            "scheduled": len(self._schedule),
+        }
+
+    def place(self, entry: Entry, job: Job) -> None:
+        """Hand the waiting tasks of a job to lease holders."""
+        indexes = job.waiting()
+        if not indexes:
+            self.settle(entry, job)
+            return
+        tasks = [TaskView(i, job.specs[i], job.estimates_s[i]) for i in indexes]
+        service = self._configuration().service_by_name.get(job.service)
+        name = service.policy if service is not None else "predicted"
+        place = self._policies.get(name, self._policies["predicted"])
+        view = self.views.service(job.service)
+        placed = place(tasks, view.holders) if view.holders else []
+        latest_s = max((item.finish_s for item in placed), default=0.0)
+        placed_by_holder: dict[str, list[Placed]] = {}
+        for item in placed:
+            placed_by_holder.setdefault(item.holder.entry_id, []).append(item)
+        for items in placed_by_holder.values():
+            # Outcomes reported during an earlier send may have ended the job.
+            waiting = [item for item in items if job.states[item.index] is TaskState.WAITING]
+            if waiting:
+                self._send_batch(job, waiting, latest_s)
+        if job.open_tasks() == 0:
+            self.settle(entry, job)
+            return
+        if job.count_by_state[TaskState.WAITING]:
+            self._retry_later(entry, job)
+
+    def _send_batch(self, job: Job, items: list[Placed], latest_s: float) -> None:
+        holder = items[0].holder
+        self._next_batch += 1
+        left_s = job.deadline_at - self._timers.now()
+        margin_s = min(_HOLDER_MARGIN_S, _HOLDER_MARGIN_SHARE * left_s)
+        message = RunBatch(
+            batch_id=self._next_batch,
+            service=job.service,
+            team=job.team,
+            deadline_left_s=left_s - margin_s,
+            tasks=[
+                BatchTask(
+                    start_id=job.place(item.index),
+                    spec=item.spec,
+                    estimate_s=item.estimate_s,
+                    rank=rank,
+                    slack_s=max(latest_s - item.finish_s, 0.0),
+                )
+                for rank, item in enumerate(items)
+            ],
+        )
+        incarnation = holder.incarnation
+        if not holder.local:
+            # The reliable stream is bound to the incarnation that the transport
+            # knows, which may be newer than the load report.
+            incarnation = self._transport.incarnation_of(holder.entry_id) or incarnation
+        batch = Batch(
+            self._next_batch,
+            job,
+            holder.entry_id,
+            incarnation,
+            starts=[(item.index, job.attempts[item.index]) for item in items],
+        )
+        # The holder may report outcomes before `run` returns.
+        job.batch_by_id[batch.batch_id] = batch
+        self._batch_by_id[batch.batch_id] = batch
+        name = (batch.holder_id, batch.incarnation)
+        self.batch_ids_by_holder.setdefault(name, set()).add(batch.batch_id)
+        self._counters.add("tasks.placed", len(items))
+        if holder.local:
+            self._counters.add("batches.local")
+            self._holder.run(self._self, message, self._apply_local)
+            return
+        if self._transport.send(holder.entry_id, message, reliable=True):
+            self._counters.add("batches.remote")
+            for item in items:
+                self.views.sent(job.service, holder.entry_id, item.spec, item.estimate_s)
+            return
+        self._counters.add("batches.not_sent")
+        self._forget_batch(batch)
+        for item in items:
+            job.set_state(item.index, TaskState.WAITING)
+        self.views.invalidate()
+
+    def _retry_later(self, entry: Entry, job: Job) -> None:
+        if job.retry_due:
+            return
+        delay_s = min(_RETRY_FIRST_S * 2 ** min(job.retries, 10), _RETRY_MAX_S)
+        job.retries += 1
+        job.retry_due = True
+        self._counters.add("placements.delayed")
+        self._schedule.at(self._timers.now() + delay_s, job.number, self._retry)
+
+    def _retry(self, number: int) -> None:
+        entry = self.entry_by_job.get(number)
+        if entry is None or entry.job is None:
+            return
+        job = entry.job
+        job.retry_due = False
+        if not (job.cancelled or job.deadline_passed):
+            self.place(entry, job)
+
+    def _apply_local(self, result: BatchResult) -> None:
+        self._apply(self._entry_id, self._incarnation, result)
+
+    def _handle_result(self, sender: Sender, message: object) -> None:
+        assert isinstance(message, BatchResult)
+        self._apply(sender.peer_id, sender.incarnation, message)
+
+    def _apply(self, holder_id: str, incarnation: int, result: BatchResult) -> None:
+        """Apply outcomes; whatever does not match an open start is counted and dropped."""
+        batch = self._batch_by_id.get(result.batch_id)
+        if batch is None or (batch.holder_id, batch.incarnation) != (holder_id, incarnation):
+            self._counters.add("outcomes.unmatched", len(result.outcomes))
+            return
+        job = batch.job
+        entry = self.entry_by_job.get(job.number)
+        if entry is None:
+            self._counters.add("outcomes.unmatched", len(result.outcomes))
+            self._forget_batch(batch)
+            return
+        for outcome in result.outcomes:
+            self._apply_outcome(batch, outcome)
+        if batch.open_tasks == 0:
+            self._forget_batch(batch)
+        if job.is_doomed():
+            job.close_waiting()
+        if job.open_tasks() == 0:
+            self.settle(entry, job)
+        elif job.count_by_state[TaskState.WAITING]:
+            self._retry_later(entry, job)
+
+    def _apply_outcome(self, batch: Batch, outcome: TaskOutcome) -> None:
+        job = batch.job
+        index = job.find(outcome.start_id)
+        was_placed = index is not None and job.states[index] is TaskState.PLACED
+        if index is None or not job.record(index, outcome):
+            self._counters.add("outcomes.unmatched")
+            return
+        self._counters.add(f"outcomes.{outcome.status.value}")
+        if not was_placed:
+            return
+        batch.open_tasks -= 1
+        self._release_quota(job, 1)
+        if outcome.status is OutcomeStatus.NOT_STARTED:
+            self.views.invalidate()
+            self._place_again(job, index)
+            return
+        self.views.ended(job.service, batch.holder_id, outcome.backend_id, job.estimates_s[index])
+        if outcome.status is not OutcomeStatus.DONE:
+            return
+        self.views.learn(job.service, outcome.run_s)
+        # The local holder observes its own runs.
+        if batch.holder_id != self._entry_id and job.specs:
+            spec = job.specs[index]
+            work_s = outcome.run_s * outcome.speed
+            self._estimator.observe(job.service, spec.kind, spec.declared_s, work_s)
+
+    def _place_again(self, job: Job, index: int) -> None:
+        """Let a task that was not started wait again, unless its job cannot succeed."""
+        if job.cancelled or job.deadline_passed or job.attempts[index] >= _MAX_PLACEMENTS:
+            return
+        job.set_state(index, TaskState.WAITING)
+        job.quota_held += 1
+        self.tasks_by_team[job.team] = self.tasks_by_team.get(job.team, 0) + 1
+        self._counters.add("tasks.placed_again")
+
+    def _pass_deadline_of(self, number: int) -> None:
+        entry = self.entry_by_job.get(number)
+        if entry is not None and entry.job is not None:
+            self.pass_deadline(entry, entry.job)
+
+    def pass_deadline(self, entry: Entry, job: Job) -> None:
+        """Answer a job whose deadline has passed and cancel its remaining batches."""
+        if job.closed.is_set() or job.deadline_passed:
+            return
+        job.deadline_passed = True
+        if job.claim_pending:
+            # A reply that comes later must not start anything; the key may
+            # belong to another coordinator.
+            self.close(entry, job, ResultCode.HOME_UNREACHABLE)
+            return
+        job.close_waiting()
+        if job.open_tasks() == 0:
+            self.settle(entry, job)
+            return
+        self._counters.add("jobs.deadline_passed")
+        self._cancel_batches(job)
+        self._release_quota(job, job.quota_held)
+        self.unanswered.discard(job.number)
+        job.specs = []
+        entry.code = ResultCode.DEADLINE_AFTER_START
+        self._table.retain(entry, len(_ENCODER.encode(job.values)))
+
+    def settle(self, entry: Entry, job: Job) -> None:
+        """Close a job whose tasks all have an outcome, or correct its answer."""
+        if job.open_tasks() == 0 and job.number in self.entry_by_job:
+            self.close(entry, job, job.final_code())
+
+    def close(self, entry: Entry, job: Job, code: ResultCode) -> None:
+        """Give a job its answer and forget everything that only running jobs need."""
+        job.answer = answer = self._answers.closing(job, entry.key, code)
+        entry.answer = job.answer
+        entry.code = code
+        entry.restartable = code in _RESTARTABLE
+        if job.deadline_passed:
+            self._counters.add("jobs.closed_late")
+        self._release_quota(job, job.quota_held)
+        self.forget(entry, job)
+        self._counters.add(f"jobs.closed.{int(code)}")
+        self._counters.record("job", self._timers.now() - job.created_at)
+        content = answer.results if answer.results is not None else answer.failed
+        size = len(_ENCODER.encode(content)) if content else 0
+        self._table.retain(entry, size + _ANSWER_OVERHEAD)
+        job.closed.set()
+
+    def _dropped(self, entry: Entry) -> None:
+        """Forget the collected values of a late job, or a retained answer."""
+        self._counters.add("answers.dropped")
+        job = entry.job
+        if job is None or not job.deadline_passed:
+            return
+        self.forget(entry, job)
+
+    def forget(self, entry: Entry, job: Job) -> None:
+        """Drop what only a job with open tasks needs."""
+        for batch in list(job.batch_by_id.values()):
+            self._forget_batch(batch)
+        self.entry_by_job.pop(job.number, None)
+        self.unanswered.discard(job.number)
+        entry.job = None
+
+    def _release_quota(self, job: Job, count: int) -> None:
+        count = min(count, job.quota_held)
+        if not count:
+            return
+        job.quota_held -= count
+        left = self.tasks_by_team[job.team] - count
+        if left:
+            self.tasks_by_team[job.team] = left
+        else:
+            del self.tasks_by_team[job.team]
+
+    def _forget_batch(self, batch: Batch) -> None:
+        batch.job.batch_by_id.pop(batch.batch_id, None)
+        if self._batch_by_id.pop(batch.batch_id, None) is None:
+            return
+        name = (batch.holder_id, batch.incarnation)
+        ids = self.batch_ids_by_holder[name]
+        ids.discard(batch.batch_id)
+        if not ids:
+            del self.batch_ids_by_holder[name]
+
+    def _cancel_batches(self, job: Job) -> None:
+        """Send a cancellation of the open batches of a job with the present wave."""
+        for batch in job.batch_by_id.values():
+            if batch.cancel_sent:
+                continue
+            batch.cancel_sent = True
+            if not self._cancels_by_holder:
+                self._schedule.at(self._timers.now() + _CANCEL_WAVE_S, NO_JOB, self._send_cancels)
+            name = (batch.holder_id, batch.incarnation)
+            self._cancels_by_holder.setdefault(name, []).append(batch.batch_id)
+
+    def _send_cancels(self, _: int) -> None:
+        cancels, self._cancels_by_holder = self._cancels_by_holder, {}
+        for (holder_id, incarnation), batch_ids in cancels.items():
+            open_ids = [item for item in batch_ids if item in self._batch_by_id]
+            if not open_ids:
+                continue
+            self._counters.add("cancels.sent")
+            if (holder_id, incarnation) == (self._entry_id, self._incarnation):
+                self._holder.cancel(self._self, open_ids)
+            elif not self._transport.send(
+                holder_id, CancelBatch(batch_ids=open_ids), reliable=True
+            ):
+                self._counters.add("cancels.not_sent")
+                for batch_id in open_ids:
+                    # The deadline of the job repeats the cancellation.
+                    self._batch_by_id[batch_id].cancel_sent = False
+
+    def _lose_holder(self, holder_id: str, incarnation: int) -> None:
+        """Mark the open tasks of a lost incarnation as unknown."""
+        self._counters.add("holders.lost")
+        jobs: dict[int, Job] = {}
+        for batch_id in list(self.batch_ids_by_holder.get((holder_id, incarnation), ())):
+            batch = self._batch_by_id[batch_id]
+            jobs[batch.job.number] = batch.job
+            for index, attempt in batch.starts:
+                job = batch.job
+                if job.attempts[index] == attempt and job.states[index] is TaskState.PLACED:
+                    job.set_state(index, TaskState.UNKNOWN)
+                    self._release_quota(job, 1)
+            self._forget_batch(batch)
+        for number, job in jobs.items():
+            job.close_waiting()
+            entry = self.entry_by_job.get(number)
+            if entry is not None:
+                self.settle(entry, job)
--- a/src/apricotpoint/_jobs/views.py
+++ b/src/apricotpoint/_jobs/views.py
@@ -7,9 +7,9 @@
 import attrs
 
 from apricotpoint._core.timers import TimerService
-from apricotpoint._jobs.placement import HolderView, Lane, lane_fits
+from apricotpoint._jobs.placement import REMOTE_ROUND_TRIP_S, HolderView, Lane, lane_fits
 from apricotpoint._jobs.ports import ClusterView, EntryView, LocalHolder
-from apricotpoint._wire.load import BackendLoad
+from apricotpoint._wire.load import BackendLoad, LoadReport
 from apricotpoint._wire.tasks import TaskSpec
 
 # A holder not heard from for this long gets no new batches.
@@ -19,20 +19,20 @@
 _REBUILD_S = 0.02
 _MAX_SENT = 1_000
 _MEAN_DECAY = 0.05
+_FIRST_MEAN_S = 0.1
 
 
 @attrs.define(eq=False)
 class ServiceView:
-    """The holders and all known backend servers of a service."""
+    """The holders of a service with available backend servers, and all its known ones."""
 
-    holders: list[HolderView]
-    known: list[BackendLoad]
-    holder_by_id: dict[str, HolderView]
-    queued_tasks: int
+    holders: list[HolderView] = attrs.Factory(list)
+    known: list[list[BackendLoad]] = attrs.Factory(list)
+    queued_tasks: int = 0
 
     def could_ever_run(self, spec: TaskSpec) -> bool:
         """Return whether some known backend server has the resources for a task."""
-        return any(lane_fits(load, spec) for load in self.known)
+        return any(lane_fits(load, spec) for loads in self.known for load in loads)
 
     def wait_s(self) -> float:
         """Return the smallest predicted wait in seconds for a slot."""
@@ -46,6 +46,18 @@
         return (work_s + sum(holder.backlog_s for holder in self.holders)) / capacity
 
 
+@attrs.define(eq=False)
+class _HolderLoad:
+    """What one report says of each service; kept until the next report."""
+
+    report: LoadReport | None
+    incarnation: int
+    loads_by_service: dict[str, list[BackendLoad]]
+    holder_by_service: dict[str, HolderView]
+    queued_tasks: int
+    draining: bool
+
+
 @attrs.frozen
 class _Sent:
     sent_at: float
@@ -72,8 +84,9 @@
         self._timers = timers
         self._built_at = float("-inf")
         self._view_by_service: dict[str, ServiceView] = {}
+        self._load_by_holder: dict[str, _HolderLoad] = {}
         self._live: list[EntryView] = []
-        self._sent_by_holder: dict[tuple[str, str], deque[_Sent]] = {}
+        self._sent_by_holder: dict[str, dict[str, deque[_Sent]]] = {}
         self._mean_run_s_by_service: dict[str, float] = {}
 
     def live(self) -> list[EntryView]:
@@ -85,21 +98,22 @@
         """Return the view of a service; its holders have available backend servers."""
         self._refresh()
         view = self._view_by_service.get(name)
-        return view if view is not None else ServiceView([], [], {}, 0)
+        return view if view is not None else ServiceView()
 
     def sent(self, service: str, entry_id: str, spec: TaskSpec, estimate_s: float) -> None:
         """Remember a task sent to another holder until a report includes it."""
         if entry_id == self._entry_id:
             return
-        sent = self._sent_by_holder.get((entry_id, service))
+        sent_by_service = self._sent_by_holder.setdefault(entry_id, {})
+        sent = sent_by_service.get(service)
         if sent is None:
-            sent = self._sent_by_holder[(entry_id, service)] = deque(maxlen=_MAX_SENT)
+            sent = sent_by_service[service] = deque(maxlen=_MAX_SENT)
         sent.append(_Sent(self._timers.now(), spec, estimate_s))
 
     def ended(self, service: str, entry_id: str, backend_id: str, estimate_s: float) -> None:
         """Count the end of a task at a holder."""
-        view = self._view_by_service.get(service)
-        holder = view.holder_by_id.get(entry_id) if view else None
+        load = self._load_by_holder.get(entry_id)
+        holder = load.holder_by_service.get(service) if load is not None else None
         if holder is not None:
             holder.give_back(backend_id, estimate_s)
 
@@ -121,69 +135,90 @@
             return
         self._built_at = now
         self._live = list(self._cluster.live(MAX_REPORT_AGE_S))
-        self._view_by_service = {}
-        self._add(
-            self._entry_id,
-            self._incarnation,
-            loads=self._holder.backend_loads(),
-            queued_s_by_service=self._holder.queued_s_by_service(),
-            queued_tasks=self._holder.queued_tasks(),
-        )
+        loads = {
+            self._entry_id: self._make_load(
+                self._entry_id,
+                self._incarnation,
+                report=None,
+                backends=self._holder.backend_loads(),
+                queued_s_by_service=self._holder.queued_s_by_service(),
+                queued_tasks=self._holder.queued_tasks(),
+            )
+        }
         for item in self._live:
             if item.entry_id == self._entry_id:
                 continue
-            self._add(
-                item.entry_id,
-                item.incarnation,
-                loads=item.report.backends,
-                queued_s_by_service=item.report.queued_s_by_service,
-                queued_tasks=item.report.queued_tasks,
-                draining=item.report.draining,
-                made_at=now - item.age_s,
-            )
+            known = self._load_by_holder.get(item.entry_id)
+            if known is None or known.report is not item.report:
+                known = self._make_load(
+                    item.entry_id,
+                    item.incarnation,
+                    report=item.report,
+                    backends=item.report.backends,
+                    queued_s_by_service=item.report.queued_s_by_service,
+                    queued_tasks=item.report.queued_tasks,
+                )
+                self._count_sent(item.entry_id, known, made_at=now - item.age_s)
+            loads[item.entry_id] = known
+        self._load_by_holder = loads
+        for entry_id in self._sent_by_holder.keys() - loads.keys():
+            del self._sent_by_holder[entry_id]
+        self._view_by_service = {}
+        for load in loads.values():
+            for service, backends in load.loads_by_service.items():
+                view = self._view_by_service.setdefault(service, ServiceView())
+                view.known.append(backends)
+                view.queued_tasks += load.queued_tasks
+                holder = load.holder_by_service.get(service)
+                if holder is not None:
+                    view.holders.append(holder)
         for view in self._view_by_service.values():
-            staying = [holder for holder in view.holders if not holder.draining]
-            if staying:
-                view.holders[:] = staying
+            # A draining holder hands its backend servers over, so it is used
+            # only when no other holder is left.
+            staying = [item for item in view.holders if not loads[item.entry_id].draining]
+            view.holders = staying or view.holders
 
-    def _add(
+    def _make_load(
         self,
         entry_id: str,
         incarnation: int,
         *,
-        loads: list[BackendLoad],
+        report: LoadReport | None,
+        backends: list[BackendLoad],
         queued_s_by_service: dict[str, float],
         queued_tasks: int,
-        draining: bool = False,
-        made_at: float | None = None,
-    ) -> None:
+    ) -> _HolderLoad:
         loads_by_service: dict[str, list[BackendLoad]] = {}
-        for load in loads:
+        for load in backends:
             loads_by_service.setdefault(load.service, []).append(load)
-        for service, of_service in loads_by_service.items():
-            view = self._view_by_service.get(service)
-            if view is None:
-                view = self._view_by_service[service] = ServiceView([], [], {}, 0)
-            view.known.extend(of_service)
-            view.queued_tasks += queued_tasks
-            available = [load for load in of_service if load.available and load.slots > 0]
-            if not available:
-                continue
-            holder = HolderView(
-                entry_id=entry_id,
-                incarnation=incarnation,
-                local=entry_id == self._entry_id,
-                lanes=[Lane.from_load(load) for load in available],
-                backlog_s=queued_s_by_service.get(service, 0.0),
-                draining=draining,
-                mean_run_s=self._mean_run_s_by_service.get(service, 0.1),
-            )
-            view.holders.append(holder)
-            view.holder_by_id[entry_id] = holder
-            sent = self._sent_by_holder.get((entry_id, service))
-            if sent is None or made_at is None:
-                continue
-            while sent and sent[0].sent_at < made_at:
+        holder_by_service: dict[str, HolderView] = {}
+        for service, loads in loads_by_service.items():
+            lanes = [Lane.from_load(load) for load in loads if load.available and load.slots > 0]
+            if lanes:
+                holder_by_service[service] = HolderView(
+                    entry_id=entry_id,
+                    incarnation=incarnation,
+                    local=entry_id == self._entry_id,
+                    lanes=lanes,
+                    backlog_s=queued_s_by_service.get(service, 0.0),
+                    mean_run_s=self._mean_run_s_by_service.get(service, _FIRST_MEAN_S),
+                )
+        return _HolderLoad(
+            report=report,
+            incarnation=incarnation,
+            loads_by_service=loads_by_service,
+            holder_by_service=holder_by_service,
+            queued_tasks=queued_tasks,
+            draining=report is not None and report.draining,
+        )
+
+    def _count_sent(self, entry_id: str, load: _HolderLoad, *, made_at: float) -> None:
+        """Add the tasks that were sent after the report was made."""
+        for service, sent in self._sent_by_holder.get(entry_id, {}).items():
+            while sent and sent[0].sent_at < made_at - REMOTE_ROUND_TRIP_S / 2:
                 sent.popleft()
+            holder = load.holder_by_service.get(service)
+            if holder is None:
+                continue
             for item in sent:
                 holder.take(item.spec, item.estimate_s)
--- /dev/null
+++ b/testing/jobs/test_placement.py
@@ -0,0 +1,127 @@
+"""Tasks go where they end first, with few batches; what was sent since a report counts."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import attrs
+import pytest
+from jobs_fakes import FakeEntry, FakeSystem, load, play, request, submit_later
+
+from apricotpoint._jobs.placement import HolderView, Lane, TaskView, make_policies, predicted
+from apricotpoint._jobs.table import Entry, JobTable
+from apricotpoint._wire.configuration import ServiceConfig
+from apricotpoint._wire.jobs import Answer
+from apricotpoint._wire.tasks import RunBatch, TaskSpec
+
+
+def holder(name: str, *lanes: tuple[float, int], local: bool = False, backlog_s: float = 0.0):
+    made = [
+        Lane.from_load(load(f"{name}{i}", slots=4, free=free, speed=speed))
+        for i, (speed, free) in enumerate(lanes)
+    ]
+    return HolderView(name, 1, local, made, backlog_s)
+
+
+def tasks(*seconds: float):
+    return [TaskView(i, TaskSpec("cut"), s) for i, s in enumerate(seconds)]
+
+
+@pytest.mark.parametrize(
+    ("local", "remote", "expected"),
+    [
+        ((1.0, 4, 0.0), (1.05, 4, 0.0), "local"),
+        ((1.0, 4, 0.0), (2.0, 4, 0.0), "remote"),
+        ((1.0, 0, 9.0), (1.0, 4, 0.0), "remote"),
+        ((1.0, 0, 9.0), (1.0, 0, 9.0), "local"),
+    ],
+)
+def test_single_task_stays_local_unless_another_ends_clearly_earlier(
+    local: tuple, remote: tuple, expected: str
+):
+    holders = [
+        holder("remote", remote[:2], backlog_s=remote[2]),
+        holder("local", local[:2], local=True, backlog_s=local[2]),
+    ]
+    assert [item.holder.entry_id for item in predicted(tasks(0.1), holders)] == [expected]
+
+
+def test_longest_task_gets_the_fastest_slot_and_full_holders_are_left():
+    holders = [holder("a", (1.0, 2), local=True), holder("b", (3.0, 1), (0.5, 1))]
+    placed = {item.index: item.holder.entry_id for item in predicted(tasks(0.1, 0.9, 0.3), holders)}
+    assert placed == {1: "b", 2: "a", 0: "a"}
+    # A slot that was given back is found again.
+    holders[1].give_back("b0", 0.9)
+    assert predicted(tasks(0.9), holders)[0].holder.entry_id == "b"
+
+
+def test_tasks_go_only_where_their_resources_exist():
+    small, large = holder("a", (1.0, 4), local=True), holder("b", (0.1, 0))
+    for lane in large.lanes:
+        lane.memory_mb = 500_000
+    task = TaskView(0, TaskSpec("cut", memory_mb=200_000), 0.1)
+    for place in make_policies(random.Random(5)).values():
+        assert [item.holder.entry_id for item in place([task], [small, large])] == ["b"]
+        assert place([task], [small]) == []
+
+
+def test_baselines_place_every_task_and_only_the_load_aware_ones_avoid_a_full_holder():
+    policies = make_policies(random.Random(5))
+    share_by_name = {}
+    for name, place in policies.items():
+        holders = [holder("a", (1.0, 0), backlog_s=50.0), holder("b", *[(1.0, 4)] * 20)]
+        placed = place(tasks(*[0.1] * 40), holders)
+        assert sorted(item.index for item in placed) == list(range(40))
+        share_by_name[name] = sum(item.holder.entry_id == "a" for item in placed)
+    assert share_by_name["predicted"] == share_by_name["least_outstanding"] == 0
+    assert share_by_name["round_robin"] == 20
+    assert share_by_name["two_choices"] <= share_by_name["random"] <= 20
+
+
+def test_tasks_sent_since_the_report_are_not_placed_on_the_same_slots_again():
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        c = await system.start("c")
+        a.holder.loads, a.holder.run_s = [], 3.0
+        b.holder.loads, c.holder.loads = [load("b1", free=4)], [load("c1", free=4)]
+        b.holder.run_s = c.holder.run_s = 0.5
+        answers: list[Answer] = []
+        async with anyio.create_task_group() as group:
+            for key in a.coordinator.issue_keys(8):
+                group.start_soon(submit_later, a, request(key), answers)
+        assert [answer.code for answer in answers] == [1000] * 8
+        assert (len(b.holder.batches), len(c.holder.batches)) == (4, 4)
+
+    play(scenario)
+
+
+def test_a_job_takes_one_batch_for_each_holder_and_follows_the_policy_of_its_service():
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        key, other = a.coordinator.issue_keys(2)
+        assert (await a.coordinator.submit(request(key, 16))).code == 1000
+        batches = [message for _, message in a.transport.sent if isinstance(message, RunBatch)]
+        assert (len(batches), len(a.holder.batches)) == (1, 1)
+        hem = ServiceConfig("hem", policy="round_robin")
+        system.configuration = attrs.evolve(system.configuration, service_by_name={"hem": hem})
+        assert (await a.coordinator.submit(request(other, 2))).code == 1000
+        assert [len(batch.tasks) for batch, _ in b.holder.batches][-1] == 1
+
+    play(scenario)
+
+
+def test_retained_answers_stay_within_their_bounds_and_entries_until_expiry():
+    dropped = []
+    table = JobTable(
+        dropped=lambda entry: dropped.append(entry.key), max_entries=5, max_answer_bytes=100
+    )
+    entries = [Entry("t", f"k{i}", "f", 10.0 + i) for i in range(6)]
+    assert [table.add(entry) for entry in entries] == [True] * 5 + [False]
+    for entry in entries:
+        table.retain(entry, 40)
+    assert dropped == ["k0", "k1", "k2"]
+    assert table.retained_bytes == 80
+    assert [entry.key for entry in table.expire(12.0)] == ["k0", "k1"]
+    assert table.get("t", "k2") is entries[2]
+    table.remove(entries[4])
+    assert table.retained_bytes == 40
+    assert table.add(entries[5])
