Split the lease holder into modules with one job each

Behaviour is unchanged. The holder keeps its interface and composes parts for announcements, binding, sending, lost answers, results, outcomes, expiry, cancellation and pauses, which share one context.

--- /dev/null
+++ b/src/apricotpoint/_dispatch/cancellation.py
@@ -0,0 +1,65 @@
+"""Cancellation of batches at their lease holder."""
+
+from __future__ import annotations
+
+import logbook
+
+from apricotpoint._dispatch.backend import BackendView
+from apricotpoint._dispatch.context import HolderContext
+from apricotpoint._dispatch.exchange import CancelOnBackend
+from apricotpoint._dispatch.outcomes import Outcomes
+from apricotpoint._dispatch.queue import TaskState
+from apricotpoint._link.transport import Sender
+
+_LOG = logbook.Logger(__name__)
+
+
+class Cancellation:
+    """Cancels queued tasks at once and sent tasks with one message per backend server and pass."""
+
+    def __init__(
+        self, context: HolderContext, outcomes: Outcomes, cancel_on_backend: CancelOnBackend
+    ) -> None:
+        self._context = context
+        self._outcomes = outcomes
+        self._cancel_on_backend = cancel_on_backend
+        self._to_cancel: dict[int, BackendView] = {}
+
+    def cancel(self, coordinator: Sender, batch_ids: list[int]) -> None:
+        """Cancel batches of a coordinator."""
+        for batch_id in batch_ids:
+            batch = self._outcomes.open_batch(coordinator, batch_id)
+            if batch is None:
+                self._context.counters.add("holder.wasted.cancel_unknown")
+                continue
+            queue = self._context.service(batch.service).queue
+            self._outcomes.refuse(queue.remove(batch), "cancelled", "cancelled before start")
+            for task in batch.tasks:
+                if task.cancelled or task.state not in (TaskState.BOUND, TaskState.SENT):
+                    continue
+                task.cancelled = True
+                if task.state is TaskState.SENT and task.view:
+                    task.view.cancel_ids.append(task.spec.start_id)
+                    self._to_cancel[id(task.view)] = task.view
+                    self._context.wake.set()
+
+    def pending(self) -> bool:
+        """Return whether messages are to be sent in the next pass."""
+        return bool(self._to_cancel)
+
+    def flush(self) -> None:
+        """Send the cancellations collected since the last pass."""
+        views, self._to_cancel = self._to_cancel, {}
+        for view in views.values():
+            start_ids, view.cancel_ids = view.cancel_ids, []
+            still_sent = [start_id for start_id in start_ids if start_id in view.busy_by_start]
+            if still_sent and not view.dead:
+                self._context.counters.add("holder.cancel_messages")
+                self._context.tasks().start_soon(self._send, view, still_sent)
+
+    async def _send(self, view: BackendView, start_ids: list[str]) -> None:
+        try:
+            await self._cancel_on_backend(view.address, start_ids)
+        except Exception:
+            self._context.counters.add("holder.cancel_errors")
+            _LOG.exception("cancel message to backend server {} failed", view.backend_id)
--- /dev/null
+++ b/src/apricotpoint/_dispatch/context.py
@@ -0,0 +1,114 @@
+"""What the parts of the lease holder share: services, backend servers and wake-ups."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+
+import anyio
+import anyio.abc
+import attrs
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._dispatch.backend import BackendView
+from apricotpoint._dispatch.binding import Policy
+from apricotpoint._dispatch.cluster import Cluster
+from apricotpoint._dispatch.estimator import KindEstimator
+from apricotpoint._dispatch.queue import FairQueue, HeldTask
+from apricotpoint._link.transport import Transport
+from apricotpoint._wire.announce import HolderName
+from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
+
+# Other entry processes not heard from for this time get nothing new.
+LIVE_S = 1.0
+
+# A team that the configuration in force here does not have yet.
+_DEFAULT_TEAM = TeamConfig("")
+
+
+@attrs.define(eq=False)
+class Service:
+    """Queue and backend servers of one service at this holder."""
+
+    name: str
+    queue: FairQueue
+    policy_name: str = ""
+    policy: Policy | None = None
+    view_by_id: dict[str, BackendView] = attrs.Factory(dict)
+    eligible_ids: set[str] = attrs.Factory(set)
+    without_backend_since: float | None = None
+    revisit_at: float = math.inf
+
+
+@attrs.define(eq=False)
+class HolderContext:
+    """External dependencies and shared state of the parts of one lease holder.
+
+    `dirty` names the services to be bound in the next pass; `wake` is set when
+    a pass is due.
+    """
+
+    name: HolderName
+    transport: Transport
+    timers: TimerService
+    counters: Counters
+    random: Random
+    cluster: Cluster
+    estimator: KindEstimator
+    configuration: Callable[[], Configuration]
+    draining: Callable[[], bool]
+    service_by_name: dict[str, Service] = attrs.Factory(dict)
+    view_by_id: dict[str, BackendView] = attrs.Factory(dict)
+    blocked: frozenset[str] = frozenset()
+    dirty: set[str] = attrs.Factory(set)
+    wake: anyio.Event = attrs.Factory(anyio.Event)
+    group: anyio.abc.TaskGroup | None = None
+    _applied: Configuration | None = None
+
+    def tasks(self) -> anyio.abc.TaskGroup:
+        """Return the task group of the holder, which must have been entered."""
+        assert self.group is not None
+        return self.group
+
+    def service(self, name: str) -> Service:
+        """Return the state of a service, new if the holder has none yet."""
+        service = self.service_by_name.get(name)
+        if service is None:
+            service = self.service_by_name[name] = Service(name, FairQueue(self._share))
+        return service
+
+    def rules(self, service: str) -> ServiceConfig:
+        """Return the configuration of a service."""
+        return self.configuration().service_by_name.get(service) or ServiceConfig(service)
+
+    def apply_configuration(self) -> None:
+        """Update the backend servers after a change of the configuration."""
+        configuration = self.configuration()
+        if configuration is self._applied:
+            return
+        self._applied = configuration
+        self.blocked = frozenset(configuration.drained_backends + configuration.stopped_backends)
+        for view in self.view_by_id.values():
+            view.blocked = view.backend_id in self.blocked
+            view.guards = self.rules(view.announcement.service).guards
+
+    def mark(self, service: Service) -> None:
+        """Have a service bound in the next pass."""
+        self.dirty.add(service.name)
+        self.wake.set()
+
+    def queued_tasks(self) -> int:
+        """Return the number of tasks that wait for a slot."""
+        return sum(service.queue.count for service in self.service_by_name.values())
+
+    def _share(self, team: str) -> float:
+        rules = self.configuration().team_by_name.get(team)
+        rules = rules or _DEFAULT_TEAM
+        return rules.quota_tasks * rules.weight
+
+
+def fits_any(task: HeldTask, views: list[BackendView]) -> bool:
+    """Return whether one of the backend servers has what the task needs."""
+    return any(view.fits(task.spec.spec) for view in views)
--- /dev/null
+++ b/src/apricotpoint/_dispatch/sending.py
@@ -0,0 +1,138 @@
+"""Exchanges with backend servers: the check before each send, and the results."""
+
+from __future__ import annotations
+
+import anyio
+import logbook
+
+from apricotpoint._dispatch.backend import BackendView
+from apricotpoint._dispatch.budget import RetryBudget
+from apricotpoint._dispatch.context import HolderContext
+from apricotpoint._dispatch.exchange import (
+    AnswerLostError,
+    NotSentError,
+    RunStatus,
+    SendToBackend,
+    Start,
+    StartResult,
+)
+from apricotpoint._dispatch.expiry import Expiry
+from apricotpoint._dispatch.lost import LostAnswers
+from apricotpoint._dispatch.pause import PauseDetector
+from apricotpoint._dispatch.queue import HeldTask, TaskState
+from apricotpoint._dispatch.results import Results
+
+_LOG = logbook.Logger(__name__)
+
+
+class Sending:
+    """Sends bound tasks, several of one batch in one exchange."""
+
+    def __init__(
+        self,
+        context: HolderContext,
+        *,
+        pause: PauseDetector,
+        expiry: Expiry,
+        results: Results,
+        lost: LostAnswers,
+        budget: RetryBudget,
+        send_to_backend: SendToBackend,
+    ) -> None:
+        self._context = context
+        self._counters = context.counters
+        self._pause = pause
+        self._expiry = expiry
+        self._results = results
+        self._lost = lost
+        self._budget = budget
+        self._send_to_backend = send_to_backend
+
+    def start(self, exchanges: list[list[HeldTask]]) -> None:
+        """Start one exchange for each list of tasks bound to one backend server."""
+        for tasks in exchanges:
+            view = tasks[0].view
+            assert view is not None
+            self._context.tasks().start_soon(self._exchange, view, tasks)
+
+    async def _exchange(self, view: BackendView, tasks: list[HeldTask]) -> None:
+        starts = self._prepare(view, tasks)
+        if not starts:
+            return
+        pending = {start.start_id: view.busy_by_start[start.start_id] for start in starts}
+        answered = 0
+        not_sent: NotSentError | None = None
+        scope = anyio.CancelScope()
+        view.exchanges.add(scope)
+        try:
+            with scope:
+                async for result in self._send_to_backend(view.address, starts):
+                    answered += self._take_result(view, pending, result)
+        except NotSentError as error:
+            not_sent = error
+        except AnswerLostError:
+            self._counters.add("holder.answers_lost")
+            view.network_failed(self._context.timers.now())
+        except Exception:
+            # A fault in one exchange must not end the others; its tasks are asked for.
+            self._counters.add("holder.exchange_errors")
+            _LOG.exception("exchange with backend server {} failed", view.backend_id)
+        finally:
+            view.exchanges.discard(scope)
+        self._context.mark(self._context.service(view.announcement.service))
+        if not_sent and not answered:
+            self._return_unsent(view, list(pending.values()), not_sent)
+            return
+        for task in pending.values():
+            self._lost.follow(view, task)
+
+    def _prepare(self, view: BackendView, tasks: list[HeldTask]) -> list[Start]:
+        """Check each task immediately before the send and mark it as sent."""
+        now = self._context.timers.now()
+        self._pause.check(now)
+        self._context.apply_configuration()
+        may_send = view.eligible(now)
+        starts: list[Start] = []
+        returned: list[HeldTask] = []
+        for task in tasks:
+            left_s = task.batch.deadline_at - now
+            if may_send and not task.cancelled and left_s > 0:
+                task.state = TaskState.SENT
+                task.sent_at = now
+                self._budget.sent(now)
+                spec = task.spec
+                starts.append(
+                    Start(spec.start_id, spec.spec.kind, spec.spec.payload, int(left_s * 1000))
+                )
+                continue
+            view.release(task)
+            returned.append(task)
+        self._expiry.give_back(returned, now)
+        if starts:
+            self._counters.add("holder.exchanges")
+            self._counters.add("holder.sent", len(starts))
+        return starts
+
+    def _return_unsent(self, view: BackendView, tasks: list[HeldTask], error: NotSentError) -> None:
+        now = self._context.timers.now()
+        view.network_failed(now)
+        if error.refused:
+            self._counters.add("holder.wasted.refused")
+        else:
+            self._counters.add("holder.connect_errors")
+        for task in tasks:
+            view.release(task)
+        self._counters.add("holder.not_sent", len(tasks))
+        self._expiry.give_back(tasks, now)
+
+    def _take_result(
+        self, view: BackendView, pending: dict[str, HeldTask], result: StartResult
+    ) -> int:
+        if result.status in (RunStatus.RUNNING, RunStatus.UNKNOWN):
+            return 0
+        task = pending.pop(result.start_id, None)
+        if task is None or task.state is not TaskState.SENT:
+            self._counters.add("holder.wasted.unknown_result")
+            return 0
+        self._results.finish(view, task, result)
+        return 1
