--- a/src/apricotpoint/_jobs/table.py
+++ b/src/apricotpoint/_jobs/table.py
@@ -12,7 +12,8 @@
 from apricotpoint._jobs.job import Job
 from apricotpoint._wire.jobs import Answer
 
-# One entry takes about 0.6 kB without its answer, so a full table takes about 120 MB.
+# A finished job of one task takes 1.1 kB with its answer (tracemalloc), so a
+# full table takes about 220 MB and the bytes of the retained answers.
 MAX_ENTRIES = 200_000
 MAX_ANSWERS = 20_000
 MAX_ANSWER_BYTES = 16_000_000
--- a/testing/jobs/test_coordinator.py
+++ b/testing/jobs/test_coordinator.py
@@ -332,6 +332,10 @@
             ]
             if second is OutcomeStatus.NOT_STARTED:
                 outcomes.reverse()
+            lost = [attrs.evolve(item, status=OutcomeStatus.UNKNOWN) for item in outcomes]
+            a.transport.handlers_by_type[BatchResult](
+                Sender("b", 1), BatchResult(batch.batch_id, lost)
+            )
             stale = attrs.evolve(outcomes[0], start_id="1.99.0.1")
             broken = attrs.evolve(outcomes[0], start_id="nonsense")
             reply(BatchResult(batch.batch_id, [stale, broken, outcomes[0], outcomes[0]]))
@@ -375,6 +379,7 @@
             if lost == "restart":
                 await system.start("b", incarnation=2)
         assert codes(answers) == [3103 if lost == "cut" else 3106]
+        assert a.coordinator.dump()["tasks_by_team"] == {}
         assert lost == "cut" or anyio.current_time() - start < 0.5
         assert sum(isinstance(message, RunBatch) for _, message in a.transport.sent) == 1
 
@@ -490,6 +495,12 @@
             assert not a.coordinator.idle()
         assert codes(answers) == [1000]
         assert a.coordinator.idle()
+        # Without any job, an issued key still keeps the process from stopping.
+        issue(b)
+        b.coordinator.start_draining()
+        assert not b.coordinator.idle()
+        await anyio.sleep(6)
+        assert b.coordinator.idle()
 
     play(scenario)
 
@@ -502,6 +513,10 @@
         assert len(forwards) == 1
         assert forwards[0].request.deadline_ms < job.deadline_ms
         assert not a.transport.sent
+        foreign = SubmitForward(request("order-1"), attach_only=False)
+        reply = await b.transport.request("a", foreign, timeout_s=1.0)
+        assert (reply.answer.code, system.claim_by_key) == (3101, {})
+        b.transport.sent.pop()
         await b.coordinator.cancel("t", job.key)
         assert [type(m) for _, m in b.transport.sent[1:]] == [CancelForward]
         json.dumps([a.coordinator.dump(), a.coordinator.rows(), a.coordinator.rows("tasks")])
--- a/testing/jobs/test_placement.py
+++ b/testing/jobs/test_placement.py
@@ -87,8 +87,10 @@
         b.holder.run_s = c.holder.run_s = 0.5
         answers: list[Answer] = []
         async with anyio.create_task_group() as group:
-            for key in a.coordinator.issue_keys(8):
+            for number, key in enumerate(a.coordinator.issue_keys(8)):
                 group.start_soon(submit_later, a, request(key), answers)
+                if number == 3:
+                    await anyio.sleep(0.03)
         assert [answer.code for answer in answers] == [1000] * 8
         assert (len(b.holder.batches), len(c.holder.batches)) == (4, 4)
 
