Test a job that fails during its placement, and repeated cancellations

Both were deliberate defects that the suite let through: a second batch for a job whose first batch was lost at once, and one CancelBatch for each call.

Seen: both defects fail the suite now.

--- a/testing/jobs/test_coordinator.py
+++ b/testing/jobs/test_coordinator.py
@@ -523,3 +523,35 @@
         assert [row["code"] for row in a.coordinator.rows()] == [1000]
 
     play(scenario)
+
+
+def test_job_that_fails_while_it_is_placed_sends_no_further_batch():
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        a.holder.run_s = None
+        run = a.holder.run
+
+        def lose(sender: Sender, batch: RunBatch, reply: Reply) -> None:
+            run(sender, batch, reply)
+            a.holder.report(len(a.holder.batches) - 1, OutcomeStatus.UNKNOWN)
+
+        a.holder.run = lose
+        assert (await a.coordinator.submit(request(issue(a), 16))).code == 3106
+        assert len(a.holder.batches) + len(b.holder.batches) == 1
+
+    play(scenario)
+
+
+def test_repeated_cancellation_sends_no_second_message():
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        a.holder.run_s, cancels = None, []
+        a.holder.cancel = lambda sender, batch_ids: cancels.append(batch_ids)
+        job = request(issue(a))
+        answers: list[Answer] = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit_later, a, job, answers)
+            for _ in range(3):
+                await anyio.sleep(0.1)
+                group.start_soon(a.coordinator.cancel, "t", job.key)
+        assert (codes(answers), len(cancels)) == ([3104], 1)
+
+    play(scenario)
