Test that an entry or a vote counts only once it is synced

Seen: the suite passed with the candidate's own vote not synced, and with the leader's own entry counted before its sync.

--- a/testing/control/test_replication.py
+++ b/testing/control/test_replication.py
@@ -10,6 +10,7 @@
 from network import IDS, Cluster, Disk, wait_until, with_cluster
 
 from apricotpoint._control.messages import Entry
+from apricotpoint._control.replica import Role
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._link.transport import PeerUnreachable
 from apricotpoint._wire.jobs import Claim, ClaimReply
@@ -448,3 +449,43 @@
         assert cluster.exit_code_by_id["c1"] == ResultCode.OLD_DISK
 
     with_cluster(test, tmp_path)
+
+
+@pytest.mark.parametrize("slow", ["leader", "follower"])
+def test_entry_counts_only_where_it_is_synced(tmp_path: Path, slow: str):
+    """A crash before the sync would leave a committed entry on a minority."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        await cluster.kill(others(leader)[0])
+        replica = cluster.node(leader).replica
+        committed = replica.commit_index
+        slow_id = leader if slow == "leader" else others(leader)[1]
+        cluster.disk_by_id[slow_id].sync_s = 1.0
+        async with anyio.create_task_group() as group:
+            group.start_soon(change_at, cluster, leader, 0)
+            await anyio.sleep(0.5)
+            follower = cluster.node(others(leader)[1]).replica
+            assert follower.log.last_index == replica.log.last_index == committed + 1
+            assert replica.commit_index == committed
+
+    with_cluster(test, tmp_path)
+
+
+def test_candidate_syncs_its_own_vote_before_it_asks(tmp_path: Path):
+    """A candidate that forgets its own vote could vote for another in the same term."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        rest = others(leader)
+        for node_id in rest:
+            cluster.disk_by_id[node_id].sync_s = 0.4
+        await cluster.kill(leader)
+        replicas = [cluster.node(node_id).replica for node_id in rest]
+        await wait_until(lambda: any(item.role is Role.CANDIDATE for item in replicas))
+        await anyio.sleep(0.2)
+        voter, candidate = sorted(replicas, key=lambda item: item.role is Role.CANDIDATE)
+        assert candidate.role is Role.CANDIDATE
+        assert voter.log.term < candidate.log.term
+
+    with_cluster(test, tmp_path)
