Answer claims that only check a key without recording it

The coordinator asks whether a caller key is known before it refuses a submission. The registry ignored check_only and bound the key to the refusing process, so a later submission elsewhere was sent there. It now only reports whether the key exists.

--- a/src/apricotpoint/_control/registry.py
+++ b/src/apricotpoint/_control/registry.py
@@ -90,7 +90,8 @@
         """Record a claim, or return the one recorded before.
 
         Code 2101 is given for a `valid_until` too far ahead and 2104 when the
-        registry is full; in both cases nothing was claimed.
+        registry is full; in both cases nothing was claimed. With `check_only`,
+        nothing is recorded and `existing` tells whether the key is.
         """
         started_at = self._timers.now()
         now = self.now()
@@ -105,6 +106,8 @@
         if self._may_be_lost(claim):
             self._counters.add("claims.may_be_lost")
             return ClaimReply(code=ResultCode.CLAIM_MAY_BE_LOST)
+        if claim.check_only:
+            return ClaimReply(code=ResultCode.ACCEPTED)
         self._expire()
         if self.claims >= self._max_claims:
             self._counters.add("claims.refused_full")
--- a/testing/control/test_registry.py
+++ b/testing/control/test_registry.py
@@ -57,6 +57,23 @@
     run(test)
 
 
+def test_check_records_nothing(tmp_path: Path):
+    """A refusal after a check must not bind the key to the refusing process."""
+
+    async def test() -> None:
+        registry = await opened(Disk(tmp_path), Clock())
+        check = attrs.evolve(CLAIM, entry_id="e2", check_only=True)
+        reply = await registry.claim(check)
+        assert (reply.code, reply.existing) == (ResultCode.ACCEPTED, False)
+        assert registry.claims == 0
+        await registry.claim(CLAIM)
+        reply = await registry.claim(check)
+        assert (reply.entry_id, reply.existing) == ("e1", True)
+        registry.close()
+
+    run(test)
+
+
 def test_claim_killed_at_any_step_is_not_granted_twice(tmp_path: Path):
     """Whatever the moment of a crash, a granted claim is found again after it."""
 
