--- a/src/apricotpoint/_control/registry.py
+++ b/src/apricotpoint/_control/registry.py
@@ -93,25 +93,35 @@
         registry is full; in both cases nothing was claimed. With `check_only`,
         nothing is recorded and `existing` tells whether the key is.
         """
-        started_at = self._timers.now()
         now = self.now()
-        key = _key(claim)
+        encoded = self._encoded_by_key.get(_key(claim))
         if claim.valid_until < now:
             return ClaimReply(code=ResultCode.KEY_EXPIRED)
-        encoded = self._encoded_by_key.get(key)
         if encoded is not None:
-            return await self._existing(key, encoded, claim)
+            return await self._existing(_key(claim), encoded, claim)
+        refusal = self._refusal(claim, now)
+        if refusal is not None or claim.check_only:
+            return ClaimReply(code=refusal or ResultCode.ACCEPTED)
+        return await self._record(claim, now)
+
+    def _refusal(self, claim: Claim, now: float) -> ResultCode | None:
+        """Return the code for a key that cannot be recorded, None if it can."""
         if claim.valid_until > now + MAX_VALIDITY_S + CLOCK_ALLOWANCE_S:
-            return ClaimReply(code=ResultCode.MALFORMED)
+            return ResultCode.MALFORMED
         if self._may_be_lost(claim):
             self._counters.add("claims.may_be_lost")
-            return ClaimReply(code=ResultCode.CLAIM_MAY_BE_LOST)
+            return ResultCode.CLAIM_MAY_BE_LOST
         if claim.check_only:
-            return ClaimReply(code=ResultCode.ACCEPTED)
+            return None
         self._expire()
         if self.claims >= self._max_claims:
             self._counters.add("claims.refused_full")
-            return ClaimReply(code=ResultCode.OVERLOADED)
+            return ResultCode.OVERLOADED
+        return None
+
+    async def _record(self, claim: Claim, now: float) -> ClaimReply:
+        started_at = self._timers.now()
+        key = _key(claim)
         if now > self._written_time:
             self._file.append(_ENCODER.encode(float(now)))
             self._written_time = now
