--- a/testing/jobs/test_coordinator.py
+++ b/testing/jobs/test_coordinator.py
@@ -332,6 +332,10 @@
             ]
             if second is OutcomeStatus.NOT_STARTED:
                 outcomes.reverse()
+            lost = [attrs.evolve(item, status=OutcomeStatus.UNKNOWN) for item in outcomes]
+            a.transport.handlers_by_type[BatchResult](
+                Sender("b", 1), BatchResult(batch.batch_id, lost)
+            )
             stale = attrs.evolve(outcomes[0], start_id="1.99.0.1")
             broken = attrs.evolve(outcomes[0], start_id="nonsense")
             reply(BatchResult(batch.batch_id, [stale, broken, outcomes[0], outcomes[0]]))
@@ -375,6 +379,7 @@
             if lost == "restart":
                 await system.start("b", incarnation=2)
         assert codes(answers) == [3103 if lost == "cut" else 3106]
+        assert a.coordinator.dump()["tasks_by_team"] == {}
         assert lost == "cut" or anyio.current_time() - start < 0.5
         assert sum(isinstance(message, RunBatch) for _, message in a.transport.sent) == 1
 
@@ -490,6 +495,12 @@
             assert not a.coordinator.idle()
         assert codes(answers) == [1000]
         assert a.coordinator.idle()
+        # Without any job, an issued key still keeps the process from stopping.
+        issue(b)
+        b.coordinator.start_draining()
+        assert not b.coordinator.idle()
+        await anyio.sleep(6)
+        assert b.coordinator.idle()
 
     play(scenario)
 
@@ -502,9 +513,45 @@
         assert len(forwards) == 1
         assert forwards[0].request.deadline_ms < job.deadline_ms
         assert not a.transport.sent
+        foreign = SubmitForward(request("order-1"), attach_only=False)
+        reply = await b.transport.request("a", foreign, timeout_s=1.0)
+        assert (reply.answer.code, system.claim_by_key) == (3101, {})
+        b.transport.sent.pop()
         await b.coordinator.cancel("t", job.key)
         assert [type(m) for _, m in b.transport.sent[1:]] == [CancelForward]
         json.dumps([a.coordinator.dump(), a.coordinator.rows(), a.coordinator.rows("tasks")])
         assert [row["code"] for row in a.coordinator.rows()] == [1000]
 
     play(scenario)
+
+
+def test_job_that_fails_while_it_is_placed_sends_no_further_batch():
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        a.holder.run_s = None
+        run = a.holder.run
+
+        def lose(sender: Sender, batch: RunBatch, reply: Reply) -> None:
+            run(sender, batch, reply)
+            a.holder.report(len(a.holder.batches) - 1, OutcomeStatus.UNKNOWN)
+
+        a.holder.run = lose
+        assert (await a.coordinator.submit(request(issue(a), 16))).code == 3106
+        assert len(a.holder.batches) + len(b.holder.batches) == 1
+
+    play(scenario)
+
+
+def test_repeated_cancellation_sends_no_second_message():
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        a.holder.run_s, cancels = None, []
+        a.holder.cancel = lambda sender, batch_ids: cancels.append(batch_ids)
+        job = request(issue(a))
+        answers: list[Answer] = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit_later, a, job, answers)
+            for _ in range(3):
+                await anyio.sleep(0.1)
+                group.start_soon(a.coordinator.cancel, "t", job.key)
+        assert (codes(answers), len(cancels)) == ([3104], 1)
+
+    play(scenario)
