Admit against the quota of a team over all live entry processes

Equal shares refused a second job of 110 tasks at one of six entry processes while a quota of 1,000 was unused. Load reports now carry the tasks in flight by team. Unreachable entry processes keep an equal share of the quota, so both sides of a cut together stay within it.

Load reports go to entry processes only, RunBatch.single is set for jobs of one task, and the drain grace is an argument of the coordinator.

--- a/src/apricotpoint/_bench/entry.py
+++ b/src/apricotpoint/_bench/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Any
@@ -34,6 +34,7 @@
         failure_domain: str,
         weight: float,
         network: Network,
+        entry_ids: Callable[[], Collection[str]],
         generator: Any,
         configuration: Callable[[], Configuration],
         claim: Callable[[Claim], Awaitable[ClaimReply]],
@@ -57,6 +58,7 @@
             transport=self._port,
             timers=self._timers,
             make_report=self._report,
+            entry_ids=entry_ids,
         )
         self.holder = Holder(
             entry_id=entry_id,
@@ -123,4 +125,5 @@
             queued_tasks=self.holder.queued_tasks(),
             failure_domain=self.failure_domain,
             caller_address=f"{self.entry_id}.callers",
+            tasks_by_team=self.coordinator.tasks_by_team(),
         )
--- a/src/apricotpoint/_bench/rig.py
+++ b/src/apricotpoint/_bench/rig.py
@@ -75,7 +75,12 @@
         self.records: list[JobRecord] = []
         self.running_by_id: dict[str, RunningEntry] = {}
         self.finished_entries: list[RigEntry] = []
-        self.domain_by_process: dict[str, str] = {}
+        self.domain_by_process = {
+            f"{domain}-{index + 1}": domain
+            for domain in deployment.failure_domains
+            for index in range(len(deployment.entry_weights))
+        }
+        self.entry_ids = list(self.domain_by_process)
         self.network = Network(latency_s=self._latency_s, is_cut=self.is_cut)
         self.worker_by_id = self._make_workers()
         self.configuration = Configuration(
@@ -121,13 +126,13 @@
         """Start an entry process as a new incarnation."""
         assert self._group is not None
         self._incarnations += 1
-        self.domain_by_process[entry_id] = domain
         entry = RigEntry(
             entry_id=entry_id,
             incarnation=self._incarnations,
             failure_domain=domain,
             weight=weight,
             network=self.network,
+            entry_ids=lambda: self.entry_ids,
             generator=random.Random(self.random.random()),
             configuration=lambda: self.configuration,
             claim=self._claim,
--- a/src/apricotpoint/_dispatch/cluster.py
+++ b/src/apricotpoint/_dispatch/cluster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from types import TracebackType
 
 import attrs
@@ -36,7 +36,11 @@
 
 
 class Cluster:
-    """Sends the load report of this process and keeps those of the others."""
+    """Sends the load report of this process and keeps those of the others.
+
+    `entry_ids` returns the ids of all entry processes that belong to the
+    deployment, live or not; it may include this one.
+    """
 
     def __init__(
         self,
@@ -46,12 +50,14 @@
         transport: Transport,
         timers: TimerService,
         make_report: Callable[[], LoadReport],
+        entry_ids: Callable[[], Collection[str]],
     ) -> None:
         self._entry_id = entry_id
         self._incarnation = incarnation
         self._transport = transport
         self._timers = timers
         self._make_report = make_report
+        self._entry_ids = entry_ids
         self._heard_by_id: dict[str, _Heard] = {}
         self._own: _Heard | None = None
         self._subscription: Subscription | None = None
@@ -84,6 +90,16 @@
         )
         return views
 
+    def missing(self, max_age_s: float) -> list[str]:
+        """Return the ids of the other entry processes that are not live."""
+        now = self._timers.now()
+        return [
+            entry_id
+            for entry_id in self._other_ids()
+            if entry_id not in self._heard_by_id
+            or now - self._heard_by_id[entry_id].made_at > max_age_s
+        ]
+
     def view(self, entry_id: str) -> EntryView | None:
         """Return the latest report of another entry process, whatever its age."""
         heard = self._heard_by_id.get(entry_id)
@@ -106,5 +122,8 @@
     def _send(self) -> None:
         report = self._make_report()
         self._own = _Heard(self._incarnation, report, self._timers.now())
-        for peer_id in self._transport.peers():
-            self._transport.send(peer_id, report)
+        for entry_id in self._other_ids():
+            self._transport.send(entry_id, report)
+
+    def _other_ids(self) -> list[str]:
+        return [entry_id for entry_id in self._entry_ids() if entry_id != self._entry_id]
--- a/src/apricotpoint/_jobs/admission.py
+++ b/src/apricotpoint/_jobs/admission.py
@@ -97,19 +97,25 @@
     return service, team
 
 
-def check_quota(team: TeamConfig, *, tasks: int, in_flight: int, entries: int) -> None:
-    """Check the share of a team's quota at this process. Raises `ApricotError` with code 2103.
-
-    The quota is shared evenly by the live entry processes. A job larger than
-    the share is accepted when the team has nothing else in flight here,
-    because no entry process could ever accept it otherwise.
+def check_quota(
+    team: TeamConfig, *, tasks: int, in_flight: int, live: int = 1, missing: int = 0
+) -> None:
+    """Check the quota of a team. Raises `ApricotError` with code 2103.
+
+    `in_flight` counts the team's tasks at the `live` entry processes, as far
+    as reported: any of them may use the whole quota. Processes admit at the
+    same time without asking each other, so the quota can be exceeded by what
+    is admitted within one report period. The `missing` processes may be
+    serving beyond a cut; each keeps an equal share of the quota, so that all
+    sides of a cut together stay within it.
     """
-    share = math.ceil(team.quota_tasks / max(entries, 1))
-    if in_flight + tasks <= share or (in_flight == 0 and tasks <= team.quota_tasks):
+    limit = math.ceil(team.quota_tasks * live / (live + missing))
+    if in_flight + tasks <= limit:
         return
+    cut = f" ({missing} entry processes are unreachable)" if missing else ""
     raise ApricotError(
         ResultCode.OVER_QUOTA,
-        f"team {team.name!r} has {in_flight} tasks in flight here, its share is {share}",
+        f"team {team.name!r} has {in_flight} of {limit} tasks in flight{cut}",
         remedy="wait for answers or ask for a larger quota",
     )
 
--- a/src/apricotpoint/_jobs/coordinator.py
+++ b/src/apricotpoint/_jobs/coordinator.py
@@ -25,7 +25,7 @@
 from apricotpoint._jobs.table import Entry, JobTable
 from apricotpoint._jobs.views import MAX_REPORT_AGE_S, Views
 from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
-from apricotpoint._wire.configuration import Configuration
+from apricotpoint._wire.configuration import Configuration, TeamConfig
 from apricotpoint._wire.jobs import (
     Answer,
     AnswerForward,
@@ -39,7 +39,8 @@
 
 ISSUED_KEY_VALIDITY_S = 600
 MAX_KEYS_ISSUED = 1_000
-# Unused keys of this process are accepted for this long after draining starts.
+# Unused keys of this process are accepted for this long after draining starts,
+# unless the settings say otherwise.
 DRAIN_GRACE_S = 6.0
 
 # Time kept back for the answer of the process to which a request is forwarded.
@@ -74,6 +75,7 @@
         configuration: Callable[[], Configuration],
         configuration_current: Callable[[], bool],
         caller_address: str,
+        drain_grace_s: float = DRAIN_GRACE_S,
         table: JobTable | None = None,
     ) -> None:
         self._entry_id = entry_id
@@ -87,6 +89,7 @@
         self._configuration = configuration
         self._configuration_current = configuration_current
         self._caller_address = caller_address
+        self._drain_grace_s = drain_grace_s
         self._table = table if table is not None else JobTable()
         self._answers = Answers(
             entry_id=entry_id,
@@ -239,7 +242,7 @@
         )
 
     def start_draining(self) -> None:
-        """Refuse new jobs; unused keys of this process are accepted for 6 s more."""
+        """Refuse new jobs; unused keys are accepted for the grace period."""
         if self._draining_since is None:
             self._draining_since = self._timers.now()
             self._counters.add("drain.started")
@@ -258,7 +261,7 @@
             return False
         if self._draining_since is None or self._last_issue_at is None:
             return True
-        return self._timers.now() - self._last_issue_at >= DRAIN_GRACE_S
+        return self._timers.now() - self._last_issue_at >= self._drain_grace_s
 
     def rows(self, table: str = "jobs") -> list[dict[str, Any]]:
         """Return rows of the table `jobs` or `tasks` for operator queries.
@@ -279,6 +282,10 @@
             for entry in open_entries + finished
         ]
 
+    def tasks_by_team(self) -> dict[str, int]:
+        """Return the number of tasks in flight of the teams that have any."""
+        return dict(self._runner.tasks_by_team)
+
     def dump(self) -> dict[str, Any]:
         """Return the state of the coordinator as JSON-able data."""
         return {
@@ -296,7 +303,7 @@
                 f"{holder_id}/{incarnation:x}": len(ids)
                 for (holder_id, incarnation), ids in self._runner.batch_ids_by_holder.items()
             },
-            "tasks_by_team": dict(self._runner.tasks_by_team),
+            "tasks_by_team": self.tasks_by_team(),
         }
 
     async def _submit(
@@ -396,23 +403,30 @@
         """Raise `ApricotError` if the job must not start now."""
         if self._draining_since is not None:
             unused = parse_key(entry.key)
-            grace = self._timers.now() - self._draining_since < DRAIN_GRACE_S
+            grace = self._timers.now() - self._draining_since < self._drain_grace_s
             if not (grace and isinstance(unused, IssuedKey)):
                 raise self._draining_error()
         service, team = admission.check_names(request, self._configuration())
-        live = sum(1 for item in self._views.live() if not item.report.draining)
-        admission.check_quota(
-            team,
-            tasks=len(request.tasks),
-            in_flight=self._runner.tasks_by_team.get(request.team, 0),
-            entries=live,
-        )
+        self._check_quota(team, len(request.tasks))
         admission.check_load(request, service, self._views.service(request.service), work_s)
         if not known and self._table.full:
             expiry = self._table.next_expiry()
             wait_s = expiry - self._wall() if expiry is not None else 1.0
             raise admission.OverloadError("the job table is full", retry_after_s=wait_s)
 
+    def _check_quota(self, team: TeamConfig, tasks: int) -> None:
+        """Raise `ApricotError` if the tasks would exceed the quota of a team."""
+        others = [item for item in self._views.live() if item.entry_id != self._entry_id]
+        in_flight = self._runner.tasks_by_team.get(team.name, 0)
+        in_flight += sum(item.report.tasks_by_team.get(team.name, 0) for item in others)
+        configuration = self._configuration()
+        # What an operator has drained or stopped admits nothing.
+        excluded = {*configuration.drained_vms, *configuration.stopped_vms}
+        missing = set(self._cluster.missing(MAX_REPORT_AGE_S)) - excluded
+        admission.check_quota(
+            team, tasks=tasks, in_flight=in_flight, live=len(others) + 1, missing=len(missing)
+        )
+
     async def _refuse(
         self, entry: Entry, request: JobRequest, deadline_at: float, error: ApricotError
     ) -> Answer:
--- a/src/apricotpoint/_jobs/ports.py
+++ b/src/apricotpoint/_jobs/ports.py
@@ -36,6 +36,9 @@
     def live(self, max_age_s: float) -> Sequence[EntryView]:
         """Return the entry processes heard within `max_age_s`, including this one."""
 
+    def missing(self, max_age_s: float) -> Sequence[str]:
+        """Return the ids of the entry processes of the deployment that are not live."""
+
 
 class LocalHolder(Protocol):
     """The lease holder in this process."""
--- a/src/apricotpoint/_jobs/runner.py
+++ b/src/apricotpoint/_jobs/runner.py
@@ -190,6 +190,7 @@
                 )
                 for rank, item in enumerate(items)
             ],
+            single=len(job.states) == 1,
         )
         incarnation = holder.incarnation
         if not holder.local:
--- a/src/apricotpoint/_programs/entry.py
+++ b/src/apricotpoint/_programs/entry.py
@@ -121,6 +121,7 @@
             transport=self._mesh,
             timers=self._timers,
             make_report=self._report,
+            entry_ids=lambda: settings.peer_by_id,
         )
         estimator = KindEstimator()
         self._holder = Holder(
@@ -155,6 +156,7 @@
             configuration=self._feed.configuration,
             configuration_current=self._feed.current,
             caller_address=settings.caller_bind,
+            drain_grace_s=settings.drain_grace_s,
         )
         self.state_dump = StateDump(
             process_id=settings.entry_id,
@@ -310,6 +312,7 @@
             queued_tasks=self._holder.queued_tasks(),
             failure_domain=self.settings.failure_domain,
             caller_address=self.settings.caller_bind,
+            tasks_by_team=self._coordinator.tasks_by_team(),
         )
 
     def _rows_by_table(self) -> dict[str, Callable[[], list[dict[str, Any]]]]:
--- a/src/apricotpoint/_wire/load.py
+++ b/src/apricotpoint/_wire/load.py
@@ -33,7 +33,8 @@
     """State of an entry process; sent at least every 250 ms.
 
     `queued_s_by_service` is the predicted run time in seconds of the tasks
-    that wait for a slot.
+    that wait for a slot. `tasks_by_team` counts the tasks in flight of the jobs
+    that this process coordinates, for teams that have any.
     """
 
     config_version: int
@@ -45,3 +46,4 @@
     queued_tasks: int
     failure_domain: str
     caller_address: str
+    tasks_by_team: dict[str, int] = attrs.Factory(dict)
--- a/testing/dispatch/holder_rig.py
+++ b/testing/dispatch/holder_rig.py
@@ -238,7 +238,7 @@
             )
             common: dict[str, Any] = {"entry_id": "e1", "incarnation": 1, "timers": timers}
             common["transport"] = rig.transport
-            cluster = Cluster(make_report=rig.report, **common)
+            cluster = Cluster(make_report=rig.report, entry_ids=lambda: ["e1", "e2"], **common)
             holder = Holder(
                 **common,
                 failure_domain="puebla",
--- a/testing/dispatch/test_parts.py
+++ b/testing/dispatch/test_parts.py
@@ -193,13 +193,17 @@
 
 def test_reports_are_sent_every_quarter_second_and_old_incarnations_are_ignored():
     async def scenario(rig: Rig) -> None:
-        rig.transport.incarnation_by_peer["e2"] = 2
+        rig.transport.incarnation_by_peer.update({"e2": 2, "control-1": 1})
+        assert rig.cluster.missing(1.0) == ["e2"]
         await anyio.sleep(1.01)
-        assert len(rig.transport.sent) == 4
+        # Control processes have no use for reports.
+        assert [peer_id for peer_id, _ in rig.transport.sent] == ["e2"] * 4
         rig.transport.receive("e2", REPORT, 2)
         rig.transport.receive("e2", REPORT, 1)
         assert [view.incarnation for view in rig.cluster.live(1.0)] == [1, 2]
+        assert not rig.cluster.missing(1.0)
         await anyio.sleep(1.1)
         assert [view.entry_id for view in rig.cluster.live(1.0)] == ["e1"]
+        assert rig.cluster.missing(1.0) == ["e2"]
 
     play(scenario, FakeBackend("b1"))
--- a/testing/jobs/jobs_fakes.py
+++ b/testing/jobs/jobs_fakes.py
@@ -194,6 +194,7 @@
             configuration=lambda: system.configuration,
             configuration_current=lambda: True,
             caller_address=f"http://{entry_id}",
+            drain_grace_s=system.drain_grace_s,
             table=system.make_table(),
         )
 
@@ -205,6 +206,14 @@
             if self.system.reach(self.entry_id, entry.entry_id)
         ]
 
+    def missing(self, max_age_s: float) -> list[str]:
+        """Return the entry processes that are cut off."""
+        return [
+            entry_id
+            for entry_id in self.system.entry_by_id
+            if not self.system.reach(self.entry_id, entry_id)
+        ]
+
     def make_report(self) -> LoadReport:
         """Return the present load."""
         return LoadReport(
@@ -217,6 +226,7 @@
             queued_tasks=self.holder.queued_tasks(),
             failure_domain="puebla",
             caller_address=f"http://{self.entry_id}",
+            tasks_by_team=self.coordinator.tasks_by_team(),
         )
 
 
@@ -228,6 +238,7 @@
         self.timers = timers
         self.configuration = CONFIGURATION
         self.make_table: Callable[[], JobTable] = JobTable
+        self.drain_grace_s = 6.0
         self.cut: set[str] = set()
         self.home_cut = False
         self.home_delay_s = 0.0
--- a/testing/jobs/test_coordinator.py
+++ b/testing/jobs/test_coordinator.py
@@ -181,25 +181,56 @@
     play(scenario)
 
 
-def test_quota_is_shared_by_live_entries_and_given_back():
+def test_quota_is_usable_at_any_entry_and_counts_tasks_of_all_of_them():
+    """Equal shares would refuse a second job at one entry while the quota is unused."""
+
     async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
-        def job(n: int) -> JobRequest:
-            return request(issue(a), n, team="small")
+        def job(entry: FakeEntry, n: int) -> JobRequest:
+            return request(issue(entry), n, team="small")
 
         answers = []
         async with anyio.create_task_group() as group:
-            group.start_soon(submit_later, a, job(3), answers)
-            await anyio.sleep(0.01)
-            assert (await a.coordinator.submit(job(2))).code == 2103
-            group.start_soon(submit_later, a, job(1), answers)
-        assert (await a.coordinator.submit(job(8))).code == 1000
-        assert (await a.coordinator.submit(job(9))).code == 2103
+            group.start_soon(submit_later, a, job(a, 5), answers)
+            group.start_soon(submit_later, a, job(a, 2), answers)
+            await anyio.sleep(0.03)
+            assert (await a.coordinator.submit(job(a, 2))).code == 2103
+            assert (await b.coordinator.submit(job(b, 2))).code == 2103
+            assert (await b.coordinator.submit(job(b, 1))).code == 1000
+        assert codes(answers) == [1000, 1000]
+        assert (await a.coordinator.submit(job(a, 8))).code == 1000
+        assert (await a.coordinator.submit(job(a, 9))).code == 2103
+
+    play(scenario)
+
+
+def test_both_sides_of_a_cut_together_stay_within_a_quota():
+    """Without reports each side would take the whole quota."""
+
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
         system.cut = {"b"}
-        async with anyio.create_task_group() as group:
-            group.start_soon(submit_later, a, job(4), answers)
-            await anyio.sleep(0.1)
-            group.start_soon(submit_later, a, job(4), answers)
-        assert codes(answers) == [1000] * 4
+        for entry in (a, b):
+            answers = []
+            async with anyio.create_task_group() as group:
+                for n in (5, 3, 2, 1):
+                    job = request(issue(entry), n, team="small")
+                    group.start_soon(submit_later, entry, job, answers)
+                    await anyio.sleep(0.001)
+            assert codes(answers) == [2103, 2103, 1000, 1000]
+        system.configuration = attrs.evolve(system.configuration, stopped_vms=["b"])
+        job = request(issue(a), 8, team="small")
+        assert (await a.coordinator.submit(job)).code == 1000
+
+    play(scenario)
+
+
+def test_only_jobs_of_one_task_are_marked_single():
+    """The holder may retry an idempotent task only if its job has no other."""
+
+    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+        for n in (1, 2):
+            await a.coordinator.submit(request(issue(a), n))
+        batches = [batch for entry in (a, b) for batch, _ in entry.holder.batches]
+        assert [(len(batch.tasks), batch.single) for batch in batches] == [(1, True), (2, False)]
 
     play(scenario)
 
@@ -470,11 +501,14 @@
     play(scenario)
 
 
-def test_draining_refuses_new_jobs_and_accepts_unused_keys_for_a_while():
-    async def scenario(system: FakeSystem, a: FakeEntry, b: FakeEntry) -> None:
+@pytest.mark.parametrize("grace_s", [3.0, 6.0])
+def test_draining_refuses_new_jobs_and_accepts_unused_keys_for_a_while(grace_s: float):
+    async def scenario(system: FakeSystem, old: FakeEntry, b: FakeEntry) -> None:
+        system.drain_grace_s = grace_s
+        a = await system.start("a", incarnation=2)
         first, second = a.coordinator.issue_keys(2)
         running = request(issue(a), deadline_ms=20_000)
-        a.holder.run_s = 8.0
+        a.holder.run_s = grace_s + 2
         answers = []
         async with anyio.create_task_group() as group:
             group.start_soon(submit_later, a, running, answers)
@@ -487,11 +521,12 @@
             with pytest.raises(Exception, match="2110"):
                 a.coordinator.issue_keys(1)
             a.holder.run_s = 0.1
-            await anyio.sleep(4)
+            await anyio.sleep(grace_s - 2)
             assert (await b.coordinator.submit(request(first))).code == 1000
             assert not a.coordinator.idle()
             await anyio.sleep(2)
             assert (await b.coordinator.submit(request(second))).code == 2110
+            # A job still runs beyond the grace period.
             assert not a.coordinator.idle()
         assert codes(answers) == [1000]
         assert a.coordinator.idle()
