Add load reports to batch messages

A report is now due 250 ms after the last one to the same process, whether it was sent alone or on a RunBatch or BatchResult.

--- a/src/apricotpoint/_dispatch/outcomes.py
+++ b/src/apricotpoint/_dispatch/outcomes.py
@@ -5,6 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 
+import attrs
+
 from apricotpoint._dispatch.context import HolderContext
 from apricotpoint._dispatch.queue import Batch, HeldTask, TaskState
 from apricotpoint._dispatch.received import ReceivedBatches
@@ -136,6 +138,7 @@
         if self.is_replaced(sender):
             self._counters.add("holder.wasted.result_for_replaced")
             return True
+        result = attrs.evolve(result, load=self._context.cluster.report_for(sender.peer_id))
         return self._context.transport.send(sender.peer_id, result, reliable=True)
 
     def _drop_coordinator(self, peer_id: str) -> None:
--- a/src/apricotpoint/_jobs/coordinator.py
+++ b/src/apricotpoint/_jobs/coordinator.py
@@ -120,6 +120,7 @@
             counters=counters,
             random=random,
             holder=holder,
+            cluster=cluster,
             views=self._views,
             estimator=estimator,
             configuration=configuration,
--- a/src/apricotpoint/_jobs/ports.py
+++ b/src/apricotpoint/_jobs/ports.py
@@ -39,6 +39,12 @@
     def missing(self, max_age_s: float) -> Sequence[str]:
         """Return the ids of the entry processes of the deployment that are not live."""
 
+    def report_for(self, entry_id: str) -> LoadReport | None:
+        """Return the report to add to a message for another entry process, if it needs one."""
+
+    def hear(self, sender: Sender, report: LoadReport) -> None:
+        """Take over a report that came with a message."""
+
 
 class LocalHolder(Protocol):
     """The lease holder in this process."""
--- a/src/apricotpoint/_jobs/runner.py
+++ b/src/apricotpoint/_jobs/runner.py
@@ -5,6 +5,7 @@
 import random as random_module
 from collections.abc import Callable
 
+import attrs
 import msgspec
 
 from apricotpoint._core.codes import ResultCode
@@ -13,7 +14,7 @@
 from apricotpoint._jobs.answers import Answers
 from apricotpoint._jobs.job import Batch, Job, TaskState
 from apricotpoint._jobs.placement import Placed, TaskView, make_policies
-from apricotpoint._jobs.ports import Estimator, LocalHolder
+from apricotpoint._jobs.ports import ClusterView, Estimator, LocalHolder
 from apricotpoint._jobs.schedule import NO_JOB, Schedule
 from apricotpoint._jobs.table import Entry, JobTable
 from apricotpoint._jobs.views import Views
@@ -69,6 +70,7 @@
         counters: Counters,
         random: random_module.Random,
         holder: LocalHolder,
+        cluster: ClusterView,
         views: Views,
         estimator: Estimator,
         configuration: Callable[[], Configuration],
@@ -88,6 +90,7 @@
         self._counters = counters
         self._policies = make_policies(random)
         self._holder = holder
+        self._cluster = cluster
         self._estimator = estimator
         self._configuration = configuration
         self._answers = answers
@@ -214,6 +217,7 @@
             self._counters.add("batches.local")
             self._holder.run(self._self, message, self._apply_local)
             return
+        message = attrs.evolve(message, load=self._cluster.report_for(holder.entry_id))
         if self._transport.send(holder.entry_id, message, reliable=True):
             self._counters.add("batches.remote")
             for item in items:
@@ -248,6 +252,8 @@
 
     def _handle_result(self, sender: Sender, message: object) -> None:
         assert isinstance(message, BatchResult)
+        if message.load is not None:
+            self._cluster.hear(sender, message.load)
         self._apply(sender.peer_id, sender.incarnation, message)
 
     def _apply(self, holder_id: str, incarnation: int, result: BatchResult) -> None:
--- a/src/apricotpoint/_wire/tasks.py
+++ b/src/apricotpoint/_wire/tasks.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from apricotpoint._wire.load import LoadReport
+
 
 class OutcomeStatus(enum.Enum):
     """How one task ended, as far as the lease holder knows."""
@@ -57,7 +59,8 @@
 
     `deadline_left_s` is the time left at sending; `age_s` of the link is
     subtracted by the receiver. `single` is True if the job has one task only;
-    the retry of idempotent tasks is limited to such jobs.
+    the retry of idempotent tasks is limited to such jobs. `load` is the load
+    report of the sender, unless it was sent a moment ago.
     """
 
     batch_id: int
@@ -66,6 +69,7 @@
     deadline_left_s: float
     tasks: list[BatchTask]
     single: bool = False
+    load: LoadReport | None = None
 
 
 @attrs.frozen
@@ -87,10 +91,14 @@
 
 @attrs.frozen
 class BatchResult:
-    """Outcomes of tasks of a batch; a batch may be answered in several parts."""
+    """Outcomes of tasks of a batch; a batch may be answered in several parts.
+
+    `load` is the load report of the sender, unless it was sent a moment ago.
+    """
 
     batch_id: int
     outcomes: list[TaskOutcome]
+    load: LoadReport | None = None
 
 
 @attrs.frozen
--- a/testing/dispatch/test_parts.py
+++ b/testing/dispatch/test_parts.py
@@ -10,13 +10,15 @@
 from holder_rig import LOCAL, REPORT, FakeBackend, Rig, play
 
 from apricotpoint._dispatch.budget import RetryBudget
+from apricotpoint._dispatch.cluster import REPORT_PERIOD_S
 from apricotpoint._dispatch.estimator import KindEstimator
 from apricotpoint._dispatch.lease import Lease
 from apricotpoint._dispatch.quarantine import Quarantine
 from apricotpoint._dispatch.queue import Batch, FairQueue, HeldTask
 from apricotpoint._dispatch.received import ReceivedBatches
 from apricotpoint._dispatch.speed import Speed
-from apricotpoint._wire.tasks import BatchTask, TaskSpec
+from apricotpoint._wire.load import LoadReport
+from apricotpoint._wire.tasks import BatchResult, BatchTask, RunBatch, TaskSpec
 
 
 def renew(lease: Lease, sequence: int, clock_s: float, received_at: float):
@@ -191,6 +193,33 @@
     assert set(names(queue, len(expected) + 1)) == expected
 
 
+def test_a_report_on_a_batch_message_replaces_the_periodic_one():
+    """Reports sent in addition to batch messages were almost half of all messages."""
+
+    async def scenario(rig: Rig) -> None:
+        def reports() -> int:
+            return sum(isinstance(message, LoadReport) for _, message in rig.transport.sent)
+
+        rig.transport.incarnation_by_peer["e2"] = 1
+        for number in range(1, 11):
+            await anyio.sleep(0.1)
+            batch = RunBatch(number, "desk", "a", 60.0, [], load=REPORT)
+            rig.transport.receive("e2", batch)
+        await anyio.sleep(0.05)
+        # Only the report at the start, before the first batch.
+        assert reports() == 1
+        results = [m for _, m in rig.transport.sent if isinstance(m, BatchResult)]
+        assert [result.load is not None for result in results] == [True] * 10
+        assert not rig.cluster.missing(0.2)
+        await anyio.sleep(REPORT_PERIOD_S)
+        assert reports() == 2
+        await anyio.sleep(0.03)
+        assert rig.cluster.report_for("e2") is not None
+        assert rig.cluster.report_for("e2") is None
+
+    play(scenario)
+
+
 def test_reports_are_sent_every_quarter_second_and_old_incarnations_are_ignored():
     async def scenario(rig: Rig) -> None:
         rig.transport.incarnation_by_peer.update({"e2": 2, "control-1": 1})
--- a/testing/jobs/jobs_fakes.py
+++ b/testing/jobs/jobs_fakes.py
@@ -214,6 +214,13 @@
             if not self.system.reach(self.entry_id, entry_id)
         ]
 
+    def report_for(self, entry_id: str) -> LoadReport | None:
+        """Add no report to messages: `live` reads the present state."""
+        return None
+
+    def hear(self, sender: Sender, report: LoadReport) -> None:
+        """Ignore a report."""
+
     def make_report(self) -> LoadReport:
         """Return the present load."""
         return LoadReport(
