Lower the fixed margin for a further lease holder to 3 ms

Cause: for tasks of 80 ms the margin of 5 ms was the largest part of the excess of single jobs at 50% load; the round trip itself takes 2 ms.

--- a/src/apricotpoint/_jobs/placement.py
+++ b/src/apricotpoint/_jobs/placement.py
@@ -14,7 +14,7 @@
 REMOTE_ROUND_TRIP_S = 0.002
 # A batch to a further holder costs two messages, so it has to finish a job's
 # task earlier by this much, or by this share of the run time if that is more.
-BATCH_MARGIN_S = 0.005
+BATCH_MARGIN_S = 0.003
 BATCH_MARGIN_SHARE = 0.05
 
 
