Measure goodput, noise of a team and the comparison with two random choices

The noisy team had no quota and was refused as unknown; it now has a tenth of the slots that it asks for, and the other team is compared with a run without it. The burst has deadlines of 10 s, the rolling restart uses keys up to 5 s after their issue and at another entry process.

The ideal is computed for complete jobs only, and messages count as wasted also when a coordinator or a holder ignores them. The program uses cleo.

--- a/src/apricotpoint/_bench/__main__.py
+++ b/src/apricotpoint/_bench/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 from apricotpoint._bench.program import main
 
-main()
+sys.exit(main())
--- a/src/apricotpoint/_bench/measure.py
+++ b/src/apricotpoint/_bench/measure.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import statistics
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import anyio
+import attrs
 
 from apricotpoint._bench.figure import Figure, at_most
 from apricotpoint._bench.ideal import IdealWorker, ideal_responses_s
 from apricotpoint._bench.record import JobRecord
 from apricotpoint._bench.rig import CALLER_LATENCY_S, LOCAL_LATENCY_S, Rig
-from apricotpoint._bench.scenario import BURST_S, FAULT_AT_S, Scenario
+from apricotpoint._bench.scenario import BURST_S, FAULT_AT_S, NOISY_TEAM, Scenario
 from apricotpoint._bench.trace import TracedJob
 from apricotpoint._bench.virtualtime import run_virtual
 from apricotpoint._core.codes import Meaning, ResultCode
@@ -27,6 +29,17 @@
 
 _RATIO_TARGETS = {"steady-50": 1.10, "steady-80": 1.25}
 _LOST_TARGETS = {"one-failing": 20, "four-failing": 80}
+_TWO_CHOICES_TARGETS = {"response_mean": 0.85, "response_p99": 0.70}
+_GOODPUT_TARGET = 0.9
+_NOISE_TARGET = 1.1
+# Counters of messages whose receiver had no use for them.
+_WASTED_PREFIXES = (
+    "holder.wasted.",
+    "outcomes.unmatched",
+    "holder.announcements.other_holder",
+    "holder.announcements.old",
+    "holder.announcements.draining",
+)
 
 
 def run_scenario(
@@ -34,15 +47,47 @@
 ) -> list[Figure]:
     """Run one scenario with one policy on virtual time and return its figures."""
     trace = scenario.trace(deployment, seed=seed)
-    rig = run_virtual(partial(_run, deployment, scenario, policy, seed, trace), seed=seed)
+    rig = _run_trace(deployment, scenario, policy, seed, trace)
     add = partial(at_most, deployment.name, scenario.name, policy)
     figures = _response_figures(deployment, scenario, trace, rig, add)
     figures += _message_figures(scenario, rig, add)
     figures += _promise_figures(rig, add)
     figures += _fault_figures(scenario, rig, add)
+    if scenario.noisy_share:
+        quiet = [job for job in trace if job.team != NOISY_TEAM]
+        alone = _run_trace(deployment, scenario, policy, seed, quiet)
+        figures += _noise_figures(rig, alone, add)
     return figures
 
 
+def compared_figures(figures: Sequence[Figure]) -> list[Figure]:
+    """Return how `predicted` compares to two random choices in the same run at 80%."""
+    value = {
+        (item.deployment, item.policy, item.metric): item.value
+        for item in figures
+        if item.scenario == "steady-80"
+    }
+    compared = []
+    for (deployment, policy, metric), own in value.items():
+        other = value.get((deployment, "two_choices", metric))
+        if policy == "predicted" and other and metric in _TWO_CHOICES_TARGETS:
+            name = f"{metric}_to_two_choices"
+            target = _TWO_CHOICES_TARGETS[metric]
+            args = (deployment, "steady-80", policy, name, own / other, "ratio")
+            compared.append(at_most(*args, target=target))
+    return compared
+
+
+def _run_trace(
+    deployment: DeploymentSettings,
+    scenario: Scenario,
+    policy: str,
+    seed: int,
+    trace: list[TracedJob],
+) -> Rig:
+    return run_virtual(partial(_run, deployment, scenario, policy, seed, trace), seed=seed)
+
+
 async def _run(
     deployment: DeploymentSettings,
     scenario: Scenario,
@@ -50,7 +95,7 @@
     seed: int,
     trace: list[TracedJob],
 ) -> Rig:
-    rig = Rig(deployment, policy=policy, seed=seed, resubmit_share=scenario.resubmit_share)
+    rig = scenario.rig(deployment, policy=policy, seed=seed)
     async with anyio.create_task_group() as group:
         group.start_soon(_disturb_later, scenario, rig)
         await rig.run(trace, settle_s=SETTLE_S, limit_s=scenario.seconds + LIMIT_S)
@@ -75,10 +120,12 @@
         for speed in deployment.workers.speeds()
     ]
     round_trip_s = 2 * (CALLER_LATENCY_S + LOCAL_LATENCY_S)
-    ideal = ideal_responses_s(trace, workers, round_trip_s=round_trip_s)
+    # Jobs that were refused or lost are left out of the ideal schedule too.
     complete = [record for record in rig.records if record.complete]
+    complete.sort(key=lambda record: record.job.at_s)
+    jobs = [record.job for record in complete]
     responses = [record.response_s for record in complete] or [float("inf")]
-    ideal_of_complete = [ideal[record.number] for record in complete] or [1.0]
+    ideal_of_complete = ideal_responses_s(jobs, workers, round_trip_s=round_trip_s) or [1.0]
     mean, ideal_mean = statistics.fmean(responses), statistics.fmean(ideal_of_complete)
     p99, ideal_p99 = _quantile(responses, 0.99), _quantile(ideal_of_complete, 0.99)
     p99_target = 2.0 if scenario.name == "steady-80" else None
@@ -102,7 +149,7 @@
 def _message_figures(scenario: Scenario, rig: Rig, add: AddFigure) -> list[Figure]:
     tasks = sum(len(record.job.tasks) for record in rig.records)
     own_target = 0.5 if scenario.name == "steady-80" else None
-    wasted = rig.counter_total("holder.wasted.") + rig.counter_total("jobs.wasted.")
+    wasted = sum(rig.counter_total(prefix) for prefix in _WASTED_PREFIXES)
     figures = [
         add("own_messages_per_task", rig.own_messages() / tasks, "messages", target=own_target),
         add(
@@ -175,12 +222,44 @@
     if scenario.name == "rolling-restart":
         failed = sum(1 for record in rig.records if not record.complete)
         figures.append(add("failed_requests", failed, "requests", target=0))
-    if scenario.noisy_share:
-        mean = _mean_of([r for r in rig.records if r.job.team != "noisy"])
-        figures.append(add("quiet_team_mean", mean, "s"))
+    if scenario.burst:
+        figures.append(_goodput_figure(rig, add))
+    codes = Counter(record.answer.code for record in rig.records if record.answer is not None)
+    figures += [add(f"answers.{code}", count, "answers") for code, count in sorted(codes.items())]
     return figures
 
 
+def _goodput_figure(rig: Rig, add: AddFigure) -> Figure:
+    """Return the share of capacity that worked for complete jobs during the burst."""
+    low_s = rig.started_at + FAULT_AT_S
+    high_s = low_s + BURST_S
+    complete = {str(record.number) for record in rig.records if record.complete}
+    useful_s = sum(
+        max(0.0, min(run.ended_at, high_s) - max(run.began_at, low_s)) * run.speed
+        for worker in rig.worker_by_id.values()
+        for run in worker.runs
+        if run.job in complete
+    )
+    capacity = sum(worker.speed * worker.slots for worker in rig.worker_by_id.values())
+    share = useful_s / (capacity * BURST_S)
+    # Figures have upper bounds, so the target is on what is missing.
+    missing = add("goodput_missing", 1 - share, "ratio", target=1 - _GOODPUT_TARGET)
+    return attrs.evolve(missing, metric="goodput", value=round(share, 5), target=_GOODPUT_TARGET)
+
+
+def _noise_figures(rig: Rig, alone: Rig, add: AddFigure) -> list[Figure]:
+    """Compare the team within its quota with a run without the noisy team."""
+    quiet = [record for record in rig.records if record.job.team != NOISY_TEAM]
+    mean, mean_alone = _mean_of(quiet), _mean_of(alone.records)
+    refused = sum(1 for record in quiet if not record.complete)
+    return [
+        add("quiet_team_mean", mean, "s"),
+        add("quiet_team_mean_alone", mean_alone, "s"),
+        add("quiet_team_ratio", mean / mean_alone, "ratio", target=_NOISE_TARGET),
+        add("quiet_team_failed", refused, "requests", target=0),
+    ]
+
+
 def _mean_between(records: list[JobRecord], low_s: float, high_s: float) -> float:
     return _mean_of([record for record in records if low_s <= record.job.at_s < high_s])
 
--- a/src/apricotpoint/_bench/program.py
+++ b/src/apricotpoint/_bench/program.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import multiprocessing
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
+from cleo.commands.command import Command
+from cleo.helpers import option
 
 from apricotpoint._bench.figure import Figure
-from apricotpoint._bench.measure import run_scenario
+from apricotpoint._bench.measure import compared_figures, run_scenario
 from apricotpoint._bench.report import write_report
 from apricotpoint._bench.scenario import SCENARIO_BY_NAME, SCENARIOS
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
 from apricotpoint._core.settings import load
+from apricotpoint._programs.console import run_commands
 from apricotpoint._settings.deployment import DeploymentSettings
 
 BASELINES = ["random", "round_robin", "least_outstanding", "two_choices"]
@@ -32,44 +37,78 @@
     seed: int
 
 
-def main() -> None:
-    """Run the chosen scenarios and print one JSON line for each figure."""
-    arguments = _parser().parse_args()
-    deployments = [load(Path(path), DeploymentSettings) for path in arguments.deployment]
-    runs = [
-        Run(deployment, scenario, policy, arguments.seed)
-        for deployment in deployments
-        for scenario in arguments.scenario or [item.name for item in SCENARIOS]
-        for policy in _policies(scenario, arguments.policy)
+class BenchCommand(Command):
+    """Runs the chosen scenarios and prints one JSON line for each figure."""
+
+    name = "run"
+    description = "Run scenarios on virtual time and print one JSON line for each figure."
+    options = [
+        option("deployment", None, "Deployment settings file.", flag=False, multiple=True),
+        option("scenario", None, "Scenario; all by default.", flag=False, multiple=True),
+        option("policy", None, "Placement policy.", flag=False, multiple=True),
+        option("seed", None, "Seed of traces and choices.", flag=False, default="1"),
+        option("processes", None, "Runs at a time.", flag=False, default="6"),
+        option("report", None, "Folder for the report with plots.", flag=False),
     ]
-    figures: list[Figure] = []
-    for part in _run_all(runs, arguments.processes):
-        figures += part
-        for figure in part:
-            print(json.dumps(attrs.asdict(figure)), flush=True)
-    if arguments.report:
-        write_report(figures, Path(arguments.report))
-
-
-def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="apricotpoint bench", description=__doc__)
-    parser.add_argument(
-        "--deployment",
-        action="append",
-        required=True,
-        help="deployment settings file; may be repeated",
-    )
-    parser.add_argument("--scenario", action="append", choices=list(SCENARIO_BY_NAME))
-    parser.add_argument("--policy", action="append", choices=[DEFAULT_POLICY, *BASELINES])
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--processes", type=int, default=6)
-    parser.add_argument("--report", help="folder for the report with plots")
-    return parser
-
-
-def _policies(scenario: str, chosen: list[str] | None) -> list[str]:
-    if chosen:
-        return chosen
+
+    def handle(self) -> int:
+        """Run the scenarios."""
+        runs = self._runs()
+        figures: list[Figure] = []
+        for part in _run_all(runs, _number("processes", self.option("processes"))):
+            figures += part
+            _print(part)
+        compared = compared_figures(figures)
+        _print(compared)
+        if self.option("report"):
+            write_report(figures + compared, Path(self.option("report")))
+        return 0
+
+    def _runs(self) -> list[Run]:
+        if not self.option("deployment"):
+            raise _settings_error("no deployment is given", "add --deployment FILE")
+        scenarios = _chosen("scenario", self.option("scenario"), list(SCENARIO_BY_NAME))
+        policies = _chosen("policy", self.option("policy"), [DEFAULT_POLICY, *BASELINES])
+        seed = _number("seed", self.option("seed"))
+        return [
+            Run(load(Path(path), DeploymentSettings), scenario, policy, seed)
+            for path in self.option("deployment")
+            for scenario in scenarios or [item.name for item in SCENARIOS]
+            for policy in policies or _policies(scenario)
+        ]
+
+
+def main() -> int:
+    """Run the console program and return its exit status."""
+    # There is one command, so its name is left out on the command line.
+    if sys.argv[1:2] not in (["run"], ["list"], ["help"], ["--help"], ["-h"]):
+        sys.argv.insert(1, "run")
+    return run_commands("apricotpoint-bench", [BenchCommand()])
+
+
+def _print(figures: list[Figure]) -> None:
+    for figure in figures:
+        print(json.dumps(attrs.asdict(figure)), flush=True)
+
+
+def _chosen(name: str, values: list[str], known: list[str]) -> list[str]:
+    for value in values:
+        if value not in known:
+            raise _settings_error(f"{name} {value!r} is unknown", f"use one of {', '.join(known)}")
+    return values
+
+
+def _number(name: str, value: str) -> int:
+    if not value.isdecimal():
+        raise _settings_error(f"{name} is {value!r}", "use a whole number")
+    return int(value)
+
+
+def _settings_error(message: str, remedy: str) -> ApricotError:
+    return ApricotError(ResultCode.INVALID_SETTINGS, message, remedy=remedy)
+
+
+def _policies(scenario: str) -> list[str]:
     return [DEFAULT_POLICY, *BASELINES] if scenario in _COMPARED else [DEFAULT_POLICY]
 
 
--- a/src/apricotpoint/_bench/rig.py
+++ b/src/apricotpoint/_bench/rig.py
@@ -31,6 +31,7 @@
 LOCAL_LATENCY_S = 0.0001
 ANNOUNCE_PERIOD_S = 0.5
 DEFAULT_DEADLINE_S = 30.0
+UNLIMITED_TASKS = 100_000
 
 
 @attrs.frozen(eq=False)
@@ -65,9 +66,15 @@
         policy: str,
         seed: int,
         resubmit_share: float = 0.0,
+        deadline_s: float = DEFAULT_DEADLINE_S,
+        key_wait_s: float = 0.0,
+        quota_by_team: dict[str, int] | None = None,
     ) -> None:
         self.deployment = deployment
         self.resubmit_share = resubmit_share
+        self.deadline_s = deadline_s
+        self.key_wait_s = key_wait_s
+        self.started_at = 0.0
         self.open_by_number: dict[int, OpenJob] = {}
         self.conflicting_answers = 0
         self.random = random.Random(seed)
@@ -86,10 +93,16 @@
         self.configuration = Configuration(
             version=1,
             service_by_name={
-                deployment.service: ServiceConfig(name=deployment.service, policy=policy)
+                deployment.service: ServiceConfig(
+                    name=deployment.service, policy=policy, max_queue_s=deployment.max_queue_s
+                )
             },
             team_by_name={
-                team: TeamConfig(name=team, quota_tasks=100_000) for team in deployment.teams
+                team: TeamConfig(name=team, quota_tasks=quota)
+                for team, quota in {
+                    **dict.fromkeys(deployment.teams, UNLIMITED_TASKS),
+                    **(quota_by_team or {}),
+                }.items()
             },
         )
         self._incarnations = 0
@@ -110,7 +123,7 @@
                     group.start_soon(self._announce, worker)
                 await anyio.sleep(settle_s)
                 async with anyio.create_task_group() as callers:
-                    started_at = anyio.current_time()
+                    self.started_at = started_at = anyio.current_time()
                     for number, job in enumerate(trace):
                         await anyio.sleep(max(started_at + job.at_s - anyio.current_time(), 0))
                         callers.start_soon(self._call, job, number)
@@ -195,17 +208,23 @@
             job=job,
             number=number,
             submitted_at=anyio.current_time(),
-            deadline_s=DEFAULT_DEADLINE_S,
+            deadline_s=self.deadline_s,
         )
         self.records.append(record)
         running = self._balance()
+        key = running.entry.coordinator.issue_keys(1)[0]
+        if self.key_wait_s:
+            # A key may be used a while later and at another entry process.
+            await anyio.sleep(self.random.uniform(0.0, self.key_wait_s))
+            running = self._balance()
+            record.submitted_at = anyio.current_time()
         await anyio.sleep(CALLER_LATENCY_S)
         tasks = [
             attrs.evolve(task.spec, payload={"run_s": task.run_s, "id": f"{number}.{index}"})
             for index, task in enumerate(job.tasks)
         ]
         request = JobRequest(
-            key=running.entry.coordinator.issue_keys(1)[0],
+            key=key,
             team=job.team,
             service=self.deployment.service,
             deadline_ms=int(record.deadline_s * 1000),
--- a/src/apricotpoint/_bench/scenario.py
+++ b/src/apricotpoint/_bench/scenario.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from apricotpoint._bench.rig import Rig
+from apricotpoint._bench.rig import DEFAULT_DEADLINE_S, Rig
 from apricotpoint._bench.trace import TracedJob, capacity_tasks_per_s, make_trace
 from apricotpoint._settings.deployment import DeploymentSettings
 
@@ -15,6 +15,9 @@
 
 FAULT_AT_S = 20.0
 BURST_S = 5.0
+NOISY_TEAM = "noisy"
+# How many times its quota the noisy team asks for.
+NOISY_FACTOR = 10
 
 
 async def _nothing(rig: Rig) -> None:
@@ -26,7 +29,9 @@
     """A load, relative to capacity, and a disturbance that starts with the trace.
 
     `burst` multiplies the capacity that arrives for 5 s from second 20 on.
-    `noisy_share` is the load of a second team, relative to capacity.
+    `noisy_share` is the load of a second team, relative to capacity; its quota
+    is a tenth of the slots that it would need. `key_wait_s` is the longest time
+    between the issue of a key and its use.
     """
 
     name: str
@@ -38,6 +43,21 @@
     resubmit_share: float = 0.0
     steady: bool = False
     noisy_share: float = 0.0
+    deadline_s: float = DEFAULT_DEADLINE_S
+    key_wait_s: float = 0.0
+
+    def rig(self, deployment: DeploymentSettings, *, policy: str, seed: int) -> Rig:
+        """Return a rig for this scenario."""
+        slots = deployment.workers.count * deployment.workers.slots
+        return Rig(
+            deployment,
+            policy=policy,
+            seed=seed,
+            resubmit_share=self.resubmit_share,
+            deadline_s=self.deadline_s,
+            key_wait_s=self.key_wait_s,
+            quota_by_team={NOISY_TEAM: round(self.noisy_share * slots / NOISY_FACTOR)},
+        )
 
     def trace(self, deployment: DeploymentSettings, *, seed: int) -> list[TracedJob]:
         """Return the arrivals of this scenario for a deployment."""
@@ -57,7 +77,7 @@
                 tasks_per_s=self.noisy_share * capacity,
                 seconds=self.seconds,
                 seed=seed + 1,
-                team="noisy",
+                team=NOISY_TEAM,
             )
         return sorted(jobs, key=lambda job: job.at_s)
 
@@ -139,13 +159,15 @@
     Scenario(name="steady-50", load=0.5, steady=True),
     Scenario(name="steady-80", load=0.8, steady=True),
     Scenario(name="steady-95", load=0.95, steady=True),
-    Scenario(name="burst", load=0.5, burst=3.0),
+    Scenario(name="burst", load=0.5, burst=3.0, deadline_s=10.0),
     Scenario(name="wrong-declarations", load=0.8, declared_error=10.0),
     Scenario(name="one-failing", load=0.5, disturb=failing_workers(1)),
     Scenario(name="four-failing", load=0.5, disturb=failing_workers(4)),
     Scenario(name="two-slow", load=0.5, disturb=slow_workers(2, 10.0)),
     Scenario(name="cancel-half", load=0.8, disturb=cancel_wave),
-    Scenario(name="rolling-restart", load=0.5, seconds=90.0, disturb=rolling_restart),
+    Scenario(
+        name="rolling-restart", load=0.5, seconds=90.0, disturb=rolling_restart, key_wait_s=5.0
+    ),
     Scenario(name="domain-cut", load=0.4, seconds=100.0, disturb=cut_domain),
     Scenario(name="resubmission", load=0.8, resubmit_share=0.2),
     Scenario(name="entry-killed", load=0.5, disturb=kill_entry),
--- a/src/apricotpoint/_bench/worker.py
+++ b/src/apricotpoint/_bench/worker.py
@@ -21,6 +21,16 @@
 _FAST_FAILURE_S = 0.002
 
 
+@attrs.frozen
+class WorkerRun:
+    """A task that ran to its end; times are seconds on the virtual clock."""
+
+    job: str
+    began_at: float
+    ended_at: float
+    speed: float
+
+
 @attrs.define(eq=False)
 class FakeWorker:
     """One backend server: speed, slots, failure behaviour and a ledger.
@@ -57,6 +67,7 @@
     followed: bool = False
     count_by_task: Counter[str] = attrs.Factory(Counter)
     cancelled: dict[str, anyio.Event] = attrs.Factory(dict)
+    runs: list[WorkerRun] = attrs.Factory(list)
     _cancel_requested: set[str] = attrs.field(factory=set, init=False)
 
     def announcement(self) -> Announcement:
@@ -99,7 +110,7 @@
         if self.running + len(starts) > self.slots:
             self.refused += len(starts)
             await anyio.sleep(latency_s)
-            raise NotSentError(f"{self.backend_id} is full")
+            raise NotSentError(f"{self.backend_id} is full", refused=True)
         pending = [self._begin(start) for start in starts]
         heapq.heapify(pending)
         wake = anyio.Event()
@@ -119,6 +130,8 @@
                     continue
                 heapq.heappop(pending)
                 self._end(start_id)
+                if status is RunStatus.OK:
+                    self._record(start)
                 await anyio.sleep(latency_s)
                 if is_cut():
                     raise AnswerLostError(f"{self.backend_id} cannot be reached")
@@ -150,6 +163,13 @@
         run_s = start.payload["run_s"] / (self.speed * self.throttle)
         return now + run_s, start.start_id, start, RunStatus.OK
 
+    def _record(self, start: Start) -> None:
+        now = anyio.current_time()
+        speed = self.speed * self.throttle
+        began_at = now - start.payload["run_s"] / speed
+        job = start.payload["id"].split(".")[0]
+        self.runs.append(WorkerRun(job, began_at, now, speed))
+
     def _end(self, start_id: str) -> None:
         self.running -= 1
         self.cancelled.pop(start_id, None)
--- a/src/apricotpoint/_settings/deployment.py
+++ b/src/apricotpoint/_settings/deployment.py
@@ -15,7 +15,8 @@
 
     `entry_weights` gives one entry VM of that relative size in each failure
     domain for each item. `single_share` is the part of jobs with one task; the
-    others have up to `max_tasks` tasks, small ones more often.
+    others have up to `max_tasks` tasks, small ones more often. `max_queue_s` is
+    the predicted wait for a slot in seconds from which jobs are refused.
     """
 
     name: str = attrs.field(validator=checks.name)
@@ -28,6 +29,7 @@
     teams: list[str] = attrs.field(factory=lambda: ["default"], validator=checks.names)
     guards: bool = True
     single_share: float = attrs.field(default=0.6, validator=checks.between(0, 1, ""))
+    max_queue_s: float = attrs.field(default=30.0, validator=checks.between(0.1, 3600, "seconds"))
     max_tasks: int = attrs.field(default=110, validator=checks.between(1, 110, "tasks"))
 
     def __attrs_post_init__(self) -> None:
