--- a/src/apricotpoint/_control/replication.py
+++ b/src/apricotpoint/_control/replication.py
@@ -144,6 +144,9 @@
         replica.advance_commit()
     else:
         progress.next_index = max(1, min(reply.next_index, progress.next_index - 1))
+        # A disk may lose records that it has acknowledged: the end is truncated as torn.
+        # They must not count for the commit any more.
+        progress.match_index = min(progress.match_index, progress.next_index - 1)
     replica.notify()
 
 
--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -9,6 +9,8 @@
 
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._core.counters import Counters
+from apricotpoint._link.transport import Sender
+from apricotpoint._wire.configuration import ConfigPoll, ConfigUpdate, Configuration
 
 
 def make_feed(
@@ -126,3 +128,23 @@
                 await wait_until(lambda: feed.configuration().version == 1, 0.05)
 
     with_cluster(test, tmp_path)
+
+
+def test_late_answer_with_an_older_version_is_refused(tmp_path: Path):
+    """At the start all replicas are asked at once; one that is behind may answer last."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        for version in range(2):
+            await cluster.change(leader, f"cmd-{version}", version)
+
+        async def answer_late(_: Sender, __: object) -> object:
+            await anyio.sleep(0.5)
+            return ConfigUpdate(version=1, current=False, configuration=Configuration(version=1))
+
+        behind = Endpoint(cluster.network, "behind")
+        behind.request_handlers_by_type[ConfigPoll] = answer_late
+        async with make_feed(cluster, "e1", control_ids=[leader, "behind"]) as feed:
+            assert feed.configuration().version == 2
+
+    with_cluster(test, tmp_path)
--- a/testing/control/test_replication.py
+++ b/testing/control/test_replication.py
@@ -9,8 +9,9 @@
 import pytest
 from network import IDS, Cluster, Disk, wait_until, with_cluster
 
-from apricotpoint._control.messages import Entry
+from apricotpoint._control.messages import Append, Entry
 from apricotpoint._control.replica import Role
+from apricotpoint._control.replication import on_append
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._link.transport import PeerUnreachable
 from apricotpoint._wire.jobs import Claim, ClaimReply
@@ -489,3 +490,47 @@
         assert voter.log.term < candidate.log.term
 
     with_cluster(test, tmp_path)
+
+
+def test_replica_that_lost_synced_records_catches_up(tmp_path: Path):
+    """A file that ends too early looks like a torn write; the leader must send all again."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        for version in range(250):
+            await change_at(cluster, leader, version)
+        damaged = others(leader)[0]
+        await cluster.kill(damaged)
+        path = cluster.disk_by_id[damaged].folder / "log"
+        path.write_bytes(path.read_bytes()[: path.stat().st_size // 4])
+        await cluster.start(damaged)
+        await anyio.sleep(3)
+        before = cluster.network.messages
+        await anyio.sleep(10)
+        assert cluster.network.messages - before < 400
+        await change_at(cluster, damaged, 250)
+        await assert_same_everywhere(cluster, 251)
+
+    with_cluster(test, tmp_path)
+
+
+def test_entries_after_a_different_entry_are_refused(tmp_path: Path):
+    """Equal indexes are not enough: the entry before must have the same term."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        replica = cluster.node(others(leader)[0]).replica
+        last_index, term = replica.log.last_index, replica.log.term
+        committed = replica.commit_index
+        message = Append(
+            term=term,
+            previous_index=last_index,
+            previous_term=term + 1,
+            entries=[Entry(term=term)],
+            commit_index=last_index + 1,
+        )
+        reply = await on_append(replica, leader, message)
+        assert not reply.matched
+        assert (replica.log.last_index, replica.commit_index) == (last_index, committed)
+
+    with_cluster(test, tmp_path)
