--- a/src/apricotpoint/_control/measure.py
+++ b/src/apricotpoint/_control/measure.py
@@ -86,11 +86,12 @@
 class _Cluster:
     """Three control nodes in this process."""
 
-    def __init__(self, folder: Path, sync: SyncFunction) -> None:
+    def __init__(self, folder: Path, sync: SyncFunction, seed: int = 0) -> None:
         self.transport_by_id: dict[str, _LocalTransport] = {}
         self.node_by_id: dict[str, ControlNode] = {}
         self._folder = folder
         self._sync = sync
+        self._seed = seed
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> _Cluster:
@@ -98,7 +99,7 @@
             _LocalTransport(node_id, self.transport_by_id)
         for number, node_id in enumerate(_IDS):
             storage = Storage(self._folder / node_id, sync=self._sync)
-            seeded = random.Random(number)
+            seeded = random.Random(f"{self._seed} {number}")
             await initialise(storage, node_id=node_id, first=True, wall=time.time(), random=seeded)
             node = ControlNode(
                 node_id=node_id,
@@ -234,9 +235,9 @@
 
 async def _measure_failover(runs: int) -> None:
     times = []
-    for _ in range(runs):
+    for seed in range(runs):
         with _folder() as folder:
-            async with _Cluster(folder, sync_in_thread) as cluster:
+            async with _Cluster(folder, sync_in_thread, seed) as cluster:
                 old = await cluster.leader()
                 await anyio.sleep(0.5)
                 # A cut in both directions: for the others the same as a kill.
@@ -338,7 +339,7 @@
         await _measure_restart(changes)
     await _measure_claim_memory(50_000)
     await _measure_idle(5.0)
-    await _measure_failover(5)
+    await _measure_failover(10)
 
 
 if __name__ == "__main__":
