Add apricot-load and settings files for all programs

A running system could only be loaded from inside apricot-local. apricot-load submits a trace over HTTP, compares every answer with the ledgers of the backend servers and reports a table, JSON lines and a plot. apricot-local settings also writes the settings of apricot-load and apricotctl, a token file and the commands. Percentiles come from hdrhistogram; token and secrets files share their check.

--- a/src/apricotpoint/_core/counters.py
+++ b/src/apricotpoint/_core/counters.py
@@ -11,6 +11,25 @@
 _SIGNIFICANT_DIGITS = 3
 
 
+class Latencies:
+    """Histogram of latencies from 1 us to 1 h, exact to three digits."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
+
+    def record(self, seconds: float) -> None:
+        """Record one latency in seconds."""
+        self._histogram.record_value(min(max(int(seconds * 1e6), _LOWEST_US), _HIGHEST_US))
+
+    def count(self) -> int:
+        """Return the number of recorded latencies."""
+        return int(self._histogram.get_total_count())
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile (0 to 100) in milliseconds, 0 if nothing is recorded."""
+        return float(self._histogram.get_value_at_percentile(percentile)) / 1000
+
+
 class Counters:
     """Named event counts, gauges and latency histograms.
 
@@ -21,7 +40,7 @@
     def __init__(self) -> None:
         self._count_by_name: defaultdict[str, int] = defaultdict(int)
         self._gauge_by_name: dict[str, float] = {}
-        self._histogram_by_name: dict[str, HdrHistogram] = {}
+        self._latencies_by_name: dict[str, Latencies] = {}
 
     def add(self, name: str, n: int = 1) -> None:
         """Add `n` to the counter `name`."""
@@ -37,19 +56,17 @@
 
     def record(self, name: str, seconds: float) -> None:
         """Record one latency in seconds."""
-        histogram = self._histogram_by_name.get(name)
-        if histogram is None:
-            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
-            self._histogram_by_name[name] = histogram
-        histogram.record_value(min(max(int(seconds * 1e6), _LOWEST_US), _HIGHEST_US))
+        latencies = self._latencies_by_name.get(name)
+        if latencies is None:
+            latencies = self._latencies_by_name[name] = Latencies()
+        latencies.record(seconds)
 
     def snapshot(self) -> dict[str, float]:
         """Return all counters, gauges and histogram quantiles (ms) by name."""
         values: dict[str, float] = dict(sorted(self._count_by_name.items()))
         values.update(sorted(self._gauge_by_name.items()))
-        for name, histogram in sorted(self._histogram_by_name.items()):
-            values[f"{name}.count"] = histogram.get_total_count()
-            for quantile in (50, 99):
-                value_us = histogram.get_value_at_percentile(quantile)
-                values[f"{name}.p{quantile}_ms"] = value_us / 1000
+        for name, latencies in sorted(self._latencies_by_name.items()):
+            values[f"{name}.count"] = latencies.count()
+            for percentile in (50, 99):
+                values[f"{name}.p{percentile}_ms"] = latencies.percentile_ms(percentile)
         return values
--- a/src/apricotpoint/_core/secrets.py
+++ b/src/apricotpoint/_core/secrets.py
@@ -64,6 +64,31 @@
         return _owner({"internal": self._internal}, token) is not None
 
 
+@attrs.frozen
+class Tokens:
+    """Tokens by owner, for a program that calls the system, such as a load generator."""
+
+    path: Path
+    token_by_team: dict[str, str] = attrs.field(repr=False)
+    token_by_operator: dict[str, str] = attrs.field(repr=False)
+
+    def team(self, name: str) -> str:
+        """Return the token of a team; raises `ApricotError` with code 5001."""
+        return self._token(self.token_by_team, "teams", name)
+
+    def operator(self, name: str) -> str:
+        """Return the token of an operator; raises `ApricotError` with code 5001."""
+        return self._token(self.token_by_operator, "operators", name)
+
+    def _token(self, token_by_name: dict[str, str], section: str, name: str) -> str:
+        if name not in token_by_name:
+            raise _invalid(
+                f"secrets file {self.path} has no {section}.{name}",
+                f"use a name from the file or add {section}.{name}",
+            )
+        return token_by_name[name]
+
+
 def load_secrets(path: Path) -> Secrets:
     """Read a secrets file in JSON with comments.
 
@@ -71,20 +96,45 @@
     invalid value, or can be accessed by group or others. No message contains
     a secret.
     """
+    loaded = _load_file(path)
+    return Secrets(teams=loaded.teams, operators=loaded.operators, internal=loaded.internal)
+
+
+def load_tokens(path: Path) -> Tokens:
+    """Read the first token of each team and operator; raises as `load_secrets`."""
+    loaded = _load_file(path)
+    # The same values are refused here as in the processes that check the tokens.
+    Secrets(teams=loaded.teams, operators=loaded.operators, internal=loaded.internal)
+    return Tokens(
+        path=path,
+        token_by_team={name: values[0] for name, values in loaded.teams.items()},
+        token_by_operator={name: values[0] for name, values in loaded.operators.items()},
+    )
+
+
+def check_private(path: Path, kind: str) -> None:
+    """Refuse a file with secrets that group or others can access.
+
+    `kind` names the file in the message. Raises `ApricotError` with code 5001.
+    """
     try:
         mode = path.stat().st_mode
     except OSError as error:
         raise _invalid(
-            f"secrets file {path} cannot be read: {error.strerror}", "pass a readable secrets file"
+            f"{kind} {path} cannot be read: {error.strerror}", f"pass a readable {kind}"
         ) from error
     if mode & (stat.S_IRWXG | stat.S_IRWXO):
         raise _invalid(
-            f"secrets file {path} has mode {stat.S_IMODE(mode):04o}, "
+            f"{kind} {path} has mode {stat.S_IMODE(mode):04o}, "
             "which gives access to group or others",
             f"run: chmod 600 {path}",
         )
+
+
+def _load_file(path: Path) -> _SecretsFile:
+    check_private(path, "secrets file")
     try:
-        loaded = settings.load(path, _SecretsFile)
+        return settings.load(path, _SecretsFile)
     except ApricotError as error:
         if error.__cause__ is not None and isinstance(error.__cause__, OSError):
             raise
@@ -93,7 +143,6 @@
             f"secrets file {path} is not valid",
             'use {"teams": {name: [token]}, "operators": {name: [token]}, "internal": [key]}',
         ) from None
-    return Secrets(teams=loaded.teams, operators=loaded.operators, internal=loaded.internal)
 
 
 def _owner(values_by_name: dict[str, list[bytes]], token: str) -> str | None:
--- a/src/apricotpoint/_load/summary.py
+++ b/src/apricotpoint/_load/summary.py
@@ -10,6 +10,7 @@
 
 from apricotpoint._bench.ideal import IdealWorker, ideal_responses_s
 from apricotpoint._bench.trace import TracedJob
+from apricotpoint._core.counters import Latencies
 from apricotpoint._load.outcome import Outcome
 
 
@@ -41,7 +42,9 @@
     """Return the figures of a finished run on loopback, where the network time is near zero."""
     ideal = ideal_responses_s(trace, workers, round_trip_s=0.0)
     complete = [outcome for outcome in outcomes if outcome.complete]
-    responses_ms = sorted(outcome.response_s * 1000 for outcome in complete)
+    responses = Latencies()
+    for outcome in complete:
+        responses.record(outcome.response_s)
     tasks = sum(len(outcome.job.tasks) for outcome in outcomes)
     ratio = 0.0
     if complete:
@@ -52,8 +55,8 @@
         tasks=tasks,
         complete=len(complete),
         failed=len(outcomes) - len(complete),
-        response_p50_ms=_quantile(responses_ms, 0.5),
-        response_p99_ms=_quantile(responses_ms, 0.99),
+        response_p50_ms=round(responses.percentile_ms(50), 2),
+        response_p99_ms=round(responses.percentile_ms(99), 2),
         ideal_ratio_mean=round(ratio, 3),
         wasted_messages_per_task=round(wasted_messages / max(tasks, 1), 5),
         not_whole=sum(1 for outcome in outcomes if not outcome.whole),
@@ -76,9 +79,3 @@
         "ideal_ratio_mean": max(item.ideal_ratio_mean for item in summaries),
         "wasted_messages_per_task": round(wasted / max(tasks, 1), 5),
     }
-
-
-def _quantile(values: Sequence[float], fraction: float) -> float:
-    if not values:
-        return 0.0
-    return round(values[min(int(len(values) * fraction), len(values) - 1)], 2)
--- a/src/apricotpoint/_operator/client.py
+++ b/src/apricotpoint/_operator/client.py
@@ -13,6 +13,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.secrets import check_private
 
 CONNECT_TIMEOUT_S = 2.0
 # Longer than the slowest command other than a submission: rows for 1 s, then
@@ -37,20 +38,16 @@
 
     Raises `ApricotError` with code 5001.
     """
+    check_private(path, "token file")
     try:
-        if path.stat().st_mode & 0o077:
-            raise ApricotError(
-                ResultCode.INVALID_SETTINGS,
-                f"token file {path} is accessible by group or others",
-                remedy=f"run: chmod 600 {path}",
-            )
         return path.read_text(encoding="ascii").strip()
     except (OSError, UnicodeDecodeError) as error:
+        reason = error.strerror if isinstance(error, OSError) else "it is not ASCII"
         raise ApricotError(
             ResultCode.INVALID_SETTINGS,
-            f"token file {path} cannot be read: {error}",
+            f"token file {path} cannot be read: {reason}",
             remedy="set token_file to a file with the operator token",
-        ) from error
+        ) from None
 
 
 class OperatorClient:
--- a/src/apricotpoint/_programs/control.py
+++ b/src/apricotpoint/_programs/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -175,3 +176,7 @@
         "config_version": node.replica.state.configuration.version,
         "config_current": node.replica.has_majority(),
     }
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/apricotpoint/_programs/ctl.py
+++ b/src/apricotpoint/_programs/ctl.py
@@ -262,3 +262,7 @@
 
 def _write(output: Output, text: str) -> None:
     output.write(text, new_line=True, type=Type.RAW)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/apricotpoint/_programs/entry.py
+++ b/src/apricotpoint/_programs/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -358,3 +359,7 @@
             version=self._feed.configuration().version,
             message="no control process with a majority answered",
         )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/apricotpoint/_programs/local.py
+++ b/src/apricotpoint/_programs/local.py
@@ -22,7 +22,7 @@
 from apricotpoint._bench.trace import make_trace
 from apricotpoint._client import Client
 from apricotpoint._core.logs import LogSettings, make_handler
-from apricotpoint._core.secrets import Secrets, load_secrets
+from apricotpoint._core.secrets import Secrets, load_secrets, load_tokens
 from apricotpoint._core.settings import load
 from apricotpoint._load.driver import drive
 from apricotpoint._load.outcome import Outcome
@@ -42,6 +42,9 @@
 DEMO_SECONDS = 12.0
 DEMO_DEADLINE_MS = 20_000
 SETTLE_S = 2.0
+# The only caller has finished before the entry processes drain, so no issued
+# key is still to be used.
+LOCAL_DRAIN_GRACE_S = 0.0
 FIRST_PORT = 17_000
 PROGRESS_JOBS = 20
 
@@ -97,7 +100,7 @@
         await create_configuration(
             plan.deployment,
             operator_address=plan.entries[0].operator_bind,
-            token=_first_token(plan, "operators", OPERATOR),
+            token=load_tokens(plan.secrets_path).operator(OPERATOR),
         )
         await anyio.sleep(SETTLE_S)
         yield deployment
@@ -106,7 +109,12 @@
 async def run_demo(deployment: DeploymentSettings, *, seconds: float, seed: int) -> Summary:
     """Run a deployment on free ports with a light load and return the summary."""
     with tempfile.TemporaryDirectory(prefix="apricot-") as folder:
-        plan = make_plan(deployment, folder=Path(folder), next_port=free_ports())
+        plan = make_plan(
+            deployment,
+            folder=Path(folder),
+            next_port=free_ports(),
+            drain_grace_s=LOCAL_DRAIN_GRACE_S,
+        )
         async with local_deployment(plan) as local:
             return await _run_load(local, seconds=seconds, seed=seed)
 
@@ -121,7 +129,7 @@
         if len(outcomes) % PROGRESS_JOBS == 0:
             print(f"  {len(outcomes)} of {len(trace)} jobs answered", flush=True)
 
-    token = _first_token(local.plan, "teams", deployment.teams[0])
+    token = load_tokens(local.plan.secrets_path).team(deployment.teams[0])
     async with Client(local.caller_urls(), token, seed=seed) as client:
         await drive(
             trace,
@@ -236,11 +244,6 @@
     )
 
 
-def _first_token(plan: Plan, section: str, owner: str) -> str:
-    values = json.loads(plan.secrets_path.read_text(encoding="utf-8"))
-    return str(values[section][owner][0])
-
-
 def _print_table(summary: Summary) -> None:
     for name, value in attrs.asdict(summary).items():
         print(f"  {name.replace('_', ' '):28} {value}")
--- a/src/apricotpoint/_programs/plan.py
+++ b/src/apricotpoint/_programs/plan.py
@@ -11,10 +11,14 @@
 import attrs
 
 from apricotpoint._backend.settings import BackendSettings
+from apricotpoint._core.secrets import load_tokens
+from apricotpoint._load.settings import LoadSettings
+from apricotpoint._operator.client import ClientSettings
 from apricotpoint._settings.control import ControlSettings
 from apricotpoint._settings.deployment import DeploymentSettings
 from apricotpoint._settings.entry import EntrySettings
 
+DRAIN_GRACE_S = 6.0
 LOOPBACK = "127.0.0.1"
 OPERATOR = "operator"
 
@@ -32,7 +36,11 @@
 
 
 def make_plan(
-    deployment: DeploymentSettings, *, folder: Path, next_port: Callable[[], int]
+    deployment: DeploymentSettings,
+    *,
+    folder: Path,
+    next_port: Callable[[], int],
+    drain_grace_s: float = DRAIN_GRACE_S,
 ) -> Plan:
     """Return the settings of all processes; `next_port` gives each listener its port.
 
@@ -79,6 +87,7 @@
             control_by_domain=control_by_domain,
             secrets_file=str(secrets_path),
             weight=weight,
+            drain_grace_s=drain_grace_s,
             dump_folder=str(folder / "dumps"),
         )
         for domain in domains
@@ -102,26 +111,73 @@
         "operators": {OPERATOR: [secrets.token_urlsafe(24)]},
         "internal": [secrets.token_urlsafe(24)],
     }
-    plan.secrets_path.touch(mode=0o600)
-    plan.secrets_path.chmod(0o600)
-    plan.secrets_path.write_text(json.dumps(values, indent=2), encoding="utf-8")
+    _write_private(plan.secrets_path, json.dumps(values, indent=2))
 
 
 def write_settings(plan: Plan) -> list[Path]:
-    """Write one settings file for each process below the folder and return their paths."""
+    """Write settings for each process and program below the folder, and the commands.
+
+    The secrets file must exist. Returns the paths.
+    """
     plan.folder.mkdir(parents=True, exist_ok=True)
+    folder = plan.folder
+    token_path = folder / "operator-token"
+    _write_private(token_path, load_tokens(plan.secrets_path).operator(OPERATOR))
+    operator_addresses = [entry.operator_bind for entry in plan.entries]
+    load_settings = LoadSettings(
+        caller_addresses=[entry.caller_bind for entry in plan.entries],
+        secrets_file=str(plan.secrets_path),
+        team=plan.deployment.teams[0],
+        deployment_file=str(folder / "deployment.jsonc"),
+        report_folder=str(folder / "report"),
+        operator=OPERATOR,
+        operator_addresses=operator_addresses,
+        backend_addresses=[backend.bind for backend in plan.backends],
+    )
+    ctl_settings = ClientSettings(addresses=operator_addresses, token_file=token_path)
     named: list[tuple[str, Any]] = [
         *((settings.control_id, settings) for settings in plan.controls),
         *((settings.entry_id, settings) for settings in plan.entries),
         *((settings.backend_id, settings) for settings in plan.backends),
+        ("deployment", plan.deployment),
+        ("load", load_settings),
+        ("apricotctl", ctl_settings),
     ]
     paths = []
     for name, settings in named:
-        path = plan.folder / f"{name}.jsonc"
+        path = folder / f"{name}.jsonc"
         text = json.dumps(attrs.asdict(settings, value_serializer=_plain), indent=2)
         path.write_text(f"// Settings of {name}.\n{text}\n", encoding="utf-8")
         paths.append(path)
-    return paths
+    commands_path = folder / "commands.txt"
+    commands_path.write_text("\n".join(commands(plan)) + "\n", encoding="utf-8")
+    return [*paths, token_path, commands_path]
+
+
+def commands(plan: Plan) -> list[str]:
+    """Return the shell commands that start all processes, configure them and run a load.
+
+    Each `run` command stays in the foreground and belongs into its own shell or unit.
+    """
+    folder = plan.folder
+    controls = [folder / f"{settings.control_id}.jsonc" for settings in plan.controls]
+    ctl = f"--settings {folder / 'apricotctl.jsonc'}"
+    changes = [f"create service {plan.deployment.service}"]
+    changes += [f"create team {team} quota_tasks = 10000" for team in plan.deployment.teams]
+    return [
+        *(f"apricot-control init {path} --first" for path in controls),
+        *(f"apricot-control run {path}" for path in controls),
+        *(f"apricot-entry run {folder / entry.entry_id}.jsonc" for entry in plan.entries),
+        *(f"apricot-backend run {folder / item.backend_id}.jsonc" for item in plan.backends),
+        *(f"apricotctl {change} at {index} {ctl}" for index, change in enumerate(changes)),
+        f"apricot-load run {folder / 'load.jsonc'}",
+    ]
+
+
+def _write_private(path: Path, text: str) -> None:
+    path.touch(mode=0o600)
+    path.chmod(0o600)
+    path.write_text(text, encoding="utf-8")
 
 
 def _backends(
@@ -164,4 +220,6 @@
 
 
 def _plain(_: object, __: object, value: Any) -> Any:
+    if isinstance(value, Path):
+        return str(value)
     return value.value if hasattr(value, "value") else value
--- a/src/apricotpoint/_settings/checks.py
+++ b/src/apricotpoint/_settings/checks.py
@@ -55,6 +55,14 @@
         address(instance, attribute, item)
 
 
+def address_list(instance: object, attribute: attrs.Attribute[Any], value: list[str]) -> None:
+    """Require a list of one or more `IP:port`."""
+    if not value:
+        raise ValueError(f"{attribute.name}: must list one or more addresses, IP:port")
+    for item in value:
+        address(instance, attribute, item)
+
+
 def between(low: float, high: float, unit: str) -> Validator:
     """Require a number of `unit` from `low` to `high`."""
 
