Record no claim for a check at the key registry

Under a SIGTERM of puebla-1 with load, 2 of 352 jobs with caller keys got 3101 'the key is not known here': the registry ignored check_only, so the check before a refusal 2110 bound the key to the draining process, and the resubmission elsewhere was forwarded to it. A check now only reads.

--- a/src/apricotpoint/_control/registry.py
+++ b/src/apricotpoint/_control/registry.py
@@ -89,6 +89,8 @@
     async def claim(self, claim: Claim) -> ClaimReply:
         """Record a claim, or return the one recorded before.
 
+        With `check_only` nothing is recorded.
+
         Code 2101 is given for a `valid_until` too far ahead and 2104 when the
         registry is full; in both cases nothing was claimed.
         """
@@ -105,6 +107,10 @@
         if self._may_be_lost(claim):
             self._counters.add("claims.may_be_lost")
             return ClaimReply(code=ResultCode.CLAIM_MAY_BE_LOST)
+        if claim.check_only:
+            # A record would bind the key to a coordinator that refuses the job.
+            self._counters.add("claims.checked")
+            return ClaimReply(code=ResultCode.ACCEPTED)
         self._expire()
         if self.claims >= self._max_claims:
             self._counters.add("claims.refused_full")
--- a/testing/control/test_registry.py
+++ b/testing/control/test_registry.py
@@ -57,6 +57,22 @@
     run(test)
 
 
+def test_check_records_nothing(tmp_path: Path):
+    """A draining entry process asks before it refuses; the key must stay free for others."""
+
+    async def test() -> None:
+        registry = await opened(Disk(tmp_path), Clock())
+        checked = await registry.claim(attrs.evolve(CLAIM, check_only=True))
+        assert (checked.code, checked.existing, registry.claims) == (ResultCode.ACCEPTED, False, 0)
+        granted = await registry.claim(attrs.evolve(CLAIM, entry_id="e2"))
+        assert (granted.entry_id, granted.existing) == ("e2", False)
+        checked = await registry.claim(attrs.evolve(CLAIM, check_only=True))
+        assert (checked.entry_id, checked.existing) == ("e2", True)
+        registry.close()
+
+    run(test)
+
+
 def test_claim_killed_at_any_step_is_not_granted_twice(tmp_path: Path):
     """Whatever the moment of a crash, a granted claim is found again after it."""
 
