Refuse jobs of more than 110 tasks, wrong backend settings and old incarnations

Cause: the caller API accepted 1,000 tasks although jobs have up to 110; a value that a validator refuses was reported as 'invalid value' without its key; a process whose wall clock went back was ignored by its peers without a sign. Before: 2111 above 1,000 tasks. Backend settings have validators, messages name file, key and remedy, a refusal by a backend server is marked as such, and a process that a peer knows by a higher incarnation ends with code 5106.

--- a/src/apricotpoint/_backend/app.py
+++ b/src/apricotpoint/_backend/app.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+import attrs
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -62,7 +63,8 @@
             changed = msgspec.json.decode(raw, type=dict[str, Any])
             current = msgspec.to_builtins(behaviour)
             new = msgspec.convert(current | changed, Behaviour)
-        except msgspec.MsgspecError as error:
+            attrs.validate(new)
+        except (msgspec.MsgspecError, ValueError) as error:
             return Response(f"body: {error}", status_code=400)
         for name in changed.keys() & current.keys():
             setattr(behaviour, name, getattr(new, name))
--- a/src/apricotpoint/_backend/settings.py
+++ b/src/apricotpoint/_backend/settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from apricotpoint._settings import checks
 from apricotpoint._wire.announce import GuardState
 
 
@@ -17,13 +18,13 @@
     starts gets status 503.
     """
 
-    fail_probability: float = 0.0
-    fail_after_s: float = 0.001
-    slow_factor: float = 1.0
+    fail_probability: float = attrs.field(default=0.0, validator=checks.between(0, 1, ""))
+    fail_after_s: float = attrs.field(default=0.001, validator=checks.between(0, 3600, "seconds"))
+    slow_factor: float = attrs.field(default=1.0, validator=checks.between(0.001, 1000, ""))
     silent: bool = False
     refuse: bool = False
     guard: GuardState = GuardState.RUNNING
-    throttle: float = 1.0
+    throttle: float = attrs.field(default=1.0, validator=checks.between(0, 1, ""))
 
 
 @attrs.frozen
@@ -35,19 +36,19 @@
     with the first internal key of `secrets_file`.
     """
 
-    backend_id: str
-    service: str
-    failure_domain: str
-    rack: str
-    bind: str = "127.0.0.1:0"
-    announce_to: list[str] = attrs.Factory(list)
+    backend_id: str = attrs.field(validator=checks.name)
+    service: str = attrs.field(validator=checks.name)
+    failure_domain: str = attrs.field(validator=checks.name)
+    rack: str = attrs.field(validator=checks.name)
+    bind: str = attrs.field(default="127.0.0.1:0", validator=checks.bind)
+    announce_to: list[str] = attrs.field(factory=list, validator=checks.urls)
     secrets_file: str = ""
-    slots: int = 8
-    connections: int = 64
-    cores: int = 32
-    memory_mb: int = 131_072
-    accelerators: int = 0
-    speed: float = 1.0
-    default_run_s: float = 0.05
+    slots: int = attrs.field(default=8, validator=checks.between(1, 1024, "slots"))
+    connections: int = attrs.field(default=64, validator=checks.between(1, 4096, "connections"))
+    cores: int = attrs.field(default=32, validator=checks.between(1, 1024, "cores"))
+    memory_mb: int = attrs.field(default=131_072, validator=checks.between(1, 16_000_000, "MB"))
+    accelerators: int = attrs.field(default=0, validator=checks.between(0, 1024, "accelerators"))
+    speed: float = attrs.field(default=1.0, validator=checks.between(0.01, 100, ""))
+    default_run_s: float = attrs.field(default=0.05, validator=checks.between(0, 3600, "seconds"))
     seed: int = 0
     behaviour: Behaviour = attrs.Factory(Behaviour)
--- a/src/apricotpoint/_control/registry.py
+++ b/src/apricotpoint/_control/registry.py
@@ -102,15 +102,9 @@
         encoded = self._encoded_by_key.get(key)
         if encoded is not None:
             return await self._existing(key, encoded, claim)
-        if claim.valid_until > now + MAX_VALIDITY_S + CLOCK_ALLOWANCE_S:
-            return ClaimReply(code=ResultCode.MALFORMED)
-        if self._may_be_lost(claim):
-            self._counters.add("claims.may_be_lost")
-            return ClaimReply(code=ResultCode.CLAIM_MAY_BE_LOST)
-        if claim.check_only:
-            # A record would bind the key to a coordinator that refuses the job.
-            self._counters.add("claims.checked")
-            return ClaimReply(code=ResultCode.ACCEPTED)
+        unrecorded = self._reply_without_record(claim, now)
+        if unrecorded is not None:
+            return ClaimReply(code=unrecorded)
         self._expire()
         if self.claims >= self._max_claims:
             self._counters.add("claims.refused_full")
@@ -130,6 +124,18 @@
             code=ResultCode.ACCEPTED, entry_id=claim.entry_id, incarnation=claim.incarnation
         )
 
+    def _reply_without_record(self, claim: Claim, now: float) -> ResultCode | None:
+        if claim.valid_until > now + MAX_VALIDITY_S + CLOCK_ALLOWANCE_S:
+            return ResultCode.MALFORMED
+        if self._may_be_lost(claim):
+            self._counters.add("claims.may_be_lost")
+            return ResultCode.CLAIM_MAY_BE_LOST
+        if claim.check_only:
+            # A record would bind the key to a coordinator that refuses the job.
+            self._counters.add("claims.checked")
+            return ResultCode.ACCEPTED
+        return None
+
     async def compact(self) -> bool:
         """Delete expired claims; rewrite the file if half of it or more is expired."""
         self.now()
--- a/src/apricotpoint/_core/codes.py
+++ b/src/apricotpoint/_core/codes.py
@@ -61,6 +61,7 @@
     SYNC_FAILED = 5103
     DISK_FULL = 5104
     OLD_DISK = 5105
+    OLD_INCARNATION = 5106
 
     @property
     def meaning(self) -> Meaning:
@@ -136,4 +137,5 @@
     ResultCode.SYNC_FAILED: 43,
     ResultCode.DISK_FULL: 44,
     ResultCode.OLD_DISK: 45,
+    ResultCode.OLD_INCARNATION: 46,
 }
--- a/src/apricotpoint/_core/settings.py
+++ b/src/apricotpoint/_core/settings.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 import cattrs
+import cattrs.v
 import json5
 
 from apricotpoint._core.codes import ResultCode
@@ -47,7 +48,9 @@
     try:
         return _CONVERTER.structure(raw, settings_type)
     except Exception as error:
-        details = "; ".join(cattrs.transform_error(error, path="settings"))
+        details = "; ".join(
+            cattrs.transform_error(error, path="settings", format_exception=_describe)
+        )
         raise ApricotError(
             ResultCode.INVALID_SETTINGS,
             f"{source}: {details}",
@@ -55,6 +58,13 @@
         ) from error
 
 
+def _describe(error: BaseException, kind: type | None) -> str:
+    # cattrs reports a ValueError, by which validators name the key, as "invalid value".
+    if type(error) is ValueError:
+        return str(error)
+    return cattrs.v.format_exception(error, kind)
+
+
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
     converter.register_structure_hook(int, _exact(int, "an integer"))
--- a/src/apricotpoint/_http/backends.py
+++ b/src/apricotpoint/_http/backends.py
@@ -117,7 +117,7 @@
             try:
                 if response.status_code == _REFUSED:
                     self._counters.add("backends.refused")
-                    raise NotSentError(f"{backend.backend_id} refused the starts")
+                    raise NotSentError(f"{backend.backend_id} refused the starts", refused=True)
                 if response.status_code != httpx.codes.OK:
                     raise AnswerLostError(
                         f"{backend.backend_id} answered with status {response.status_code}"
--- a/src/apricotpoint/_http/callers.py
+++ b/src/apricotpoint/_http/callers.py
@@ -21,10 +21,9 @@
 from apricotpoint._core.secrets import Secrets
 from apricotpoint._http.body import read_body
 from apricotpoint._wire.jobs import Answer, AnswerForward, JobRequest
-from apricotpoint._wire.tasks import TaskSpec
+from apricotpoint._wire.tasks import MAX_TASKS, TaskSpec
 
 MAX_BODY_BYTES = 1 << 20
-MAX_TASKS = 1000
 MAX_KEYS = 1000
 MAX_DEADLINE_MS = 600_000
 MAX_WAIT_S = 60.0
@@ -94,8 +93,8 @@
         body = _decode(_JOB_DECODER, await read_body(request, max_bytes=max_body_bytes))
         if len(body.tasks) > max_tasks:
             raise ApricotError(
-                ResultCode.TOO_LARGE,
-                f"tasks has {len(body.tasks)} items, more than {max_tasks}",
+                ResultCode.MALFORMED,
+                f"tasks has {len(body.tasks)} items, a job has 1 to {max_tasks}",
                 remedy="split the job",
             )
         if not isinstance(parse_key(body.key), IssuedKey) and body.valid_until is None:
--- a/src/apricotpoint/_jobs/admission.py
+++ b/src/apricotpoint/_jobs/admission.py
@@ -13,8 +13,8 @@
 from apricotpoint._jobs.views import ServiceView
 from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
 from apricotpoint._wire.jobs import JobRequest
+from apricotpoint._wire.tasks import MAX_TASKS
 
-MAX_TASKS = 10_000
 MAX_DEADLINE_MS = 3_600_000
 _MIN_RETRY_MS = 50
 _MAX_RETRY_MS = 5_000
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -15,9 +15,11 @@
 import logbook
 import pynng
 
+from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
 from apricotpoint._core.timers import TimerService
-from apricotpoint._link.peer import MAX_MESSAGE_BYTES, SILENCE_S, PeerLink
+from apricotpoint._link.peer import MAX_MESSAGE_BYTES, SILENCE_S, NewerIncarnation, PeerLink
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._wire import codec
 
@@ -41,8 +43,10 @@
 
     A process listens on one pull socket and has one push socket for each
     peer. Incarnations of one process id must increase, because messages of
-    an incarnation lower than the highest one heard are dropped. Use as an
-    async context manager; handlers must be registered before.
+    an incarnation lower than the highest one heard are dropped. A process
+    that learns from a peer that its own is lower ends with `ApricotError`,
+    code 5106, because that peer would not hear it. Use as an async context
+    manager; handlers must be registered before.
     """
 
     def __init__(
@@ -58,6 +62,8 @@
     ) -> None:
         self.handlers_by_type: dict[type, Handler] = {}
         self.request_handlers_by_type: dict[type, RequestHandler] = {}
+        self._process_id = process_id
+        self._incarnation = incarnation
         self._listen = listen
         self._keys = list(keys)
         self._timers = timers
@@ -201,9 +207,22 @@
             self._handle_reply(envelope)
         elif envelope.request_id:
             self._handle_request(link, sender, envelope)
+        elif isinstance(envelope.message, NewerIncarnation):
+            self._check_incarnation(envelope.sender, envelope.message.incarnation)
         elif not isinstance(envelope.message, codec.Nothing):
             self._handle_message(sender, envelope.message)
 
+    def _check_incarnation(self, peer_id: str, highest: int) -> None:
+        # A peer also tells this after late messages of an earlier incarnation.
+        if highest <= self._incarnation:
+            return
+        raise ApricotError(
+            ResultCode.OLD_INCARNATION,
+            f"{peer_id} has seen incarnation {highest} of {self._process_id}, "
+            f"which is higher than this one, {self._incarnation}",
+            remedy="correct the wall clock of this VM and start the process again",
+        )
+
     def _handle_reply(self, envelope: codec.Envelope) -> None:
         pending = self._pending_by_id.get(envelope.request_id)
         if pending is None or pending.peer_id != envelope.sender:
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -38,7 +38,14 @@
     """
 
 
-codec.register(Redial)
+@attrs.frozen
+class NewerIncarnation:
+    """Tells a process that messages of it are dropped, because a higher incarnation was heard."""
+
+    incarnation: int
+
+
+codec.register(Redial, NewerIncarnation)
 
 
 @attrs.frozen
@@ -89,6 +96,7 @@
         self._sent_at = -math.inf
         self._dialled_at = -math.inf
         self._redial_asked = False
+        self._told_newer_at = -math.inf
         self._wake = anyio.Event()
         self._socket: pynng.Push0 | None = None
 
@@ -123,6 +131,7 @@
         elif envelope.incarnation < self.peer_incarnation:
             # Handling it could repeat a message whose sequence is forgotten.
             self._counters.add("link.old_incarnation")
+            self._tell_newer_incarnation()
             return False
         self.heard_at = self._timers.now()
         is_for_me = envelope.peer_incarnation == self._incarnation
@@ -155,6 +164,13 @@
             if self._socket is not None:
                 self._socket.close()
 
+    def _tell_newer_incarnation(self) -> None:
+        """Answer messages of an old incarnation, at most once each `SILENCE_S`."""
+        now = self._timers.now()
+        if now - self._told_newer_at >= SILENCE_S:
+            self._told_newer_at = now
+            self.send(NewerIncarnation(self.peer_incarnation or 0))
+
     def _begin_incarnation(self, incarnation: int) -> None:
         if self.peer_incarnation is not None:
             self._counters.add("link.dropped_for_old_incarnation", len(self._stream))
--- a/src/apricotpoint/_operator/codespage.py
+++ b/src/apricotpoint/_operator/codespage.py
@@ -47,6 +47,7 @@
     ResultCode.SYNC_FAILED: "A write could not be synced to disk.",
     ResultCode.DISK_FULL: "The disk is full.",
     ResultCode.OLD_DISK: "The data folder is older than what other processes have seen of it.",
+    ResultCode.OLD_INCARNATION: "A peer has seen a higher incarnation; the wall clock went back.",
 }
 
 
--- a/src/apricotpoint/_operator/submission.py
+++ b/src/apricotpoint/_operator/submission.py
@@ -13,9 +13,7 @@
 from apricotpoint._operator.conditions import Duration
 from apricotpoint._operator.failures import invalid_command
 from apricotpoint._operator.statements import Setting, TaskClause
-from apricotpoint._wire.tasks import TaskSpec
-
-MAX_TASKS_PER_CLAUSE = 1_000
+from apricotpoint._wire.tasks import MAX_TASKS, TaskSpec
 
 
 @attrs.frozen
@@ -51,9 +49,9 @@
     except ApricotError as error:
         names = ", ".join(attrs.fields_dict(_TaskSettings))
         raise invalid_command(error.message, f"the settings of a task are {names}") from error
-    if not 1 <= checked.count <= MAX_TASKS_PER_CLAUSE:
+    if not 1 <= checked.count <= MAX_TASKS:
         raise invalid_command(
-            f"task {clause.kind!r} has count {checked.count}", f"use 1 to {MAX_TASKS_PER_CLAUSE}"
+            f"task {clause.kind!r} has count {checked.count}", f"use 1 to {MAX_TASKS}"
         )
     try:
         payload = msgspec.json.decode(checked.payload)
--- a/src/apricotpoint/_programs/incarnation.py
+++ b/src/apricotpoint/_programs/incarnation.py
@@ -8,7 +8,8 @@
 def new_incarnation() -> int:
     """Return a number that is larger than those of earlier starts on the same VM.
 
-    The wall clock in microseconds is enough: it is compared only for equality
-    and shown to operators, and two starts are never in the same microsecond.
+    It is the wall clock in microseconds. If the clock went back, peers that
+    remember a higher incarnation report it and the process ends with code
+    5106; see `Mesh`.
     """
     return time.time_ns() // 1000
--- a/src/apricotpoint/_settings/checks.py
+++ b/src/apricotpoint/_settings/checks.py
@@ -42,6 +42,25 @@
         raise ValueError(f"{attribute.name}: {value!r} must be an IP number and a port, IP:port")
 
 
+def bind(instance: object, attribute: attrs.Attribute[Any], value: str) -> None:
+    """Require `IP:port`, in which port 0 stands for any free port."""
+    host, _, port = value.rpartition(":")
+    address(instance, attribute, f"{host}:1" if port == "0" else value)
+
+
+def urls(_: object, attribute: attrs.Attribute[Any], value: list[str]) -> None:
+    """Require base URLs `http://IP:port`."""
+    for item in value:
+        scheme, _, rest = item.partition("://")
+        try:
+            address(None, attribute, rest)
+            valid = scheme in {"http", "https"}
+        except ValueError:
+            valid = False
+        if not valid:
+            raise ValueError(f"{attribute.name}: {item!r} must be a URL, http://IP:port")
+
+
 def optional_address(instance: object, attribute: attrs.Attribute[Any], value: str) -> None:
     """Require `IP:port` or an empty string."""
     if value:
--- a/src/apricotpoint/_wire/tasks.py
+++ b/src/apricotpoint/_wire/tasks.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+# The largest jobs of the described workloads; larger ones are split by the caller.
+MAX_TASKS = 110
+
 
 class OutcomeStatus(enum.Enum):
     """How one task ended, as far as the lease holder knows."""
--- a/testing/http/test_backends.py
+++ b/testing/http/test_backends.py
@@ -163,8 +163,9 @@
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         await listener.aclose()
         async with BackendClient(counters=Counters()) as client:
-            with pytest.raises(NotSentError):
+            with pytest.raises(NotSentError) as caught:
                 await collect(client, BackendAddress("b1", 1, f"127.0.0.1:{port}", 4), start())
+        assert not caught.value.refused
 
     anyio.run(run)
 
@@ -224,10 +225,12 @@
 
 def test_starts_beyond_the_slots_or_for_another_incarnation_are_refused():
     async def check(client: BackendClient, to: BackendAddress, _: Behaviour) -> None:
-        with pytest.raises(NotSentError):
+        with pytest.raises(NotSentError) as caught:
             await collect(client, to, start("a"), start("b"), start("c"))
-        with pytest.raises(NotSentError):
+        assert caught.value.refused
+        with pytest.raises(NotSentError) as caught:
             await collect(client, BackendAddress("b1", 2, to.address, 8), start("a"))
+        assert caught.value.refused
 
     ledger = with_backend(check, slots=2)
     assert (ledger["starts"], ledger["refused"]) == (0, 4)
--- a/testing/http/test_callers.py
+++ b/testing/http/test_callers.py
@@ -99,7 +99,7 @@
             (JOB | {"tasks": [{"kind": "a", "idempotant": True}]}, 2101, "idempotant"),
             (JOB | {"key": "a b"}, 2101, "'a b'"),
             (JOB | {"key": "order-1"}, 2101, "valid_until"),
-            (JOB | {"tasks": JOB["tasks"] * 6}, 2111, "6 items"),
+            (JOB | {"tasks": JOB["tasks"] * 6}, 2101, "6 items, a job has 1 to 5"),
             (JOB | {"service": "x" * 100_000}, 2111, "bytes"),
             (JOB | {"service": "broken"}, 3101, "internal error"),
         ]
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -12,6 +12,7 @@
 import pytest
 
 from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link import peer
 from apricotpoint._link.mesh import Mesh
@@ -331,3 +332,22 @@
             assert not accept(3, 0, to=4, is_reply=True)
 
     anyio.run(run)
+
+
+def test_process_with_a_lower_incarnation_than_before_ends():
+    """After its clock went back, peers would drop its messages and it would work unheard."""
+
+    async def check(pair: Pair) -> None:
+        async with pair.process("a") as a:
+            async with pair.process("b", incarnation=8):
+                await until(lambda: a.incarnation_of("b") == 8)
+            with pytest.raises(ExceptionGroup) as caught:
+                async with pair.process("b", incarnation=7):
+                    await anyio.sleep_forever()
+            assert caught.group_contains(ApricotError, match="incarnation 8 of b")
+            # Late messages of incarnation 8 must not end a later one.
+            async with pair.process("b", incarnation=9) as b:
+                await until(lambda: a.incarnation_of("b") == 9)
+                b._check_incarnation("a", 8)
+
+    with_pair(check)
--- /dev/null
+++ b/testing/programs/test_settings.py
@@ -0,0 +1,94 @@
+"""A program with wrong settings ends at once and names the file, the key and the remedy."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+import pytest
+
+from apricotpoint._backend.settings import BackendSettings
+from apricotpoint._core.settings import load
+from apricotpoint._load.settings import LoadSettings
+from apricotpoint._operator.client import ClientSettings
+from apricotpoint._programs.plan import Plan, make_plan, write_secrets, write_settings
+from apricotpoint._programs.ports import free_ports
+from apricotpoint._settings.control import ControlSettings
+from apricotpoint._settings.deployment import DeploymentSettings
+from apricotpoint._settings.entry import EntrySettings
+
+ROOT = Path(__file__).parents[2]
+
+
+def small_plan(folder: Path) -> Plan:
+    deployment = load(ROOT / "settings" / "order-desk.jsonc", DeploymentSettings)
+    deployment = attrs.evolve(deployment, workers=attrs.evolve(deployment.workers, count=3))
+    plan = make_plan(deployment, folder=folder, next_port=free_ports())
+    write_secrets(plan)
+    write_settings(plan)
+    return plan
+
+
+def run_program(name: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", f"apricotpoint._programs.{name}", *arguments],
+        env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+
+
+def test_written_settings_load(tmp_path: Path):
+    """Guards against a settings file whose reader has changed."""
+    small_plan(tmp_path)
+    for name, settings_type in (
+        ("control-puebla", ControlSettings),
+        ("puebla-1", EntrySettings),
+        ("w-01", BackendSettings),
+        ("load", LoadSettings),
+        ("apricotctl", ClientSettings),
+        ("deployment", DeploymentSettings),
+    ):
+        load(tmp_path / f"{name}.jsonc", settings_type)
+    commands = (tmp_path / "commands.txt").read_text()
+    assert commands.count("init") == 3
+    assert commands.count("apricot-entry run") == 6
+    assert (tmp_path / "operator-token").stat().st_mode & 0o077 == 0
+
+
+@pytest.mark.parametrize(
+    ("program", "name", "key", "value"),
+    [
+        ("entry", "puebla-1", "weight", 1000),
+        ("control", "control-puebla", "peer_bind", "localhost:1"),
+        ("backend", "w-01", "slots", 0),
+        ("backend", "w-01", "announce_to", ["puebla-1:80"]),
+        ("load", "load", "sekonds", 1),
+    ],
+)
+def test_invalid_settings_end_the_program(
+    tmp_path: Path, program: str, name: str, key: str, value: object
+):
+    small_plan(tmp_path)
+    path = tmp_path / f"{name}.jsonc"
+    values = json.loads(path.read_text().partition("\n")[2])
+    path.write_text(json.dumps(values | {key: value}))
+    result = run_program(program, "run", str(path))
+    assert result.returncode == 40
+    for text in (str(path), key, "5001", "remove unknown keys and correct the named values"):
+        assert text in result.stderr
+    assert "Traceback" not in result.stderr
+
+
+def test_secrets_file_that_others_can_read_ends_the_program(tmp_path: Path):
+    plan = small_plan(tmp_path)
+    plan.secrets_path.chmod(0o644)
+    result = run_program("entry", "run", str(tmp_path / "puebla-1.jsonc"))
+    assert result.returncode == 40
+    assert f"chmod 600 {plan.secrets_path}" in result.stderr
