--- a/testing/control/test_registry.py
+++ b/testing/control/test_registry.py
@@ -58,16 +58,17 @@
 
 
 def test_check_records_nothing(tmp_path: Path):
-    """A draining entry process asks before it refuses; the key must stay free for others."""
+    """A refusal after a check must not bind the key to the refusing process."""
 
     async def test() -> None:
         registry = await opened(Disk(tmp_path), Clock())
-        checked = await registry.claim(attrs.evolve(CLAIM, check_only=True))
-        assert (checked.code, checked.existing, registry.claims) == (ResultCode.ACCEPTED, False, 0)
-        granted = await registry.claim(attrs.evolve(CLAIM, entry_id="e2"))
-        assert (granted.entry_id, granted.existing) == ("e2", False)
-        checked = await registry.claim(attrs.evolve(CLAIM, check_only=True))
-        assert (checked.entry_id, checked.existing) == ("e2", True)
+        check = attrs.evolve(CLAIM, entry_id="e2", check_only=True)
+        reply = await registry.claim(check)
+        assert (reply.code, reply.existing) == (ResultCode.ACCEPTED, False)
+        assert registry.claims == 0
+        await registry.claim(CLAIM)
+        reply = await registry.claim(check)
+        assert (reply.entry_id, reply.existing) == ("e1", True)
         registry.close()
 
     run(test)
