Add a fuzz test of the whole deciding and remembering part

A hypothesis state machine collects timed steps and plays them on virtual time against production coordinators, holders, control nodes and feeds. The in-memory network now gives a message the incarnation that sent it, and a sender knows only incarnations it has heard: before, a message of a killed process counted as one of its successor.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup test demo lint format bench fuzz
+.PHONY: setup test demo lint format bench fuzz defects
 
 setup: .venv/ready
 
@@ -16,6 +16,12 @@
 demo: setup
 	$(BIN)/apricot-local demo settings/order-desk.jsonc settings/crock-control.jsonc
 
+fuzz: setup
+	$(BIN)/python -m pytest testing/fuzz --fuzz-profile=long -s
+
+defects: setup
+	$(BIN)/python testing/defects/run.py
+
 bench: setup
 	$(BIN)/python -m apricotpoint._bench --deployment settings/order-desk.jsonc \
 		--deployment settings/crock-control.jsonc --report build/bench
--- a/src/apricotpoint/_bench/network.py
+++ b/src/apricotpoint/_bench/network.py
@@ -26,6 +26,7 @@
     reliable: bool = attrs.field(order=False, default=False)
     sent_at: float = attrs.field(order=False, default=0.0)
     to_incarnation: int | None = attrs.field(order=False, default=None)
+    from_incarnation: int = attrs.field(order=False, default=0)
 
 
 class Network:
@@ -157,8 +158,9 @@
 
     def receive(self, delivery: _Delivery, now: float) -> None:
         """Hand a delivered message to its handler."""
-        sender_port = self.network.port_by_id.get(delivery.sender_id)
-        incarnation = sender_port.incarnation if sender_port else 0
+        incarnation = delivery.from_incarnation
+        if incarnation < self._incarnation_by_peer.get(delivery.sender_id, 0):
+            return
         self._heard_at_by_peer[delivery.sender_id] = now
         self._incarnation_by_peer[delivery.sender_id] = incarnation
         if delivery.is_reply:
@@ -204,7 +206,6 @@
         reliable: bool = False,
     ) -> None:
         now = anyio.current_time()
-        receiver = self.network.port_by_id.get(peer_id)
         self.network.post(
             _Delivery(
                 due_at=now + self.network.latency_s(self.process_id, peer_id),
@@ -216,6 +217,8 @@
                 is_reply=is_reply,
                 reliable=reliable,
                 sent_at=now,
-                to_incarnation=receiver.incarnation if receiver else None,
+                # Like a link, the port knows only the incarnation that it has heard.
+                to_incarnation=self._incarnation_by_peer.get(peer_id),
+                from_incarnation=self.incarnation,
             )
         )
--- a/testing/control/test_cluster_machine.py
+++ b/testing/control/test_cluster_machine.py
@@ -17,10 +17,10 @@
 import attrs
 import trio.testing
 from anyio.abc import TaskStatus
+from control_network import IDS, Cluster, wait_until
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
-from network import IDS, Cluster, wait_until
 
 from apricotpoint._control.replica import Role
 from apricotpoint._core.codes import ResultCode
--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import anyio
-from network import IDS, Cluster, Endpoint, wait_until, with_cluster
+from control_network import IDS, Cluster, Endpoint, wait_until, with_cluster
 
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._core.counters import Counters
--- a/testing/control/test_records.py
+++ b/testing/control/test_records.py
@@ -7,7 +7,7 @@
 
 import anyio
 import pytest
-from network import Disk, run
+from control_network import Disk, run
 
 from apricotpoint._control.identity import count_start, initialise
 from apricotpoint._control.records import RecordFile
--- a/testing/control/test_registry.py
+++ b/testing/control/test_registry.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 import pytest
-from network import WALL, Cluster, Disk, run, with_cluster
+from control_network import WALL, Cluster, Disk, run, with_cluster
 
 from apricotpoint._control.claims import claim_function
 from apricotpoint._control.registry import Registry
--- a/testing/control/test_replication.py
+++ b/testing/control/test_replication.py
@@ -7,7 +7,7 @@
 
 import anyio
 import pytest
-from network import IDS, Cluster, Disk, wait_until, with_cluster
+from control_network import IDS, Cluster, Disk, wait_until, with_cluster
 
 from apricotpoint._control.messages import Entry
 from apricotpoint._control.replica import Role
--- /dev/null
+++ b/testing/fuzz/faulty_network.py
@@ -0,0 +1,142 @@
+"""A network that loses, delays and repeats messages, and processes that can be paused."""
+
+from __future__ import annotations
+
+import contextvars
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import attrs
+import trio._core._run
+
+from apricotpoint._bench.network import Network, Port, _Delivery
+
+
+@attrs.define(eq=False)
+class Process:
+    """What all processes of the system have in common.
+
+    While `paused`, none of its tasks runs and what reaches it waits, as with a
+    stopped process whose sockets still receive.
+    """
+
+    process_id: str
+    domain: str
+    paused: bool = False
+    dead: bool = False
+    disturbed_at: float = 0.0
+    started_at: float = attrs.Factory(anyio.current_time)
+    scope: anyio.CancelScope = attrs.Factory(anyio.CancelScope)
+    ended: anyio.Event = attrs.Factory(anyio.Event)
+    context: contextvars.Context = attrs.field(init=False)
+    _held: deque[Any] = attrs.Factory(deque)
+    _arrived: list[Callable[[], None]] = attrs.Factory(list)
+
+    def __attrs_post_init__(self) -> None:
+        self.context = contextvars.copy_context()
+        self.context.run(_PROCESS.set, self)
+
+    def receive(self, handle: Callable[[], None]) -> None:
+        """Call `handle` inside the process, after a pause."""
+        if self.paused:
+            self._arrived.append(handle)
+        elif not self.dead:
+            self.context.run(handle)
+
+    def resume(self) -> None:
+        """End a pause: timers that are due fire before what waits in the sockets."""
+        if not self.paused:
+            return
+        self.paused = False
+        self.disturbed_at = anyio.current_time()
+        runner = trio._core._run.GLOBAL_RUN_CONTEXT.runner
+        runner.runq.extend(self._held)
+        self._held.clear()
+        arrived, self._arrived = self._arrived, []
+        for handle in arrived:
+            self.receive(handle)
+
+
+_PROCESS: contextvars.ContextVar[Process | None] = contextvars.ContextVar("process", default=None)
+_reschedule = trio._core._run.Runner.reschedule
+
+
+def _reschedule_unless_paused(runner: Any, task: Any, *value: Any) -> None:
+    _reschedule(runner, task, *value)
+    process = task.context.get(_PROCESS)
+    if process is not None and process.paused:
+        runner.runq.pop()
+        process._held.append(task)
+
+
+def allow_pauses() -> None:
+    """Let trio keep the tasks of paused processes from running."""
+    trio._core._run.Runner.reschedule = _reschedule_unless_paused
+
+
+class FaultyNetwork(Network):
+    """Links with cuts between failure domains in each direction, loss, delay and repetition.
+
+    A reliable message is late instead of lost. `cuts` has pairs of failure
+    domains (sender, receiver).
+    """
+
+    def __init__(self, process_by_id: dict[str, Process]) -> None:
+        super().__init__(latency_s=lambda _from, _to: 0.0005, is_cut=self.cut_between)
+        self.process_by_id = process_by_id
+        self.cuts: set[tuple[str, str]] = set()
+        self.drop = self.repeat = self.jitter_s = 0.0
+        self._random = random.Random(7)
+        self._reliable_due: dict[tuple[str, str], float] = {}
+
+    def cut_between(self, sender_id: str, receiver_id: str) -> bool:
+        """Return whether messages between two processes are lost."""
+        pair = [self.process_by_id[item].domain for item in (sender_id, receiver_id)]
+        return tuple(pair) in self.cuts
+
+    def post(self, delivery: _Delivery) -> None:
+        """Queue a message with the present faults."""
+        if self.process_by_id[delivery.sender_id].dead:
+            return
+        lost = self._random.random() < self.drop
+        delay_s = self._random.random() * self.jitter_s
+        if delivery.reliable:
+            pair = (delivery.sender_id, delivery.receiver_id)
+            due_at = delivery.due_at + delay_s + (1.0 if lost else 0.0)
+            due_at = max(due_at, self._reliable_due.get(pair, 0.0))
+            self._reliable_due[pair] = due_at
+            super().post(attrs.evolve(delivery, due_at=due_at))
+            return
+        copies = 0 if lost else 1 + (self._random.random() < self.repeat)
+        for _ in range(copies):
+            late = attrs.evolve(delivery, due_at=delivery.due_at + delay_s, number=self.number())
+            super().post(late)
+            delay_s += 0.3
+
+    def _deliver(self, delivery: _Delivery, now: float) -> None:
+        receiver = self.process_by_id.get(delivery.receiver_id)
+        if receiver is None or receiver.dead:
+            return
+        port = self.port_by_id.get(delivery.receiver_id)
+        # A message that waits in the socket of a paused process does not know its age.
+        age_s = now - delivery.sent_at if delivery.reliable else 0.0
+        delivered = super()._deliver
+        if self.cut_between(delivery.sender_id, delivery.receiver_id):
+            delivered(delivery, now)
+            return
+
+        def handle() -> None:
+            current = anyio.current_time()
+            if self.port_by_id.get(delivery.receiver_id) is port:
+                delivered(attrs.evolve(delivery, sent_at=current - age_s), current)
+
+        receiver.receive(handle)
+
+
+def port_of(network: FaultyNetwork, process: Process, incarnation: int) -> Port:
+    """Connect a process to the network."""
+    network.process_by_id[process.process_id] = process
+    return network.add(process.process_id, incarnation)
--- /dev/null
+++ b/testing/fuzz/fuzz_entry.py
@@ -0,0 +1,80 @@
+"""An entry process with production parts on the faulty network."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import anyio.abc
+from faulty_network import FaultyNetwork, Process
+
+from apricotpoint._bench.entry import RigEntry
+from apricotpoint._control.claims import claim_function
+from apricotpoint._control.feed import ConfigurationFeed
+from apricotpoint._wire.configuration import Configuration
+from apricotpoint._wire.jobs import Claim, ClaimReply
+
+FOLLOW_PERIOD_S = 0.25
+
+
+class FuzzEntry(RigEntry):
+    """The entry process of the benchmarks with claims and a configuration feed.
+
+    It is wired like the composition root: the configuration is fetched before
+    the other parts start, and a drain of its VM in the configuration is followed.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        network: FaultyNetwork,
+        control_by_domain: dict[str, str],
+        **more: Any,
+    ) -> None:
+        super().__init__(
+            entry_id=process.process_id,
+            failure_domain=process.domain,
+            weight=1.0,
+            network=network,
+            configuration=self._in_force,
+            claim=self._send_claim,
+            **more,
+        )
+        self._claims = claim_function(self._port, control_by_domain, sorted(control_by_domain))
+        self.stopping = False
+        self.feed = ConfigurationFeed(
+            transport=self._port,
+            control_ids=sorted(control_by_domain.values()),
+            timers=self._timers,
+            counters=self.counters,
+        )
+
+    async def _send_claim(self, claim: Claim) -> ClaimReply:
+        return await self._claims(claim)
+
+    async def __aenter__(self) -> FuzzEntry:
+        group = await self._stack.enter_async_context(anyio.create_task_group())
+        self._stack.callback(group.cancel_scope.cancel)
+        group.start_soon(self._port.run)
+        for part in (self._timers, self.feed, self.cluster, self.holder, self.coordinator):
+            await self._stack.enter_async_context(part)
+        self._timers.every(FOLLOW_PERIOD_S, self._follow)
+        return self
+
+    def start_draining(self) -> None:
+        """Refuse new jobs and hand over the backend servers."""
+        self.draining = True
+        self.coordinator.start_draining()
+
+    def _follow(self) -> None:
+        views = self.cluster.live(10.0)
+        self.feed.heard_version(max(view.report.config_version for view in views))
+        drained = self.entry_id in self.feed.configuration().drained_vms
+        if drained and not self.draining:
+            self.start_draining()
+        elif self.draining and not (drained or self.stopping):
+            self.draining = False
+            self.coordinator.stop_draining()
+
+    def _in_force(self) -> Configuration:
+        return self.feed.configuration()
