Check that deliberate defects fail the tests

Two were missed at first: an answer matched by its position (no test had results out of order at the holder, added) and a sent task that is queued again (no other backend server could take it in the test; now one can).

--- /dev/null
+++ b/testing/defects/defects.py
@@ -0,0 +1,123 @@
+"""Deliberate defects and the tests that must fail with each.
+
+`before` occurs exactly once in the source, in whatever module; it is replaced by `after`.
+`tests` are run until the first one fails.
+"""
+
+import attrs
+
+
+@attrs.frozen
+class Defect:
+    """A fault put into a copy of the source."""
+
+    name: str
+    before: str
+    after: str
+    tests: tuple[str, ...]
+
+
+HOLDER = "testing/dispatch/test_holder.py::"
+PARTS = "testing/dispatch/test_parts.py::"
+JOBS = "testing/jobs/test_coordinator.py::"
+CONTROL = "testing/control/"
+
+DEFECTS = (
+    Defect(
+        "a sent task is queued again after a lost answer",
+        "        if self._may_retry(task, now):\n",
+        "        if task.batch.deadline_at > now and not task.sent_before:\n",
+        (HOLDER + "test_a_lost_answer_is_asked_for_and_never_started_again",),
+    ),
+    Defect(
+        "a vote is not synced before it is given",
+        "    replica.voted_at = replica.timers.now()\n    await log.sync()\n",
+        "    replica.voted_at = replica.timers.now()\n",
+        (CONTROL + "test_replication.py::test_vote_is_not_given_before_it_is_synced",),
+    ),
+    Defect(
+        "a stale configuration version is accepted",
+        "            if configuration.version <= self._configuration.version:\n",
+        "            if configuration.version == self._configuration.version:\n",
+        (CONTROL + "test_feed.py",),
+    ),
+    Defect(
+        "an answer is matched by position instead of start id",
+        "pending.pop(result.start_id, None)",
+        'pending.pop(next(iter(pending), ""), None)',
+        (HOLDER + "test_results_are_matched_by_start_id_whatever_their_order",),
+    ),
+    Defect(
+        "a lease is not checked after a pause",
+        "        if self.dead or self.blocked or said.leaving or not self.lease.held(now):\n",
+        "        if self.dead or self.blocked or said.leaving or not self.lease.expires_at:\n",
+        (HOLDER + "test_announcements_read_after_a_pause_renew_nothing",),
+    ),
+    Defect(
+        "a partial answer is returned",
+        "        if ran == total:\n            complete = count[TaskState.DONE] == total\n",
+        "        if ran:\n            complete = count[TaskState.DONE] > 0\n",
+        (JOBS + "test_job_with_ran_and_unstarted_tasks_is_3107_and_never_partial",),
+    ),
+    Defect(
+        "a refusal follows a send",
+        "                status=OutcomeStatus.UNKNOWN,\n                error=reason,\n",
+        "                status=OutcomeStatus.NOT_STARTED,\n                error=reason,\n",
+        (HOLDER + "test_a_lost_answer_is_asked_for_and_never_started_again",),
+    ),
+    Defect(
+        "a claim is granted before its sync",
+        "        await self._file.sync(ticket)\n",
+        "",
+        (CONTROL + "test_registry.py",),
+    ),
+    Defect(
+        "a caller key is started without a claim",
+        "        if entry.claimed:\n            self._runner.place(entry, job)\n",
+        "        if True:\n            self._runner.place(entry, job)\n",
+        (JOBS + "test_unreachable_home_starts_nothing_and_the_key_can_be_used_later",),
+    ),
+    Defect(
+        "an issued key of an earlier incarnation is started",
+        "            if (key.entry_id, key.incarnation) != (self._entry_id, self._incarnation):\n"
+        "                return await self._forward(",
+        "            if key.entry_id != self._entry_id:\n                return await self._forward(",
+        (JOBS + "test_unreachable_or_replaced_coordinator_is_not_known",),
+    ),
+    Defect(
+        "a cancellation after the send is answered as did not run",
+        "            return ResultCode.CANCELLED_AFTER_START\n        return ResultCode.PARTLY_RAN",
+        "            return ResultCode.CANCELLED_BEFORE_START\n        return ResultCode.PARTLY_RAN",
+        (JOBS + "test_cancel_submission_and_lookup_agree_on_one_outcome",),
+    ),
+    Defect(
+        "a repeated RunBatch is started again",
+        "        if batch_id <= self._floor or batch_id in self._ids:\n",
+        "        if batch_id <= self._floor:\n",
+        (HOLDER + "test_a_repeated_batch_starts_nothing_and_a_replaced_coordinator_is_dropped",),
+    ),
+    Defect(
+        "a command id is not remembered over a snapshot",
+        "        self.answer_by_command = dict(image.answers)\n",
+        "        self.answer_by_command = {}\n",
+        (CONTROL + "test_state.py::test_answers_are_kept_in_snapshots_and_bounded",),
+    ),
+    Defect(
+        "a drained backend server is still used",
+        "frozenset(configuration.drained_backends + configuration.stopped_backends)",
+        "frozenset(configuration.stopped_backends)",
+        (HOLDER + "test_a_task_that_may_not_start_any_more_is_stopped_up_to_the_send",),
+    ),
+    Defect(
+        "quarantine is never entered",
+        "        return self._in_a_row >= _IN_A_ROW or self._last.count(False) * 2 > _WINDOW\n",
+        "        return False\n",
+        (PARTS + "test_quarantine_probes_with_one_task_and_rests_longer_after_each_failure",),
+    ),
+    Defect(
+        "the quota of a team is not checked",
+        "    if in_flight + tasks <= limit:\n",
+        "    if in_flight + tasks <= limit or team.name:\n",
+        (JOBS + "test_quota_is_usable_at_any_entry_and_counts_tasks_of_all_of_them",),
+    ),
+)
--- /dev/null
+++ b/testing/defects/run.py
@@ -0,0 +1,66 @@
+"""Puts each deliberate defect into a copy of the source and runs the tests that must fail."""
+
+from __future__ import annotations
+
+import re
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+from defects import DEFECTS, Defect
+
+ROOT = Path(__file__).resolve().parents[2]
+COPY = ROOT / "build" / "defects" / "src"
+_FAILED = re.compile(r"^FAILED (.+?)(?: - .*)?$", re.MULTILINE)
+
+
+def insert(defect: Defect) -> str:
+    """Put a defect into a fresh copy of the source; return what prevents it, or nothing."""
+    shutil.rmtree(COPY, ignore_errors=True)
+    shutil.copytree(ROOT / "src", COPY, ignore=shutil.ignore_patterns("__pycache__"))
+    found = [path for path in COPY.rglob("*.py") if defect.before in path.read_text()]
+    if len(found) != 1 or found[0].read_text().count(defect.before) != 1:
+        return f"its place is found in {len(found)} modules; update testing/defects/defects.py"
+    found[0].write_text(found[0].read_text().replace(defect.before, defect.after))
+    return ""
+
+
+def run_tests(tests: tuple[str, ...]) -> subprocess.CompletedProcess[str]:
+    """Run tests against the copy until the first failure."""
+    paths = f"pythonpath={COPY} testing/control"
+    command = [sys.executable, "-B", "-m", "pytest", "-x", "-p", "no:cacheprovider", "-o", paths]
+    return subprocess.run([*command, *tests], cwd=ROOT, capture_output=True, text=True, check=False)
+
+
+def check(defect: Defect) -> str:
+    """Return the test that catches a defect, or what went wrong."""
+    problem = insert(defect)
+    if problem:
+        return f"MISSED: {problem}"
+    result = run_tests(defect.tests)
+    failed = _FAILED.search(result.stdout)
+    if result.returncode == 1 and failed:
+        return f"caught by {failed.group(1)}"
+    return f"MISSED: pytest exits with {result.returncode}: {(result.stdout + result.stderr)[-300:].strip()}"
+
+
+def main() -> int:
+    """Check that the tests pass without a defect and fail with each."""
+    tests = tuple(dict.fromkeys(test for defect in DEFECTS for test in defect.tests))
+    insert(Defect("none", DEFECTS[0].before, DEFECTS[0].before, ()))
+    sound = run_tests(tests)
+    if sound.returncode != 0:
+        print(f"the tests fail without any defect:\n{sound.stdout[-2000:]}{sound.stderr[-500:]}")
+        return 1
+    missed = 0
+    for defect in DEFECTS:
+        outcome = check(defect)
+        missed += outcome.startswith("MISSED")
+        print(f"{defect.name}: {outcome}", flush=True)
+    print(f"{len(DEFECTS) - missed} of {len(DEFECTS)} defects caught")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testing/dispatch/holder_rig.py
+++ b/testing/dispatch/holder_rig.py
@@ -66,7 +66,7 @@
 
 @attrs.define
 class FakeBackend:
-    """A backend server; `mode` is ok, fail, refuse, unreachable, lose or hang."""
+    """A backend server; `mode` is ok, fail, refuse, unreachable, lose, hang or reverse."""
 
     backend_id: str
     speed: float = 1.0
@@ -188,7 +188,7 @@
                 raise AnswerLostError
             if backend.mode == "hang":
                 await anyio.sleep_forever()
-            for start in starts:
+            for start in reversed(starts) if backend.mode == "reverse" else starts:
                 fails = backend.mode == "fail"
                 run_s = 0.01 if fails else (start.payload or 0.1) / backend.speed
                 await anyio.sleep(
@@ -196,7 +196,7 @@
                 )
                 status = RunStatus.FAILED if fails else RunStatus.OK
                 backend.busy -= 1
-                yield StartResult(start.start_id, status, run_s=run_s)
+                yield StartResult(start.start_id, status, value=start.start_id, run_s=run_s)
         finally:
             if backend.mode in ("lose", "hang"):
                 backend.busy -= len(starts)
--- a/testing/dispatch/test_holder.py
+++ b/testing/dispatch/test_holder.py
@@ -195,6 +195,17 @@
     play(scenario, server := FakeBackend("b1", mode="refuse"))
 
 
+def test_results_are_matched_by_start_id_whatever_their_order():
+    async def scenario(rig: Rig) -> None:
+        start_ids = rig.run(2)
+        await anyio.sleep(1)
+        assert {name: rig.outcomes[name].value for name in start_ids} == {
+            name: name for name in start_ids
+        }, "P3: an answer was given to another request"
+
+    play(scenario, FakeBackend("b1", mode="reverse"))
+
+
 @pytest.mark.parametrize(
     ("asked", "status"), [("result", "done"), ("unknown", "unknown"), ("lost", "unknown")]
 )
@@ -204,6 +215,8 @@
         await anyio.sleep(0.01)
         loads = rig.holder.backend_loads()
         assert loads[0].free_slots == 0 or asked == "result", "an unknown outcome uses its slot"
+        # Another start would now be possible.
+        rig.backend_by_id["b2"].mode = "ok"
         await anyio.sleep(8)
         assert rig.statuses(start_ids) == {status}
         assert rig.starts() == 2
