--- a/testing/fuzz/fuzz_world.py
+++ b/testing/fuzz/fuzz_world.py
@@ -181,6 +181,7 @@
             self.network,
             CONTROL_BY_DOMAIN,
             incarnation=self._incarnations,
+            entry_ids=lambda: ENTRIES,
             generator=random.Random(entry_id),
             send_to_backend=send,
             ask_backend=lambda address, start_id: self.backend_by_id[address.backend_id].ask(
--- a/testing/fuzz/test_promises.py
+++ b/testing/fuzz/test_promises.py
@@ -179,7 +179,15 @@
     def teardown(self) -> None:
         """Play the plan; the oracle checks on the way and at the end."""
         EXAMPLES["run"] += 1
-        CODES.update(play(self.plan).codes)
+        try:
+            CODES.update(play(self.plan).codes)
+        except BaseException as error:
+            if not EXAMPLES["failed"]:
+                # Shrinking takes minutes; the first plan is of use before it ends.
+                print(f"\n{error!r}\nfails with this plan, before shrinking:", flush=True)
+                print("\n".join(f"    {step}," for step in self.plan), flush=True)
+            EXAMPLES["failed"] += 1
+            raise
 
 
 def test_random_faults_keep_the_promises(request: pytest.FixtureRequest):
