--- a/src/apricotpoint/_programs/control.py
+++ b/src/apricotpoint/_programs/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -25,6 +26,7 @@
 from apricotpoint._core.secrets import load_secrets
 from apricotpoint._core.settings import load
 from apricotpoint._core.timers import TimerService
+from apricotpoint._core.usage import usage
 from apricotpoint._http import operators
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
@@ -130,7 +132,7 @@
     operator_app = operators.make_app(
         commands,
         is_operator=lambda token: secrets.operator_of(token) is not None,
-        counters=counters.snapshot,
+        counters=lambda: counters.snapshot() | usage(),
         health=lambda: {"process": settings.control_id},
     )
     close = anyio.Event()
@@ -175,3 +177,7 @@
         "config_version": node.replica.state.configuration.version,
         "config_current": node.replica.has_majority(),
     }
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/apricotpoint/_wire/tasks.py
+++ b/src/apricotpoint/_wire/tasks.py
@@ -9,6 +9,9 @@
 
 from apricotpoint._wire.load import LoadReport
 
+# The largest jobs of the described workloads; larger ones are split by the caller.
+MAX_TASKS = 110
+
 
 class OutcomeStatus(enum.Enum):
     """How one task ended, as far as the lease holder knows."""
