--- a/src/apricotpoint/_bench/rig.py
+++ b/src/apricotpoint/_bench/rig.py
@@ -18,7 +18,6 @@
 from apricotpoint._dispatch.exchange import (
     AnswerLostError,
     BackendAddress,
-    RunStatus,
     Start,
     StartResult,
 )
@@ -310,8 +309,7 @@
         await anyio.sleep(2 * self._worker_latency_s(entry_id, worker))
         if worker.dead or self._worker_cut(entry_id, worker):
             raise AnswerLostError(f"{worker.backend_id} cannot be asked")
-        status = RunStatus.RUNNING if start_id in worker.cancelled else RunStatus.UNKNOWN
-        return StartResult(start_id=start_id, status=status)
+        return worker.ask(start_id)
 
     async def _cancel(self, entry_id: str, address: BackendAddress, start_ids: list[str]) -> None:
         worker = self.worker_by_id[address.backend_id]
--- a/src/apricotpoint/_bench/worker.py
+++ b/src/apricotpoint/_bench/worker.py
@@ -37,7 +37,8 @@
 
     `count_by_task` counts the starts of each task of the trace, so that a
     second start is seen whatever ids the product gives it. `peak_running` is
-    the largest number of tasks that ran at a time.
+    the largest number of tasks that ran at a time. Tasks go on when their
+    connection ends; `ask` returns their results.
     """
 
     backend_id: str
@@ -68,11 +69,16 @@
     count_by_task: Counter[str] = attrs.Factory(Counter)
     cancelled: dict[str, anyio.Event] = attrs.Factory(dict)
     runs: list[WorkerRun] = attrs.Factory(list)
+    _orphan_by_start: dict[str, tuple[float, Start, RunStatus]] = attrs.field(
+        factory=dict, init=False
+    )
+    _undelivered: dict[str, StartResult] = attrs.field(factory=dict, init=False)
     _cancel_requested: set[str] = attrs.field(factory=set, init=False)
 
     def announcement(self) -> Announcement:
         """Return the next announcement."""
         self.sequence += 1
+        self._settle()
         return Announcement(
             backend_id=self.backend_id,
             incarnation=self.incarnation,
@@ -107,6 +113,7 @@
         await anyio.sleep(latency_s)
         if self.dead or is_cut():
             raise NotSentError(f"{self.backend_id} refused the connection")
+        self._settle()
         if self.running + len(starts) > self.slots:
             self.refused += len(starts)
             await anyio.sleep(latency_s)
@@ -131,19 +138,32 @@
                 heapq.heappop(pending)
                 self._end(start_id)
                 if status is RunStatus.OK:
-                    self._record(start)
+                    self._record(start, anyio.current_time())
                 await anyio.sleep(latency_s)
                 if is_cut():
+                    self._undelivered[start_id] = self._result(start, status)
                     raise AnswerLostError(f"{self.backend_id} cannot be reached")
                 yield self._result(start, status)
         finally:
-            for _, start_id, _, _ in pending:
-                self._end(start_id)
+            self._leave(pending)
+
+    def ask(self, start_id: str) -> StartResult:
+        """Return the result of a start whose connection ended."""
+        self._settle()
+        result = self._undelivered.get(start_id)
+        if result is not None:
+            return result
+        running = start_id in self.cancelled or start_id in self._orphan_by_start
+        return StartResult(start_id, RunStatus.RUNNING if running else RunStatus.UNKNOWN)
 
     def cancel(self, start_ids: list[str]) -> None:
         """Cancel running starts."""
         self.cancel_messages += 1
+        self._settle()
         for start_id in start_ids:
+            if self._orphan_by_start.pop(start_id, None):
+                self.running -= 1
+                self._undelivered[start_id] = StartResult(start_id, RunStatus.CANCELLED)
             event = self.cancelled.get(start_id)
             if event is not None:
                 self._cancel_requested.add(start_id)
@@ -163,8 +183,27 @@
         run_s = start.payload["run_s"] / (self.speed * self.throttle)
         return now + run_s, start.start_id, start, RunStatus.OK
 
-    def _record(self, start: Start) -> None:
+    def _leave(self, pending: list[tuple[float, str, Start, RunStatus]]) -> None:
+        """Let tasks go on without a connection, unless the backend server died."""
+        for end_s, start_id, start, status in pending:
+            if self.dead:
+                self._end(start_id)
+            else:
+                self.cancelled.pop(start_id, None)
+                self._orphan_by_start[start_id] = (end_s, start, status)
+
+    def _settle(self) -> None:
+        """End the tasks without a connection whose time has come."""
         now = anyio.current_time()
+        for start_id, (end_s, start, status) in list(self._orphan_by_start.items()):
+            if end_s <= now:
+                del self._orphan_by_start[start_id]
+                self.running -= 1
+                self._undelivered[start_id] = self._result(start, status)
+                if status is RunStatus.OK:
+                    self._record(start, end_s)
+
+    def _record(self, start: Start, now: float) -> None:
         speed = self.speed * self.throttle
         began_at = now - start.payload["run_s"] / speed
         job = start.payload["id"].split(".")[0]
--- a/testing/bench/test_bench.py
+++ b/testing/bench/test_bench.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+import anyio
 import attrs
 import pytest
 
@@ -15,9 +16,10 @@
 from apricotpoint._bench.measure import compared_figures, run_scenario
 from apricotpoint._bench.scenario import SCENARIO_BY_NAME, Scenario
 from apricotpoint._bench.trace import TracedJob, TracedTask
+from apricotpoint._bench.virtualtime import run_virtual
 from apricotpoint._bench.worker import FakeWorker
 from apricotpoint._core.settings import load
-from apricotpoint._dispatch.exchange import RunStatus, Start, StartResult
+from apricotpoint._dispatch.exchange import AnswerLostError, RunStatus, Start, StartResult
 from apricotpoint._settings.deployment import DeploymentSettings
 from apricotpoint._wire.tasks import TaskSpec
 
@@ -60,6 +62,31 @@
     assert figures["partial_answers"] > 0
 
 
+def test_tasks_go_on_without_their_connection_and_their_results_can_be_asked_for():
+    """A backend server that forgot them would hide second starts and exceeded slots."""
+
+    async def main() -> list[StartResult]:
+        worker = FakeWorker("w", "s", "d", "r", 1.0, 2, 8, 1, 1)
+        starts = [
+            Start(f"s{run_s:g}", "k", {"run_s": run_s, "id": f"1.{run_s:g}"}, 9000)
+            for run_s in (1, 2)
+        ]
+        asked = []
+        results = worker.serve(starts, latency_s=0.0, is_cut=lambda: anyio.current_time() > 0.5)
+        with pytest.raises(AnswerLostError):
+            await anext(results)
+        asked += [worker.ask(start.start_id) for start in starts]
+        assert worker.announcement().running == 1
+        await anyio.sleep(1.5)
+        asked += [worker.ask("s2"), worker.ask("other")]
+        assert worker.announcement().running == 0
+        return asked
+
+    asked = run_virtual(main, seed=1)
+    assert [item.status.value for item in asked] == ["ok", "running", "ok", "unknown"]
+    assert [item.value for item in asked[::2]] == ["1.1", "1.2"]
+
+
 def test_noisy_team_is_refused_beyond_its_quota_and_the_other_is_not():
     """Without a configured quota the noisy team was refused as unknown, which measured nothing."""
     scenario = attrs.evolve(SCENARIO_BY_NAME["noisy-team"], seconds=1.0)
