Add the fault matrix of requests, jobs and cancellations

The harness reaches each step by hooks on messages, the key registry and the fake backend server. The in-memory network now delivers a message with the incarnation that its sender had at sending; before, a message in flight from a killed process arrived with incarnation 0.

--- a/src/apricotpoint/_bench/network.py
+++ b/src/apricotpoint/_bench/network.py
@@ -15,7 +15,9 @@
 
 
 @attrs.frozen(order=True)
-class _Delivery:
+class Delivery:
+    """A message on its way, with the incarnations of both ends at sending."""
+
     due_at: float
     number: int
     sender_id: str = attrs.field(order=False)
@@ -26,6 +28,7 @@
     reliable: bool = attrs.field(order=False, default=False)
     sent_at: float = attrs.field(order=False, default=0.0)
     to_incarnation: int | None = attrs.field(order=False, default=None)
+    from_incarnation: int = attrs.field(order=False, default=0)
 
 
 class Network:
@@ -46,8 +49,8 @@
         self.is_cut = is_cut
         self.port_by_id: dict[str, Port] = {}
         self.count_by_type: Counter[str] = Counter()
-        self._queue: list[_Delivery] = []
-        self._held: list[_Delivery] = []
+        self._queue: list[Delivery] = []
+        self._held: list[Delivery] = []
         self._numbers = itertools.count(1)
         self._changed = anyio.Event()
 
@@ -61,7 +64,7 @@
         """Disconnect a process."""
         self.port_by_id.pop(process_id, None)
 
-    def post(self, delivery: _Delivery) -> None:
+    def post(self, delivery: Delivery) -> None:
         """Queue a message for delivery."""
         self.count_by_type[type(delivery.message).__name__] += 1
         heapq.heappush(self._queue, delivery)
@@ -92,7 +95,7 @@
             with anyio.move_on_after(self._queue[0].due_at - now):
                 await self._changed.wait()
 
-    def _deliver(self, delivery: _Delivery, now: float) -> None:
+    def _deliver(self, delivery: Delivery, now: float) -> None:
         if self.is_cut(delivery.sender_id, delivery.receiver_id):
             if delivery.reliable:
                 self._held.append(delivery)
@@ -119,7 +122,7 @@
         self._incarnation_by_peer: dict[str, int] = {}
         self._reply_by_request: dict[int, object] = {}
         self._event_by_request: dict[int, anyio.Event] = {}
-        self._requests: list[tuple[RequestHandler, Sender, _Delivery]] = []
+        self._requests: list[tuple[RequestHandler, Sender, Delivery]] = []
         self._requests_changed = anyio.Event()
 
     def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
@@ -155,10 +158,10 @@
         """Return the latest incarnation heard from the peer."""
         return self._incarnation_by_peer.get(peer_id)
 
-    def receive(self, delivery: _Delivery, now: float) -> None:
+    def receive(self, delivery: Delivery, now: float) -> None:
         """Hand a delivered message to its handler."""
-        sender_port = self.network.port_by_id.get(delivery.sender_id)
-        incarnation = sender_port.incarnation if sender_port else 0
+        # The sender may have been killed or restarted since it sent the message.
+        incarnation = delivery.from_incarnation
         self._heard_at_by_peer[delivery.sender_id] = now
         self._incarnation_by_peer[delivery.sender_id] = incarnation
         if delivery.is_reply:
@@ -189,7 +192,7 @@
                 await self._requests_changed.wait()
 
     async def _answer(
-        self, request_handler: RequestHandler, sender: Sender, delivery: _Delivery
+        self, request_handler: RequestHandler, sender: Sender, delivery: Delivery
     ) -> None:
         reply = await request_handler(sender, delivery.message)
         self._post(delivery.sender_id, reply, request_id=delivery.request_id, is_reply=True)
@@ -206,7 +209,7 @@
         now = anyio.current_time()
         receiver = self.network.port_by_id.get(peer_id)
         self.network.post(
-            _Delivery(
+            Delivery(
                 due_at=now + self.network.latency_s(self.process_id, peer_id),
                 number=self.network.number(),
                 sender_id=self.process_id,
@@ -217,5 +220,6 @@
                 reliable=reliable,
                 sent_at=now,
                 to_incarnation=receiver.incarnation if receiver else None,
+                from_incarnation=self.incarnation,
             )
         )
--- /dev/null
+++ b/testing/matrix/matrix_faults.py
@@ -0,0 +1,228 @@
+"""The faults of the request, job and cancellation tables."""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+
+import anyio
+import attrs
+from matrix_system import COORDINATOR, HOLDER, HOME, OTHER, System
+
+from apricotpoint._bench.network import Delivery
+from apricotpoint._wire.announce import GuardState
+from apricotpoint._wire.jobs import JobRequest
+from apricotpoint._wire.tasks import TaskSpec
+
+Fault = Callable[[System], None]
+
+DEADLINE_S = 5.0
+RUN_S = 0.1
+# Longer than the leases of backend servers and the time after which a holder is replaced.
+_PAUSE_S = 4.0
+
+
+def task_specs(name: str, count: int, *, cores: int = 1, declared_s: float | None = RUN_S):
+    return [
+        TaskSpec(
+            "check",
+            payload={"id": f"{name}.{index}", "run_s": RUN_S},
+            cores=cores,
+            declared_s=declared_s,
+        )
+        for index in range(count)
+    ]
+
+
+def submit_other(system: System, entry_id: str, name: str, *, count: int = 1, cores: int = 1):
+    """Submit another job, whose answer is checked at the end."""
+
+    async def call() -> None:
+        coordinator = system.running_by_id[entry_id].entry.coordinator
+        request = JobRequest(
+            key=coordinator.issue_keys(1)[0],
+            team="t",
+            service="hem",
+            deadline_ms=2_000,
+            tasks=task_specs(name, count, cores=cores),
+        )
+        begun = anyio.current_time()
+        answer = await coordinator.submit(request)
+        system.others.append((request, answer, anyio.current_time() - begun))
+
+    if entry_id in system.running_by_id:
+        system.spawn(entry_id, call)
+
+
+def backend_killed(system: System) -> None:
+    backend = next(item for item in system.backends() if item.backend_id == system.backend_id)
+    backend.kill()
+    system.after(2.5, backend.restart)
+
+
+def connection_silent(system: System) -> None:
+    for backend in system.backends():
+        for exchange in backend.exchanges:
+            exchange.silent = True
+
+
+def entry_killed(entry_id: str) -> Fault:
+    return lambda system: system.restart_entry(entry_id)
+
+
+def entry_paused(entry_id: str) -> Fault:
+    return lambda system: system.pause(entry_id, _PAUSE_S)
+
+
+def entry_drained(entry_id: str) -> Fault:
+    def act(system: System) -> None:
+        system.group.start_soon(system.stop_entry, entry_id)
+
+    return act
+
+
+def home_isolated(system: System) -> None:
+    system.cut(*[pair for d in "abc" for pair in ((d, "home"), ("home", d))], heal_s=3.0)
+
+
+def cut(domain: str, *, inward: bool = True, outward: bool = True, heal_s: float = 3.0) -> Fault:
+    def act(system: System) -> None:
+        others = [other for other in ("a", "b", "c", "home") if other != domain]
+        pairs = [(domain, other) for other in others if outward]
+        pairs += [(other, domain) for other in others if inward]
+        system.cut(*pairs, heal_s=heal_s)
+
+    return act
+
+
+def message(alter: Callable[[Delivery], list[Delivery]]) -> Fault:
+    def act(system: System) -> None:
+        system.network.alter = alter
+
+    return act
+
+
+def dropped(delivery: Delivery) -> list[Delivery]:
+    # The reliable stream sends a lost message again after 1 s.
+    return later(1.0)(delivery) if delivery.reliable else []
+
+
+def later(seconds: float) -> Callable[[Delivery], list[Delivery]]:
+    return lambda delivery: [attrs.evolve(delivery, due_at=delivery.due_at + seconds)]
+
+
+def repeated(delivery: Delivery) -> list[Delivery]:
+    return [delivery, *later(0.0)(delivery), *later(0.3)(delivery)]
+
+
+def straggler(system: System) -> None:
+    for backend in system.backends():
+        backend.stalled_until = anyio.current_time() + 2.0
+
+
+def burst(system: System) -> None:
+    for number in range(30):
+        entry_id = (COORDINATOR, HOLDER, OTHER)[number % 3]
+        submit_other(system, entry_id, f"burst-{number}", count=3)
+
+
+def impossible(system: System) -> None:
+    submit_other(system, COORDINATOR, "impossible", cores=1_000)
+
+
+def fails_everything(system: System) -> None:
+    for backend in system.backends():
+        backend.fails = True
+
+
+def guard(state: GuardState, throttle: float = 1.0) -> Fault:
+    def act(system: System) -> None:
+        for backend in system.backends():
+            backend.throttle = throttle
+            if state is GuardState.THROTTLED:
+                backend.guard = state
+            else:
+                backend.guard_against_all(state)
+
+    return act
+
+
+def lease_lost(system: System) -> None:
+    for backend in system.backends():
+        backend.mute_until = anyio.current_time() + 3.0
+
+
+def leaving(system: System) -> None:
+    for backend in system.backends():
+        backend.leaving = True
+        backend.leaves_at = anyio.current_time()
+
+
+def disk(code: int) -> Fault:
+    def act(system: System) -> None:
+        system.sync_error = OSError(code, "injected")
+
+    return act
+
+
+def cancelled(system: System) -> None:
+    system.group.start_soon(system.cancel_main)
+
+
+def resubmitted(system: System) -> None:
+    system.group.start_soon(system.resubmit_main)
+
+
+# Faults that end later than 1 s after the step, with the time until their effects are over.
+SETTLE_S = {
+    name: seconds
+    for seconds, names in [
+        (7.0, "coordinator_domain_cut_long holder_domain_cut_long"),
+        (
+            4.5,
+            "coordinator_killed coordinator_paused holder_killed holder_paused backend_killed "
+            "connection_silent home_killed home_isolated lease_lost straggler "
+            "coordinator_domain_cut coordinator_domain_cut_inward coordinator_domain_cut_outward "
+            "holder_domain_cut holder_domain_cut_inward holder_domain_cut_outward",
+        ),
+    ]
+    for name in names.split()
+}
+
+FAULTS: dict[str, Fault] = {
+    "coordinator_killed": entry_killed(COORDINATOR),
+    "coordinator_paused": entry_paused(COORDINATOR),
+    "coordinator_drained": entry_drained(COORDINATOR),
+    "holder_killed": entry_killed(HOLDER),
+    "holder_paused": entry_paused(HOLDER),
+    "holder_drained": entry_drained(HOLDER),
+    "backend_killed": backend_killed,
+    "backend_leaving": leaving,
+    "backend_fails_all": fails_everything,
+    "connection_silent": connection_silent,
+    "home_killed": lambda system: system.kill_home(),
+    "home_isolated": home_isolated,
+    "home_sync_failed": disk(errno.EIO),
+    "home_disk_full": disk(errno.ENOSPC),
+    "coordinator_domain_cut": cut("a"),
+    "coordinator_domain_cut_inward": cut("a", outward=False),
+    "coordinator_domain_cut_outward": cut("a", inward=False),
+    "holder_domain_cut": cut("b"),
+    "holder_domain_cut_inward": cut("b", outward=False),
+    "holder_domain_cut_outward": cut("b", inward=False),
+    "coordinator_domain_cut_long": cut("a", heal_s=6.0),
+    "holder_domain_cut_long": cut("b", heal_s=6.0),
+    "message_dropped": message(dropped),
+    "message_delayed": message(later(1.5)),
+    "message_repeated": message(repeated),
+    "message_reordered": message(later(0.3)),
+    "straggler": straggler,
+    "burst": burst,
+    "impossible_job": impossible,
+    "cancelled": cancelled,
+    "resubmitted": resubmitted,
+    "lease_lost": lease_lost,
+    "throttled": guard(GuardState.THROTTLED, 0.5),
+    "checkpointed": guard(GuardState.CHECKPOINT),
+    "stopped": guard(GuardState.STOP),
+}
--- /dev/null
+++ b/testing/matrix/matrix_pause.py
@@ -0,0 +1,39 @@
+"""Pauses one process of a simulated deployment while the others go on."""
+
+from __future__ import annotations
+
+import trio
+import trio._core._run
+
+
+class Pauses(trio.abc.Instrument):
+    """Keeps the tasks below the root tasks of paused processes from running.
+
+    Their timers go on, so on waking everything that fell due meanwhile runs at
+    once, as after a stopped virtual machine.
+    """
+
+    def __init__(self) -> None:
+        self.root_by_process: dict[str, trio.lowlevel.Task] = {}
+        self.paused: set[str] = set()
+        self._held_by_process: dict[str, list[trio.lowlevel.Task]] = {}
+        trio.lowlevel.add_instrument(self)
+
+    def task_scheduled(self, task: trio.lowlevel.Task) -> None:
+        """Take a task of a paused process out of the run queue."""
+        process = self._process_of(task) if self.paused else None
+        if process in self.paused:
+            trio._core._run.GLOBAL_RUN_CONTEXT.runner.runq.remove(task)
+            self._held_by_process.setdefault(process, []).append(task)
+
+    def wake(self, process: str) -> None:
+        """Let the tasks of a process run again."""
+        self.paused.discard(process)
+        runq = trio._core._run.GLOBAL_RUN_CONTEXT.runner.runq
+        runq.extend(self._held_by_process.pop(process, []))
+
+    def _process_of(self, task: trio.lowlevel.Task) -> str | None:
+        roots = {root: process for process, root in self.root_by_process.items()}
+        while task not in roots and task.parent_nursery is not None:
+            task = task.parent_nursery.parent_task
+        return roots.get(task)
--- /dev/null
+++ b/testing/matrix/matrix_system.py
@@ -0,0 +1,338 @@
+"""A small deployment on virtual time that reports the steps of its requests."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+import trio
+from matrix_backend import Backend
+from matrix_pause import Pauses
+
+from apricotpoint._bench.network import Delivery, Network
+from apricotpoint._bench.rig import Rig, RunningEntry
+from apricotpoint._bench.worker import FakeWorker
+from apricotpoint._control.claims import claim_function
+from apricotpoint._control.registry import Registry
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.keys import home_domain
+from apricotpoint._core.timers import TimerService
+from apricotpoint._dispatch.exchange import (
+    AnswerLostError,
+    BackendAddress,
+    NotSentError,
+    Start,
+    StartResult,
+)
+from apricotpoint._settings.deployment import DeploymentSettings
+from apricotpoint._settings.kind import KindSettings
+from apricotpoint._settings.workers import WorkerSettings
+from apricotpoint._wire.jobs import Answer, Claim, ClaimReply, JobRequest
+
+DOMAINS = ["a", "b", "c"]
+COORDINATOR, HOLDER, OTHER = "a-1", "b-1", "c-1"
+HOME = "home-c"
+WALL = 1_800_000_000
+_STEP_BY_MESSAGE = {
+    "Claim": "claim_sent",
+    "ClaimReply": "claim_answered",
+    "RunBatch": "batch_sent",
+    "BatchResult": "batch_result_sent",
+    "CancelForward": "forwarded",
+    "CancelBatch": "cancel_sent",
+}
+_STEP_BY_RECEIPT = {"RunBatch": "batch_queued", "CancelBatch": "cancel_received"}
+
+
+class StepNetwork(Network):
+    """Reports messages as steps, alters one of them, and holds those of paused processes."""
+
+    system: System
+
+    def __init__(self, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self.alter: Callable[[Delivery], list[Delivery]] | None = None
+        self._for_paused: list[Delivery] = []
+
+    def post(self, delivery: Delivery) -> None:
+        """Report the step of a message and queue it."""
+        port = self.port_by_id.get(delivery.sender_id)
+        if port is None or port.incarnation != delivery.from_incarnation:
+            # A task of a killed process may run one step before it ends.
+            return
+        self._reach(_STEP_BY_MESSAGE, delivery)
+        alter, self.alter = self.alter, None
+        for item in alter(delivery) if alter else [delivery]:
+            super().post(item)
+
+    def release_paused(self) -> None:
+        """Deliver what arrived for paused processes."""
+        for delivery in self._for_paused:
+            heapq.heappush(self._queue, delivery)
+        self._for_paused.clear()
+        self._changed.set()
+
+    def _deliver(self, delivery: Delivery, now: float) -> None:
+        if delivery.receiver_id in self.system.pauses.paused:
+            self._for_paused.append(delivery)
+            return
+        super()._deliver(delivery, now)
+        self._reach(_STEP_BY_RECEIPT, delivery)
+
+    def _reach(self, step_by_message: dict[str, str], delivery: Delivery) -> None:
+        step = step_by_message.get(type(delivery.message).__name__)
+        # The neighbour job is coordinated by another process.
+        if step is not None and COORDINATOR in (delivery.sender_id, delivery.receiver_id):
+            self.system.reach(step)
+
+
+class System(Rig):
+    """Entry processes a-1, b-1 and c-1, a key registry in c and backend servers.
+
+    `reach` runs the planned fault when its step is reached for the first time.
+    `cuts` has pairs of failure domains (sender, receiver).
+    """
+
+    def __init__(self, folder: Path, backend_domains: str) -> None:
+        self._backend_domains = backend_domains
+        deployment = DeploymentSettings(
+            name="matrix",
+            region="r",
+            service="hem",
+            failure_domains=DOMAINS,
+            workers=WorkerSettings(count=len(backend_domains), cores=32, memory_mb=1024, slots=2),
+            kinds=[KindSettings(name="check", median_s=0.1)],
+            entry_weights=[1.0],
+            teams=["t"],
+        )
+        super().__init__(deployment, policy="predicted", seed=1)
+        self.network = StepNetwork(latency_s=self._latency_s, is_cut=self.is_cut)
+        self.network.system = self
+        self.cuts: set[tuple[str, str]] = set()
+        self.pauses: Pauses
+        self.group: anyio.abc.TaskGroup
+        self.calls_by_entry: dict[str, anyio.abc.TaskGroup] = {}
+        self.step = ""
+        self.fault: Callable[[System], None] | None = None
+        self.reached_at: float | None = None
+        self.backend_id = "w-01"
+        self.cancel_main: Callable[[], Awaitable[object]]
+        self.resubmit_main: Callable[[], Awaitable[object]]
+        self.on_running: Callable[[], None] | None = None
+        self.paused_once: set[str] = set()
+        self.others: list[tuple[JobRequest, Answer, float]] = []
+        self.sync_error: OSError | None = None
+        self._folder = folder
+        self._home_scope: anyio.CancelScope
+
+    def reach(self, step: str, *, backend_id: str = "") -> None:
+        """Cause the fault if it is planned for this step."""
+        if step == "backend_running" and self.on_running is not None:
+            on_running, self.on_running = self.on_running, None
+            on_running()
+        if self.fault is None or step != self.step:
+            return
+        fault, self.fault = self.fault, None
+        self.backend_id = backend_id or self.backend_id
+        self.reached_at = anyio.current_time()
+        fault(self)
+
+    def backends(self) -> list[Backend]:
+        """Return all backend servers."""
+        return [item for item in self.worker_by_id.values() if isinstance(item, Backend)]
+
+    def starts(self) -> Counter[str]:
+        """Return how often each task started."""
+        return sum((item.count_by_task for item in self.backends()), Counter())
+
+    def is_cut(self, first: str, second: str) -> bool:
+        """Return whether messages of the first process do not reach the second."""
+        return (self.domain_by_process[first], self.domain_by_process[second]) in self.cuts
+
+    def after(self, seconds: float, action: Callable[[], Any]) -> None:
+        """Do something later; a coroutine function is awaited."""
+
+        async def later() -> None:
+            await anyio.sleep(seconds)
+            done = action()
+            if isinstance(done, Awaitable):
+                await done
+
+        self.group.start_soon(later)
+
+    def cut(self, *pairs: tuple[str, str], heal_s: float) -> None:
+        """Cut failure domains for a time."""
+        self.cuts.update(pairs)
+
+        def heal() -> None:
+            self.cuts.difference_update(pairs)
+            self.network.release_held()
+
+        self.after(heal_s, heal)
+
+    def pause(self, process: str, seconds: float) -> None:
+        """Pause a process and wake it later."""
+        self.pauses.paused.add(process)
+        self.paused_once.add(process)
+
+        def wake() -> None:
+            self.pauses.wake(process)
+            self.network.release_paused()
+
+        self.after(seconds, wake)
+
+    def kill_home(self) -> None:
+        """Kill the key registry; it restarts with its disk 3 s later."""
+        self._home_scope.cancel()
+        self.network.remove(HOME)
+        self.after(3.0, lambda: self.group.start_soon(self._serve_home))
+
+    def restart_entry(self, entry_id: str) -> None:
+        """Kill an entry process; a new incarnation starts 3 s later."""
+        self.kill_entry(entry_id)
+        self.after(3.0, lambda: self.start_entry(entry_id, entry_id[0], 1.0))
+
+    def home_key(self, name: str) -> str:
+        """Return a caller key whose home is in failure domain c."""
+        keys = (f"{name}-{number}" for number in range(100))
+        return next(key for key in keys if home_domain("t", key, DOMAINS) == "c")
+
+    def spawn(self, entry_id: str, call: Callable[[], Awaitable[None]]) -> None:
+        """Run a request handler as a task of an entry process."""
+        self.calls_by_entry[entry_id].start_soon(call)
+
+    async def play(self, scenario: Callable[[System], Awaitable[None]]) -> None:
+        """Run a scenario in the started deployment."""
+        self.pauses = Pauses()
+        async with anyio.create_task_group() as group:
+            self.group = self._group = group
+            group.start_soon(self.network.run)
+            self.domain_by_process[HOME] = "home"
+            await group.start(self._serve_home)
+            await self.start_entries()
+            # With load reports of all entry processes a backend server gets a
+            # holder in its own failure domain.
+            await anyio.sleep(0.3)
+            for backend in self.worker_by_id.values():
+                group.start_soon(self._announce, backend)
+            await anyio.sleep(1.2)
+            await scenario(self)
+            group.cancel_scope.cancel()
+
+    async def _run_entry(
+        self,
+        running: RunningEntry,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        entry_id = running.entry.entry_id
+        self.pauses.root_by_process[entry_id] = trio.lowlevel.current_task()
+        with running.scope:
+            async with running.entry, anyio.create_task_group() as calls:
+                self.calls_by_entry[entry_id] = calls
+                task_status.started()
+                await anyio.sleep_forever()
+
+    async def _serve_home(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        storage = Storage(self._folder, sync=self._sync)
+        timers = TimerService(wall=lambda: WALL + anyio.current_time())
+        registry = Registry(storage, timers=timers, counters=Counters(), lost_disk_at=None)
+        with anyio.CancelScope() as self._home_scope:
+            await registry.open()
+            port = self.network.add(HOME, int(anyio.current_time() * 1000) + 1)
+
+            async def claim(_: object, message: Any) -> object:
+                try:
+                    reply = await registry.claim(message)
+                except Exception:
+                    # The control process ends without an answer.
+                    self.network.remove(HOME)
+                    await anyio.sleep_forever()
+                self.reach("claim_synced")
+                # A kill at this step takes effect before the reply is sent.
+                await anyio.sleep(0)
+                return reply
+
+            port.request_handlers_by_type[Claim] = claim
+            task_status.started()
+            await port.run()
+
+    async def _sync(self, _: int) -> None:
+        await anyio.sleep(0.002)
+        if self.sync_error is not None:
+            raise self.sync_error
+
+    async def _claim(self, claim: Claim) -> ClaimReply:
+        port = self.network.port_by_id.get(claim.entry_id)
+        if port is None:
+            # The entry process was killed in this moment.
+            await anyio.sleep_forever()
+        return await claim_function(port, {"c": HOME}, DOMAINS)(claim)
+
+    async def _announce_once(self, worker: FakeWorker) -> None:
+        assert isinstance(worker, Backend)
+        if anyio.current_time() < worker.mute_until:
+            return
+        reachable = [
+            running
+            for entry_id, running in self.running_by_id.items()
+            if entry_id not in self.pauses.paused and not self._worker_cut(entry_id, worker)
+        ]
+        if worker.dead or not reachable:
+            return
+        running = self.random.choice(reachable)
+        worker.apply(running.entry.holder.announce(worker.announcement()))
+
+    def _worker_cut(self, entry_id: str, worker: FakeWorker) -> bool:
+        # A connection needs both directions.
+        ids = entry_id, worker.backend_id
+        return self.is_cut(*ids) or self.is_cut(*reversed(ids))
+
+    async def _send(
+        self, entry_id: str, address: BackendAddress, starts: list[Start]
+    ) -> AsyncIterator[StartResult]:
+        if self.worker_by_id[address.backend_id].incarnation != address.incarnation:
+            raise NotSentError("another incarnation")
+        async for result in super()._send(entry_id, address, starts):
+            yield result
+
+    async def _ask(self, entry_id: str, address: BackendAddress, start_id: str) -> StartResult:
+        backend = self.worker_by_id[address.backend_id]
+        assert isinstance(backend, Backend)
+        await anyio.sleep(0.001)
+        if (
+            backend.dead
+            or self._worker_cut(entry_id, backend)
+            or backend.incarnation != address.incarnation
+        ):
+            raise AnswerLostError(f"{backend.backend_id} cannot be asked")
+        return backend.ask(start_id)
+
+    async def _cancel(self, entry_id: str, address: BackendAddress, start_ids: list[str]) -> None:
+        await super()._cancel(entry_id, address, start_ids)
+        self.reach("backend_cancelled", backend_id=address.backend_id)
+
+    def _make_workers(self) -> dict[str, FakeWorker]:
+        workers = super()._make_workers()
+        backends: dict[str, FakeWorker] = {}
+        for domain, (backend_id, worker) in zip(
+            self._backend_domains, workers.items(), strict=True
+        ):
+            fields = {
+                field.alias: getattr(worker, field.name)
+                for field in attrs.fields(FakeWorker)
+                if field.init
+            }
+            fields |= {"failure_domain": domain, "speed": 1.0}
+            backends[backend_id] = Backend(**fields, system=self)
+            self.domain_by_process[backend_id] = domain
+        return backends
--- /dev/null
+++ b/testing/matrix/matrix_table.py
@@ -0,0 +1,225 @@
+"""The fault matrix: for each operation, step and fault the allowed outcome.
+
+A row has one letter for each step of its operation: a capital letter names an
+outcome, a small letter the reason why the cell does not apply.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+
+@attrs.frozen
+class Outcome:
+    """What may be seen in a cell.
+
+    `codes` may be answered to the caller, 0 stands for a connection that ended
+    with its process. `starts` are the allowed numbers of starts of a task at
+    that time, `again` the codes of a resubmission through another entry
+    process, `cancel` those of the cancellation (as `codes` if empty).
+    """
+
+    text: str
+    codes: set[int]
+    starts: set[int]
+    again: set[int]
+    cancel: set[int] = attrs.Factory(set)
+
+
+_LATE = {1000, 3103, 3106, 3107}
+
+OUTCOMES = {
+    "D": Outcome("complete", {1000}, {1}, {1000}),
+    "F": Outcome("every task ran, some failed", {1001}, {1}, {1001}),
+    "G": Outcome("every task ran", {1000, 1001}, {1}, {1000, 1001}),
+    "U": Outcome("home not reached, nothing started, runs later", {3102}, {0}, {1000}),
+    "V": Outcome("complete, or home not reached", {1000, 3102}, {0, 1}, {1000}),
+    "X": Outcome("home not reached, now and later", {3102}, {0}, {3102}),
+    "N": Outcome("no answer, not claimed, runs later", {0}, {0}, {1000}),
+    "K": Outcome("no answer, not started, not known later", {0}, {0}, {3101}),
+    "L": Outcome("no answer, not known later", {0}, {0, 1}, {3101}),
+    "R": Outcome("refused while draining, runs elsewhere", {2110}, {0}, {1000}),
+    "T": Outcome("not started by the deadline, runs later", {2105, 2109}, {0}, {1000}),
+    "B": Outcome("backend server or holder lost", {3106}, {0, 1}, {3106}),
+    "M": Outcome("complete, or backend server or holder lost", {1000, 3106}, {0, 1}, {1000, 3106}),
+    "E": Outcome("deadline passed, complete later", {3103}, {0, 1}, {1000}),
+    "Q": Outcome("deadline passed, final outcome later", {3103}, {0, 1}, _LATE),
+    "C": Outcome("cancelled before start", {2108}, {0}, {2108}),
+    "S": Outcome("cancelled after start", {3104}, {0, 1}, {3104}),
+    "W": Outcome("cancelled", {2108, 3104}, {0, 1}, {2108, 3104}),
+    "Y": Outcome("cancelled after start, or complete", {1000, 3104}, {0, 1}, {1000, 3104}),
+    "A": Outcome("no answer to caller, not known", {0}, {0, 1}, {3101}, {3101}),
+    "J": Outcome("no answer to caller, cancelled after start", {0}, {0, 1}, {3101}, {3104}),
+    "P": Outcome("complete, cancellation not delivered", {1000}, {1}, {1000}, {3101}),
+    "I": Outcome("cancelled, answer to the cancellation lost", {3104}, {0, 1}, {3104}, {3101}),
+    "H": Outcome("deadline passed, cancellation not delivered", {3103}, {0, 1}, _LATE, {3101}),
+}
+
+REASONS = {
+    "m": "no message between own processes belongs to this step",
+    "r": "declarations are part of the request and do not change later",
+    "h": "the registry does not sync anything for this key after its claim is answered",
+    "s": "every task of the job has ended",
+    "e": "holders and backend servers have no part in the job after its answer",
+    "c": "the claim is answered before a task runs; a cancellation asks no home",
+}
+
+_JOB_STEPS = (
+    "received claim_sent claim_synced claim_answered batch_sent batch_queued start_written "
+    "backend_running result_received batch_result_sent answer_sent"
+).split()
+
+STEPS = {
+    "request": _JOB_STEPS,
+    "job": _JOB_STEPS,
+    "cancellation": (
+        "cancel_requested forwarded cancel_sent cancel_received backend_cancelled "
+        "batch_result_sent cancel_answered answer_sent"
+    ).split(),
+}
+
+ROWS: dict[str, dict[str, str]] = {
+    "request": {
+        "coordinator_killed": "NKKKLLLLLLL",
+        "coordinator_paused": "DVVVDDDDDDD",
+        "coordinator_drained": "RDDDDDDDDDD",
+        "holder_killed": "BBBBBBBBBDe",
+        "holder_paused": "TTTTTTDDDDe",
+        "holder_drained": "DDDDDDDDDDe",
+        "backend_killed": "DDDDDDBBDDe",
+        "backend_leaving": "DDDDDDDDDDe",
+        "backend_fails_all": "FFFFFFFDsss",
+        "connection_silent": "DDDDDDBDsss",
+        "home_killed": "UUUDDDDDDDD",
+        "home_isolated": "UUUUDDDDDDD",
+        "home_sync_failed": "XXDDhhhhhhh",
+        "home_disk_full": "XXDDhhhhhhh",
+        "coordinator_domain_cut": "UUUUDDDDDDD",
+        "coordinator_domain_cut_inward": "UUUUDDDDDDD",
+        "coordinator_domain_cut_outward": "UUDDDDDDDDD",
+        "coordinator_domain_cut_long": "UUUUEEEEEED",
+        "holder_domain_cut": "DDDDDDDDDDe",
+        "holder_domain_cut_inward": "DDDDDDDDDDe",
+        "holder_domain_cut_outward": "DDDDDDDDDDe",
+        "holder_domain_cut_long": "EEEEEEEEEEe",
+        "message_dropped": "mUmUDmmmmDm",
+        "message_delayed": "mUmUDmmmmDm",
+        "message_repeated": "mDmDDmmmmDm",
+        "message_reordered": "mDmDDmmmmDm",
+        "straggler": "DDDDDDDDsss",
+        "burst": "DDDDDDDDDDD",
+        "impossible_job": "DDDDDDDDDDD",
+        "cancelled": "CCWWWWSSYDD",
+        "resubmitted": "DDDDDDDDDDD",
+        "lease_lost": "DDDDDDDDsss",
+        "throttled": "DDDDDDDDsss",
+        "checkpointed": "DDDDDDDBsss",
+        "stopped": "DDDDDDDBsss",
+        "declared_too_short": "Drrrrrrrrrr",
+        "declared_too_long": "Drrrrrrrrrr",
+    },
+    "job": {
+        "coordinator_killed": "NKKKLLLLLLL",
+        "coordinator_paused": "DVVVDDDDDDD",
+        "coordinator_drained": "RDDDDDDDDDD",
+        "holder_killed": "BBBBBBBBMMe",
+        "holder_paused": "DDDDDDDDDDe",
+        "holder_drained": "DDDDDDDDDDe",
+        "backend_killed": "DDDDDDBBMMe",
+        "backend_leaving": "DDDDDDDDDDe",
+        "backend_fails_all": "FFFFFFFFGGs",
+        "connection_silent": "DDDDDMBMDDs",
+        "home_killed": "UUUDDDDDDDD",
+        "home_isolated": "UUUUDDDDDDD",
+        "home_sync_failed": "XXDDhhhhhhh",
+        "home_disk_full": "XXDDhhhhhhh",
+        "coordinator_domain_cut": "UUUUDDDDDDD",
+        "coordinator_domain_cut_inward": "UUUUDDDDDDD",
+        "coordinator_domain_cut_outward": "UUDDDDDDDDD",
+        "coordinator_domain_cut_long": "UUUUQQQQQQD",
+        "holder_domain_cut": "DDDDDDDDDDe",
+        "holder_domain_cut_inward": "DDDDDDDDDDe",
+        "holder_domain_cut_outward": "DDDDDDDDDDe",
+        "holder_domain_cut_long": "QQQQQQQQQQe",
+        "message_dropped": "mUmUDmmmmDm",
+        "message_delayed": "mUmUDmmmmDm",
+        "message_repeated": "mDmDDmmmmDm",
+        "message_reordered": "mDmDDmmmmDm",
+        "straggler": "DDDDDDDDDDs",
+        "burst": "DDDDDDDDDDD",
+        "impossible_job": "DDDDDDDDDDD",
+        "cancelled": "CCWWWWSSYYD",
+        "resubmitted": "DDDDDDDDDDD",
+        "lease_lost": "DDDDDDDDDDs",
+        "throttled": "DDDDDDDDDDs",
+        "checkpointed": "DDDDDMMBMMs",
+        "stopped": "DDDDDMMBMMs",
+        "declared_too_short": "Drrrrrrrrrr",
+        "declared_too_long": "Drrrrrrrrrr",
+    },
+    "cancellation": {
+        "coordinator_killed": "AAAAAAJJ",
+        "coordinator_paused": "YYSSSSSS",
+        "coordinator_drained": "SSSSSSSS",
+        "holder_killed": "SSSSSSSe",
+        "holder_paused": "SSSSSSSe",
+        "holder_drained": "SSSSSSSe",
+        "backend_killed": "SSSSSSSe",
+        "backend_leaving": "SSSSSSSe",
+        "backend_fails_all": "SSSSSSss",
+        "connection_silent": "SSSSSSss",
+        "home_killed": "cccccccc",
+        "home_isolated": "cccccccc",
+        "home_sync_failed": "cccccccc",
+        "home_disk_full": "cccccccc",
+        "coordinator_domain_cut": "PPSSSSSI",
+        "coordinator_domain_cut_inward": "PPSSSSSS",
+        "coordinator_domain_cut_outward": "SSIIIISI",
+        "coordinator_domain_cut_long": "HHIIIISI",
+        "holder_domain_cut": "SSSSSSSe",
+        "holder_domain_cut_inward": "SSSSSSSe",
+        "holder_domain_cut_outward": "SSSSSSSe",
+        "holder_domain_cut_long": "SSSSSSSe",
+        "message_dropped": "mPSmmSmm",
+        "message_delayed": "mDSmmSmm",
+        "message_repeated": "mSSmmSmm",
+        "message_reordered": "mDSmmSmm",
+        "straggler": "SSSSSSss",
+        "burst": "SSSSSSSS",
+        "impossible_job": "SSSSSSSS",
+        "cancelled": "SSSSSSSS",
+        "resubmitted": "SSSSSSSS",
+        "lease_lost": "SSSSSSss",
+        "throttled": "SSSSSSss",
+        "checkpointed": "SSSSSSss",
+        "stopped": "SSSSSSss",
+        "declared_too_short": "rrrrrrrr",
+        "declared_too_long": "rrrrrrrr",
+    },
+}
+
+
+@attrs.frozen
+class Cell:
+    """One test of the matrix."""
+
+    operation: str
+    step: str
+    fault: str
+    outcome: Outcome
+
+    @property
+    def test_id(self) -> str:
+        """Return the id of the parametrized test."""
+        return f"{self.operation}-{self.step}-{self.fault}"
+
+
+def cells(*operations: str) -> Iterator[Cell]:
+    """Yield the cells that apply."""
+    for operation in operations:
+        for fault, letters in ROWS[operation].items():
+            for step, letter in zip(STEPS[operation], letters, strict=True):
+                if letter.isupper():
+                    yield Cell(operation, step, fault, OUTCOMES[letter])
