--- a/testing/matrix/matrix_cells.py
+++ b/testing/matrix/matrix_cells.py
@@ -124,8 +124,8 @@
         code = await call.submit(COORDINATOR)
         assert system.reached_at is not None, f"step {step} was not reached"
         # Until all faults have healed and late messages have arrived.
-        settle_s = max(SETTLE_S.get(name, 0.8) for name in fault.split("+"))
-        await anyio.sleep(max(system.reached_at + settle_s - anyio.current_time(), 0.5))
+        settle_s = max(SETTLE_S.get(name, 0.6) for name in fault.split("+"))
+        await anyio.sleep(max(system.reached_at + settle_s - anyio.current_time(), 0.3))
         if call.cancel_begun:
             with anyio.fail_after(_CANCEL_S):
                 await call.cancel_done.wait()
--- a/testing/matrix/matrix_faults.py
+++ b/testing/matrix/matrix_faults.py
@@ -76,13 +76,14 @@
 
 def entry_drained(entry_id: str) -> Fault:
     def act(system: System) -> None:
+        system.running_by_id[entry_id].entry.coordinator.start_draining()
         system.group.start_soon(system.stop_entry, entry_id)
 
     return act
 
 
 def home_isolated(system: System) -> None:
-    system.cut(*[pair for d in "abc" for pair in ((d, "home"), ("home", d))], heal_s=3.0)
+    system.cut(*[pair for d in "abc" for pair in ((d, "home"), ("home", d))], heal_s=1.5)
 
 
 def cut(domain: str, *, inward: bool = True, outward: bool = True, heal_s: float = 3.0) -> Fault:
@@ -117,7 +118,7 @@
 
 def straggler(system: System) -> None:
     for backend in system.backends():
-        backend.stalled_until = anyio.current_time() + 2.0
+        backend.stalled_until = anyio.current_time() + 1.0
 
 
 def burst(system: System) -> None:
@@ -173,18 +174,19 @@
     system.group.start_soon(system.resubmit_main)
 
 
-# Faults that end later than 1 s after the step, with the time until their effects are over.
+# Time until the effects of a fault are over, 0.6 s for those that are not listed.
 SETTLE_S = {
     name: seconds
     for seconds, names in [
-        (7.0, "coordinator_domain_cut_long holder_domain_cut_long"),
+        (6.4, "coordinator_domain_cut_long holder_domain_cut_long"),
+        (4.4, "coordinator_paused holder_paused"),
         (
-            4.5,
-            "coordinator_killed coordinator_paused holder_killed holder_paused backend_killed "
-            "connection_silent home_killed home_isolated lease_lost straggler "
+            3.4,
+            "coordinator_killed holder_killed backend_killed connection_silent lease_lost "
             "coordinator_domain_cut coordinator_domain_cut_inward coordinator_domain_cut_outward "
             "holder_domain_cut holder_domain_cut_inward holder_domain_cut_outward",
         ),
+        (1.8, "home_killed home_isolated straggler"),
     ]
     for name in names.split()
 }
--- a/testing/matrix/matrix_pause.py
+++ b/testing/matrix/matrix_pause.py
@@ -17,11 +17,16 @@
         self.root_by_process: dict[str, trio.lowlevel.Task] = {}
         self.paused: set[str] = set()
         self._held_by_process: dict[str, list[trio.lowlevel.Task]] = {}
-        trio.lowlevel.add_instrument(self)
+
+    def pause(self, process: str) -> None:
+        """Keep the tasks of a process from running."""
+        if not self.paused:
+            trio.lowlevel.add_instrument(self)
+        self.paused.add(process)
 
     def task_scheduled(self, task: trio.lowlevel.Task) -> None:
         """Take a task of a paused process out of the run queue."""
-        process = self._process_of(task) if self.paused else None
+        process = self._process_of(task)
         if process in self.paused:
             trio._core._run.GLOBAL_RUN_CONTEXT.runner.runq.remove(task)
             self._held_by_process.setdefault(process, []).append(task)
@@ -29,6 +34,8 @@
     def wake(self, process: str) -> None:
         """Let the tasks of a process run again."""
         self.paused.discard(process)
+        if not self.paused:
+            trio.lowlevel.remove_instrument(self)
         runq = trio._core._run.GLOBAL_RUN_CONTEXT.runner.runq
         runq.extend(self._held_by_process.pop(process, []))
 
--- a/testing/matrix/matrix_system.py
+++ b/testing/matrix/matrix_system.py
@@ -179,7 +179,7 @@
 
     def pause(self, process: str, seconds: float) -> None:
         """Pause a process and wake it later."""
-        self.pauses.paused.add(process)
+        self.pauses.pause(process)
         self.paused_once.add(process)
 
         def wake() -> None:
@@ -189,10 +189,10 @@
         self.after(seconds, wake)
 
     def kill_home(self) -> None:
-        """Kill the key registry; it restarts with its disk 3 s later."""
+        """Kill the key registry; it restarts with its disk 1.5 s later."""
         self._home_scope.cancel()
         self.network.remove(HOME)
-        self.after(3.0, lambda: self.group.start_soon(self._serve_home))
+        self.after(1.5, lambda: self.group.start_soon(self._serve_home))
 
     def restart_entry(self, entry_id: str) -> None:
         """Kill an entry process; a new incarnation starts 3 s later."""
@@ -222,7 +222,7 @@
             await anyio.sleep(0.3)
             for backend in self.worker_by_id.values():
                 group.start_soon(self._announce, backend)
-            await anyio.sleep(1.2)
+            await anyio.sleep(0.3)
             await scenario(self)
             group.cancel_scope.cancel()
 
@@ -278,6 +278,13 @@
             await anyio.sleep_forever()
         return await claim_function(port, {"c": HOME}, DOMAINS)(claim)
 
+    async def _announce(self, worker: FakeWorker) -> None:
+        # The first announcement is answered with a holder, the second reaches it.
+        await self._announce_once(worker)
+        await anyio.sleep(0.05)
+        await self._announce_once(worker)
+        await super()._announce(worker)
+
     async def _announce_once(self, worker: FakeWorker) -> None:
         assert isinstance(worker, Backend)
         if anyio.current_time() < worker.mute_until:
