--- a/testing/matrix/matrix_cells.py
+++ b/testing/matrix/matrix_cells.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 from matrix_faults import DEADLINE_S, FAULTS, SETTLE_S, submit_other, task_specs
+from matrix_seen import Seen
 from matrix_system import COORDINATOR, OTHER, WALL, System
 
 from apricotpoint._bench.virtualtime import run_virtual
@@ -21,20 +22,6 @@
 _DECLARED_S = {"declared_too_short": 0.001, "declared_too_long": 2.0}
 
 
-@attrs.frozen
-class Seen:
-    """What the caller and the backend servers saw.
-
-    `starts` has the numbers of starts of the tasks before `again`, the code of a
-    resubmission through another entry process.
-    """
-
-    code: int
-    starts: tuple[int, ...]
-    again: int
-    cancel_code: int | None = None
-
-
 class _Call:
     """One submission of the job under test."""
 
--- /dev/null
+++ b/testing/matrix/matrix_changes.py
@@ -0,0 +1,506 @@
+"""Runs one cell of the tables of configuration and membership changes."""
+
+from __future__ import annotations
+
+import atexit
+import errno
+import functools
+import math
+import shutil
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+import trio
+from matrix_pause import Pauses
+from matrix_seen import Seen
+from network import IDS, Cluster, Endpoint, Network, run
+
+from apricotpoint._control.feed import ConfigurationFeed
+from apricotpoint._control.messages import AppendReply, ChangeForward
+from apricotpoint._control.replica import NOT_ACCEPTED
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._link.transport import PeerUnreachable
+from apricotpoint._wire import codec
+from apricotpoint._wire.configuration import Change, ChangeReply, ChangeRequest, Configuration
+
+_REQUEST_S = 5.0
+# Section 1.8 of the design: a change is in force everywhere within this time.
+_IN_FORCE_S = 5.0
+# Time until a fault is over, 0.3 s for those that are not listed.
+_SETTLE_S = {
+    "leader_isolated": 6.0,
+    "asked_replica_isolated": 6.0,
+    "message_delayed": 6.0,
+    "leader_paused": 4.0,
+    "asked_replica_paused": 4.0,
+    "entry_domain_cut": 4.0,
+    "leader_killed": 3.3,
+    "asked_replica_killed": 3.3,
+    "majority_killed": 3.3,
+    "all_killed": 3.3,
+    "restart_after_hundreds": 3.3,
+    "old_disk_put_back": 3.3,
+}
+_COMMAND = "change-1"
+_CHANGES = 200
+
+
+class StepNetwork(Network):
+    """Reports messages as steps and alters one of them."""
+
+    system: ChangeSystem
+
+    def deliver(self, target: str, envelope: codec.Envelope) -> None:
+        """Report the step of a message and send it."""
+        self.alter: str | None = getattr(self, "alter", None)
+        self.system.report(target, envelope)
+        alter, self.alter = self.alter, None
+        # Messages stay objects: encoding them would take a third of the run time.
+        delays_s = {
+            None: [0.0],
+            "dropped": [],
+            "delayed": [6.0],
+            "repeated": [0.0, 0.3],
+            "reordered": [0.3],
+        }
+        for delay_s in delays_s[alter]:
+            self.group.start_soon(self._pass, target, envelope, delay_s)
+
+    async def _pass(self, target: str, envelope: codec.Envelope, delay_s: float) -> None:
+        if (envelope.sender, target) in self.cuts:
+            return
+        await anyio.sleep(0.0005 + delay_s)
+        await self.system.pauses.wait_awake(target, envelope.sender)
+        endpoint = self.endpoint_by_id.get(target)
+        if endpoint is not None:
+            await endpoint.receive(envelope)
+
+
+class ChangeSystem(Cluster):
+    """Three control processes and two entry processes that follow the configuration."""
+
+    def __init__(self, group: anyio.abc.TaskGroup, folder: Path) -> None:
+        super().__init__(group, folder)
+        self.network = StepNetwork(group)
+        self.network.system = self
+        self.client = Endpoint(self.network, "client")
+        self.pauses = Pauses()
+        self.group = group
+        self.step = ""
+        self.fault: Callable[[ChangeSystem], Any] | None = None
+        self.reached = anyio.Event()
+        self.reached_at = math.inf
+        self.leader_id = self.contact = self.third = ""
+        self.index = 0
+        self.old_disk: Path | None = None
+        self.other_replies: list[ChangeReply] = []
+        self.change_message: Change
+        self.feed_by_id: dict[str, ConfigurationFeed] = {}
+        self.seen_by_id: dict[str, list[Configuration]] = {}
+
+    def reach(self, step: str) -> None:
+        """Cause the fault if it is planned for this step."""
+        if self.fault is None or step != self.step:
+            return
+        fault, self.fault = self.fault, None
+        self.reached_at = anyio.current_time()
+        self.reached.set()
+        fault(self)
+
+    def report(self, target: str, envelope: codec.Envelope) -> None:
+        """Tell which step a message belongs to."""
+        message = envelope.message
+        if isinstance(message, ChangeRequest) and message.change.command_id == _COMMAND:
+            self.reach("received")
+        elif isinstance(message, ChangeForward) and message.change.command_id == _COMMAND:
+            self.reach("forwarded")
+        elif isinstance(message, AppendReply):
+            if target == self.leader_id and self.index and message.match_index >= self.index:
+                self.reach("synced")
+        elif isinstance(message, ChangeReply) and envelope.sender == self.leader_id:
+            self.reach("answered")
+
+    def watch_leader(self) -> None:
+        """Report the steps inside the leader."""
+        replica = self.node(self.leader_id).replica
+        append, commit = replica.append_as_leader, replica.commit_to
+
+        def append_as_leader(entry: Any) -> int:
+            index = append(entry)
+            if entry.change is not None and entry.change.command_id == _COMMAND:
+                self.index = index
+                self.reach("appended")
+            return index
+
+        def commit_to(index: int) -> None:
+            commit(index)
+            if self.index and replica.commit_index >= self.index:
+                self.reach("committed")
+
+        replica.append_as_leader = append_as_leader
+        replica.commit_to = commit_to
+
+    async def start_from(self, folder: Path) -> None:
+        """Start all nodes from copies of their disks in another folder."""
+        for node_id in IDS:
+            disk = await self.initialise(node_id)
+            shutil.rmtree(disk.folder)
+            shutil.copytree(folder / disk.folder.name, disk.folder)
+        await self.start(*IDS)
+        await self.leader()
+
+    async def start_feed(self, entry_id: str) -> None:
+        """Start the configuration feed of an entry process."""
+        seen = self.seen_by_id.setdefault(entry_id, [])
+        self.feed_by_id[entry_id] = feed = ConfigurationFeed(
+            transport=Endpoint(self.network, entry_id),
+            control_ids=IDS,
+            timers=self.timers,
+            counters=Counters(),
+        )
+
+        def applied(configuration: Configuration) -> None:
+            seen.append(configuration)
+            if entry_id == "e1" and self.index:
+                self.reach("applied")
+
+        feed.subscribe(applied)
+
+        async def serve(*, task_status: Any) -> None:
+            async with feed:
+                task_status.started()
+                await anyio.sleep_forever()
+
+        await self.group.start(serve)
+
+    async def request(self, entry_id: str, change: Change, control_ids: list[str]) -> ChangeReply:
+        """Send a change as an entry process does: to one control process after another."""
+        reply = ChangeReply(ResultCode.NO_MAJORITY, -1, "no answer")
+        transport = self.feed_by_id[entry_id]._transport  # noqa: SLF001
+        for control_id in control_ids:
+            try:
+                answer = await transport.request(
+                    control_id, ChangeRequest(change), timeout_s=_REQUEST_S
+                )
+            except PeerUnreachable:
+                continue
+            assert isinstance(answer, ChangeReply)
+            reply = answer
+            if reply.code != ResultCode.NO_MAJORITY:
+                return reply
+        return reply
+
+    def later(self, seconds: float, action: Callable[..., Any], *arguments: Any) -> None:
+        """Call a function or coroutine function later."""
+
+        async def call() -> None:
+            await anyio.sleep(seconds)
+            done = action(*arguments)
+            if done is not None:
+                await done
+
+        self.group.start_soon(call)
+
+    async def _serve(self, node_id: str, process: Any) -> None:
+        self.pauses.root_by_process[node_id] = trio.lowlevel.current_task()
+        await super()._serve(node_id, process)
+
+
+Fault = Callable[[ChangeSystem], Any]
+
+
+def _node(system: ChangeSystem, role: str) -> str:
+    return {"leader": system.leader_id, "contact": system.contact, "third": system.third}[role]
+
+
+def killed(*roles: str, restart: bool = True) -> Fault:
+    def act(system: ChangeSystem) -> None:
+        nodes = [_node(system, role) for role in roles]
+        for node in nodes:
+            # Nothing is sent or received from this moment on.
+            system.network.isolate(node)
+        system.later(0, system.kill, *nodes)
+
+        async def start() -> None:
+            for node in nodes:
+                _heal(system, node)
+            await system.start(*nodes)
+
+        if restart:
+            system.later(3.0, start)
+
+    return act
+
+
+def _heal(system: ChangeSystem, node: str) -> None:
+    system.network.cuts = {pair for pair in system.network.cuts if node not in pair}
+
+
+def isolated(*roles: str, seconds: float = 6.0, **direction: bool) -> Fault:
+    def act(system: ChangeSystem) -> None:
+        for role in roles:
+            node = _node(system, role)
+            system.network.isolate(node, **direction)
+            system.later(seconds, _heal, system, node)
+
+    return act
+
+
+def entry_domain_cut(**direction: bool) -> Fault:
+    """Cut the entry process off together with the control process that it asks."""
+
+    def act(system: ChangeSystem) -> None:
+        inside = ("e1", system.contact)
+        for node in inside:
+            system.network.isolate(node, **direction)
+            system.later(4.0, _heal, system, node)
+        system.network.cuts -= {inside, inside[::-1]}
+
+    return act
+
+
+def paused(role: str) -> Fault:
+    def act(system: ChangeSystem) -> None:
+        node = _node(system, role)
+        system.pauses.pause(node)
+        system.later(4.0, system.pauses.wake, node)
+
+    return act
+
+
+def message(kind: str) -> Fault:
+    def act(system: ChangeSystem) -> None:
+        system.network.alter = kind
+
+    return act
+
+
+def disk_failed(role: str, code: int) -> Fault:
+    def act(system: ChangeSystem) -> None:
+        disk = system.disk_by_id[_node(system, role)]
+        disk.sync_error = disk.write_error = OSError(code, "injected")
+
+    return act
+
+
+def old_disk(system: ChangeSystem) -> None:
+    """Put an earlier copy of the third process's disk back."""
+
+    async def swap() -> None:
+        assert system.old_disk is not None
+        node = system.third
+        await system.kill(node)
+        folder = system.disk_by_id[node].folder
+        shutil.rmtree(folder)
+        shutil.copytree(system.old_disk, folder)
+        await system.start(node)
+        await anyio.sleep(3)
+        assert system.exit_code_by_id[node] == ResultCode.OLD_DISK
+
+    system.later(0, swap)
+
+
+def other_operator(system: ChangeSystem) -> None:
+    change = attrs.evolve(system.change_message, command_id="other", target="other", arguments={})
+    change = attrs.evolve(change, action="drain_vm")
+
+    async def send() -> None:
+        system.other_replies.append(await system.request("e2", change, [system.third, *IDS]))
+
+    system.later(0, send)
+
+
+def resent(system: ChangeSystem) -> None:
+    async def send() -> None:
+        reply = await system.request("e2", system.change_message, [system.third, *IDS])
+        assert reply.code in (ResultCode.ACCEPTED, ResultCode.NO_MAJORITY), reply
+
+    system.later(0, send)
+
+
+def burst(system: ChangeSystem) -> None:
+    base = system.change_message.base_version
+    for number in range(20):
+        change = Change(f"burst-{number}", base + 1, "drain_vm", f"burst-{number}")
+        system.later(0.01 * number, system.request, "e2", change, [system.third, *IDS])
+
+
+CHANGE_FAULTS: dict[str, Fault] = {
+    "leader_killed": killed("leader"),
+    "leader_isolated_long": isolated("leader"),
+    "leader_isolated_inward": isolated("leader", outward=False),
+    "leader_isolated_outward": isolated("leader", inward=False),
+    "leader_paused": paused("leader"),
+    "asked_replica_killed": killed("contact"),
+    "asked_replica_isolated_long": isolated("contact"),
+    "asked_replica_paused": paused("contact"),
+    "majority_killed": killed("leader", "third"),
+    "all_killed": killed("leader", "contact", "third"),
+    "entry_domain_cut": entry_domain_cut(),
+    "entry_domain_cut_inward": entry_domain_cut(outward=False),
+    "entry_domain_cut_outward": entry_domain_cut(inward=False),
+    "message_dropped": message("dropped"),
+    "message_delayed": message("delayed"),
+    "message_repeated": message("repeated"),
+    "message_reordered": message("reordered"),
+    "equal_base_versions": other_operator,
+    "command_resent": resent,
+    "burst_of_changes": burst,
+    "second_lost_after_repair": killed("leader", restart=False),
+    "restart_after_hundreds": killed("leader", "contact", "third"),
+    "leader_sync_failed": disk_failed("leader", errno.EIO),
+    "leader_disk_full": disk_failed("leader", errno.ENOSPC),
+    "follower_sync_failed": disk_failed("third", errno.EIO),
+    "follower_disk_full": disk_failed("third", errno.ENOSPC),
+    "old_disk_put_back": old_disk,
+}
+
+
+def run_change_cell(folder: Path, operation: str, step: str, fault: str) -> Seen:
+    """Cause a fault at a step of a change and return what was seen."""
+    seen: list[Seen] = []
+    folder.mkdir()
+    if "restart_after_hundreds" in fault:
+        _long_log()
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            system = ChangeSystem(group, folder)
+            if "restart_after_hundreds" in fault:
+                await system.start_from(_long_log())
+            else:
+                await system.start_first()
+            seen.append(await _run(system, operation, step, fault))
+            group.cancel_scope.cancel()
+
+    run(main)
+    return seen[0]
+
+
+@functools.cache
+def _long_log() -> Path:
+    """Return a folder with the disks of control processes after hundreds of changes."""
+    folder = Path(tempfile.mkdtemp(prefix="apricot-matrix-"))
+    atexit.register(shutil.rmtree, folder)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            system = ChangeSystem(group, folder)
+            await system.start_first()
+            leader = await system.leader()
+            for version in range(_CHANGES):
+                reply = await system.change(leader, f"earlier-{version}", version)
+                assert reply.code == ResultCode.ACCEPTED, reply
+            await system.kill(*IDS)
+            group.cancel_scope.cancel()
+
+    run(main)
+    return folder
+
+
+async def _prepare(system: ChangeSystem, operation: str, fault: str) -> int:
+    """Bring the deployment into the state in which the change is sent; return the version."""
+    version = 0
+    leader = await system.leader()
+    contact, third = (node for node in IDS if node != leader)
+    if operation == "membership":
+        await system.initialise("c4", first=False)
+        await system.start("c4")
+        await anyio.sleep(1.5)
+    if "second_lost_after_repair" in fault:
+        await system.kill(third)
+        await system.replace_disk(third)
+        await system.start(third)
+        await anyio.sleep(2.5)
+        reply = await system.change(leader, "repair", 0, action="add_member", target=third)
+        assert reply.code == ResultCode.ACCEPTED, reply
+        version = reply.version
+    if "restart_after_hundreds" in fault:
+        version = _CHANGES
+    if "old_disk_put_back" in fault:
+        system.old_disk = system.disk_by_id[third].folder.with_suffix(".old")
+        await system.kill(third)
+        shutil.copytree(system.disk_by_id[third].folder, system.old_disk)
+        await system.start(third)
+        await anyio.sleep(1.5)
+    system.leader_id = leader
+    system.contact, system.third = contact, third
+    return version
+
+
+async def _run(system: ChangeSystem, operation: str, step: str, fault: str) -> Seen:
+    version = await _prepare(system, operation, fault)
+    for entry_id in ("e1", "e2"):
+        await system.start_feed(entry_id)
+    action, target = ("drain_vm", "vm") if operation == "change" else ("add_member", "c4")
+    change = Change(_COMMAND, version, action, target)
+    system.change_message = change
+    system.watch_leader()
+    faults = [CHANGE_FAULTS[name] for name in fault.split("+")]
+    system.step = step
+
+    def cause(_: ChangeSystem) -> None:
+        for part in faults:
+            part(system)
+
+    system.fault = cause
+    order = [system.contact, system.third, system.leader_id]
+    reply = await system.request("e1", change, order)
+    refused = reply.code == ResultCode.NO_MAJORITY and reply.message == NOT_ACCEPTED
+    with anyio.move_on_after(_IN_FORCE_S):
+        await system.reached.wait()
+    assert system.reached_at < math.inf, f"step {step} was not reached"
+    settle_s = max([seconds for name, seconds in _SETTLE_S.items() if name in fault], default=0.3)
+    await anyio.sleep(max(system.reached_at + settle_s - anyio.current_time(), 0.3))
+    await system.leader()
+    applied = _applied(system, change)
+    if reply.code == ResultCode.ACCEPTED:
+        assert applied == 1, "P8: an accepted change has disappeared"
+    again = await system.request("e2", change, order[::-1])
+    if reply.code == ResultCode.ACCEPTED:
+        assert again == reply, "the command has another answer now"
+    try:
+        with anyio.fail_after(_IN_FORCE_S):
+            while True:
+                if _is_in_force(system):
+                    break
+                await anyio.sleep(0.1)
+    except TimeoutError:
+        raise AssertionError("P8: the versions differ after 5 s") from None
+    _check_promises(system, change, again)
+    other = system.other_replies[0].code if system.other_replies else None
+    assert not (refused and applied and "resent" not in fault), "P4: it was accepted"
+    return Seen(int(reply.code), (applied,), int(again.code), other=other)
+
+
+def _applied(system: ChangeSystem, change: Change) -> int:
+    """Return whether the change is in force at the leader."""
+    leaders = [node for node in system.nodes() if node.replica.role.value == "leader"]
+    replica = max(leaders, key=lambda node: node.replica.log.term).replica
+    if change.action == "add_member":
+        return int(change.target in replica.log.disk_by_member())
+    return replica.state.configuration.drained_vms.count(change.target)
+
+
+def _is_in_force(system: ChangeSystem) -> bool:
+    """Return whether all processes have the same, latest version."""
+    states = [node.replica.state.configuration for node in system.nodes()]
+    states += [feed.configuration() for feed in system.feed_by_id.values()]
+    return all(state == states[0] for state in states) and all(
+        feed.current() for feed in system.feed_by_id.values()
+    )
+
+
+def _check_promises(system: ChangeSystem, change: Change, again: ChangeReply) -> None:
+    """Fail if promise P8 is broken."""
+    assert _applied(system, change) == (again.code == ResultCode.ACCEPTED)
+    for seen in system.seen_by_id.values():
+        for earlier, later in zip(seen, seen[1:], strict=False):
+            assert earlier.version < later.version, "P8: an older version came later"
+            assert set(earlier.drained_vms) <= set(later.drained_vms), "P8: a change was reverted"
--- a/testing/matrix/matrix_faults.py
+++ b/testing/matrix/matrix_faults.py
@@ -7,7 +7,7 @@
 
 import anyio
 import attrs
-from matrix_system import COORDINATOR, HOLDER, HOME, OTHER, System
+from matrix_system import COORDINATOR, HOLDER, OTHER, System
 
 from apricotpoint._bench.network import Delivery
 from apricotpoint._wire.announce import GuardState
@@ -122,7 +122,7 @@
 
 
 def burst(system: System) -> None:
-    for number in range(30):
+    for number in range(21):
         entry_id = (COORDINATOR, HOLDER, OTHER)[number % 3]
         submit_other(system, entry_id, f"burst-{number}", count=3)
 
--- a/testing/matrix/matrix_page.py
+++ b/testing/matrix/matrix_page.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from matrix_table import OUTCOMES, REASONS, ROWS, STEPS, Outcome, cells
+from matrix_table import OUTCOMES, REASONS, ROWS, STEPS, Outcome, cells, pairs
 
 PAGE = Path(__file__).parents[2] / "docs" / "fault-matrix.md"
 _HEAD = """# Fault matrix
@@ -38,12 +38,16 @@
                 for step, letter in zip(steps, letters, strict=True)
             ]
             parts.append(f"| {fault} | {' | '.join(texts)} |")
+    number = len(list(pairs()))
+    parts.append(f"\n## Pairs of faults at the same step ({number} cells)\n")
+    parts.append("| outcome | test |\n|---|---|")
+    parts += [f"| {cell.outcome.text} | `{cell.test_id}` |" for cell in pairs()]
     parts.append("\n## Why a cell does not apply\n\n| mark | reason |\n|---|---|")
     parts += [f"| {letter} | {reason} |" for letter, reason in REASONS.items()]
     parts.append(
-        "\n## Outcomes\n\nCode 0 stands for a connection that ended with its process. The starts are "
-        "those of each\ntask, or how often a change is in force, before the request is sent again "
-        "through another entry\nprocess.\n"
+        "\n## Outcomes\n\nCode 0 stands for a connection that ended with its process. The starts "
+        "are those of each\ntask, or how often a change is in force, before the request is sent "
+        "again through another entry\nprocess.\n"
     )
     parts.append("| outcome | codes | starts | codes when sent again | codes of the cancellation |")
     parts.append("|---|---|---|---|---|")
--- a/testing/matrix/matrix_pause.py
+++ b/testing/matrix/matrix_pause.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import trio
 import trio._core._run
 
@@ -16,6 +17,7 @@
     def __init__(self) -> None:
         self.root_by_process: dict[str, trio.lowlevel.Task] = {}
         self.paused: set[str] = set()
+        self._woken = anyio.Event()
         self._held_by_process: dict[str, list[trio.lowlevel.Task]] = {}
 
     def pause(self, process: str) -> None:
@@ -34,11 +36,18 @@
     def wake(self, process: str) -> None:
         """Let the tasks of a process run again."""
         self.paused.discard(process)
+        self._woken.set()
+        self._woken = anyio.Event()
         if not self.paused:
             trio.lowlevel.remove_instrument(self)
         runq = trio._core._run.GLOBAL_RUN_CONTEXT.runner.runq
         runq.extend(self._held_by_process.pop(process, []))
 
+    async def wait_awake(self, *processes: str) -> None:
+        """Wait until none of the processes is paused."""
+        while self.paused & set(processes):
+            await self._woken.wait()
+
     def _process_of(self, task: trio.lowlevel.Task) -> str | None:
         roots = {root: process for process, root in self.root_by_process.items()}
         while task not in roots and task.parent_nursery is not None:
--- a/testing/matrix/matrix_system.py
+++ b/testing/matrix/matrix_system.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import attrs
 import trio
 from matrix_backend import Backend
@@ -259,7 +260,7 @@
                     await anyio.sleep_forever()
                 self.reach("claim_synced")
                 # A kill at this step takes effect before the reply is sent.
-                await anyio.sleep(0)
+                await anyio.lowlevel.checkpoint()
                 return reply
 
             port.request_handlers_by_type[Claim] = claim
--- a/testing/matrix/matrix_table.py
+++ b/testing/matrix/matrix_table.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterator
 
 import attrs
@@ -44,6 +45,7 @@
     "T": Outcome("not started by the deadline, runs later", {2105, 2109}, {0}, {1000}),
     "B": Outcome("backend server or holder lost", {3106}, {0, 1}, {3106}),
     "M": Outcome("complete, or backend server or holder lost", {1000, 3106}, {0, 1}, {1000, 3106}),
+    "Z": Outcome("some tasks ran, some did not", {3107}, {0, 1}, {3107}),
     "E": Outcome("deadline passed, complete later", {3103}, {0, 1}, {1000}),
     "Q": Outcome("deadline passed, final outcome later", {3103}, {0, 1}, _LATE),
     "C": Outcome("cancelled before start", {2108}, {0}, {2108}),
@@ -54,6 +56,7 @@
     "J": Outcome("no answer to caller, cancelled after start", {0}, {0, 1}, {3101}, {3104}),
     "P": Outcome("complete, cancellation not delivered", {1000}, {1}, {1000}, {3101}),
     "I": Outcome("cancelled, answer to the cancellation lost", {3104}, {0, 1}, {3104}, {3101}),
+    "O": Outcome("accepted, in force once", {4000}, {1}, {4000}),
     "H": Outcome("deadline passed, cancellation not delivered", {3103}, {0, 1}, _LATE, {3101}),
 }
 
@@ -63,23 +66,71 @@
     "h": "the key registry has no part in the job after its answer to the claim",
     "s": "every task of the job has ended",
     "e": "holders and backend servers have no part in the job after its answer",
+    "j": "jobs, backend servers and key registries have no part in a change",
+    "l": "replicas of the configuration have no part in a job",
+    "k": "a claim is about the key, not the tasks: as in operation request",
+    "d": "the kind of change matters only to the log: as in operation change",
     "c": "the claim is answered before a task runs; a cancellation asks no home",
 }
 
-_JOB_STEPS = (
-    "received claim_sent claim_synced claim_answered batch_sent batch_queued start_written "
-    "backend_running result_received batch_result_sent answer_sent"
-).split()
+_JOB_STEPS = [
+    "received",
+    "claim_sent",
+    "claim_synced",
+    "claim_answered",
+    "batch_sent",
+    "batch_queued",
+    "start_written",
+    "backend_running",
+    "result_received",
+    "batch_result_sent",
+    "answer_sent",
+]
+
+_CHANGE_STEPS = ["received", "forwarded", "appended", "synced", "committed", "answered", "applied"]
 
 STEPS = {
     "request": _JOB_STEPS,
     "job": _JOB_STEPS,
-    "cancellation": (
-        "cancel_requested forwarded cancel_sent cancel_received backend_cancelled "
-        "batch_result_sent cancel_answered answer_sent"
-    ).split(),
+    "cancellation": [
+        "cancel_requested",
+        "forwarded",
+        "cancel_sent",
+        "cancel_received",
+        "backend_cancelled",
+        "batch_result_sent",
+        "cancel_answered",
+        "answer_sent",
+    ],
 }
 
+_CHANGE_FAULTS = [
+    "leader_killed",
+    "leader_isolated_long",
+    "leader_isolated_inward",
+    "leader_isolated_outward",
+    "leader_paused",
+    "asked_replica_killed",
+    "asked_replica_isolated_long",
+    "asked_replica_paused",
+    "majority_killed",
+    "all_killed",
+    "entry_domain_cut",
+    "entry_domain_cut_inward",
+    "entry_domain_cut_outward",
+    "equal_base_versions",
+    "command_resent",
+    "burst_of_changes",
+    "second_lost_after_repair",
+    "restart_after_hundreds",
+    "leader_sync_failed",
+    "leader_disk_full",
+    "follower_sync_failed",
+    "follower_disk_full",
+    "old_disk_put_back",
+]
+_MESSAGE_FAULTS = ["message_dropped", "message_delayed", "message_repeated", "message_reordered"]
+
 ROWS: dict[str, dict[str, str]] = {
     "request": {
         "coordinator_killed": "NKKKLLLLLLL",
@@ -121,41 +172,41 @@
         "declared_too_long": "Drrrrrrrrrr",
     },
     "job": {
-        "coordinator_killed": "NKKKLLLLLLL",
-        "coordinator_paused": "DVVVDDDDDDD",
-        "coordinator_drained": "RDDDDDDDDDD",
-        "holder_killed": "BBBBBBBBMMe",
-        "holder_paused": "DDDDDDDDDDe",
-        "holder_drained": "DDDDDDDDDDe",
-        "backend_killed": "DDDDDDBBMMe",
-        "backend_leaving": "DDDDDDDDDDe",
-        "backend_fails_all": "FFFFFFFFGGs",
-        "connection_silent": "DDDDDMBMDDs",
-        "home_killed": "UUUDhhhhhhh",
-        "home_isolated": "UUUUhhhhhhh",
-        "home_sync_failed": "XXDDhhhhhhh",
-        "home_disk_full": "XXDDhhhhhhh",
-        "coordinator_domain_cut": "UUUUDDDDDDD",
-        "coordinator_domain_cut_inward": "UUUUDDDDDDD",
-        "coordinator_domain_cut_outward": "UUDDDDDDDDD",
-        "coordinator_domain_cut_long": "UUUUQQQQQQD",
-        "holder_domain_cut": "DDDDDDDDDDe",
-        "holder_domain_cut_inward": "DDDDDDDDDDe",
-        "holder_domain_cut_outward": "DDDDDDDDDDe",
-        "holder_domain_cut_long": "QQQQQQQQQQe",
-        "message_dropped": "mUmUDmmmmDm",
-        "message_delayed": "mUmUDmmmmDm",
-        "message_repeated": "mDmDDmmmmDm",
-        "message_reordered": "mDmDDmmmmDm",
-        "straggler": "DDDDDDDDDDs",
-        "burst": "DDDDDDDDDDD",
-        "impossible_job": "DDDDDDDDDDD",
-        "cancelled": "CCWWWWSSYYD",
-        "resubmitted": "DDDDDDDDDDD",
-        "lease_lost": "DDDDDDDDDDs",
-        "throttled": "DDDDDDDDDDs",
-        "checkpointed": "DDDDDMMBMMs",
-        "stopped": "DDDDDMMBMMs",
+        "coordinator_killed": "NkkkLLLLLLL",
+        "coordinator_paused": "DkkkDDDDDDD",
+        "coordinator_drained": "RkkkDDDDDDD",
+        "holder_killed": "BkkkBBBBMMe",
+        "holder_paused": "DkkkDDDDDDe",
+        "holder_drained": "DkkkDDDDDDe",
+        "backend_killed": "DkkkDDBBMMe",
+        "backend_leaving": "DkkkDDDDDDe",
+        "backend_fails_all": "FkkkFFFFGGs",
+        "connection_silent": "DkkkDMBMDDs",
+        "home_killed": "Ukkkhhhhhhh",
+        "home_isolated": "Ukkkhhhhhhh",
+        "home_sync_failed": "Xkkkhhhhhhh",
+        "home_disk_full": "Xkkkhhhhhhh",
+        "coordinator_domain_cut": "UkkkDDDDDDD",
+        "coordinator_domain_cut_inward": "UkkkDDDDDDD",
+        "coordinator_domain_cut_outward": "UkkkDDDDDDD",
+        "coordinator_domain_cut_long": "UkkkQQQQQQD",
+        "holder_domain_cut": "DkkkDDDDDDe",
+        "holder_domain_cut_inward": "DkkkDDDDDDe",
+        "holder_domain_cut_outward": "DkkkDDDDDDe",
+        "holder_domain_cut_long": "QkkkQQQQQQe",
+        "message_dropped": "mkkkDmmmmDm",
+        "message_delayed": "mkkkDmmmmDm",
+        "message_repeated": "mkkkDmmmmDm",
+        "message_reordered": "mkkkDmmmmDm",
+        "straggler": "DkkkDDDDDDs",
+        "burst": "DkkkDDDDDDD",
+        "impossible_job": "DkkkDDDDDDD",
+        "cancelled": "CkkkWWSSYYD",
+        "resubmitted": "DkkkDDDDDDD",
+        "lease_lost": "DkkkDDDDDDs",
+        "throttled": "DkkkDDDDDDs",
+        "checkpointed": "DkkkDMMBMMs",
+        "stopped": "DkkkDMMBMMs",
         "declared_too_short": "Drrrrrrrrrr",
         "declared_too_long": "Drrrrrrrrrr",
     },
@@ -200,6 +251,59 @@
     },
 }
 
+_JOB_FAULTS = [fault for fault in ROWS["job"] if fault not in _MESSAGE_FAULTS]
+for _operation, _letters, _messages in (
+    ("change", "OOOOOOO", "OOmOmOm"),
+    ("membership", "ddOOOOd", "ddmOmOd"),
+):
+    ROWS[_operation] = (
+        dict.fromkeys(_CHANGE_FAULTS, _letters)
+        | dict.fromkeys(_MESSAGE_FAULTS, _messages)
+        | dict.fromkeys(_JOB_FAULTS, "jjjjjjj")
+    )
+    STEPS[_operation] = _CHANGE_STEPS
+for _fault in _CHANGE_FAULTS:
+    if _fault.startswith(("asked_replica", "entry_domain")):
+        ROWS["membership"][_fault] = "ddddddd"
+for _operation in ("request", "job", "cancellation"):
+    for _fault in _CHANGE_FAULTS:
+        ROWS[_operation][_fault] = "l" * len(STEPS[_operation])
+
+# Pairs of faults at the steps at which a record is written, sent or acknowledged.
+_CLAIM_PAIRS = (
+    "coordinator_killed coordinator_paused home_killed home_isolated coordinator_domain_cut "
+    "cancelled resubmitted burst"
+)
+_START_PAIRS = (
+    "coordinator_killed coordinator_paused holder_killed holder_paused backend_killed "
+    "connection_silent coordinator_domain_cut holder_domain_cut cancelled resubmitted"
+)
+_CHANGE_PAIRS = (
+    "leader_killed leader_isolated_long asked_replica_killed equal_base_versions command_resent "
+    "follower_sync_failed"
+)
+PAIRS = [
+    ("request", "claim_synced", _CLAIM_PAIRS),
+    ("request", "claim_answered", _CLAIM_PAIRS),
+    ("job", "start_written", _START_PAIRS),
+    ("job", "batch_result_sent", _START_PAIRS),
+    ("change", "appended", _CHANGE_PAIRS),
+    ("change", "committed", _CHANGE_PAIRS),
+    ("change", "answered", _CHANGE_PAIRS),
+]
+
+
+# Outcomes that a pair may have besides those of its faults alone.
+EXTRA: dict[str, str] = {
+    "coordinator_killed+cancelled": "A",
+    "coordinator_domain_cut+cancelled": "P",
+    # The paused process holds the lease of the killed backend server.
+    "coordinator_paused+backend_killed": "Q",
+    # Of three backend servers one is lost and another has no holder for some seconds.
+    "holder_paused+backend_killed": "Z",
+    "holder_paused+connection_silent": "Z",
+}
+
 
 @attrs.frozen
 class Cell:
@@ -223,3 +327,21 @@
             for step, letter in zip(STEPS[operation], letters, strict=True):
                 if letter.isupper():
                     yield Cell(operation, step, fault, OUTCOMES[letter])
+
+
+def pairs() -> Iterator[Cell]:
+    """Yield the pairs of faults: a pair may end as either of its faults does alone."""
+    for operation, step, faults in PAIRS:
+        position = STEPS[operation].index(step)
+        for both in itertools.combinations(faults.split(), 2):
+            single = [OUTCOMES[ROWS[operation][fault][position]] for fault in both]
+            extra = EXTRA.get("+".join(both), [])
+            parts = single + [OUTCOMES[letter] for letter in extra]
+            outcome = Outcome(
+                " / ".join(dict.fromkeys(part.text for part in parts)),
+                set().union(*(part.codes for part in parts)),
+                set().union(*(part.starts for part in parts)),
+                set().union(*(part.again for part in parts)),
+                set().union(*(part.cancel or part.codes for part in parts)),
+            )
+            yield Cell(operation, step, "+".join(both), outcome)
