--- a/testing/matrix/matrix_cells.py
+++ b/testing/matrix/matrix_cells.py
@@ -8,7 +8,7 @@
 import attrs
 from matrix_faults import DEADLINE_S, FAULTS, SETTLE_S, submit_other, task_specs
 from matrix_seen import Seen
-from matrix_system import COORDINATOR, OTHER, WALL, System
+from matrix_system import COORDINATOR, HOLDER, OTHER, WALL, System
 
 from apricotpoint._bench.virtualtime import run_virtual
 from apricotpoint._wire.jobs import Answer, JobRequest
@@ -19,6 +19,7 @@
 _GRACE_S = 0.05
 # A cancellation waits 5 s for its outcome and 1 s for the message.
 _CANCEL_S = 6.0 + _GRACE_S
+_SINGLE = ("request", "issued")
 _DECLARED_S = {"declared_too_short": 0.001, "declared_too_long": 2.0}
 
 
@@ -27,23 +28,28 @@
 
     def __init__(self, system: System, request: JobRequest) -> None:
         self._system = system
-        self._request = request
+        self.request = request
+        self.first_entry = COORDINATOR
         self.answers: list[Answer] = []
         self.cancel_code: int | None = None
         self.cancel_begun = False
         self.cancel_done = anyio.Event()
 
+    def use_key(self, key: str) -> None:
+        """Use an issued key instead of a caller key."""
+        self.request = attrs.evolve(self.request, key=key, valid_until=None)
+
     async def submit(self, entry_id: str, deadline_s: float = DEADLINE_S) -> int:
         """Submit through an entry process and return the code."""
         system = self._system
-        request = attrs.evolve(self._request, deadline_ms=int(deadline_s * 1000))
+        request = attrs.evolve(self.request, deadline_ms=int(deadline_s * 1000))
         answers: list[Answer] = []
         done = anyio.Event()
 
         async def call() -> None:
             try:
                 answer = await running.entry.coordinator.submit(request)
-                if entry_id == COORDINATOR:
+                if entry_id == self.first_entry:
                     system.reach("answer_sent")
                 await anyio.sleep(0.001)
                 answers.append(answer)
@@ -55,7 +61,7 @@
             return NO_ANSWER
         running = system.running_by_id[entry_id]
         system.spawn(entry_id, call)
-        if entry_id == COORDINATOR:
+        if entry_id == self.first_entry:
             system.reach("received")
         await done.wait()
         if not answers:
@@ -71,7 +77,7 @@
         coordinator = self._system.running_by_id[entry_id].entry.coordinator
         self.cancel_begun = True
         self._system.reach("cancel_requested")
-        answer = await coordinator.cancel("t", self._request.key)
+        answer = await coordinator.cancel("t", self.request.key)
         self._system.reach("cancel_answered")
         self.answers.append(answer)
         self.cancel_code = answer.code
@@ -82,7 +88,7 @@
     """Cause a fault at a step of an operation and return what was seen."""
     seen: list[Seen] = []
     folder.mkdir(exist_ok=True)
-    system = System(folder, "bb" if operation == "request" else "bbca")
+    system = System(folder, "bb" if operation in _SINGLE else "bbca")
     system.step = step
     parts = [FAULTS[name] for name in fault.split("+") if name in FAULTS]
 
@@ -91,7 +97,7 @@
             part(system)
 
     system.fault = cause
-    count = 1 if operation == "request" else 6
+    count = 1 if operation in _SINGLE else 6
     request = JobRequest(
         key=system.home_key("order"),
         team="t",
@@ -103,12 +109,18 @@
 
     async def scenario(system: System) -> None:
         call = _Call(system, request)
+        again_entry = resubmit_entry = OTHER
+        if operation == "issued":
+            # The caller reaches another entry process than the one that issued the key.
+            coordinator = system.running_by_id[COORDINATOR].entry.coordinator
+            call.use_key(coordinator.issue_keys(1)[0])
+            call.first_entry, resubmit_entry, again_entry = OTHER, COORDINATOR, HOLDER
         system.cancel_main = lambda: call.cancel(OTHER)
-        system.resubmit_main = lambda: call.submit(OTHER, 3.0)
+        system.resubmit_main = lambda: call.submit(resubmit_entry, 3.0)
         submit_other(system, OTHER, "neighbour", count=2)
         if operation == "cancellation":
             system.on_running = lambda: system.group.start_soon(call.cancel, OTHER)
-        code = await call.submit(COORDINATOR)
+        code = await call.submit(call.first_entry)
         assert system.reached_at is not None, f"step {step} was not reached"
         # Until all faults have healed and late messages have arrived.
         settle_s = max(SETTLE_S.get(name, 0.6) for name in fault.split("+"))
@@ -118,10 +130,10 @@
                 await call.cancel_done.wait()
         starts = system.starts()
         tasks = tuple(starts[f"main.{index}"] for index in range(count))
-        again = await call.submit(OTHER, 2.0)
+        again = await call.submit(again_entry, 2.0)
         await anyio.sleep(0.3)
         seen.append(Seen(code, tasks, again, call.cancel_code))
-        check_promises(system, request, call.answers, system.starts())
+        check_promises(system, call.request, call.answers, system.starts())
 
     run_virtual(lambda: system.play(scenario), seed=1)
     return seen[0]
--- a/testing/matrix/matrix_changes.py
+++ b/testing/matrix/matrix_changes.py
@@ -412,7 +412,7 @@
     if operation == "membership":
         await system.initialise("c4", first=False)
         await system.start("c4")
-        await anyio.sleep(1.5)
+        await anyio.sleep(1.0)
     if "second_lost_after_repair" in fault:
         await system.kill(third)
         await system.replace_disk(third)
--- a/testing/matrix/matrix_faults.py
+++ b/testing/matrix/matrix_faults.py
@@ -36,9 +36,11 @@
 
 def submit_other(system: System, entry_id: str, name: str, *, count: int = 1, cores: int = 1):
     """Submit another job, whose answer is checked at the end."""
+    if entry_id not in system.running_by_id:
+        return
+    coordinator = system.running_by_id[entry_id].entry.coordinator
 
     async def call() -> None:
-        coordinator = system.running_by_id[entry_id].entry.coordinator
         request = JobRequest(
             key=coordinator.issue_keys(1)[0],
             team="t",
@@ -50,8 +52,7 @@
         answer = await coordinator.submit(request)
         system.others.append((request, answer, anyio.current_time() - begun))
 
-    if entry_id in system.running_by_id:
-        system.spawn(entry_id, call)
+    system.spawn(entry_id, call)
 
 
 def backend_killed(system: System) -> None:
@@ -182,7 +183,8 @@
         (4.4, "coordinator_paused holder_paused"),
         (
             3.4,
-            "coordinator_killed holder_killed backend_killed connection_silent lease_lost "
+            "coordinator_killed forwarder_killed holder_killed backend_killed connection_silent "
+            "lease_lost "
             "coordinator_domain_cut coordinator_domain_cut_inward coordinator_domain_cut_outward "
             "holder_domain_cut holder_domain_cut_inward holder_domain_cut_outward",
         ),
@@ -195,6 +197,7 @@
     "coordinator_killed": entry_killed(COORDINATOR),
     "coordinator_paused": entry_paused(COORDINATOR),
     "coordinator_drained": entry_drained(COORDINATOR),
+    "forwarder_killed": entry_killed(OTHER),
     "holder_killed": entry_killed(HOLDER),
     "holder_paused": entry_paused(HOLDER),
     "holder_drained": entry_drained(HOLDER),
--- a/testing/matrix/matrix_page.py
+++ b/testing/matrix/matrix_page.py
@@ -33,7 +33,7 @@
         for fault, letters in rows.items():
             texts = [
                 f"{OUTCOMES[letter].text}<br>`{operation}-{step}-{fault}`"
-                if letter.isupper()
+                if letter in OUTCOMES
                 else f"not applicable ({letter})"
                 for step, letter in zip(steps, letters, strict=True)
             ]
--- a/testing/matrix/matrix_system.py
+++ b/testing/matrix/matrix_system.py
@@ -46,6 +46,8 @@
     "ClaimReply": "claim_answered",
     "RunBatch": "batch_sent",
     "BatchResult": "batch_result_sent",
+    "SubmitForward": "forward_sent",
+    "AnswerForward": "forward_answered",
     "CancelForward": "forwarded",
     "CancelBatch": "cancel_sent",
 }
--- a/testing/matrix/matrix_table.py
+++ b/testing/matrix/matrix_table.py
@@ -1,7 +1,7 @@
 """The fault matrix: for each operation, step and fault the allowed outcome.
 
-A row has one letter for each step of its operation: a capital letter names an
-outcome, a small letter the reason why the cell does not apply.
+A row has one sign for each step of its operation: a digit or capital letter
+names an outcome, a small letter the reason why the cell does not apply.
 """
 
 from __future__ import annotations
@@ -45,6 +45,13 @@
     "T": Outcome("not started by the deadline, runs later", {2105, 2109}, {0}, {1000}),
     "B": Outcome("backend server or holder lost", {3106}, {0, 1}, {3106}),
     "M": Outcome("complete, or backend server or holder lost", {1000, 3106}, {0, 1}, {1000, 3106}),
+    "0": Outcome("coordinator lost, nothing started, not known later", {3101}, {0}, {3101}),
+    "1": Outcome("coordinator lost, not known later", {3101}, {0, 1}, {3101}),
+    "2": Outcome("coordinator not reached, complete later", {3101}, {1}, {1000}),
+    "3": Outcome("coordinator not reached, nothing started, runs later", {3101}, {0}, {1000}),
+    "4": Outcome("complete, not known later", {1000}, {1}, {3101}),
+    "5": Outcome("no answer, complete later", {0}, {0, 1}, {1000}),
+    "6": Outcome("coordinator not reached, final outcome later", {3101}, {0, 1}, _LATE),
     "Z": Outcome("some tasks ran, some did not", {3107}, {0, 1}, {3107}),
     "E": Outcome("deadline passed, complete later", {3103}, {0, 1}, {1000}),
     "Q": Outcome("deadline passed, final outcome later", {3103}, {0, 1}, _LATE),
@@ -69,6 +76,8 @@
     "j": "jobs, backend servers and key registries have no part in a change",
     "l": "replicas of the configuration have no part in a job",
     "k": "a claim is about the key, not the tasks: as in operation request",
+    "i": "no home has a part in the start of an issued key",
+    "w": "no other entry process forwards the request",
     "d": "the kind of change matters only to the log: as in operation change",
     "c": "the claim is answered before a task runs; a cancellation asks no home",
 }
@@ -90,6 +99,13 @@
 _CHANGE_STEPS = ["received", "forwarded", "appended", "synced", "committed", "answered", "applied"]
 
 STEPS = {
+    "issued": [
+        "received",
+        "forward_sent",
+        *_JOB_STEPS[4:10],
+        "forward_answered",
+        "answer_sent",
+    ],
     "request": _JOB_STEPS,
     "job": _JOB_STEPS,
     "cancellation": [
@@ -171,6 +187,46 @@
         "declared_too_short": "Drrrrrrrrrr",
         "declared_too_long": "Drrrrrrrrrr",
     },
+    "issued": {
+        "coordinator_killed": "0011111144",
+        "coordinator_paused": "DDDDDDDDDD",
+        "coordinator_drained": "DDDDDDDDDD",
+        "forwarder_killed": "N55555555e",
+        "holder_killed": "BBBBBBBDee",
+        "holder_paused": "TTTTDDDDee",
+        "holder_drained": "DDDDDDDDee",
+        "backend_killed": "DDDDBBDDee",
+        "backend_leaving": "DDDDDDDDee",
+        "backend_fails_all": "FFFFFDssss",
+        "connection_silent": "DDDDBDssss",
+        "home_killed": "iiiiiiiiii",
+        "home_isolated": "iiiiiiiiii",
+        "home_sync_failed": "iiiiiiiiii",
+        "home_disk_full": "iiiiiiiiii",
+        "coordinator_domain_cut": "33DDDDDD2D",
+        "coordinator_domain_cut_inward": "33DDDDDDDD",
+        "coordinator_domain_cut_outward": "DDD222222D",
+        "coordinator_domain_cut_long": "336666662D",
+        "holder_domain_cut": "DDDDDDDDee",
+        "holder_domain_cut_inward": "DDDDDDDDee",
+        "holder_domain_cut_outward": "DDDDDDDDee",
+        "holder_domain_cut_long": "EEEEEEEEee",
+        "message_dropped": "m3DmmmmD2m",
+        "message_delayed": "mDDmmmmDDm",
+        "message_repeated": "mDDmmmmDDm",
+        "message_reordered": "mDDmmmmDDm",
+        "straggler": "DDDDDDssss",
+        "burst": "DDDDDDDDDD",
+        "impossible_job": "DDDDDDDDDD",
+        "cancelled": "WWWWSSYDDD",
+        "resubmitted": "DDDDDDDDDD",
+        "lease_lost": "DDDDDDssss",
+        "throttled": "DDDDDDssss",
+        "checkpointed": "DDDDDBssss",
+        "stopped": "DDDDDBssss",
+        "declared_too_short": "Drrrrrrrrr",
+        "declared_too_long": "Drrrrrrrrr",
+    },
     "job": {
         "coordinator_killed": "NkkkLLLLLLL",
         "coordinator_paused": "DkkkDDDDDDD",
@@ -265,7 +321,7 @@
 for _fault in _CHANGE_FAULTS:
     if _fault.startswith(("asked_replica", "entry_domain")):
         ROWS["membership"][_fault] = "ddddddd"
-for _operation in ("request", "job", "cancellation"):
+for _operation in ("request", "issued", "job", "cancellation"):
     for _fault in _CHANGE_FAULTS:
         ROWS[_operation][_fault] = "l" * len(STEPS[_operation])
 
@@ -325,7 +381,7 @@
     for operation in operations:
         for fault, letters in ROWS[operation].items():
             for step, letter in zip(STEPS[operation], letters, strict=True):
-                if letter.isupper():
+                if letter in OUTCOMES:
                     yield Cell(operation, step, fault, OUTCOMES[letter])
 
 
