--- a/testing/matrix/matrix_faults.py
+++ b/testing/matrix/matrix_faults.py
@@ -123,7 +123,7 @@
 
 
 def burst(system: System) -> None:
-    for number in range(21):
+    for number in range(12):
         entry_id = (COORDINATOR, HOLDER, OTHER)[number % 3]
         submit_other(system, entry_id, f"burst-{number}", count=3)
 
