--- a/src/apricotpoint/_bench/network.py
+++ b/src/apricotpoint/_bench/network.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen(order=True)
 class Delivery:
-    """A message on its way, with the incarnations of both ends at sending."""
+    """A message on its way, with the incarnations of both ends as known at sending."""
 
     due_at: float
     number: int
@@ -160,8 +160,9 @@
 
     def receive(self, delivery: Delivery, now: float) -> None:
         """Hand a delivered message to its handler."""
-        # The sender may have been killed or restarted since it sent the message.
         incarnation = delivery.from_incarnation
+        if incarnation < self._incarnation_by_peer.get(delivery.sender_id, 0):
+            return
         self._heard_at_by_peer[delivery.sender_id] = now
         self._incarnation_by_peer[delivery.sender_id] = incarnation
         if delivery.is_reply:
@@ -207,7 +208,6 @@
         reliable: bool = False,
     ) -> None:
         now = anyio.current_time()
-        receiver = self.network.port_by_id.get(peer_id)
         self.network.post(
             Delivery(
                 due_at=now + self.network.latency_s(self.process_id, peer_id),
@@ -219,7 +219,8 @@
                 is_reply=is_reply,
                 reliable=reliable,
                 sent_at=now,
-                to_incarnation=receiver.incarnation if receiver else None,
+                # Like a link, the port knows only the incarnation that it has heard.
+                to_incarnation=self._incarnation_by_peer.get(peer_id),
                 from_incarnation=self.incarnation,
             )
         )
