--- a/testing/matrix/matrix_changes.py
+++ b/testing/matrix/matrix_changes.py
@@ -16,9 +16,9 @@
 import anyio.abc
 import attrs
 import trio
+from control_network import IDS, Cluster, Endpoint, Network, run
 from matrix_pause import Pauses
 from matrix_seen import Seen
-from network import IDS, Cluster, Endpoint, Network, run
 
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._control.messages import AppendReply, ChangeForward
