--- a/testing/matrix/matrix_table.py
+++ b/testing/matrix/matrix_table.py
@@ -83,231 +83,87 @@
     "c": "the claim is answered before a task runs; a cancellation asks no home",
 }
 
-_JOB_STEPS = [
-    "received",
-    "claim_sent",
-    "claim_synced",
-    "claim_answered",
-    "batch_sent",
-    "batch_queued",
-    "start_written",
-    "backend_running",
-    "result_received",
-    "batch_result_sent",
-    "answer_sent",
-]
-
-_CHANGE_STEPS = ["received", "forwarded", "appended", "synced", "committed", "answered", "applied"]
-
+_JOB_STEPS = (
+    "received claim_sent claim_synced claim_answered batch_sent batch_queued start_written "
+    "backend_running result_received batch_result_sent answer_sent"
+)
+_CHANGE_STEPS = "received forwarded appended synced committed answered applied"
 STEPS = {
-    "issued": [
-        "received",
-        "forward_sent",
-        *_JOB_STEPS[4:10],
-        "forward_answered",
-        "answer_sent",
-    ],
-    "request": _JOB_STEPS,
-    "job": _JOB_STEPS,
-    "cancellation": [
-        "cancel_requested",
-        "forwarded",
-        "cancel_sent",
-        "cancel_received",
-        "backend_cancelled",
-        "batch_result_sent",
-        "cancel_answered",
-        "answer_sent",
-    ],
+    operation: steps.split()
+    for operation, steps in {
+        "request": _JOB_STEPS,
+        "issued": (
+            "received forward_sent batch_sent batch_queued start_written backend_running "
+            "result_received batch_result_sent forward_answered answer_sent"
+        ),
+        "job": _JOB_STEPS,
+        "cancellation": (
+            "cancel_requested forwarded cancel_sent cancel_received backend_cancelled "
+            "batch_result_sent cancel_answered answer_sent"
+        ),
+        "change": _CHANGE_STEPS,
+        "membership": _CHANGE_STEPS,
+    }.items()
 }
 
-_CHANGE_FAULTS = [
-    "leader_killed",
-    "leader_isolated_long",
-    "leader_isolated_inward",
-    "leader_isolated_outward",
-    "leader_paused",
-    "asked_replica_killed",
-    "asked_replica_isolated_long",
-    "asked_replica_paused",
-    "majority_killed",
-    "all_killed",
-    "entry_domain_cut",
-    "entry_domain_cut_inward",
-    "entry_domain_cut_outward",
-    "equal_base_versions",
-    "command_resent",
-    "burst_of_changes",
-    "second_lost_after_repair",
-    "restart_after_hundreds",
-    "leader_sync_failed",
-    "leader_disk_full",
-    "follower_sync_failed",
-    "follower_disk_full",
-    "old_disk_put_back",
-]
+_CHANGE_NAMES = (
+    "leader_killed leader_isolated_long leader_isolated_inward leader_isolated_outward "
+    "leader_paused asked_replica_killed asked_replica_isolated_long asked_replica_paused "
+    "majority_killed all_killed entry_domain_cut entry_domain_cut_inward "
+    "entry_domain_cut_outward equal_base_versions command_resent burst_of_changes "
+    "second_lost_after_repair restart_after_hundreds leader_sync_failed leader_disk_full "
+    "follower_sync_failed follower_disk_full old_disk_put_back"
+)
+_CHANGE_FAULTS = _CHANGE_NAMES.split()
 _MESSAGE_FAULTS = ["message_dropped", "message_delayed", "message_repeated", "message_reordered"]
 
-ROWS: dict[str, dict[str, str]] = {
-    "request": {
-        "coordinator_killed": "NKKKLLLLLLL",
-        "coordinator_paused": "DVVVDDDDDDD",
-        "coordinator_drained": "RDDDDDDDDDD",
-        "holder_killed": "BBBBBBBBBDe",
-        "holder_paused": "TTTTTTDDDDe",
-        "holder_drained": "DDDDDDDDDDe",
-        "backend_killed": "DDDDDDBBDDe",
-        "backend_leaving": "DDDDDDDDDDe",
-        "backend_fails_all": "FFFFFFFDsss",
-        "connection_silent": "DDDDDDBDsss",
-        "home_killed": "UUUDhhhhhhh",
-        "home_isolated": "UUUUhhhhhhh",
-        "home_sync_failed": "XXDDhhhhhhh",
-        "home_disk_full": "XXDDhhhhhhh",
-        "coordinator_domain_cut": "UUUUDDDDDDD",
-        "coordinator_domain_cut_inward": "UUUUDDDDDDD",
-        "coordinator_domain_cut_outward": "UUDDDDDDDDD",
-        "coordinator_domain_cut_long": "UUUUEEEEEED",
-        "holder_domain_cut": "DDDDDDDDDDe",
-        "holder_domain_cut_inward": "DDDDDDDDDDe",
-        "holder_domain_cut_outward": "DDDDDDDDDDe",
-        "holder_domain_cut_long": "EEEEEEEEEEe",
-        "message_dropped": "mUmUDmmmmDm",
-        "message_delayed": "mUmUDmmmmDm",
-        "message_repeated": "mDmDDmmmmDm",
-        "message_reordered": "mDmDDmmmmDm",
-        "straggler": "DDDDDDDDsss",
-        "burst": "DDDDDDDDDDD",
-        "impossible_job": "DDDDDDDDDDD",
-        "cancelled": "CCWWWWSSYDD",
-        "resubmitted": "DDDDDDDDDDD",
-        "lease_lost": "DDDDDDDDsss",
-        "throttled": "DDDDDDDDsss",
-        "checkpointed": "DDDDDDDBsss",
-        "stopped": "DDDDDDDBsss",
-        "declared_too_short": "Drrrrrrrrrr",
-        "declared_too_long": "Drrrrrrrrrr",
-    },
-    "issued": {
-        "coordinator_killed": "0011111144",
-        "coordinator_paused": "DDDDDDDDDD",
-        "coordinator_drained": "DDDDDDDDDD",
-        "forwarder_killed": "N55555555e",
-        "holder_killed": "BBBfffffee",
-        "holder_paused": "TTTfffffee",
-        "holder_drained": "DDDfffffee",
-        "backend_killed": "DDDfffffee",
-        "backend_leaving": "DDDfffffee",
-        "backend_fails_all": "FFFfffssss",
-        "connection_silent": "DDDfffssss",
-        "home_killed": "iiiiiiiiii",
-        "home_isolated": "iiiiiiiiii",
-        "home_sync_failed": "iiiiiiiiii",
-        "home_disk_full": "iiiiiiiiii",
-        "coordinator_domain_cut": "33DDDDDD2D",
-        "coordinator_domain_cut_inward": "33DDDDDDDD",
-        "coordinator_domain_cut_outward": "DDD222222D",
-        "coordinator_domain_cut_long": "336666662D",
-        "holder_domain_cut": "DDDfffffee",
-        "holder_domain_cut_inward": "DDDfffffee",
-        "holder_domain_cut_outward": "DDDfffffee",
-        "holder_domain_cut_long": "EEEfffffee",
-        "message_dropped": "m3DmmmmD2m",
-        "message_delayed": "mDDmmmmDDm",
-        "message_repeated": "mDDmmmmDDm",
-        "message_reordered": "mDDmmmmDDm",
-        "straggler": "DDDfffssss",
-        "burst": "DDDfffffDD",
-        "impossible_job": "DDDfffffDD",
-        "cancelled": "WWWWSSYDDD",
-        "resubmitted": "DDDDDDDDDD",
-        "lease_lost": "DDDfffssss",
-        "throttled": "DDDfffssss",
-        "checkpointed": "DDDfffssss",
-        "stopped": "DDDfffssss",
-        "declared_too_short": "Drrrrrrrrr",
-        "declared_too_long": "Drrrrrrrrr",
-    },
-    "job": {
-        "coordinator_killed": "NkkkLLLLLLL",
-        "coordinator_paused": "DkkkDDDDDDD",
-        "coordinator_drained": "RkkkDDDDDDD",
-        "holder_killed": "BkkkBBBBMMe",
-        "holder_paused": "DkkkDDDDDDe",
-        "holder_drained": "DkkkDDDDDDe",
-        "backend_killed": "DkkkDDBBMMe",
-        "backend_leaving": "DkkkDDDDDDe",
-        "backend_fails_all": "FkkkFFFFGGs",
-        "connection_silent": "DkkkDMBMDDs",
-        "home_killed": "Ukkkhhhhhhh",
-        "home_isolated": "Ukkkhhhhhhh",
-        "home_sync_failed": "Xkkkhhhhhhh",
-        "home_disk_full": "Xkkkhhhhhhh",
-        "coordinator_domain_cut": "UkkkDDDDDDD",
-        "coordinator_domain_cut_inward": "UkkkDDDDDDD",
-        "coordinator_domain_cut_outward": "UkkkDDDDDDD",
-        "coordinator_domain_cut_long": "UkkkQQQQQQD",
-        "holder_domain_cut": "DkkkDDDDDDe",
-        "holder_domain_cut_inward": "DkkkDDDDDDe",
-        "holder_domain_cut_outward": "DkkkDDDDDDe",
-        "holder_domain_cut_long": "QkkkQQQQQQe",
-        "message_dropped": "mkkkDmmmmDm",
-        "message_delayed": "mkkkDmmmmDm",
-        "message_repeated": "mkkkDmmmmDm",
-        "message_reordered": "mkkkDmmmmDm",
-        "straggler": "DkkkDDDDDDs",
-        "burst": "DkkkDDDDDDD",
-        "impossible_job": "DkkkDDDDDDD",
-        "cancelled": "CkkkWWSSYYD",
-        "resubmitted": "DkkkDDDDDDD",
-        "lease_lost": "DkkkDDDDDDs",
-        "throttled": "DkkkDDDDDDs",
-        "checkpointed": "DkkkDMMBMMs",
-        "stopped": "DkkkDMMBMMs",
-        "declared_too_short": "Drrrrrrrrrr",
-        "declared_too_long": "Drrrrrrrrrr",
-    },
-    "cancellation": {
-        "coordinator_killed": "AAAAAAJJ",
-        "coordinator_paused": "YYSSSSSS",
-        "coordinator_drained": "SSSSSSSS",
-        "holder_killed": "SSSSSSee",
-        "holder_paused": "SSSSSSee",
-        "holder_drained": "SSSSSSee",
-        "backend_killed": "SSSSSSee",
-        "backend_leaving": "SSSSSSee",
-        "backend_fails_all": "SSSSSSss",
-        "connection_silent": "SSSSSSss",
-        "home_killed": "cccccccc",
-        "home_isolated": "cccccccc",
-        "home_sync_failed": "cccccccc",
-        "home_disk_full": "cccccccc",
-        "coordinator_domain_cut": "PPSSSSSI",
-        "coordinator_domain_cut_inward": "PPSSSSSS",
-        "coordinator_domain_cut_outward": "SSIIIISI",
-        "coordinator_domain_cut_long": "HHIIIISI",
-        "holder_domain_cut": "SSSSSSee",
-        "holder_domain_cut_inward": "SSSSSSee",
-        "holder_domain_cut_outward": "SSSSSSee",
-        "holder_domain_cut_long": "SSSSSSee",
-        "message_dropped": "mPSmmSmm",
-        "message_delayed": "mDSmmSmm",
-        "message_repeated": "mSSmmSmm",
-        "message_reordered": "mDSmmSmm",
-        "straggler": "SSSSSSss",
-        "burst": "SSSSSSSS",
-        "impossible_job": "SSSSSSSS",
-        "cancelled": "SSSSSSSS",
-        "resubmitted": "SSSSSSSS",
-        "lease_lost": "SSSSSSss",
-        "throttled": "SSSSSSss",
-        "checkpointed": "SSSSSSss",
-        "stopped": "SSSSSSss",
-        "declared_too_short": "rrrrrrrr",
-        "declared_too_long": "rrrrrrrr",
-    },
-}
+# Columns: request, issued, job, cancellation.
+_JOB_ROWS = """
+coordinator_killed             NKKKLLLLLLL 0011111144 NkkkLLLLLLL AAAAAAJJ
+coordinator_paused             DVVVDDDDDDD DDDDDDDDDD DkkkDDDDDDD YYSSSSSS
+coordinator_drained            RDDDDDDDDDD DDDDDDDDDD RkkkDDDDDDD SSSSSSSS
+forwarder_killed               wwwwwwwwwww N55555555e wwwwwwwwwww wwwwwwww
+holder_killed                  BBBBBBBBBDe BBBfffffee BkkkBBBBMMe SSSSSSee
+holder_paused                  TTTTTTDDDDe TTTfffffee DkkkDDDDDDe SSSSSSee
+holder_drained                 DDDDDDDDDDe DDDfffffee DkkkDDDDDDe SSSSSSee
+backend_killed                 DDDDDDBBDDe DDDfffffee DkkkDDBBMMe SSSSSSee
+backend_leaving                DDDDDDDDDDe DDDfffffee DkkkDDDDDDe SSSSSSee
+backend_fails_all              FFFFFFFDsss FFFfffssss FkkkFFFFGGs SSSSSSss
+connection_silent              DDDDDDBDsss DDDfffssss DkkkDMBMDDs SSSSSSss
+home_killed                    UUUDhhhhhhh iiiiiiiiii Ukkkhhhhhhh cccccccc
+home_isolated                  UUUUhhhhhhh iiiiiiiiii Ukkkhhhhhhh cccccccc
+home_sync_failed               XXDDhhhhhhh iiiiiiiiii Xkkkhhhhhhh cccccccc
+home_disk_full                 XXDDhhhhhhh iiiiiiiiii Xkkkhhhhhhh cccccccc
+coordinator_domain_cut         UUUUDDDDDDD 33DDDDDD2D UkkkDDDDDDD PPSSSSSI
+coordinator_domain_cut_inward  UUUUDDDDDDD 33DDDDDDDD UkkkDDDDDDD PPSSSSSS
+coordinator_domain_cut_outward UUDDDDDDDDD DDD222222D UkkkDDDDDDD SSIIIISI
+coordinator_domain_cut_long    UUUUEEEEEED 336666662D UkkkQQQQQQD HHIIIISI
+holder_domain_cut              DDDDDDDDDDe DDDfffffee DkkkDDDDDDe SSSSSSee
+holder_domain_cut_inward       DDDDDDDDDDe DDDfffffee DkkkDDDDDDe SSSSSSee
+holder_domain_cut_outward      DDDDDDDDDDe DDDfffffee DkkkDDDDDDe SSSSSSee
+holder_domain_cut_long         EEEEEEEEEEe EEEfffffee QkkkQQQQQQe SSSSSSee
+message_dropped                mUmUDmmmmDm m3DmmmmD2m mkkkDmmmmDm mPSmmSmm
+message_delayed                mUmUDmmmmDm mDDmmmmDDm mkkkDmmmmDm mDSmmSmm
+message_repeated               mDmDDmmmmDm mDDmmmmDDm mkkkDmmmmDm mSSmmSmm
+message_reordered              mDmDDmmmmDm mDDmmmmDDm mkkkDmmmmDm mDSmmSmm
+straggler                      DDDDDDDDsss DDDfffssss DkkkDDDDDDs SSSSSSss
+burst                          DDDDDDDDDDD DDDfffffDD DkkkDDDDDDD SSSSSSSS
+impossible_job                 DDDDDDDDDDD DDDfffffDD DkkkDDDDDDD SSSSSSSS
+cancelled                      CCWWWWSSYDD WWWWSSYDDD CkkkWWSSYYD SSSSSSSS
+resubmitted                    DDDDDDDDDDD DDDDDDDDDD DkkkDDDDDDD SSSSSSSS
+lease_lost                     DDDDDDDDsss DDDfffssss DkkkDDDDDDs SSSSSSss
+throttled                      DDDDDDDDsss DDDfffssss DkkkDDDDDDs SSSSSSss
+checkpointed                   DDDDDDDBsss DDDfffssss DkkkDMMBMMs SSSSSSss
+stopped                        DDDDDDDBsss DDDfffssss DkkkDMMBMMs SSSSSSss
+declared_too_short             Drrrrrrrrrr Drrrrrrrrr Drrrrrrrrrr rrrrrrrr
+declared_too_long              Drrrrrrrrrr Drrrrrrrrr Drrrrrrrrrr rrrrrrrr
+"""
 
+ROWS: dict[str, dict[str, str]] = {operation: {} for operation in STEPS}
+for _row in _JOB_ROWS.split("\n")[1:-1]:
+    _fault, *_columns = _row.split()
+    for _operation, _letters in zip(STEPS, _columns, strict=False):
+        ROWS[_operation][_fault] = _letters
 _JOB_FAULTS = [fault for fault in ROWS["job"] if fault not in _MESSAGE_FAULTS]
 for _operation, _letters, _messages in (
     ("change", "OOOOOOO", "OOmOmOm"),
@@ -318,7 +174,6 @@
         | dict.fromkeys(_MESSAGE_FAULTS, _messages)
         | dict.fromkeys(_JOB_FAULTS, "jjjjjjj")
     )
-    STEPS[_operation] = _CHANGE_STEPS
 for _fault in _CHANGE_FAULTS:
     if _fault.startswith(("asked_replica", "entry_domain")):
         ROWS["membership"][_fault] = "ddddddd"
