--- a/testing/matrix/matrix_backend.py
+++ b/src/apricotpoint/_bench/lasting.py
@@ -33,7 +33,7 @@
 
 
 @attrs.define(eq=False)
-class Backend(FakeWorker):
+class LastingWorker(FakeWorker):
     """Runs each start in a task of its own and keeps the results for later questions.
 
     `late_starts` counts those that came over 2 s after it began to leave (P6).
@@ -161,4 +161,4 @@
 
 
 def _is_main(start: Start) -> bool:
-    return start.payload["id"].startswith("main.")
+    return str(start.payload["id"]).startswith("main.")
--- a/testing/matrix/matrix_system.py
+++ b/src/apricotpoint/_bench/stepped.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -13,10 +13,10 @@
 import anyio.lowlevel
 import attrs
 import trio
-from matrix_backend import Backend
-from matrix_pause import Pauses
 
+from apricotpoint._bench.lasting import LastingWorker
 from apricotpoint._bench.network import Network, _Delivery
+from apricotpoint._bench.pauses import Pauses
 from apricotpoint._bench.rig import Rig, RunningEntry
 from apricotpoint._bench.worker import FakeWorker
 from apricotpoint._control.claims import claim_function
@@ -57,7 +57,7 @@
 class StepNetwork(Network):
     """Reports messages as steps, alters one of them, and holds those of paused processes."""
 
-    system: System
+    system: SteppedRig
 
     def __init__(self, **arguments: Any) -> None:
         super().__init__(**arguments)
@@ -96,13 +96,15 @@
             self.system.reach(step)
 
 
-class System(Rig):
+class SteppedRig(Rig):
     """Entry processes a-1, b-1 and c-1, a key registry in c and backend servers.
 
     `reach` runs the planned fault when its step is reached for the first time.
     `cuts` has pairs of failure domains (sender, receiver).
     """
 
+    network: StepNetwork
+
     def __init__(self, folder: Path, backend_domains: str) -> None:
         self._backend_domains = backend_domains
         deployment = DeploymentSettings(
@@ -123,7 +125,7 @@
         self.group: anyio.abc.TaskGroup
         self.calls_by_entry: dict[str, anyio.abc.TaskGroup] = {}
         self.step = ""
-        self.fault: Callable[[System], None] | None = None
+        self.fault: Callable[[SteppedRig], None] | None = None
         self.reached_at: float | None = None
         self.backend_id = "w-01"
         self.cancel_main: Callable[[], Awaitable[object]]
@@ -147,9 +149,9 @@
         self.reached_at = anyio.current_time()
         fault(self)
 
-    def backends(self) -> list[Backend]:
+    def backends(self) -> list[LastingWorker]:
         """Return all backend servers."""
-        return [item for item in self.worker_by_id.values() if isinstance(item, Backend)]
+        return [item for item in self.worker_by_id.values() if isinstance(item, LastingWorker)]
 
     def starts(self) -> Counter[str]:
         """Return how often each task started."""
@@ -207,11 +209,11 @@
         keys = (f"{name}-{number}" for number in range(100))
         return next(key for key in keys if home_domain("t", key, DOMAINS) == "c")
 
-    def spawn(self, entry_id: str, call: Callable[[], Awaitable[None]]) -> None:
+    def spawn(self, entry_id: str, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a request handler as a task of an entry process."""
         self.calls_by_entry[entry_id].start_soon(call)
 
-    async def play(self, scenario: Callable[[System], Awaitable[None]]) -> None:
+    async def play(self, scenario: Callable[[SteppedRig], Awaitable[None]]) -> None:
         """Run a scenario in the started deployment."""
         self.pauses = Pauses()
         async with anyio.create_task_group() as group:
@@ -279,6 +281,7 @@
         if port is None:
             # The entry process was killed in this moment.
             await anyio.sleep_forever()
+        assert port is not None
         return await claim_function(port, {"c": HOME}, DOMAINS)(claim)
 
     async def _announce(self, worker: FakeWorker) -> None:
@@ -289,7 +292,7 @@
         await super()._announce(worker)
 
     async def _announce_once(self, worker: FakeWorker) -> None:
-        assert isinstance(worker, Backend)
+        assert isinstance(worker, LastingWorker)
         if anyio.current_time() < worker.mute_until:
             return
         reachable = [
@@ -317,7 +320,7 @@
 
     async def _ask(self, entry_id: str, address: BackendAddress, start_id: str) -> StartResult:
         backend = self.worker_by_id[address.backend_id]
-        assert isinstance(backend, Backend)
+        assert isinstance(backend, LastingWorker)
         await anyio.sleep(0.001)
         if (
             backend.dead
@@ -337,12 +340,12 @@
         for domain, (backend_id, worker) in zip(
             self._backend_domains, workers.items(), strict=True
         ):
-            fields = {
-                field.alias: getattr(worker, field.name)
+            fields: dict[str, Any] = {
+                str(field.alias): getattr(worker, field.name)
                 for field in attrs.fields(FakeWorker)
                 if field.init
             }
             fields |= {"failure_domain": domain, "speed": 1.0}
-            backends[backend_id] = Backend(**fields, system=self)
+            backends[backend_id] = LastingWorker(**fields, system=self)
             self.domain_by_process[backend_id] = domain
         return backends
--- a/testing/matrix/matrix_changes.py
+++ b/testing/matrix/matrix_changes.py
@@ -17,9 +17,9 @@
 import attrs
 import trio
 from control_network import IDS, Cluster, Endpoint, Network, run
-from matrix_pause import Pauses
 from matrix_seen import Seen
 
+from apricotpoint._bench.pauses import Pauses
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._control.messages import AppendReply, ChangeForward
 from apricotpoint._control.replica import NOT_ACCEPTED
--- a/testing/matrix/matrix_faults.py
+++ b/testing/matrix/matrix_faults.py
@@ -7,14 +7,14 @@
 
 import anyio
 import attrs
-from matrix_system import COORDINATOR, HOLDER, OTHER, System
 
 from apricotpoint._bench.network import _Delivery
+from apricotpoint._bench.stepped import COORDINATOR, HOLDER, OTHER, SteppedRig
 from apricotpoint._wire.announce import GuardState
 from apricotpoint._wire.jobs import JobRequest
 from apricotpoint._wire.tasks import TaskSpec
 
-Fault = Callable[[System], None]
+Fault = Callable[[SteppedRig], None]
 
 DEADLINE_S = 5.0
 RUN_S = 0.1
@@ -34,7 +34,7 @@
     ]
 
 
-def submit_other(system: System, entry_id: str, name: str, *, count: int = 1, cores: int = 1):
+def submit_other(system: SteppedRig, entry_id: str, name: str, *, count: int = 1, cores: int = 1):
     """Submit another job, whose answer is checked at the end."""
     if entry_id not in system.running_by_id:
         return
@@ -55,13 +55,13 @@
     system.spawn(entry_id, call)
 
 
-def backend_killed(system: System) -> None:
+def backend_killed(system: SteppedRig) -> None:
     backend = next(item for item in system.backends() if item.backend_id == system.backend_id)
     backend.kill()
     system.after(2.5, backend.restart)
 
 
-def connection_silent(system: System) -> None:
+def connection_silent(system: SteppedRig) -> None:
     for backend in system.backends():
         for exchange in backend.exchanges:
             exchange.silent = True
@@ -76,19 +76,19 @@
 
 
 def entry_drained(entry_id: str) -> Fault:
-    def act(system: System) -> None:
+    def act(system: SteppedRig) -> None:
         system.running_by_id[entry_id].entry.coordinator.start_draining()
         system.group.start_soon(system.stop_entry, entry_id)
 
     return act
 
 
-def home_isolated(system: System) -> None:
+def home_isolated(system: SteppedRig) -> None:
     system.cut(*[pair for d in "abc" for pair in ((d, "home"), ("home", d))], heal_s=1.5)
 
 
 def cut(domain: str, *, inward: bool = True, outward: bool = True, heal_s: float = 3.0) -> Fault:
-    def act(system: System) -> None:
+    def act(system: SteppedRig) -> None:
         others = [other for other in ("a", "b", "c", "home") if other != domain]
         pairs = [(domain, other) for other in others if outward]
         pairs += [(other, domain) for other in others if inward]
@@ -98,7 +98,7 @@
 
 
 def message(alter: Callable[[_Delivery], list[_Delivery]]) -> Fault:
-    def act(system: System) -> None:
+    def act(system: SteppedRig) -> None:
         system.network.alter = alter
 
     return act
@@ -117,28 +117,28 @@
     return [delivery, *later(0.0)(delivery), *later(0.3)(delivery)]
 
 
-def straggler(system: System) -> None:
+def straggler(system: SteppedRig) -> None:
     for backend in system.backends():
         backend.stalled_until = anyio.current_time() + 1.0
 
 
-def burst(system: System) -> None:
+def burst(system: SteppedRig) -> None:
     for number in range(12):
         entry_id = (COORDINATOR, HOLDER, OTHER)[number % 3]
         submit_other(system, entry_id, f"burst-{number}", count=3)
 
 
-def impossible(system: System) -> None:
+def impossible(system: SteppedRig) -> None:
     submit_other(system, COORDINATOR, "impossible", cores=1_000)
 
 
-def fails_everything(system: System) -> None:
+def fails_everything(system: SteppedRig) -> None:
     for backend in system.backends():
         backend.fails = True
 
 
 def guard(state: GuardState, throttle: float = 1.0) -> Fault:
-    def act(system: System) -> None:
+    def act(system: SteppedRig) -> None:
         for backend in system.backends():
             backend.throttle = throttle
             if state is GuardState.THROTTLED:
@@ -149,29 +149,29 @@
     return act
 
 
-def lease_lost(system: System) -> None:
+def lease_lost(system: SteppedRig) -> None:
     for backend in system.backends():
         backend.mute_until = anyio.current_time() + 3.0
 
 
-def leaving(system: System) -> None:
+def leaving(system: SteppedRig) -> None:
     for backend in system.backends():
         backend.leaving = True
         backend.leaves_at = anyio.current_time()
 
 
 def disk(code: int) -> Fault:
-    def act(system: System) -> None:
+    def act(system: SteppedRig) -> None:
         system.sync_error = OSError(code, "injected")
 
     return act
 
 
-def cancelled(system: System) -> None:
+def cancelled(system: SteppedRig) -> None:
     system.group.start_soon(system.cancel_main)
 
 
-def resubmitted(system: System) -> None:
+def resubmitted(system: SteppedRig) -> None:
     system.group.start_soon(system.resubmit_main)
 
 
