Ask the home before 2107 where the known request was never claimed

Cause: an entry of the job table that never got its claim was compared with later requests as if it had the key. After: without a granted claim X asks the home, and joins B at Y, gives 2107 if the home says so, or answers 3102. Conclusion: only a recorded claim decides which request has a key. The plan in test_cases.py fails without this.

--- a/src/apricotpoint/_jobs/coordinator.py
+++ b/src/apricotpoint/_jobs/coordinator.py
@@ -350,11 +350,15 @@
     ) -> Answer:
         fingerprint = admission.request_fingerprint(request)
         if entry.fingerprint not in ("", fingerprint):
-            raise ApricotError(
+            error = ApricotError(
                 ResultCode.KEY_CONFLICT,
                 f"key {request.key!r} was used for another request",
                 remedy="use a new key for each job",
             )
+            # Before its claim is granted, a request here does not have the key:
+            # this one may have been started by another coordinator.
+            unclaimed = attrs.evolve(entry, fingerprint=fingerprint, job=None)
+            return await self._refuse(unclaimed, request, deadline_at, error)
         self._counters.add("submits.repeated")
         if entry.job is not None:
             return await self._wait(entry, entry.job, request, deadline_at)
--- a/testing/fuzz/test_cases.py
+++ b/testing/fuzz/test_cases.py
@@ -62,6 +62,21 @@
         *change(2.0, "cb", "drain_vm", "a2"),
         (0.1, "resend", {"control": "ca", "back": 0}),
     ],
+    # 2107 was given for a request that ran, where another one had waited for its claim.
+    "a request that ran elsewhere is not refused for one that was never claimed": [
+        *[(0.0, "cut", {"sender": x, "receiver": y, "both": False}) for x in "abc" for y in "abc"],
+        *[
+            (0.2, "submit", {"entry": entry, **JOB, "issued": False, "deadline_s": 0.4})
+            for entry in ("a1", "b1", "c1")
+        ],
+        (1.0, "heal", {}),
+        *[(4.0, "resubmit", {"entry": "a2", "back": n, "other": True}) for n in range(3)],
+        *[
+            (1.0, "resubmit", {"entry": entry, "back": n, "other": True})
+            for entry in ("a1", "b1", "c1")
+            for n in range(3)
+        ],
+    ],
     "entry processes stop gracefully with jobs in progress": [
         *submit_everywhere(1.0, run_s=2.5, deadline_s=20.0),
         (0.1, "stop_entry", {"entry": "a1"}),
