Test TLS, dumps and a terminated entry process with real processes

A dump of an entry process with TLS had an error in place of its settings, because the paths of the certificate cannot be encoded; dumps now write paths as text.

--- a/src/apricotpoint/_operator/dump.py
+++ b/src/apricotpoint/_operator/dump.py
@@ -45,7 +45,7 @@
         }
         for name, part in self._part_by_name.items():
             try:
-                dump[name] = msgspec.to_builtins(part(), str_keys=True)
+                dump[name] = msgspec.to_builtins(part(), str_keys=True, enc_hook=_plain)
             except Exception as error:  # noqa: BLE001
                 dump[name] = {"error": f"{type(error).__name__}: {error}"}
         return dump
@@ -61,6 +61,12 @@
         return path
 
 
+def _plain(value: object) -> object:
+    if isinstance(value, Path):
+        return str(value)
+    raise NotImplementedError(f"a dump cannot hold {type(value).__name__}")
+
+
 async def dump_on_signal(dump: StateDump, folder: Path) -> None:
     """Write a dump whenever the process receives SIGUSR1; runs until cancelled."""
     with anyio.open_signal_receiver(signal.SIGUSR1) as signals:
--- a/testing/programs/test_settings.py
+++ b/testing/programs/test_settings.py
@@ -24,10 +24,18 @@
 ROOT = Path(__file__).parents[2]
 
 
-def small_plan(folder: Path) -> Plan:
+def small_plan(
+    folder: Path, *, failure_domains: list[str] | None = None, drain_grace_s: float = 6.0
+) -> Plan:
     deployment = load(ROOT / "settings" / "order-desk.jsonc", DeploymentSettings)
-    deployment = attrs.evolve(deployment, workers=attrs.evolve(deployment.workers, count=3))
-    plan = make_plan(deployment, folder=folder, next_port=free_ports())
+    deployment = attrs.evolve(
+        deployment,
+        workers=attrs.evolve(deployment.workers, count=3),
+        kinds=deployment.kinds[:1],
+    )
+    if failure_domains:
+        deployment = attrs.evolve(deployment, failure_domains=failure_domains)
+    plan = make_plan(deployment, folder=folder, next_port=free_ports(), drain_grace_s=drain_grace_s)
     write_secrets(plan)
     write_settings(plan)
     return plan
