Begin a lease although every second announcement is lost

Announcements now say since which sequence they name the holder, so that a gap without a change restarts nothing.

--- a/src/apricotpoint/_backend/announcer.py
+++ b/src/apricotpoint/_backend/announcer.py
@@ -39,6 +39,7 @@
         self._counters = counters
         self._sequence = 0
         self._holder: HolderName | None = None
+        self._holder_since = 0
         self._followed = False
         self._period_s = FIRST_PERIOD_S
         self.leaving = False
@@ -72,6 +73,7 @@
         if reply.holder is not None and reply.holder != self._holder:
             self._followed = self._holder is not None
             self._holder = reply.holder
+            self._holder_since = self._sequence + 1
 
     def _next(self) -> Announcement:
         self._sequence += 1
@@ -92,6 +94,7 @@
             accelerators=settings.accelerators,
             holder=self._holder,
             followed=self._followed,
+            holder_since=self._holder_since,
             running=self._running(),
             leaving=self.leaving,
             guard=settings.behaviour.guard,
--- a/src/apricotpoint/_dispatch/announcements.py
+++ b/src/apricotpoint/_dispatch/announcements.py
@@ -115,6 +115,7 @@
             clock_s=announcement.clock_s,
             received_at=now,
             replaces=announcement.followed,
+            named_since=announcement.holder_since,
         ):
             self._counters.add("holder.announcements.old")
             return
--- a/src/apricotpoint/_dispatch/lease.py
+++ b/src/apricotpoint/_dispatch/lease.py
@@ -32,16 +32,28 @@
         """Return whether new tasks may be sent at `now`."""
         return self.starts_at <= now < self.expires_at
 
-    def renew(self, *, sequence: int, clock_s: float, received_at: float, replaces: bool) -> bool:
+    def renew(
+        self,
+        *,
+        sequence: int,
+        clock_s: float,
+        received_at: float,
+        replaces: bool,
+        named_since: int = 0,
+    ) -> bool:
         """Apply an announcement that names this process; False if it is an old one.
 
         With `replaces`, other holders were named before. A gap in the sequence
         then hides announcements that may have named another holder: while the
-        lease has not begun or has lapsed, the wait for it starts again.
+        lease has not begun or has lapsed, the wait for it starts again. It
+        goes on if `named_since`, the first sequence of an unbroken run that
+        names this process, shows that none of them did; otherwise a backend
+        server that loses every second announcement would never be used.
         """
         if sequence <= self.last_sequence:
             return False
-        gap = sequence != self.last_sequence + 1
+        unbroken = 0 < named_since <= self.last_sequence
+        gap = sequence != self.last_sequence + 1 and not unbroken
         if replaces and gap and self.last_sequence and not self.held(received_at):
             self.starts_at = received_at + TAKEOVER_WAIT_S
         self.last_sequence = sequence
--- a/src/apricotpoint/_wire/announce.py
+++ b/src/apricotpoint/_wire/announce.py
@@ -31,6 +31,8 @@
     `clock_s` is the monotonic clock of the backend server at sending.
     `running` is the number of tasks that it reports as running, with a lag.
     `followed` is False if `holder` is the first holder of this incarnation.
+    All announcements from `holder_since`, a sequence, up to this one name
+    `holder`; 0 if the backend server does not say.
     """
 
     backend_id: str
@@ -52,6 +54,7 @@
     leaving: bool = False
     guard: GuardState = GuardState.RUNNING
     throttle: float = 1.0
+    holder_since: int = 0
 
 
 @attrs.frozen
--- a/testing/dispatch/test_parts.py
+++ b/testing/dispatch/test_parts.py
@@ -42,6 +42,25 @@
     assert lease.expires_at - 19_999 * 0.5 * 1.0001 > 1.4
 
 
+def test_lost_announcements_delay_a_takeover_only_if_they_may_name_another_holder():
+    """Guards against a backend server that is never used while one of two entry VMs is dead."""
+
+    def hear(lease: Lease, sequence: int, named_since: int) -> None:
+        at = sequence * 0.5
+        lease.renew(
+            sequence=sequence, clock_s=at, received_at=at, replaces=True, named_since=named_since
+        )
+
+    unbroken, changed, unsaid = Lease(2.5), Lease(2.5), Lease(2.5)
+    for sequence in range(1, 8, 2):
+        hear(unbroken, sequence, 1)
+        hear(changed, sequence, sequence)
+        hear(unsaid, sequence, 0)
+    assert unbroken.held(3.5)
+    assert not changed.held(3.5)
+    assert not unsaid.held(3.5)
+
+
 def test_a_declaration_counts_only_as_far_as_it_proved_right():
     estimator = KindEstimator()
     random = Random(3)
