Measure how costs grow with the size of the system

The module measures production code with small fakes in one process: CPU time as the least of three runs, memory by tracemalloc and sizes of encoded messages, at three or more sizes each.

--- /dev/null
+++ b/src/apricotpoint/_bench/slopes.py
@@ -0,0 +1,77 @@
+"""Measures how costs grow with the size of the system, for docs/CAPACITY.md.
+
+Usage: `python -m apricotpoint._bench.slopes [--smallest] [part ...]`. Prints
+one JSON line for each measured point and one for each fitted line. CPU times
+are the least of three runs of production code in this process; memory is what
+tracemalloc counts.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argv_input import ArgvInput
+
+from apricotpoint._bench import slopescontrol, slopesentry, slopeslink
+
+MEASURE_BY_PART: dict[str, Callable[..., None]] = {
+    "reports": slopesentry.measure_reports,
+    "envelope": slopesentry.measure_envelope,
+    "announcements": slopesentry.measure_announcements,
+    "placement": slopesentry.measure_placement,
+    "binding": slopesentry.measure_binding,
+    "exchanges": slopesentry.measure_exchanges,
+    "jobs": slopesentry.measure_jobs,
+    "queue": slopesentry.measure_queue,
+    "table": slopesentry.measure_table,
+    "counters": slopesentry.measure_counters,
+    "staleness": slopesentry.measure_staleness,
+    "messages": slopeslink.measure_messages,
+    "idle-links": slopeslink.measure_idle_links,
+    "lines": slopeslink.measure_lines,
+    "configuration": slopescontrol.measure_configuration,
+    "replicas": slopescontrol.measure_replicas,
+    "distribution": slopescontrol.measure_distribution,
+    "log": slopescontrol.measure_log,
+    "registry": slopescontrol.measure_registry,
+}
+
+
+class SlopesCommand(Command):
+    """Measures the chosen parts, or all of them."""
+
+    name = "run"
+    description = "Measures how costs grow with the size of the system."
+    arguments = [
+        argument(
+            "part", "parts to measure: " + ", ".join(MEASURE_BY_PART), optional=True, multiple=True
+        )
+    ]
+    options = [option("smallest", None, "measure the two smallest sizes only")]
+
+    def handle(self) -> int:
+        """Run the measurements; 1 if a part is not known."""
+        parts = self.argument("part") or list(MEASURE_BY_PART)
+        unknown = [part for part in parts if part not in MEASURE_BY_PART]
+        if unknown:
+            known = ", ".join(MEASURE_BY_PART)
+            self.line_error(f"there is no part {unknown[0]!r}; use one of {known}")
+            return 1
+        for part in parts:
+            MEASURE_BY_PART[part](smallest=bool(self.option("smallest")))
+        return 0
+
+
+def main() -> int:
+    """Run the command and return its exit status."""
+    application = Application("slopes")
+    application.add(SlopesCommand())
+    return application.run(ArgvInput([sys.argv[0], "run", *sys.argv[1:]]))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
