--- a/src/apricotpoint/_bench/slopeslink.py
+++ b/src/apricotpoint/_bench/slopeslink.py
@@ -19,6 +19,7 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._dispatch.exchange import RunStatus, Start, StartResult
 from apricotpoint._link.mesh import Mesh
+from apricotpoint._link.peer import HEARTBEAT_S
 from apricotpoint._link.transport import Sender
 from apricotpoint._wire.codec import Nothing
 from apricotpoint._wire.jobs import CancelForward, JobLookup
@@ -42,7 +43,9 @@
     sent = Series("link.idle_messages", "directed links", "1/s")
     for processes in chosen((4, 8, 14), smallest=smallest):
         links = processes * (processes - 1)
-        cpu_us, messages = anyio.run(_idle, processes, 0.8 if smallest else 1.5)
+        cpu_us, messages = anyio.run(
+            _idle, processes, 2 * HEARTBEAT_S if smallest else 5 * HEARTBEAT_S
+        )
         series.add(links, cpu_us)
         sent.add(links, messages)
     series.fit()
@@ -171,7 +174,11 @@
 
 
 async def _idle(processes: int, seconds: float) -> tuple[float, float]:
-    """Return CPU microseconds and messages in a second, for all links together."""
+    """Return CPU microseconds and messages in a second, for all links together.
+
+    `seconds` is a multiple of the period of heartbeats, so that each window
+    has the same number of them.
+    """
     async with _meshes(processes) as (_, counters):
         await anyio.sleep(1.0)
         least_us, messages = float("inf"), 0.0
