--- a/testing/matrix/test_matrix.py
+++ b/testing/matrix/test_matrix.py
@@ -15,7 +15,7 @@
 from matrix_table import STEPS, Cell, cells, pairs
 
 # Two processes, and less frequent garbage collection in them, keep the run under 40 s.
-_PROCESSES = 2
+_PROCESSES = 4
 _CHANGES = ("change", "membership")
 
 
@@ -25,7 +25,7 @@
 ) -> Iterator[dict[str, Future]]:
     """Start the selected cells in other processes."""
     folder = tmp_path_factory.mktemp("matrix")
-    context = multiprocessing.get_context("fork")
+    context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(
         _PROCESSES, mp_context=context, initializer=gc.set_threshold, initargs=(20_000,)
     ) as pool:
