--- a/src/apricotpoint/_bench/network.py
+++ b/src/apricotpoint/_bench/network.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen(order=True)
-class _Delivery:
+class Delivery:
     due_at: float
     number: int
     sender_id: str = attrs.field(order=False)
@@ -47,8 +47,8 @@
         self.is_cut = is_cut
         self.port_by_id: dict[str, Port] = {}
         self.count_by_type: Counter[str] = Counter()
-        self._queue: list[_Delivery] = []
-        self._held: list[_Delivery] = []
+        self._queue: list[Delivery] = []
+        self._held: list[Delivery] = []
         self._numbers = itertools.count(1)
         self._changed = anyio.Event()
 
@@ -62,7 +62,7 @@
         """Disconnect a process."""
         self.port_by_id.pop(process_id, None)
 
-    def post(self, delivery: _Delivery) -> None:
+    def post(self, delivery: Delivery) -> None:
         """Queue a message for delivery."""
         self.count_by_type[type(delivery.message).__name__] += 1
         heapq.heappush(self._queue, delivery)
@@ -93,7 +93,7 @@
             with anyio.move_on_after(self._queue[0].due_at - now):
                 await self._changed.wait()
 
-    def _deliver(self, delivery: _Delivery, now: float) -> None:
+    def _deliver(self, delivery: Delivery, now: float) -> None:
         if self.is_cut(delivery.sender_id, delivery.receiver_id):
             if delivery.reliable:
                 self._held.append(delivery)
@@ -120,7 +120,7 @@
         self._incarnation_by_peer: dict[str, int] = {}
         self._reply_by_request: dict[int, object] = {}
         self._event_by_request: dict[int, anyio.Event] = {}
-        self._requests: list[tuple[RequestHandler, Sender, _Delivery]] = []
+        self._requests: list[tuple[RequestHandler, Sender, Delivery]] = []
         self._requests_changed = anyio.Event()
 
     def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
@@ -156,7 +156,7 @@
         """Return the latest incarnation heard from the peer."""
         return self._incarnation_by_peer.get(peer_id)
 
-    def receive(self, delivery: _Delivery, now: float) -> None:
+    def receive(self, delivery: Delivery, now: float) -> None:
         """Hand a delivered message to its handler."""
         incarnation = delivery.from_incarnation
         if incarnation < self._incarnation_by_peer.get(delivery.sender_id, 0):
@@ -191,7 +191,7 @@
                 await self._requests_changed.wait()
 
     async def _answer(
-        self, request_handler: RequestHandler, sender: Sender, delivery: _Delivery
+        self, request_handler: RequestHandler, sender: Sender, delivery: Delivery
     ) -> None:
         reply = await request_handler(sender, delivery.message)
         self._post(delivery.sender_id, reply, request_id=delivery.request_id, is_reply=True)
@@ -207,7 +207,7 @@
     ) -> None:
         now = anyio.current_time()
         self.network.post(
-            _Delivery(
+            Delivery(
                 due_at=now + self.network.latency_s(self.process_id, peer_id),
                 number=self.network.number(),
                 sender_id=self.process_id,
--- a/src/apricotpoint/_bench/stepped.py
+++ b/src/apricotpoint/_bench/stepped.py
@@ -15,7 +15,7 @@
 import trio
 
 from apricotpoint._bench.lasting import LastingWorker
-from apricotpoint._bench.network import Network, _Delivery
+from apricotpoint._bench.network import Delivery, Network
 from apricotpoint._bench.pauses import Pauses
 from apricotpoint._bench.rig import Rig, RunningEntry
 from apricotpoint._bench.worker import FakeWorker
@@ -61,10 +61,10 @@
 
     def __init__(self, **arguments: Any) -> None:
         super().__init__(**arguments)
-        self.alter: Callable[[_Delivery], list[_Delivery]] | None = None
-        self._for_paused: list[_Delivery] = []
+        self.alter: Callable[[Delivery], list[Delivery]] | None = None
+        self._for_paused: list[Delivery] = []
 
-    def post(self, delivery: _Delivery) -> None:
+    def post(self, delivery: Delivery) -> None:
         """Report the step of a message and queue it."""
         port = self.port_by_id.get(delivery.sender_id)
         if port is None or port.incarnation != delivery.from_incarnation:
@@ -82,14 +82,14 @@
         self._for_paused.clear()
         self._changed.set()
 
-    def _deliver(self, delivery: _Delivery, now: float) -> None:
+    def _deliver(self, delivery: Delivery, now: float) -> None:
         if delivery.receiver_id in self.system.pauses.paused:
             self._for_paused.append(delivery)
             return
         super()._deliver(delivery, now)
         self._reach(_STEP_BY_RECEIPT, delivery)
 
-    def _reach(self, step_by_message: dict[str, str], delivery: _Delivery) -> None:
+    def _reach(self, step_by_message: dict[str, str], delivery: Delivery) -> None:
         step = step_by_message.get(type(delivery.message).__name__)
         # The neighbour job is coordinated by another process.
         if step is not None and COORDINATOR in (delivery.sender_id, delivery.receiver_id):
--- a/testing/matrix/matrix_faults.py
+++ b/testing/matrix/matrix_faults.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from apricotpoint._bench.network import _Delivery
+from apricotpoint._bench.network import Delivery
 from apricotpoint._bench.stepped import COORDINATOR, HOLDER, OTHER, SteppedRig
 from apricotpoint._wire.announce import GuardState
 from apricotpoint._wire.jobs import JobRequest
@@ -97,23 +97,23 @@
     return act
 
 
-def message(alter: Callable[[_Delivery], list[_Delivery]]) -> Fault:
+def message(alter: Callable[[Delivery], list[Delivery]]) -> Fault:
     def act(system: SteppedRig) -> None:
         system.network.alter = alter
 
     return act
 
 
-def dropped(delivery: _Delivery) -> list[_Delivery]:
+def dropped(delivery: Delivery) -> list[Delivery]:
     # The reliable stream sends a lost message again after 1 s.
     return later(1.0)(delivery) if delivery.reliable else []
 
 
-def later(seconds: float) -> Callable[[_Delivery], list[_Delivery]]:
+def later(seconds: float) -> Callable[[Delivery], list[Delivery]]:
     return lambda delivery: [attrs.evolve(delivery, due_at=delivery.due_at + seconds)]
 
 
-def repeated(delivery: _Delivery) -> list[_Delivery]:
+def repeated(delivery: Delivery) -> list[Delivery]:
     return [delivery, *later(0.0)(delivery), *later(0.3)(delivery)]
 
 
