--- a/src/apricotpoint/_http/serve.py
+++ b/src/apricotpoint/_http/serve.py
@@ -15,6 +15,9 @@
 import hypercorn.asyncio
 from hypercorn.config import Config
 
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
 # Bounds the wait for a request head on a new or kept connection. It is longer
 # than the 1 s after which BackendClient stops using an idle connection.
 HEAD_TIMEOUT_S = 5
@@ -81,7 +84,11 @@
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SEND_TIMEOUT_S * 1000)
         listener.bind((host, int(port)))
         listener.listen(1024)
-    except OSError:
+    except OSError as error:
         listener.close()
-        raise
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"cannot listen on {bind}: {error.strerror}",
+            remedy="end the process that listens there, or change the address in the settings",
+        ) from error
     return listener
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -92,9 +92,13 @@
         self._pull = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
         try:
             self._pull.listen(f"tcp://{self._listen}")
-        except pynng.NNGException:
+        except pynng.NNGException as error:
             self._pull.close()
-            raise
+            raise ApricotError(
+                ResultCode.INVALID_SETTINGS,
+                f"cannot listen on {self._listen}: {error}",
+                remedy="end the process that listens there, or change peer_bind in the settings",
+            ) from error
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
         self._group.start_soon(self._receive, self._pull)
--- a/testing/programs/test_settings.py
+++ b/testing/programs/test_settings.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -94,6 +95,17 @@
     assert "Traceback" not in result.stderr
 
 
+@pytest.mark.parametrize("key", ["caller_bind", "peer_bind"])
+def test_address_in_use_ends_the_program(tmp_path: Path, key: str):
+    entry = small_plan(tmp_path).entries[0]
+    address = getattr(entry, key)
+    with socket.create_server(("127.0.0.1", int(address.rpartition(":")[2]))):
+        result = run_program("entry", "run", str(tmp_path / f"{entry.entry_id}.jsonc"))
+    assert result.returncode == 40
+    assert f"cannot listen on {address}" in result.stderr
+    assert "Traceback" not in result.stderr
+
+
 def test_secrets_file_that_others_can_read_ends_the_program(tmp_path: Path):
     plan = small_plan(tmp_path)
     plan.secrets_path.chmod(0o644)
