--- a/src/apricotpoint/_programs/load.py
+++ b/src/apricotpoint/_programs/load.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +18,7 @@
 from apricotpoint._bench.trace import capacity_tasks_per_s, make_trace
 from apricotpoint._client import Client
 from apricotpoint._core.secrets import load_tokens
-from apricotpoint._core.settings import load
+from apricotpoint._core.settings import load, structure
 from apricotpoint._load import counts, ledgers, report
 from apricotpoint._load.driver import Variation, drive
 from apricotpoint._load.outcome import Outcome
@@ -48,11 +49,12 @@
         """Run the load, print a table, and the figures as one JSON line at the end."""
         settings = load(Path(self.argument("settings")), LoadSettings)
         given = {
-            name: json.loads(self.option(name.replace("_", "-")))
-            for name in ("tasks_per_s", "seconds", "seed", "resubmit_share", "cancel_share")
-            if self.option(name.replace("_", "-")) is not None
+            option.name.replace("-", "_"): _number(self.option(option.name))
+            for option in self.options
+            if self.option(option.name) is not None
         }
-        figures = anyio.run(run_load, attrs.evolve(settings, **given))
+        changed = structure(attrs.asdict(settings) | given, LoadSettings, source="options")
+        figures = anyio.run(run_load, changed)
         for name, value in figures.items():
             print(f"  {name.replace('_', ' '):28} {value}")
         print(json.dumps(figures))
@@ -129,6 +131,14 @@
     return figures
 
 
+def _number(text: str) -> float | str:
+    # A text that is no number is refused with the name of the key.
+    for kind in (int, float):
+        with suppress(ValueError):
+            return kind(text)
+    return text
+
+
 def _per_task(value: float, tasks: int) -> float:
     return round(value / max(tasks, 1), 3)
 
