--- a/testing/fuzz/fuzz_entry.py
+++ b/testing/fuzz/fuzz_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -21,7 +22,7 @@
     """The entry process of the benchmarks with claims and a configuration feed.
 
     It is wired like the composition root: the configuration is fetched before
-    the other parts start, and a drain of its VM in the configuration is followed.
+    the other parts start, and a drain or stop of its VM in the configuration is followed.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         )
         self._claims = claim_function(self._port, control_by_domain, sorted(control_by_domain))
         self.stopping = False
+        self.on_stopped: Callable[[], None] = lambda: None
         self.feed = ConfigurationFeed(
             transport=self._port,
             control_ids=sorted(control_by_domain.values()),
@@ -67,6 +69,8 @@
         self.coordinator.start_draining()
 
     def _follow(self) -> None:
+        if self.entry_id in self.feed.configuration().stopped_vms:
+            self.on_stopped()
         views = self.cluster.live(10.0)
         self.feed.heard_version(max(view.report.config_version for view in views))
         drained = self.entry_id in self.feed.configuration().drained_vms
--- a/testing/fuzz/fuzz_world.py
+++ b/testing/fuzz/fuzz_world.py
@@ -191,6 +191,7 @@
                 process, address, ids
             ),
         )
+        parts.on_stopped = lambda: self.stop_entry(entry_id)
         place = (entry_id, self._incarnations)
         parts.feed.subscribe(lambda configuration: self.oracle.version(place, configuration))
         entry = self.entry_by_id[entry_id] = Entry(process, parts)
--- a/testing/fuzz/test_cases.py
+++ b/testing/fuzz/test_cases.py
@@ -80,7 +80,7 @@
     "entry processes stop gracefully with jobs in progress": [
         *submit_everywhere(1.0, run_s=2.5, deadline_s=20.0),
         (0.1, "stop_entry", {"entry": "a1"}),
-        (0.1, "stop_entry", {"entry": "b1"}),
+        *change(0.1, "cc", "stop_vm", "b1"),
         *submit_everywhere(0.5, run_s=2.5, deadline_s=20.0),
         (0.1, "resubmit", {"entry": "c1", "back": 5, "other": False}),
     ],
--- a/testing/fuzz/test_promises.py
+++ b/testing/fuzz/test_promises.py
@@ -200,7 +200,7 @@
     @rule(
         wait_s=WAITS,
         controls=st.tuples(CONTROL, CONTROL),
-        action=st.sampled_from(["drain_vm", "undrain_vm"]),
+        action=st.sampled_from(["drain_vm", "undrain_vm", "stop_vm"]),
         drained=ENTRY,
     )
     def two_changes(
