--- a/testing/fuzz/faulty_network.py
+++ b/testing/fuzz/faulty_network.py
@@ -12,7 +12,7 @@
 import attrs
 import trio._core._run
 
-from apricotpoint._bench.network import Network, Port, _Delivery
+from apricotpoint._bench.network import Delivery, Network, Port
 
 
 @attrs.define(eq=False)
@@ -97,7 +97,7 @@
         pair = [self.process_by_id[item].domain for item in (sender_id, receiver_id)]
         return tuple(pair) in self.cuts
 
-    def post(self, delivery: _Delivery) -> None:
+    def post(self, delivery: Delivery) -> None:
         """Queue a message with the present faults."""
         if self.process_by_id[delivery.sender_id].dead:
             return
@@ -116,7 +116,7 @@
             super().post(late)
             delay_s += 0.3
 
-    def _deliver(self, delivery: _Delivery, now: float) -> None:
+    def _deliver(self, delivery: Delivery, now: float) -> None:
         receiver = self.process_by_id.get(delivery.receiver_id)
         if receiver is None or receiver.dead:
             return
