Start the processes of the matrix afresh instead of forking them

Cause: in a full run the forked processes copied state of the native threads of pynng. Before: all cells fail after the link tests with a fatal error in the child. Conclusion: fork only from a process without other threads.

--- a/testing/matrix/test_matrix.py
+++ b/testing/matrix/test_matrix.py
@@ -25,7 +25,8 @@
 ) -> Iterator[dict[str, Future]]:
     """Start the selected cells in other processes."""
     folder = tmp_path_factory.mktemp("matrix")
-    context = multiprocessing.get_context("fork")
+    # A fork would copy the locks that threads of pynng hold after other tests.
+    context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(
         _PROCESSES, mp_context=context, initializer=gc.set_threshold, initargs=(20_000,)
     ) as pool:
