--- a/testing/matrix/test_matrix.py
+++ b/testing/matrix/test_matrix.py
@@ -14,7 +14,7 @@
 from matrix_page import PAGE, write_page
 from matrix_table import STEPS, Cell, cells, pairs
 
-# Two processes, and less frequent garbage collection in them, keep the run under 40 s.
+# Several processes, and less frequent garbage collection in them, keep the run under 40 s.
 _PROCESSES = 4
 _CHANGES = ("change", "membership")
 
