--- a/testing/matrix/test_matrix.py
+++ b/testing/matrix/test_matrix.py
@@ -14,7 +14,7 @@
 from matrix_page import PAGE, write_page
 from matrix_table import STEPS, Cell, cells, pairs
 
-# Two processes, and less frequent garbage collection in them, keep the run under 40 s.
+# Several processes, and less frequent garbage collection in them, keep the run under 40 s.
 _PROCESSES = 4
 _CHANGES = ("change", "membership")
 
@@ -25,6 +25,7 @@
 ) -> Iterator[dict[str, Future]]:
     """Start the selected cells in other processes."""
     folder = tmp_path_factory.mktemp("matrix")
+    # A fork would copy the locks that threads of pynng hold after other tests.
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(
         _PROCESSES, mp_context=context, initializer=gc.set_threshold, initargs=(20_000,)
