Refuse a record file that has lost its content

An emptied or wholly overwritten log or claims file of a used disk was taken for one with a torn first record, so a control process went on without its votes and claims. Initialisation now writes an empty first record into both files, before the identity, and each start checks that it is there (5101).

--- a/src/apricotpoint/_control/identity.py
+++ b/src/apricotpoint/_control/identity.py
@@ -9,6 +9,8 @@
 import attrs
 import msgspec
 
+from apricotpoint._control import log, registry
+from apricotpoint._control.records import check_record_file, create_record_file
 from apricotpoint._control.storage import Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
@@ -55,6 +57,9 @@
         first=first,
         initialised_at=wall,
     )
+    for name in (log.FILE_NAME, registry.FILE_NAME):
+        await create_record_file(storage, name)
+    # The identity comes last: a folder with an identity has both record files.
     await storage.replace_file(_FILE_NAME, msgspec.json.encode(identity))
     return identity
 
@@ -63,10 +68,12 @@
     """Read the identity, increment its start counter and sync it.
 
     Raises `ApricotError` 5001 if the folder was never initialised or belongs
-    to another process.
+    to another process, and 5101 if a record file has lost its content.
     """
     path = storage.folder / _FILE_NAME
     identity = _read(path)
+    for name in (log.FILE_NAME, registry.FILE_NAME):
+        check_record_file(storage, name)
     if identity.node_id != node_id:
         raise ApricotError(
             ResultCode.INVALID_SETTINGS,
--- a/src/apricotpoint/_control/log.py
+++ b/src/apricotpoint/_control/log.py
@@ -13,7 +13,7 @@
 # Entries kept before a snapshot, so that a replica slightly behind needs no snapshot.
 _KEPT_ENTRIES = 200
 
-_FILE_NAME = "log"
+FILE_NAME = "log"
 
 
 @attrs.frozen
@@ -51,7 +51,7 @@
     """
 
     def __init__(self, storage: Storage, *, initial_members: list[str]) -> None:
-        self._file = RecordFile(storage, _FILE_NAME)
+        self._file = RecordFile(storage, FILE_NAME)
         self._initial_members = dict.fromkeys(initial_members, "")
         self.term = 0
         self.voted_for = ""
--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -66,6 +66,14 @@
                 os.close(folder)
         return payloads
 
+    async def begin(self) -> None:
+        """Write and sync an empty first record into a new file.
+
+        A file that was begun and later holds no record at all has lost its
+        content, which cannot be told from a new file otherwise.
+        """
+        await self._write_group()
+
     def close(self) -> None:
         """Close the file; what was appended and not synced is lost."""
         if self._descriptor >= 0:
@@ -191,6 +199,28 @@
         )
 
 
+async def create_record_file(storage: Storage, name: str) -> None:
+    """Create a record file in a new data folder."""
+    file = RecordFile(storage, name)
+    await file.open()
+    try:
+        await file.begin()
+    finally:
+        file.close()
+
+
+def check_record_file(storage: Storage, name: str) -> None:
+    """Raise `ApricotError` 5101 if a created record file has lost its first record."""
+    path = storage.folder / name
+    data = path.read_bytes()[: _HEADER.size] if path.exists() else b""
+    if _parse_header(data, 0) is None:
+        raise ApricotError(
+            ResultCode.LOG_TORN,
+            f"{path} has lost its content",
+            remedy="replace the disk content: initialise the folder again without --first",
+        )
+
+
 def _record(index: int, payloads: list[bytes]) -> bytes:
     body = msgspec.msgpack.encode(payloads)
     checked = _HEADER.pack(_MAGIC, len(body), index, xxhash.xxh3_64_intdigest(body), 0)
--- a/src/apricotpoint/_control/registry.py
+++ b/src/apricotpoint/_control/registry.py
@@ -15,7 +15,7 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._wire.jobs import Claim, ClaimReply
 
-_FILE_NAME = "claims"
+FILE_NAME = "claims"
 # At about 0.5 KB per claim the registry stays under 512 MB.
 MAX_CLAIMS = 1_000_000
 _COMPACT_BYTES = 1 << 20
@@ -43,7 +43,7 @@
         lost_disk_at: float | None,
         max_claims: int = MAX_CLAIMS,
     ) -> None:
-        self._file = RecordFile(storage, _FILE_NAME)
+        self._file = RecordFile(storage, FILE_NAME)
         self._timers = timers
         self._counters = counters
         self._lost_disk_at = lost_disk_at
--- a/testing/control/test_records.py
+++ b/testing/control/test_records.py
@@ -32,6 +32,27 @@
         file.close()
 
 
+@pytest.mark.parametrize("name", ["log", "claims"])
+@pytest.mark.parametrize("content", [None, b"", b"\0" * 100])
+def test_emptied_file_is_not_taken_for_a_new_one(tmp_path: Path, name: str, content: bytes | None):
+    """Votes or claims of a used disk must not be forgotten with the content of a file."""
+
+    async def test() -> None:
+        storage = Disk(tmp_path).storage()
+        generator = random.Random(1)
+        await initialise(storage, node_id="a", first=True, wall=0.0, random=generator)
+        await count_start(storage, node_id="a", random=generator)
+        path = tmp_path / name
+        path.unlink()
+        if content is not None:
+            path.write_bytes(content)
+        with pytest.raises(ApricotError, match="lost its content") as caught:
+            await count_start(storage, node_id="a", random=generator)
+        assert caught.value.code == ResultCode.LOG_TORN
+
+    run(test)
+
+
 def test_concurrent_writers_share_one_sync(tmp_path: Path):
     async def test() -> None:
         syncs = 0
