--- a/testing/fuzz/fuzz_backend.py
+++ b/src/apricotpoint/_bench/faultybackend.py
@@ -9,8 +9,8 @@
 import anyio
 import anyio.abc
 import attrs
-from faulty_network import Process
 
+from apricotpoint._bench.faultynetwork import Process
 from apricotpoint._dispatch.exchange import (
     AnswerLostError,
     BackendAddress,
@@ -38,7 +38,7 @@
 
 
 @attrs.define(eq=False)
-class FuzzBackend:
+class FaultyBackend:
     """A backend server; `on_start` receives each start that it runs and its time of sending.
 
     `lag_s` delays answers, `request_lag_s` requests, `twice` repeats answers,
@@ -47,7 +47,7 @@
 
     process: Process
     group: anyio.abc.TaskGroup
-    on_start: Callable[[FuzzBackend, str, Start, float], None]
+    on_start: Callable[[FaultyBackend, str, Start, float], None]
     is_cut: Callable[[str, str], bool]
     slots: int = 2
     incarnation: int = 1
--- a/testing/fuzz/fuzz_entry.py
+++ b/src/apricotpoint/_bench/faultyentry.py
@@ -7,9 +7,9 @@
 
 import anyio
 import anyio.abc
-from faulty_network import FaultyNetwork, Process
 
 from apricotpoint._bench.entry import RigEntry
+from apricotpoint._bench.faultynetwork import FaultyNetwork, Process
 from apricotpoint._control.claims import claim_function
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._wire.configuration import Configuration
@@ -18,7 +18,7 @@
 FOLLOW_PERIOD_S = 0.25
 
 
-class FuzzEntry(RigEntry):
+class FaultyEntry(RigEntry):
     """The entry process of the benchmarks with claims and a configuration feed.
 
     It is wired like the composition root: the configuration is fetched before
@@ -54,7 +54,7 @@
     async def _send_claim(self, claim: Claim) -> ClaimReply:
         return await self._claims(claim)
 
-    async def __aenter__(self) -> FuzzEntry:
+    async def __aenter__(self) -> FaultyEntry:
         group = await self._stack.enter_async_context(anyio.create_task_group())
         self._stack.callback(group.cancel_scope.cancel)
         group.start_soon(self._port.run)
--- a/testing/fuzz/faulty_network.py
+++ b/src/apricotpoint/_bench/faultynetwork.py
@@ -74,7 +74,8 @@
 
 def allow_pauses() -> None:
     """Let trio keep the tasks of paused processes from running."""
-    trio._core._run.Runner.reschedule = _reschedule_unless_paused
+    runner_type: Any = trio._core._run.Runner
+    runner_type.reschedule = _reschedule_unless_paused
 
 
 class FaultyNetwork(Network):
--- a/testing/fuzz/fuzz_world.py
+++ b/testing/fuzz/fuzz_world.py
@@ -17,11 +17,11 @@
 import anyio.abc
 import attrs
 from control_network import Disk
-from faulty_network import FaultyNetwork, Process, allow_pauses, port_of
-from fuzz_backend import FuzzBackend
-from fuzz_entry import FuzzEntry
 from fuzz_oracle import LEAVE_S, Call, Oracle
 
+from apricotpoint._bench.faultybackend import FaultyBackend
+from apricotpoint._bench.faultyentry import FaultyEntry
+from apricotpoint._bench.faultynetwork import FaultyNetwork, Process, allow_pauses, port_of
 from apricotpoint._bench.virtualtime import run_virtual
 from apricotpoint._control.identity import initialise
 from apricotpoint._control.node import ControlNode
@@ -51,7 +51,7 @@
     """An entry process and the calls that wait at it."""
 
     process: Process
-    parts: FuzzEntry
+    parts: FaultyEntry
     group: anyio.abc.TaskGroup | None = None
     calls: set[Call] = attrs.Factory(set)
     up: bool = False
@@ -65,7 +65,7 @@
         self.process_by_id: dict[str, Process] = {}
         self.network = FaultyNetwork(self.process_by_id)
         self.entry_by_id: dict[str, Entry] = {}
-        self.backend_by_id: dict[str, FuzzBackend] = {}
+        self.backend_by_id: dict[str, FaultyBackend] = {}
         self.disk_by_id: dict[str, Disk] = {}
         self.node_by_id: dict[str, ControlNode] = {}
         self.jobs: list[JobRequest] = []
@@ -96,7 +96,9 @@
             process = Process(backend_id, DOMAINS[index])
             self.process_by_id[backend_id] = process
             cut = self.network.cut_between
-            self.backend_by_id[backend_id] = FuzzBackend(process, self._group, self._on_start, cut)
+            self.backend_by_id[backend_id] = FaultyBackend(
+                process, self._group, self._on_start, cut
+            )
             self._group.start_soon(self._announce, self.backend_by_id[backend_id])
         await anyio.sleep(3)
         self._group.start_soon(self._observe)
@@ -180,7 +182,7 @@
         def send(address: BackendAddress, starts: list[Start]) -> AsyncIterator[StartResult]:
             return self.backend_by_id[address.backend_id].send(process, address, starts)
 
-        parts = FuzzEntry(
+        parts = FaultyEntry(
             process,
             self.network,
             CONTROL_BY_DOMAIN,
@@ -367,21 +369,23 @@
 
     # Backend servers
 
-    def _on_start(self, backend: FuzzBackend, sender_id: str, start: Start, sent_at: float) -> None:
+    def _on_start(
+        self, backend: FaultyBackend, sender_id: str, start: Start, sent_at: float
+    ) -> None:
         leaving_at = backend.leaving_at
         drained_at = self.oracle.drained_at.get(backend.backend_id, math.inf)
         calm = self.calm_since(self.process_by_id[sender_id])
         leaving_at = min(leaving_at, max(drained_at, calm))
         self.oracle.start(start.payload, sent_at, leaving_at)
 
-    async def _announce(self, backend: FuzzBackend) -> None:
+    async def _announce(self, backend: FaultyBackend) -> None:
         while True:
             if not backend.process.dead:
                 with anyio.move_on_after(1.0):
                     await self._announce_once(backend)
             await anyio.sleep(0.5)
 
-    async def _announce_once(self, backend: FuzzBackend) -> None:
+    async def _announce_once(self, backend: FaultyBackend) -> None:
         cut = self.network.cut_between
         reachable = [
             entry
@@ -438,7 +442,7 @@
             target.restart()
             self._group.start_soon(self._revive, target)
 
-    async def _revive(self, backend: FuzzBackend) -> None:
+    async def _revive(self, backend: FaultyBackend) -> None:
         await anyio.sleep(1)
         backend.process.dead = False
 
