--- a/src/apricotpoint/_jobs/coordinator.py
+++ b/src/apricotpoint/_jobs/coordinator.py
@@ -19,12 +19,14 @@
 from apricotpoint._jobs import admission, rows
 from apricotpoint._jobs.answers import Answers
 from apricotpoint._jobs.home import Home
+from apricotpoint._jobs.inquiries import ISSUED_KEY_VALIDITY_S, Inquiries
 from apricotpoint._jobs.job import Job
 from apricotpoint._jobs.ports import ClusterView, Estimator, LocalHolder
+from apricotpoint._jobs.remote import RemoteCoordinators
 from apricotpoint._jobs.runner import JobRunner
 from apricotpoint._jobs.table import Entry, JobTable
 from apricotpoint._jobs.views import MAX_REPORT_AGE_S, Views
-from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
+from apricotpoint._link.transport import Sender, Transport
 from apricotpoint._wire.configuration import Configuration, TeamConfig
 from apricotpoint._wire.jobs import (
     Answer,
@@ -37,16 +39,11 @@
     SubmitForward,
 )
 
-ISSUED_KEY_VALIDITY_S = 600
 MAX_KEYS_ISSUED = 1_000
 # Unused keys of this process are accepted for this long after draining starts,
 # unless the settings say otherwise.
 DRAIN_GRACE_S = 6.0
 
-# Time kept back for the answer of the process to which a request is forwarded.
-_FORWARD_MARGIN_S = 0.02
-_CANCEL_WAIT_S = 5.0
-_PEER_TIMEOUT_S = 1.0
 _TICK_S = 0.25
 _MAX_FINISHED_ROWS = 1_000
 
@@ -127,6 +124,24 @@
             answers=self._answers,
             table=self._table,
         )
+        self._remote = RemoteCoordinators(
+            entry_id=entry_id,
+            transport=transport,
+            cluster=cluster,
+            timers=timers,
+            counters=counters,
+            answers=self._answers,
+        )
+        self._inquiries = Inquiries(
+            entry_id=entry_id,
+            incarnation=incarnation,
+            table=self._table,
+            runner=self._runner,
+            remote=self._remote,
+            answers=self._answers,
+            counters=counters,
+            wall=self._wall,
+        )
         self._next_job = 0
         self._next_key = 0
         self._latest_wall = 0.0
@@ -135,8 +150,8 @@
         self._last_issue_at: float | None = None
         self._group: anyio.abc.TaskGroup | None = None
         transport.request_handlers_by_type[SubmitForward] = self._handle_submit
-        transport.request_handlers_by_type[JobLookup] = self._handle_lookup
-        transport.request_handlers_by_type[CancelForward] = self._handle_cancel
+        transport.request_handlers_by_type[JobLookup] = self._inquiries.handle_lookup
+        transport.request_handlers_by_type[CancelForward] = self._inquiries.handle_cancel
 
     async def __aenter__(self) -> Coordinator:
         self._group = anyio.create_task_group()
@@ -203,19 +218,7 @@
 
     async def lookup(self, team: str, key: str, wait_s: float) -> AnswerForward:
         """Return the answer of a key, waiting up to `wait_s` seconds for it."""
-        self._counters.add("lookups.received")
-        try:
-            parsed = parse_key(key)
-        except ApricotError as error:
-            return AnswerForward(answer=self._answers.refusal(key, error), found=False)
-        return await self._ask_owner(
-            parsed,
-            team,
-            key,
-            local=lambda: self._lookup_here(team, key, wait_s),
-            message=JobLookup(team=team, key=key, wait_s=wait_s),
-            timeout_s=wait_s + _PEER_TIMEOUT_S,
-        )
+        return await self._inquiries.lookup(team, key, wait_s)
 
     async def cancel(self, team: str, key: str) -> Answer:
         """Cancel the job of a key and return its one outcome.
@@ -223,24 +226,7 @@
         The code is 2108 if no task started, 3104 if any may have, or that of
         the complete answer if every result arrived first.
         """
-        self._counters.add("cancels.received")
-        try:
-            parsed = parse_key(key)
-        except ApricotError as error:
-            return self._answers.refusal(key, error)
-        reply = await self._ask_owner(
-            parsed,
-            team,
-            key,
-            local=lambda: self._cancel_here(team, key),
-            message=CancelForward(team=team, key=key),
-            timeout_s=_CANCEL_WAIT_S + _PEER_TIMEOUT_S,
-        )
-        if reply.answer is not None:
-            return reply.answer
-        return self._answers.make(
-            key, ResultCode.COORDINATOR_UNREACHABLE, "the job is not known here"
-        )
+        return await self._inquiries.cancel(team, key)
 
     def start_draining(self) -> None:
         """Refuse new jobs; unused keys are accepted for the grace period."""
@@ -316,7 +302,7 @@
         if isinstance(key, IssuedKey):
             admission.check_validity(key, key.expires_at, self._wall())
             if (key.entry_id, key.incarnation) != (self._entry_id, self._incarnation):
-                return await self._forward(
+                return await self._remote.forward(
                     request, (key.entry_id, key.incarnation), deadline_at, attach_only=False
                 )
             expires_at = key.expires_at
@@ -450,7 +436,7 @@
         owner = self._home.read(entry, reply)
         if owner is None:
             raise error
-        return await self._forward(request, owner, deadline_at, attach_only=True)
+        return await self._remote.forward(request, owner, deadline_at, attach_only=True)
 
     async def _claim_and_place(self, entry: Entry, job: Job) -> None:
         """Claim a caller key at its home, then place the job."""
@@ -483,173 +469,18 @@
             return
         self._runner.place(entry, job)
 
-    async def _forward(
-        self,
-        request: JobRequest,
-        owner: tuple[str, int],
-        deadline_at: float,
-        *,
-        attach_only: bool,
-    ) -> Answer:
-        """Pass a submission to its coordinator and return the answer."""
-        entry_id, incarnation = owner
-        left_s = deadline_at - self._timers.now()
-        if entry_id == self._entry_id or self._transport.incarnation_of(entry_id) not in (
-            None,
-            incarnation,
-        ):
-            self._counters.add("forwards.lost_incarnation")
-            return self._answers.make(
-                request.key,
-                ResultCode.COORDINATOR_UNREACHABLE,
-                f"the incarnation of {entry_id} that coordinates the key is gone",
-            )
-        reduced_s = max(left_s - _FORWARD_MARGIN_S, left_s / 2)
-        message = SubmitForward(
-            request=attrs.evolve(request, deadline_ms=max(int(reduced_s * 1000), 1)),
-            attach_only=attach_only,
-        )
-        self._counters.add("forwards.sent")
-        try:
-            with anyio.fail_after(left_s):
-                reply = await self._transport.request(entry_id, message, timeout_s=left_s)
-        except (PeerUnreachable, TimeoutError):
-            reply = None
-        if isinstance(reply, AnswerForward) and reply.answer is not None:
-            return reply.answer
-        self._counters.add("forwards.unreachable")
-        return self._answers.make(
-            request.key,
-            ResultCode.COORDINATOR_UNREACHABLE,
-            f"coordinator {entry_id} cannot be reached",
-        )
-
     async def _wait(
         self, entry: Entry, job: Job, request: JobRequest, deadline_at: float
     ) -> Answer:
         """Wait for the end of a job until the deadline of one submission."""
-        await self._wait_closed(job, deadline_at - self._timers.now())
+        await job.wait_closed(deadline_at - self._timers.now())
         if not job.closed.is_set() and self._timers.now() >= job.deadline_at:
             self._runner.pass_deadline(entry, job)
         if job.forward_to is not None:
-            return await self._forward(request, job.forward_to, deadline_at, attach_only=True)
-        return self._answers.current(entry, job)
-
-    async def _wait_closed(self, job: Job, seconds: float) -> None:
-        if not job.closed.is_set():
-            with anyio.move_on_after(seconds):
-                await job.closed.wait()
-
-    async def _cancel_here(self, team: str, key: str) -> AnswerForward:
-        entry = self._table.get(team, key)
-        if entry is None:
-            return self._cancel_unused(team, key)
-        job = entry.job
-        if job is None:
-            if entry.restartable and entry.claimed:
-                entry.restartable = False
-                entry.code = ResultCode.CANCELLED_BEFORE_START
-                entry.answer = self._answers.make(key, ResultCode.CANCELLED_BEFORE_START)
-            return AnswerForward(answer=self._answers.retained(entry))
-        self._runner.cancel(entry, job)
-        await self._wait_closed(job, _CANCEL_WAIT_S)
-        if job.forward_to is not None:
-            return await self._ask(
-                job.forward_to, CancelForward(team=team, key=key), key, timeout_s=_CANCEL_WAIT_S
+            return await self._remote.forward(
+                request, job.forward_to, deadline_at, attach_only=True
             )
-        return AnswerForward(answer=self._answers.current(entry, job))
-
-    def _cancel_unused(self, team: str, key: str) -> AnswerForward:
-        """Cancel a key of this incarnation that was not used, so that it cannot start later."""
-        parsed = parse_key(key)
-        if (
-            not isinstance(parsed, IssuedKey)
-            or (parsed.entry_id, parsed.incarnation) != (self._entry_id, self._incarnation)
-            or not 0 <= parsed.expires_at - self._wall() <= ISSUED_KEY_VALIDITY_S
-        ):
-            return AnswerForward(answer=None, found=False)
-        entry = Entry(
-            team=team,
-            key=key,
-            fingerprint="",
-            expires_at=parsed.expires_at + CLOCK_ALLOWANCE_S,
-            code=ResultCode.CANCELLED_BEFORE_START,
-            claimed=True,
-        )
-        if not self._table.add(entry):
-            return AnswerForward(answer=None, found=False)
-        self._counters.add("jobs.cancelled_unused")
-        return AnswerForward(answer=self._answers.retained(entry))
-
-    async def _lookup_here(self, team: str, key: str, wait_s: float) -> AnswerForward:
-        entry = self._table.get(team, key)
-        if entry is None:
-            return AnswerForward(answer=None, found=False)
-        job = entry.job
-        if job is None:
-            return AnswerForward(answer=self._answers.retained(entry))
-        await self._wait_closed(job, wait_s)
-        if job.forward_to is not None:
-            return await self._ask(
-                job.forward_to,
-                JobLookup(team=team, key=key, wait_s=0),
-                key,
-                timeout_s=_PEER_TIMEOUT_S,
-            )
-        if job.answer is None and not job.deadline_passed:
-            return AnswerForward(answer=None)
-        return AnswerForward(answer=self._answers.current(entry, job))
-
-    async def _ask_owner(
-        self,
-        parsed: IssuedKey | str,
-        team: str,
-        key: str,
-        *,
-        local: Callable[[], Awaitable[AnswerForward]],
-        message: object,
-        timeout_s: float,
-    ) -> AnswerForward:
-        """Ask the coordinator of a key, or every live entry process for a caller key."""
-        if self._table.get(team, key) is not None:
-            return await local()
-        if isinstance(parsed, IssuedKey):
-            owner = (parsed.entry_id, parsed.incarnation)
-            if owner == (self._entry_id, self._incarnation):
-                return await local()
-            return await self._ask(owner, message, key, timeout_s=timeout_s)
-        found: list[AnswerForward] = []
-        async with anyio.create_task_group() as group:
-
-            async def ask(owner: tuple[str, int]) -> None:
-                reply = await self._ask(owner, message, key, timeout_s=timeout_s)
-                if reply.found:
-                    found.append(reply)
-                    group.cancel_scope.cancel()
-
-            for item in self._cluster.live(MAX_REPORT_AGE_S):
-                if item.entry_id != self._entry_id:
-                    group.start_soon(ask, (item.entry_id, item.incarnation))
-        return found[0] if found else AnswerForward(answer=None, found=False)
-
-    async def _ask(
-        self, owner: tuple[str, int], message: object, key: str, *, timeout_s: float
-    ) -> AnswerForward:
-        entry_id, incarnation = owner
-        if entry_id != self._entry_id and self._transport.incarnation_of(entry_id) in (
-            None,
-            incarnation,
-        ):
-            try:
-                reply = await self._transport.request(entry_id, message, timeout_s=timeout_s)
-            except PeerUnreachable:
-                reply = None
-            if isinstance(reply, AnswerForward):
-                return reply
-        answer = self._answers.make(
-            key, ResultCode.COORDINATOR_UNREACHABLE, f"coordinator {entry_id} cannot be reached"
-        )
-        return AnswerForward(answer=answer, found=False)
+        return self._answers.current(entry, job)
 
     async def _handle_submit(self, sender: Sender, message: object) -> AnswerForward:
         assert isinstance(message, SubmitForward)
@@ -670,14 +501,6 @@
         )
         return AnswerForward(answer=answer)
 
-    async def _handle_lookup(self, sender: Sender, message: object) -> AnswerForward:
-        assert isinstance(message, JobLookup)
-        return await self._lookup_here(message.team, message.key, message.wait_s)
-
-    async def _handle_cancel(self, sender: Sender, message: object) -> AnswerForward:
-        assert isinstance(message, CancelForward)
-        return await self._cancel_here(message.team, message.key)
-
     def _wall(self) -> float:
         """Return wall time that never goes back, so that an expired key stays expired."""
         self._latest_wall = max(self._latest_wall, self._timers.wall())
--- a/src/apricotpoint/_jobs/job.py
+++ b/src/apricotpoint/_jobs/job.py
@@ -166,6 +166,12 @@
             self.values[index] = outcome.value if new is TaskState.DONE else outcome.error
         return True
 
+    async def wait_closed(self, seconds: float) -> None:
+        """Wait until the job is closed, up to a number of seconds."""
+        if not self.closed.is_set():
+            with anyio.move_on_after(seconds):
+                await self.closed.wait()
+
     def is_doomed(self) -> bool:
         """Return whether the job can no longer be complete, whatever its other tasks do."""
         return bool(
--- /dev/null
+++ b/src/apricotpoint/_jobs/remote.py
@@ -0,0 +1,115 @@
+"""Requests to the coordinators in other entry processes."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._jobs.answers import Answers
+from apricotpoint._jobs.ports import ClusterView
+from apricotpoint._jobs.views import MAX_REPORT_AGE_S
+from apricotpoint._link.transport import PeerUnreachable, Transport
+from apricotpoint._wire.jobs import Answer, AnswerForward, JobRequest, SubmitForward
+
+# Time kept back for the answer of the process to which a request is forwarded.
+_FORWARD_MARGIN_S = 0.02
+
+
+class RemoteCoordinators:
+    """Passes requests to other coordinators, each an entry id with its incarnation.
+
+    Without a reply the answer is 3101, because the other coordinator may have
+    handled the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        transport: Transport,
+        cluster: ClusterView,
+        timers: TimerService,
+        counters: Counters,
+        answers: Answers,
+    ) -> None:
+        self._entry_id = entry_id
+        self._transport = transport
+        self._cluster = cluster
+        self._timers = timers
+        self._counters = counters
+        self._answers = answers
+
+    async def forward(
+        self,
+        request: JobRequest,
+        owner: tuple[str, int],
+        deadline_at: float,
+        *,
+        attach_only: bool,
+    ) -> Answer:
+        """Pass a submission to its coordinator and return the answer."""
+        entry_id, _ = owner
+        left_s = deadline_at - self._timers.now()
+        if not self._may_live(owner):
+            self._counters.add("forwards.lost_incarnation")
+            return self._unreachable(
+                request.key, f"the incarnation of {entry_id} that coordinates the key is gone"
+            )
+        reduced_s = max(left_s - _FORWARD_MARGIN_S, left_s / 2)
+        message = SubmitForward(
+            request=attrs.evolve(request, deadline_ms=max(int(reduced_s * 1000), 1)),
+            attach_only=attach_only,
+        )
+        self._counters.add("forwards.sent")
+        try:
+            with anyio.fail_after(left_s):
+                reply = await self._transport.request(entry_id, message, timeout_s=left_s)
+        except (PeerUnreachable, TimeoutError):
+            reply = None
+        if isinstance(reply, AnswerForward) and reply.answer is not None:
+            return reply.answer
+        self._counters.add("forwards.unreachable")
+        return self._unreachable(request.key, f"coordinator {entry_id} cannot be reached")
+
+    async def ask(
+        self, owner: tuple[str, int], message: object, key: str, *, timeout_s: float
+    ) -> AnswerForward:
+        """Pass a lookup or cancellation to the coordinator of its key."""
+        entry_id, _ = owner
+        if self._may_live(owner):
+            try:
+                reply = await self._transport.request(entry_id, message, timeout_s=timeout_s)
+            except PeerUnreachable:
+                reply = None
+            if isinstance(reply, AnswerForward):
+                return reply
+        answer = self._unreachable(key, f"coordinator {entry_id} cannot be reached")
+        return AnswerForward(answer=answer, found=False)
+
+    async def ask_all(self, message: object, key: str, *, timeout_s: float) -> AnswerForward:
+        """Pass a lookup or cancellation of a caller key to every live entry process."""
+        found: list[AnswerForward] = []
+        async with anyio.create_task_group() as group:
+
+            async def ask(owner: tuple[str, int]) -> None:
+                reply = await self.ask(owner, message, key, timeout_s=timeout_s)
+                if reply.found:
+                    found.append(reply)
+                    group.cancel_scope.cancel()
+
+            for item in self._cluster.live(MAX_REPORT_AGE_S):
+                if item.entry_id != self._entry_id:
+                    group.start_soon(ask, (item.entry_id, item.incarnation))
+        return found[0] if found else AnswerForward(answer=None, found=False)
+
+    def _may_live(self, owner: tuple[str, int]) -> bool:
+        """Return False if the incarnation is an earlier one of this or another process."""
+        entry_id, incarnation = owner
+        heard = self._transport.incarnation_of(entry_id)
+        return entry_id != self._entry_id and heard in (None, incarnation)
+
+    def _unreachable(self, key: str, message: str) -> Answer:
+        return self._answers.make(key, ResultCode.COORDINATOR_UNREACHABLE, message)
--- a/testing/defects/defects.py
+++ b/testing/defects/defects.py
@@ -80,9 +80,9 @@
     Defect(
         "an issued key of an earlier incarnation is started",
         "            if (key.entry_id, key.incarnation) != (self._entry_id, self._incarnation):\n"
-        "                return await self._forward(",
+        "                return await self._remote.forward(",
         "            if key.entry_id != self._entry_id:\n"
-        "                return await self._forward(",
+        "                return await self._remote.forward(",
         (JOBS + "test_unreachable_or_replaced_coordinator_is_not_known",),
     ),
     Defect(
