--- a/src/apricotpoint/_programs/bootstrap.py
+++ b/src/apricotpoint/_programs/bootstrap.py
@@ -15,6 +15,13 @@
 QUOTA_TASKS = 10_000
 
 
+def first_changes(deployment: DeploymentSettings) -> list[str]:
+    """Return the commands that create the service and the teams of a new deployment."""
+    changes = [f"create service {deployment.service} max_queue_s = {deployment.max_queue_s}"]
+    changes += [f"create team {team} quota_tasks = {QUOTA_TASKS}" for team in deployment.teams]
+    return [f"{change} at {version}" for version, change in enumerate(changes)]
+
+
 async def create_configuration(
     deployment: DeploymentSettings, *, operator_address: str, token: str
 ) -> None:
@@ -22,12 +29,10 @@
 
     Raises `ApricotError` with code 4102 if the changes are not accepted in 20 s.
     """
-    commands = [f"create service {deployment.service}"]
-    commands += [f"create team {team} quota_tasks = {QUOTA_TASKS}" for team in deployment.teams]
     headers = {"authorization": f"Bearer {token}"}
     async with httpx.AsyncClient(headers=headers, trust_env=False, timeout=5.0) as client:
-        for version, command in enumerate(commands):
-            await _run(client, operator_address, f"{command} at {version}", f"create-{version}")
+        for version, command in enumerate(first_changes(deployment)):
+            await _run(client, operator_address, command, f"create-{version}")
 
 
 async def _run(client: httpx.AsyncClient, address: str, text: str, command_id: str) -> None:
--- a/src/apricotpoint/_programs/plan.py
+++ b/src/apricotpoint/_programs/plan.py
@@ -14,6 +14,7 @@
 from apricotpoint._core.secrets import load_tokens
 from apricotpoint._load.settings import LoadSettings
 from apricotpoint._operator.client import ClientSettings
+from apricotpoint._programs.bootstrap import first_changes
 from apricotpoint._settings.control import ControlSettings
 from apricotpoint._settings.deployment import DeploymentSettings
 from apricotpoint._settings.entry import EntrySettings
@@ -162,14 +163,12 @@
     folder = plan.folder
     controls = [folder / f"{settings.control_id}.jsonc" for settings in plan.controls]
     ctl = f"--settings {folder / 'apricotctl.jsonc'}"
-    changes = [f"create service {plan.deployment.service}"]
-    changes += [f"create team {team} quota_tasks = 10000" for team in plan.deployment.teams]
     return [
         *(f"apricot-control init {path} --first" for path in controls),
         *(f"apricot-control run {path}" for path in controls),
         *(f"apricot-entry run {folder / entry.entry_id}.jsonc" for entry in plan.entries),
         *(f"apricot-backend run {folder / item.backend_id}.jsonc" for item in plan.backends),
-        *(f"apricotctl {change} at {index} {ctl}" for index, change in enumerate(changes)),
+        *(f"apricotctl {change} {ctl}" for change in first_changes(plan.deployment)),
         f"apricot-load run {folder / 'load.jsonc'}",
     ]
 
