--- a/src/apricotpoint/_bench/slopes.py
+++ b/src/apricotpoint/_bench/slopes.py
@@ -16,20 +16,20 @@
 from cleo.helpers import argument, option
 from cleo.io.inputs.argv_input import ArgvInput
 
-from apricotpoint._bench import slopescontrol, slopesentry, slopeslink
+from apricotpoint._bench import slopescontrol, slopesjobs, slopeslink, slopesreports, slopestasks
 
 MEASURE_BY_PART: dict[str, Callable[..., None]] = {
-    "reports": slopesentry.measure_reports,
-    "envelope": slopesentry.measure_envelope,
-    "announcements": slopesentry.measure_announcements,
-    "placement": slopesentry.measure_placement,
-    "binding": slopesentry.measure_binding,
-    "exchanges": slopesentry.measure_exchanges,
-    "jobs": slopesentry.measure_jobs,
-    "queue": slopesentry.measure_queue,
-    "table": slopesentry.measure_table,
-    "counters": slopesentry.measure_counters,
-    "staleness": slopesentry.measure_staleness,
+    "reports": slopesreports.measure_reports,
+    "envelope": slopesreports.measure_envelope,
+    "announcements": slopesreports.measure_announcements,
+    "placement": slopestasks.measure_placement,
+    "binding": slopestasks.measure_binding,
+    "exchanges": slopestasks.measure_exchanges,
+    "jobs": slopesjobs.measure_jobs,
+    "queue": slopestasks.measure_queue,
+    "table": slopesjobs.measure_table,
+    "counters": slopesjobs.measure_counters,
+    "staleness": slopesreports.measure_staleness,
     "messages": slopeslink.measure_messages,
     "idle-links": slopeslink.measure_idle_links,
     "lines": slopeslink.measure_lines,
--- a/src/apricotpoint/_bench/slopescontrol.py
+++ b/src/apricotpoint/_bench/slopescontrol.py
@@ -15,7 +15,7 @@
 import anyio.lowlevel
 import msgspec
 
-from apricotpoint._bench.slopesentry import KEY, encoded
+from apricotpoint._bench.slopescodec import KEY, encoded
 from apricotpoint._bench.slopesfakes import INCARNATION, configuration
 from apricotpoint._bench.slopesfit import REPEATS, Series, chosen, least_us, least_us_async
 from apricotpoint._control.feed import ConfigurationFeed
--- a/src/apricotpoint/_bench/slopesfit.py
+++ b/src/apricotpoint/_bench/slopesfit.py
@@ -9,12 +9,15 @@
 import tracemalloc
 from collections.abc import Awaitable, Callable, Sequence
 
+import anyio
 import attrs
 
 from apricotpoint._core.timers import TimerService
 
 REPEATS = 3
 WALL = 1_800_000_000.0
+# Backend servers of one entry process today (24 over 6) and for larger cells.
+HELD = (4, 12, 45, 180, 720)
 
 
 @attrs.define
@@ -125,3 +128,7 @@
         for name, value in values.items()
     }
     print(json.dumps(rounded), flush=True)
+
+
+def run_part(measure: Callable[[], Awaitable[None]]) -> None:
+    anyio.run(measure)
--- a/src/apricotpoint/_bench/slopeslink.py
+++ b/src/apricotpoint/_bench/slopeslink.py
@@ -12,7 +12,7 @@
 import anyio.abc
 import msgspec
 
-from apricotpoint._bench.slopesentry import KEY, encoded
+from apricotpoint._bench.slopescodec import KEY, encoded
 from apricotpoint._bench.slopesfakes import load_report
 from apricotpoint._bench.slopesfit import REPEATS, Series, chosen, least_us_async
 from apricotpoint._core.counters import Counters
