Share the wiring of the deciding parts between program and bench

The entry program, the rig of the bench and the fuzz test each wired cluster, lease holder and coordinator themselves, so a measured or fuzzed system could differ from the one that runs. EntryParts does it once.

--- a/src/apricotpoint/_bench/faultyentry.py
+++ b/src/apricotpoint/_bench/faultyentry.py
@@ -58,16 +58,11 @@
         group = await self._stack.enter_async_context(anyio.create_task_group())
         self._stack.callback(group.cancel_scope.cancel)
         group.start_soon(self._port.run)
-        for part in (self._timers, self.feed, self.cluster, self.holder, self.coordinator):
+        for part in (self._timers, self.feed, self._parts):
             await self._stack.enter_async_context(part)
         self._timers.every(FOLLOW_PERIOD_S, self._follow)
         return self
 
-    def start_draining(self) -> None:
-        """Refuse new jobs and hand over the backend servers."""
-        self.draining = True
-        self.coordinator.start_draining()
-
     def _follow(self) -> None:
         if self.entry_id in self.feed.configuration().stopped_vms:
             self.on_stopped()
@@ -77,8 +72,7 @@
         if drained and not self.draining:
             self.start_draining()
         elif self.draining and not (drained or self.stopping):
-            self.draining = False
-            self.coordinator.stop_draining()
+            self._parts.stop_draining()
 
     def _in_force(self) -> Configuration:
         return self.feed.configuration()
--- a/src/apricotpoint/_bench/rig.py
+++ b/src/apricotpoint/_bench/rig.py
@@ -167,8 +167,7 @@
     async def stop_entry(self, entry_id: str) -> None:
         """Stop an entry process gracefully: drain, wait until idle, end."""
         running = self.running_by_id[entry_id]
-        running.entry.draining = True
-        running.entry.coordinator.start_draining()
+        running.entry.start_draining()
         running.accepts = False
         await anyio.sleep(6)
         # The parts offer no event for being idle; a stop is rare, so it polls.
--- a/src/apricotpoint/_programs/entry.py
+++ b/src/apricotpoint/_programs/entry.py
@@ -23,24 +23,20 @@
 from apricotpoint._core.secrets import load_secrets
 from apricotpoint._core.timers import TimerService
 from apricotpoint._core.usage import usage
-from apricotpoint._dispatch.cluster import Cluster
-from apricotpoint._dispatch.estimator import KindEstimator
-from apricotpoint._dispatch.holder import Holder
 from apricotpoint._http import announcements, callers, operators
 from apricotpoint._http.backends import BackendClient
 from apricotpoint._http.serve import TlsFiles, serve
-from apricotpoint._jobs.coordinator import Coordinator
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._link.transport import PeerUnreachable
 from apricotpoint._operator.commands import Commands
 from apricotpoint._operator.dump import StateDump, dump_on_signal
 from apricotpoint._programs.configrows import configuration_rows
 from apricotpoint._programs.console import run_commands, settings_commands
+from apricotpoint._programs.entryparts import EntryParts
 from apricotpoint._programs.incarnation import new_incarnation
 from apricotpoint._programs.signals import wait_for_stop_signal
 from apricotpoint._settings.entry import EntrySettings
 from apricotpoint._wire.configuration import Change, ChangeReply, ChangeRequest
-from apricotpoint._wire.load import LoadReport
 
 CHANGE_TIMEOUT_S = 5.0
 IDLE_POLL_S = 0.05
@@ -91,13 +87,11 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.counters = Counters()
-        self.draining = False
         self._secrets = load_secrets(Path(settings.secrets_file))
         self._stack = AsyncExitStack()
         self._close = anyio.Event()
         self._closed = anyio.Event()
         incarnation = new_incarnation()
-        generator = random.Random(incarnation)
         self._timers = TimerService()
         self._mesh = Mesh(
             process_id=settings.entry_id,
@@ -117,47 +111,23 @@
             cache_path=data_folder / "configuration.cache" if data_folder else None,
         )
         self._backends = BackendClient(counters=self.counters)
-        self._cluster = Cluster(
-            entry_id=settings.entry_id,
-            incarnation=incarnation,
-            transport=self._mesh,
-            timers=self._timers,
-            make_report=self._report,
-            entry_ids=lambda: settings.peer_by_id,
-        )
-        estimator = KindEstimator()
-        self._holder = Holder(
+        self._parts = EntryParts(
             entry_id=settings.entry_id,
             incarnation=incarnation,
             failure_domain=settings.failure_domain,
             weight=settings.weight,
+            caller_address=settings.caller_bind,
             transport=self._mesh,
             timers=self._timers,
             counters=self.counters,
-            random=generator,
-            cluster=self._cluster,
-            estimator=estimator,
+            random=random.Random(incarnation),
+            entry_ids=lambda: settings.peer_by_id,
             configuration=self._feed.configuration,
-            draining=lambda: self.draining,
+            configuration_current=self._feed.current,
+            claim=claim_function(self._mesh, settings.control_by_domain, settings.failure_domains),
             send_to_backend=self._backends.send,
             ask_backend=self._backends.ask,
             cancel_on_backend=self._backends.cancel,
-        )
-        self._coordinator = Coordinator(
-            entry_id=settings.entry_id,
-            incarnation=incarnation,
-            failure_domain=settings.failure_domain,
-            transport=self._mesh,
-            timers=self._timers,
-            counters=self.counters,
-            random=generator,
-            holder=self._holder,
-            cluster=self._cluster,
-            estimator=estimator,
-            claim=claim_function(self._mesh, settings.control_by_domain, settings.failure_domains),
-            configuration=self._feed.configuration,
-            configuration_current=self._feed.current,
-            caller_address=settings.caller_bind,
             drain_grace_s=settings.drain_grace_s,
         )
         self.state_dump = StateDump(
@@ -166,13 +136,13 @@
             part_by_name={
                 "settings": lambda: attrs.asdict(settings),
                 "incarnation": lambda: incarnation,
-                "draining": lambda: self.draining,
+                "draining": lambda: self._parts.draining,
                 "configuration": self._feed.configuration,
                 "configuration_current": self._feed.current,
                 "counters": self.snapshot,
-                "holder": self._holder.dump,
-                "coordinator": self._coordinator.dump,
-                "cluster": lambda: self._cluster.live(LIVE_AGE_S),
+                "holder": self._parts.holder.dump,
+                "coordinator": self._parts.coordinator.dump,
+                "cluster": lambda: self._parts.cluster.live(LIVE_AGE_S),
             },
         )
         self._commands = Commands(
@@ -181,8 +151,8 @@
             rows_by_table=self._rows_by_table(),
             configuration=self._feed.configuration,
             change=self._change,
-            submit=self._coordinator.submit,
-            cancel=self._coordinator.cancel,
+            submit=self._parts.coordinator.submit,
+            cancel=self._parts.coordinator.cancel,
             dump=self.state_dump.build,
         )
 
@@ -193,9 +163,7 @@
             self._mesh,
             self._feed,
             self._backends,
-            self._cluster,
-            self._holder,
-            self._coordinator,
+            self._parts,
         ):
             await self._stack.enter_async_context(part)
         return self
@@ -214,19 +182,19 @@
         """Serve callers, announcements and operators until `close_interfaces`."""
         settings = self.settings
         caller_app = callers.make_app(
-            self._coordinator,
+            self._parts.coordinator,
             secrets=self._secrets,
             counters=self.counters,
-            draining=lambda: self.draining,
+            draining=lambda: self._parts.draining,
         )
         announce_app = announcements.make_app(
-            self._holder, secrets=self._secrets, counters=self.counters
+            self._parts.holder, secrets=self._secrets, counters=self.counters
         )
         operator_app = operators.make_app(
             self._commands,
             is_operator=lambda token: self._secrets.operator_of(token) is not None,
             counters=self.snapshot,
-            health=lambda: {"process": settings.entry_id, "draining": self.draining},
+            health=lambda: {"process": settings.entry_id, "draining": self._parts.draining},
         )
         async with anyio.create_task_group() as group:
             for app, bind, tls in (
@@ -258,11 +226,11 @@
     async def drain(self) -> None:
         """Refuse new jobs, hand over the backend servers, and finish all work in progress."""
         _log.info("draining")
-        self._start_draining()
+        self._parts.start_draining()
         await anyio.sleep(self.settings.drain_grace_s)
         with anyio.move_on_after(self.settings.drain_limit_s) as scope:
             # The parts offer no event for being idle, and a drain is rare.
-            while not (self._coordinator.idle() and self._holder.idle()):  # noqa: ASYNC110
+            while not self._parts.idle():  # noqa: ASYNC110
                 await anyio.sleep(IDLE_POLL_S)
         if scope.cancelled_caught:
             _log.warn("work is still in progress after {:g} s", self.settings.drain_limit_s)
@@ -290,55 +258,34 @@
         await serve(app, bind, tls, self._close.wait, task_status=task_status)
 
     def _follow_configuration(self) -> None:
-        versions = [view.report.config_version for view in self._cluster.live(LIVE_AGE_S)]
+        versions = [view.report.config_version for view in self._parts.cluster.live(LIVE_AGE_S)]
         self._feed.heard_version(max(versions))
         drained = self.settings.entry_id in self._feed.configuration().drained_vms
-        if drained and not self.draining:
+        if drained and not self._parts.draining:
             _log.info("drained by the configuration")
-            self._start_draining()
-        if not drained and self.draining:
+            self._parts.start_draining()
+        if not drained and self._parts.draining:
             _log.info("no longer drained")
-            self.draining = False
-            self._coordinator.stop_draining()
-
-    def _start_draining(self) -> None:
-        if not self.draining:
-            self.draining = True
-            self._coordinator.start_draining()
-
-    def _report(self) -> LoadReport:
-        backends = self._holder.backend_loads()
-        return LoadReport(
-            config_version=self._feed.configuration().version,
-            draining=self.draining,
-            weight=self.settings.weight,
-            held_slots=sum(backend.slots for backend in backends),
-            backends=backends,
-            queued_s_by_service=self._holder.queued_s_by_service(),
-            queued_tasks=self._holder.queued_tasks(),
-            failure_domain=self.settings.failure_domain,
-            caller_address=self.settings.caller_bind,
-            tasks_by_team=self._coordinator.tasks_by_team(),
-        )
+            self._parts.stop_draining()
 
     def _rows_by_table(self) -> dict[str, Callable[[], list[dict[str, Any]]]]:
         return {
-            "jobs": lambda: self._coordinator.rows("jobs"),
-            "tasks": lambda: self._coordinator.rows("tasks"),
-            "backends": self._holder.rows,
+            "jobs": lambda: self._parts.coordinator.rows("jobs"),
+            "tasks": lambda: self._parts.coordinator.rows("tasks"),
+            "backends": self._parts.holder.rows,
             "vms": self._vm_rows,
             "services": lambda: configuration_rows(self._feed.configuration().service_by_name),
             "teams": lambda: configuration_rows(self._feed.configuration().team_by_name),
         }
 
     def _vm_rows(self) -> list[dict[str, Any]]:
-        report = self._report()
+        report = self._parts.report()
         return [
             {
                 "vm": self.settings.entry_id,
                 "role": "entry",
                 "failure_domain": self.settings.failure_domain,
-                "draining": self.draining,
+                "draining": self._parts.draining,
                 "config_version": report.config_version,
                 "config_current": self._feed.current(),
                 "held_slots": report.held_slots,
