Report each control member once and correct the documented add member command

Seen on real processes: show members listed 8 rows for 3 members, because each replica reported its own view of all; the leader now reports them, with roles, and a process without a leader reports itself.

--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -138,28 +138,39 @@
             self.registry.close()
 
     def rows(self) -> list[dict[str, Any]]:
-        """Return one row for each control member and learner, as seen from here."""
+        """Return one row for each control member and learner.
+
+        The leader reports all of them, so a follower of it reports none. A
+        process without a leader reports itself.
+        """
+        replica = self.replica
+        if replica.role is Role.LEADER:
+            members = self._log.disk_by_member()
+            return [
+                self._member_row(member_id)
+                for member_id in sorted({*members, *replica.learner_ids, self.node_id})
+            ]
+        return [] if replica.has_majority() else [self._member_row(self.node_id)]
+
+    def _member_row(self, member_id: str) -> dict[str, Any]:
         replica = self.replica
         members = self._log.disk_by_member()
-        rows = []
-        for member_id in sorted({*members, *replica.learner_ids, self.node_id}):
-            progress = replica.progress_by_id.get(member_id)
-            is_self = member_id == self.node_id
-            rows.append(
-                {
-                    "vm": member_id,
-                    "member": member_id in members,
-                    "disk_id": members.get(member_id, ""),
-                    "role": replica.role.value if is_self else "",
-                    "leader": member_id == replica.leader_id,
-                    "match_index": self._log.last_index
-                    if is_self
-                    else progress.match_index
-                    if progress
-                    else None,
-                }
-            )
-        return rows
+        progress = replica.progress_by_id.get(member_id)
+        if member_id == self.node_id:
+            role, match_index = replica.role.value, self._log.last_index
+        else:
+            heard_at = progress.acked_at if progress else float("-inf")
+            live = self._timers.now() - heard_at <= ELECTION_S
+            role = _role_of_other(live=live, member=member_id in members)
+            match_index = progress.match_index if progress else 0
+        return {
+            "vm": member_id,
+            "member": member_id in members,
+            "disk_id": members.get(member_id, ""),
+            "role": role,
+            "leader": member_id == replica.leader_id,
+            "match_index": match_index,
+        }
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process as plain data."""
@@ -365,3 +376,9 @@
         while True:
             await self._timers.sleep(_COMPACT_CLAIMS_S)
             await self.registry.compact()
+
+
+def _role_of_other(*, live: bool, member: bool) -> str:
+    if not live:
+        return "unreachable"
+    return "follower" if member else "learner"
--- a/src/apricotpoint/_programs/ctl.py
+++ b/src/apricotpoint/_programs/ctl.py
@@ -54,7 +54,7 @@
     "set": "Change a service or team: set service order-desk max_queue_s = 20 at 12.",
     "create": "Create a service or team: create team hem quota_tasks = 200 at 13.",
     "remove": "Remove a service, team or member: remove team hem at 14.",
-    "add": 'Add a control member: add member toluca-c address = "10.0.3.5:7000" at 15.',
+    "add": "Add a control member: add member control-toluca at 15.",
     "drain": "Drain a VM or backend server: drain vm puebla-1 at 16.",
     "undrain": "End a drain: undrain vm puebla-1 at 17.",
     "stop": "Stop a VM or backend server: stop backend w-7 at 18.",
--- a/testing/control/test_replication.py
+++ b/testing/control/test_replication.py
@@ -361,8 +361,11 @@
         await anyio.sleep(3)
         reply = await cluster.change(leader, "later", 120, action="add_member", target="c4")
         assert reply.code == ResultCode.ACCEPTED
-        row = next(row for row in cluster.node(leader).rows() if row["vm"] == "c4")
-        assert row["member"]
+        rows = [row for node in [*IDS, "c4"] for row in cluster.node(node).rows()]
+        row_by_vm = {row["vm"]: row for row in rows}
+        assert len(rows) == len(row_by_vm) == 4, "each replica is reported once"
+        assert row_by_vm["c4"]["member"]
+        assert [row["role"] for row in rows].count("leader") == 1
 
     with_cluster(test, tmp_path)
 
