--- a/src/apricotpoint/_control/measure.py
+++ b/src/apricotpoint/_control/measure.py
@@ -21,6 +21,7 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
+from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._control.identity import initialise
 from apricotpoint._control.log import Log
 from apricotpoint._control.messages import Entry, Snapshot
@@ -233,6 +234,34 @@
     _report("change_commit", sync=sync_name, changes=count, **_quantiles(histogram))
 
 
+async def _measure_in_force(sync_name: str, sync: SyncFunction, count: int) -> None:
+    """Measure the time from sending a change until six entry processes have it."""
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    with _folder() as folder:
+        async with _Cluster(folder, sync) as cluster, AsyncExitStack() as stack:
+            leader = await cluster.leader()
+            feeds = [
+                await stack.enter_async_context(
+                    ConfigurationFeed(
+                        transport=_LocalTransport(f"e{number}", cluster.transport_by_id),
+                        control_ids=_IDS,
+                        timers=TimerService(),
+                        counters=Counters(),
+                    )
+                )
+                for number in range(6)
+            ]
+            for number in range(count):
+                # A pause that is no multiple of the poll, so that changes meet polls at any time.
+                await anyio.sleep(0.037)
+                started_at = time.perf_counter()
+                await leader.replica.change(Change(f"c{number}", number, "drain_vm", "vm"))
+                while any(feed.configuration().version <= number for feed in feeds):  # noqa: ASYNC110
+                    await anyio.sleep(0.001)
+                histogram.record_value(int((time.perf_counter() - started_at) * 1e6))
+    _report("change_in_force", sync=sync_name, feeds=6, changes=count, **_quantiles(histogram))
+
+
 async def _measure_failover(runs: int) -> None:
     times = []
     for seed in range(runs):
@@ -335,6 +364,7 @@
             await _measure_claims(sync.name, sync.function, concurrency)
     for sync in syncs:
         await _measure_changes(sync.name, sync.function, 300)
+        await _measure_in_force(sync.name, sync.function, 100)
     for changes in (1_000, 100_000):
         await _measure_restart(changes)
     await _measure_claim_memory(50_000)
--- a/src/apricotpoint/_operator/dump.py
+++ b/src/apricotpoint/_operator/dump.py
@@ -64,7 +64,7 @@
 def _plain(value: object) -> object:
     if isinstance(value, Path):
         return str(value)
-    raise NotImplementedError(f"a dump cannot hold {type(value).__name__}")
+    raise TypeError(f"a dump cannot hold {type(value).__name__}")
 
 
 async def dump_on_signal(dump: StateDump, folder: Path) -> None:
