--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -144,17 +144,16 @@
         process without a leader reports itself.
         """
         replica = self.replica
+        members = self._log.disk_by_member()
         if replica.role is Role.LEADER:
-            members = self._log.disk_by_member()
             return [
-                self._member_row(member_id)
+                self._member_row(member_id, members)
                 for member_id in sorted({*members, *replica.learner_ids, self.node_id})
             ]
-        return [] if replica.has_majority() else [self._member_row(self.node_id)]
+        return [] if replica.has_majority() else [self._member_row(self.node_id, members)]
 
-    def _member_row(self, member_id: str) -> dict[str, Any]:
+    def _member_row(self, member_id: str, members: Mapping[str, str]) -> dict[str, Any]:
         replica = self.replica
-        members = self._log.disk_by_member()
         progress = replica.progress_by_id.get(member_id)
         if member_id == self.node_id:
             role, match_index = replica.role.value, self._log.last_index
--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -212,8 +212,11 @@
 def check_record_file(storage: Storage, name: str) -> None:
     """Raise `ApricotError` 5101 if a created record file has lost its first record."""
     path = storage.folder / name
-    data = path.read_bytes()[: _HEADER.size] if path.exists() else b""
-    if _parse_header(data, 0) is None:
+    header = b""
+    if path.exists():
+        with path.open("rb") as file:
+            header = file.read(_HEADER.size)
+    if _parse_header(header, 0) is None:
         raise ApricotError(
             ResultCode.LOG_TORN,
             f"{path} has lost its content",
