--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -32,21 +32,22 @@
 
     With a `cache_path` a version is synced there before it is in force, so a
     restart never goes back. Other processes without a disk may ask this one at
-    their start. `storage` is for tests.
+    their start. `control_ids` are the control processes, or a function that
+    returns those known at the time. `storage` is for tests.
     """
 
     def __init__(
         self,
         *,
         transport: Transport,
-        control_ids: Sequence[str],
+        control_ids: Sequence[str] | Callable[[], Sequence[str]],
         timers: TimerService,
         counters: Counters,
         cache_path: Path | None = None,
         storage: Storage | None = None,
     ) -> None:
         self._transport = transport
-        self._control_ids = list(control_ids)
+        self._control_ids = control_ids if callable(control_ids) else lambda: control_ids
         self._timers = timers
         self._counters = counters
         self._cache_path = cache_path
@@ -82,7 +83,7 @@
     async def __aenter__(self) -> ConfigurationFeed:
         self._read_cache()
         self._transport.request_handlers_by_type.setdefault(ConfigPoll, self._on_poll)
-        await self._fetch([*self._control_ids, *self._other_ids()])
+        await self._fetch([*self._control_ids(), *self._other_ids()])
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
         self._group.start_soon(self._poll)
@@ -100,7 +101,8 @@
         return await self._group.__aexit__(exc_type, exc, traceback)
 
     def _other_ids(self) -> list[str]:
-        return [peer for peer in self._transport.peers() if peer not in self._control_ids]
+        control_ids = set(self._control_ids())
+        return [peer for peer in self._transport.peers() if peer not in control_ids]
 
     async def _on_poll(self, _: Sender, message: object) -> object:
         assert isinstance(message, ConfigPoll)
@@ -116,9 +118,11 @@
     async def _poll(self) -> None:
         position = 0
         while True:
-            if not self._control_ids:
-                await anyio.sleep_forever()
-            control_id = self._control_ids[position % len(self._control_ids)]
+            control_ids = self._control_ids()
+            if not control_ids:
+                await self._timers.sleep(_RETRY_S)
+                continue
+            control_id = control_ids[position % len(control_ids)]
             asked_at = self._timers.now()
             if not await self._ask(control_id, wait_s=_POLL_S):
                 position += 1
@@ -131,7 +135,7 @@
             self._heard = anyio.Event()
             if self._heard_version > self._configuration.version:
                 self._counters.add("configuration.fetched_heard")
-                await self._fetch([*self._control_ids, *self._other_ids()])
+                await self._fetch([*self._control_ids(), *self._other_ids()])
 
     async def _fetch(self, peer_ids: Sequence[str]) -> None:
         async with anyio.create_task_group() as group:
--- a/src/apricotpoint/_control/identity.py
+++ b/src/apricotpoint/_control/identity.py
@@ -64,6 +64,23 @@
     return identity
 
 
+def is_initialised(folder: Path) -> bool:
+    """Return whether a data folder was initialised to the end."""
+    return (folder / _FILE_NAME).exists()
+
+
+def discard_unfinished(folder: Path) -> None:
+    """Remove what an interrupted initialisation has left.
+
+    The identity is written last, so a folder without one holds nothing that
+    was ever acknowledged. Must not be called for any other folder.
+    """
+    assert not is_initialised(folder)
+    names = (log.FILE_NAME, registry.FILE_NAME, _FILE_NAME)
+    for name in (*names, *(f"{name}.new" for name in names)):
+        (folder / name).unlink(missing_ok=True)
+
+
 async def count_start(storage: Storage, *, node_id: str, random: random.Random) -> Identity:
     """Read the identity, increment its start counter and sync it.
 
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -14,6 +14,7 @@
 from apricotpoint._control import election, replication
 from apricotpoint._control.identity import Identity, count_start
 from apricotpoint._control.log import Log
+from apricotpoint._control.membership import maintain_members
 from apricotpoint._control.messages import (
     Append,
     ChangeForward,
@@ -45,6 +46,9 @@
     ChangeRequest,
     ConfigPoll,
     ConfigUpdate,
+    Document,
+    DocumentReply,
+    DocumentRequest,
 )
 from apricotpoint._wire.jobs import Claim
 
@@ -53,6 +57,8 @@
 _LONGEST_POLL_S = 10.0
 _COMPACT_CLAIMS_S = 10.0
 _MAX_LEARNERS = 8
+# Half of it is the leader's round to a majority, the rest the way to the leader.
+_READ_S = 1.0
 
 
 class ControlNode:
@@ -62,6 +68,11 @@
     failed sync, a full disk (5103, 5104) or a newer start of this node
     elsewhere (5105) ends the task group of the node with `ApricotError`; no
     request is acknowledged after that. `storage` is for tests.
+
+    `members` are the other control processes to start with. With
+    `initial_members`, the members of a new deployment are exactly these, and
+    the leader replaces lost members by control processes that report to it;
+    otherwise they are `members` and this process, and operators change them.
     """
 
     def __init__(
@@ -76,6 +87,7 @@
         counters: Counters,
         random: random.Random,
         storage: Storage | None = None,
+        initial_members: Sequence[str] | None = None,
     ) -> None:
         self.node_id = node_id
         self.failure_domain = failure_domain
@@ -85,7 +97,10 @@
         self._counters = counters
         self._random = random
         self._storage = storage or Storage(data_folder)
-        self._log = Log(self._storage, initial_members=[*self._others, node_id])
+        self._replaces_members = initial_members is not None
+        self._log = Log(
+            self._storage, initial_members=list(initial_members or [*self._others, node_id])
+        )
         self._starts = Starts(self._storage)
         self._published = anyio.Event()
         self._checked = anyio.Event()
@@ -208,8 +223,11 @@
         self._handle(ConfigPoll, self._on_poll)
         self._handle(ChangeRequest, self._on_change)
         self._handle(ChangeForward, self._on_forwarded)
+        self._handle(DocumentRequest, self._on_document)
         self._checked.set()
         async with anyio.create_task_group() as group:
+            if self._replaces_members:
+                group.start_soon(maintain_members, self.replica)
             group.start_soon(self._compact_claims)
             group.start_soon(self._announce_learner)
             await self.replica.run(campaign=election.campaign, replicate=replication.replicate)
@@ -294,10 +312,12 @@
         while True:
             await self._timers.sleep(_START_CHECK_S)
             replica = self.replica
-            if replica.is_voter() or replica.has_majority():
+            # A member that was removed while it was cut off believes that it is one.
+            if replica.has_majority() or (replica.is_voter() and not self._replaces_members):
                 continue
-            for member_id in replica.other_ids():
-                await self._report_start(member_id)
+            async with anyio.create_task_group() as group:
+                for other_id in sorted({*replica.other_ids(), *self._others}):
+                    group.start_soon(self._report_start, other_id)
 
     # Replica
 
@@ -366,6 +386,28 @@
             return self.replica.no_majority(NOT_ACCEPTED)
         return await self.replica.change(message.change)
 
+    async def document(self) -> Document | None:
+        """Return the latest document, None if this process cannot be sure which it is."""
+        replica = self.replica
+        if replica.role is Role.LEADER:
+            confirmed = await replica.confirm(_READ_S / 2)
+            return replica.state.configuration.document if confirmed else None
+        if replica.leader_id is None:
+            return None
+        try:
+            reply = await self._transport.request(
+                replica.leader_id, DocumentRequest(), timeout_s=_READ_S
+            )
+        except PeerUnreachable:
+            return None
+        assert isinstance(reply, DocumentReply)
+        return reply.document
+
+    async def _on_document(self, _: Sender, __: DocumentRequest) -> object:
+        if self.replica.role is not Role.LEADER:
+            return DocumentReply()
+        return DocumentReply(await self.document())
+
     # Claims
 
     async def _on_claim(self, _: Sender, message: Claim) -> object:
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -29,7 +29,7 @@
 CHANGE_S = 3.0
 ENTRIES_PER_APPEND = 100
 # A learner may be added as a member when it lacks at most this many entries.
-_CAUGHT_UP_ENTRIES = 50
+CAUGHT_UP_ENTRIES = 50
 
 # True of this request only: an earlier one with the same command id may be accepted.
 NOT_ACCEPTED = "no leader with a majority took this request; send it again with the same command id"
@@ -303,7 +303,7 @@
         answer = self.state.answer_by_command.get(change.command_id)
         if answer is not None:
             return answer
-        if change.action in MEMBER_ACTIONS and not await self.wait_for(self._is_settled, CHANGE_S):
+        if change.action in MEMBER_ACTIONS and not await self.wait_for(self.is_settled, CHANGE_S):
             return self.no_majority(NOT_ACCEPTED)
         if self.role is not Role.LEADER:
             return self.no_majority(NOT_ACCEPTED)
@@ -350,7 +350,8 @@
             return self.majority(lambda progress: progress.acked_at >= limit)
         return self.leader_id is not None and self.heard_leader_at >= limit
 
-    def _is_settled(self) -> bool:
+    def is_settled(self) -> bool:
+        """Return whether a leader has committed all entries, the last in its own term."""
         return (
             self.role is not Role.LEADER
             or self.commit_index == self.log.last_index
@@ -387,7 +388,7 @@
             )
         progress = self.progress_by_id.get(member_id)
         match_index = progress.match_index if progress and progress.disk_id else -1
-        if self.log.last_index - match_index > _CAUGHT_UP_ENTRIES or match_index < 0:
+        if self.log.last_index - match_index > CAUGHT_UP_ENTRIES or match_index < 0:
             return ChangeReply(
                 ResultCode.INVALID_COMMAND,
                 version,
@@ -448,7 +449,7 @@
             self._record_disks()
 
     def _record_disks(self) -> None:
-        if not self._is_settled():
+        if not self.is_settled():
             return
         members = dict(self.log.disk_by_member())
         for member_id, recorded in members.items():
--- a/src/apricotpoint/_control/state.py
+++ b/src/apricotpoint/_control/state.py
@@ -13,12 +13,14 @@
     Change,
     ChangeReply,
     Configuration,
+    Document,
     ServiceConfig,
     TeamConfig,
 )
 
 MAX_ANSWERS = 10_000
 MEMBER_ACTIONS = frozenset({"add_member", "remove_member"})
+REPLACE_DOCUMENT = "replace_document"
 POLICIES = ("predicted", "random", "round_robin", "least_outstanding", "two_choices")
 
 _MAX_NAME_LENGTH = 64
@@ -80,6 +82,8 @@
 
     def _answer_once(self, entry: Entry) -> ChangeReply:
         assert entry.change is not None
+        if entry.change.action == REPLACE_DOCUMENT:
+            return self._replace_document(entry.change)
         answer = self.answer_by_command.get(entry.change.command_id)
         if answer is not None:
             return answer
@@ -98,6 +102,19 @@
         self.configuration = attrs.evolve(changed, version=version)
         return ChangeReply(code=ResultCode.ACCEPTED, version=version)
 
+    def _replace_document(self, change: Change) -> ChangeReply:
+        """Take over a document with a higher version; every other one changes nothing.
+
+        A repeated change therefore needs no kept answer.
+        """
+        document = Document(change.arguments["version"], change.arguments["text"])
+        if document.version > self.configuration.document.version:
+            version = self.configuration.version + 1
+            self.configuration = attrs.evolve(
+                self.configuration, version=version, document=document
+            )
+        return ChangeReply(code=ResultCode.ACCEPTED, version=self.configuration.version)
+
     def _refused(self, refusal: Refusal) -> ChangeReply:
         return ChangeReply(
             code=refusal.code, version=self.configuration.version, message=refusal.message
--- a/src/apricotpoint/_http/serve.py
+++ b/src/apricotpoint/_http/serve.py
@@ -42,12 +42,14 @@
     shutdown: Callable[[], Awaitable[None]],
     *,
     grace_s: float = DEFAULT_GRACE_S,
+    idle_s: float = HEAD_TIMEOUT_S,
     task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` on `bind` ("host:port") until `shutdown` returns.
 
     Then no connection is accepted any more, and requests in progress get up
-    to `grace_s` seconds to finish. Reports the bound port as task status.
+    to `grace_s` seconds to finish. A connection without a request is closed
+    after `idle_s` seconds. Reports the bound port as task status.
     Needs the asyncio back end of anyio.
     """
     listener = _listen(bind)
@@ -55,7 +57,7 @@
     config = Config()
     config.bind = [f"fd://{listener.detach()}"]
     config.alpn_protocols = ["http/1.1"]
-    config.keep_alive_timeout = HEAD_TIMEOUT_S
+    config.keep_alive_timeout = idle_s
     config.graceful_timeout = grace_s
     config.include_server_header = False
     config.loglevel = "WARNING"
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 import secrets
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from types import TracebackType
 
 import anyio
@@ -31,6 +31,11 @@
 _log = logbook.Logger("link")
 
 
+def no_address(_: str) -> str | None:
+    """Know no peers beside those of the settings."""
+    return None
+
+
 @attrs.define(eq=False)
 class _Pending:
     peer_id: str
@@ -47,6 +52,9 @@
     that learns from a peer that its own is lower ends with `ApricotError`,
     code 5106, because that peer would not hear it. Use as an async context
     manager; handlers must be registered before.
+
+    Peers may be added while the mesh runs. `address_of` returns the address of
+    a peer that is not known yet and sends a valid message, None if it is no peer.
     """
 
     def __init__(
@@ -59,6 +67,7 @@
         keys: Sequence[bytes],
         timers: TimerService,
         counters: Counters,
+        address_of: Callable[[str], str | None] = no_address,
     ) -> None:
         self.handlers_by_type: dict[type, Handler] = {}
         self.request_handlers_by_type: dict[type, RequestHandler] = {}
@@ -72,19 +81,13 @@
         # A random start keeps late replies to another incarnation apart.
         self._request_ids = itertools.count(secrets.randbits(48) + 1)
         self._requests_in_progress = 0
+        self._address_of = address_of
         self._link_by_id = {
-            peer_id: PeerLink(
-                process_id=process_id,
-                incarnation=incarnation,
-                peer_id=peer_id,
-                address=address,
-                key=self._keys[0],
-                timers=timers,
-                counters=counters,
-            )
+            peer_id: self._make_link(peer_id, address)
             for peer_id, address in address_by_peer.items()
             if peer_id != process_id
         }
+        self._scope_by_id: dict[str, anyio.CancelScope] = {}
         self._group: anyio.abc.TaskGroup | None = None
         self._pull: pynng.Pull0 | None = None
 
@@ -103,7 +106,7 @@
         await self._group.__aenter__()
         self._group.start_soon(self._receive, self._pull)
         for link in self._link_by_id.values():
-            self._group.start_soon(link.run)
+            self._start_link(link)
         return self
 
     async def __aexit__(
@@ -161,6 +164,23 @@
         """Return the ids of all known peers."""
         return list(self._link_by_id)
 
+    def add_peer(self, peer_id: str, address: str) -> None:
+        """Open a link to a peer that is not known yet; the mesh must be running."""
+        if peer_id == self._process_id or peer_id in self._link_by_id:
+            return
+        link = self._link_by_id[peer_id] = self._make_link(peer_id, address)
+        self._counters.add("link.peers_added")
+        self._start_link(link)
+
+    def remove_peer(self, peer_id: str) -> None:
+        """Close the link to a peer; messages that wait for it are dropped."""
+        if self._link_by_id.pop(peer_id, None) is None:
+            return
+        self._counters.add("link.peers_removed")
+        scope = self._scope_by_id.pop(peer_id, None)
+        if scope is not None:
+            scope.cancel()
+
     def heard_ago(self, peer_id: str) -> float:
         """Return the seconds since the peer was last heard; infinity if never."""
         link = self._link_by_id.get(peer_id)
@@ -171,6 +191,34 @@
         link = self._link_by_id.get(peer_id)
         return None if link is None else link.peer_incarnation
 
+    def _make_link(self, peer_id: str, address: str) -> PeerLink:
+        return PeerLink(
+            process_id=self._process_id,
+            incarnation=self._incarnation,
+            peer_id=peer_id,
+            address=address,
+            key=self._keys[0],
+            timers=self._timers,
+            counters=self._counters,
+        )
+
+    def _start_link(self, link: PeerLink) -> None:
+        assert self._group is not None
+        scope = self._scope_by_id[link.peer_id] = anyio.CancelScope()
+
+        async def run() -> None:
+            with scope:
+                await link.run()
+
+        self._group.start_soon(run)
+
+    def _link_of_sender(self, peer_id: str) -> PeerLink | None:
+        if peer_id not in self._link_by_id and peer_id != self._process_id:
+            address = self._address_of(peer_id)
+            if address is not None:
+                self.add_peer(peer_id, address)
+        return self._link_by_id.get(peer_id)
+
     async def _flush(self) -> None:
         """Give messages to live peers a short time to be sent and acknowledged."""
         with anyio.move_on_after(FLUSH_S, shield=True):
@@ -200,7 +248,7 @@
             self._counters.add("link.undecodable")
             return
         self._counters.add("link.received")
-        link = self._link_by_id.get(envelope.sender)
+        link = self._link_of_sender(envelope.sender)
         if link is None:
             self._counters.add("link.unknown_sender")
             return
--- /dev/null
+++ b/src/apricotpoint/_pool/claimer.py
@@ -0,0 +1,164 @@
+"""Takes over and releases backend servers according to the claims on failure domains."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+import attrs
+import logbook
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._pool import claims
+from apricotpoint._pool.members import LIVE_S, STATUS_S, EntryMembers
+from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.scheduler import Scheduler
+from apricotpoint._wire.pool import EntryStatus
+
+CHECK_S = 0.1
+# A process that starts, or was paused, first listens to the others, in seconds.
+LISTEN_S = LIVE_S + STATUS_S
+# A check that is later than this, in seconds, means that the process was
+# paused: others regard it as lost and may have taken over.
+PAUSE_S = 0.8
+# Time in seconds before a process that was fenced off tries to take over again.
+FENCED_REST_S = 1.0
+# The fencing token is the term of the claim with room below it for the steps
+# that a holder takes by itself. Terms follow the wall clock in seconds, so the
+# result stays below 2**53, the largest integer that JSON numbers carry exactly.
+TERM_BITS = 22
+
+_log = logbook.Logger("claims")
+
+
+@attrs.define(eq=False)
+class _Claim:
+    """The claim of this process on a failure domain."""
+
+    term: int
+
+
+class Claimer:
+    """Claims of one entry process; `check` is to be called every `CHECK_S`."""
+
+    def __init__(
+        self,
+        *,
+        domains: Callable[[], Collection[str]],
+        scheduler: Scheduler,
+        roster: Roster,
+        timers: TimerService,
+        counters: Counters,
+        suspended_s: Callable[[], float],
+    ) -> None:
+        self.draining = False
+        self._domains = domains
+        self._scheduler = scheduler
+        self._roster = roster
+        self._timers = timers
+        self._counters = counters
+        self._suspended_s = suspended_s
+        self._claim_by_domain: dict[str, _Claim] = {}
+        self._lowest_term_by_domain: dict[str, int] = {}
+        self._listen_until = timers.now() + LISTEN_S
+        self._was_fenced = False
+        self._checked_at = timers.now()
+        self._checked_suspended_s = suspended_s()
+        roster.subscribe(scheduler.announce)
+
+    def term_by_claim(self) -> dict[str, int]:
+        """Return the claims of this process."""
+        return {domain: claim.term for domain, claim in self._claim_by_domain.items()}
+
+    def held(self) -> list[str]:
+        """Return the backend servers that no other process may take over yet."""
+        return list(self._scheduler.held_by_id)
+
+    def fenced(self, domain: str) -> None:
+        """Note that another holder with a higher token was found in a failure domain."""
+        self._was_fenced = True
+        claim = self._claim_by_domain.pop(domain, None)
+        if claim is not None:
+            # Should the other one turn out to be gone, the next claim has to be higher.
+            self._lowest_term_by_domain[domain] = claim.term + int(2 * FENCED_REST_S) + 1
+            self._counters.add("claims.fenced")
+            _log.warning("claim on {} with term {} was fenced off", domain, claim.term)
+        self._listen_until = max(self._listen_until, self._timers.now() + FENCED_REST_S)
+
+    def check(self, members: EntryMembers) -> None:
+        """Compare claims with those of the other entry processes and act on them."""
+        self._check_pause()
+        live = members.live()
+        if not self.draining:
+            self._update_claims(members, live)
+        self._release(members.entry_id, live)
+        self._take(members, live)
+
+    def _check_pause(self) -> None:
+        now, suspended_s = self._timers.now(), self._suspended_s()
+        late_s = now - self._checked_at + suspended_s - self._checked_suspended_s
+        self._checked_at, self._checked_suspended_s = now, suspended_s
+        if late_s < PAUSE_S:
+            return
+        _log.warning("the process did not run for {:.1f} s and gives up its claims", late_s)
+        self._counters.add("claims.pauses")
+        self._claim_by_domain.clear()
+        self._listen_until = now + LISTEN_S
+        self._scheduler.drop_all(f"the process did not run for {late_s:.1f} s")
+
+    def _update_claims(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
+        own_id, now = members.entry_id, self._timers.now()
+        for domain in self._domains():
+            wanted = claims.should_claim(own_id, domain, live)
+            if domain in self._claim_by_domain:
+                if not wanted:
+                    del self._claim_by_domain[domain]
+                    _log.notice("claim on {} is given up", domain)
+                    members.send_status()
+            elif wanted and now >= self._listen_until and self._may_claim(members):
+                lowest = max(int(self._timers.wall()), self._lowest_term_by_domain.get(domain, 0))
+                term = claims.next_term(domain, live, lowest)
+                self._claim_by_domain[domain] = _Claim(term)
+                self._counters.add("claims.made")
+                _log.notice("claim {} with term {}", domain, term)
+                members.send_status()
+
+    def _may_claim(self, members: EntryMembers) -> bool:
+        # Whoever was fenced off and hears nobody is the one that is cut off; to
+        # take over again would only take the backend servers away from the others.
+        if members.hears_others():
+            self._was_fenced = False
+        return not self._was_fenced
+
+    def _release(self, own_id: str, live: dict[str, EntryStatus]) -> None:
+        others = {
+            domain
+            for entry_id, status in live.items()
+            if entry_id != own_id and not status.draining
+            for domain in status.term_by_claim
+        }
+        for backend_id, held in list(self._scheduler.held_by_id.items()):
+            said = self._roster.backend_by_id.get(backend_id)
+            if said is None:
+                self._scheduler.release(backend_id, "it is gone")
+            elif held.answered:
+                self._roster.confirm(backend_id)
+            domain = held.said.failure_domain
+            leaving = self.draining or domain not in self._claim_by_domain
+            if leaving and not held.run_by_key and domain in others:
+                self._scheduler.release(backend_id, "another process claims it")
+
+    def _take(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
+        if self.draining:
+            return
+        kept = {
+            backend_id
+            for entry_id, status in live.items()
+            if entry_id != members.entry_id
+            for backend_id in status.held
+        }
+        for backend_id, said in self._roster.backend_by_id.items():
+            claim = self._claim_by_domain.get(said.failure_domain)
+            if claim is None or backend_id in kept or backend_id in self._scheduler.held_by_id:
+                continue
+            self._scheduler.hold(said, claim.term << TERM_BITS)
--- /dev/null
+++ b/src/apricotpoint/_pool/job.py
@@ -0,0 +1,119 @@
+"""A job of a pool, its tasks and their runs."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from apricotpoint._pool.exchange import RunKey
+from apricotpoint._wire.pool import PoolAnswer, PoolJob
+
+if TYPE_CHECKING:
+    from apricotpoint._pool.held import HeldBackend
+
+
+class RunState(enum.Enum):
+    """What is known of a run.
+
+    `UNSURE`: the start got no answer, so it may run now, later or never.
+    """
+
+    STARTING = "starting"
+    UNSURE = "unsure"
+    RUNNING = "running"
+
+
+@attrs.define(eq=False)
+class Run:
+    """One start of a task on a backend server. Times are monotonic seconds."""
+
+    task: Task
+    number: int
+    backend: HeldBackend
+    token: int
+    sent_at: float
+    expected_s: float
+    state: RunState = RunState.STARTING
+    confirmed_at: float = 0.0
+    progress: int = 0
+    progress_at: float = 0.0
+    stopping: bool = False
+
+    @property
+    def key(self) -> RunKey:
+        """Name and number under which the backend server knows the run."""
+        return RunKey(self.task.name, self.number)
+
+
+@attrs.define(eq=False)
+class Task:
+    """One task; `run` is its present run, `failures` counts the runs that failed by themselves."""
+
+    job: Job
+    name: str
+    run: Run | None = None
+    runs: int = 0
+    failures: int = 0
+    done: bool = False
+    avoid: set[str] = attrs.Factory(set)
+
+
+@attrs.define(eq=False)
+class Job:
+    """A submitted job at the process that schedules it.
+
+    `origin` is the entry process that waits for the answer, empty for this
+    one. `started` is set with the first order to start a task: from then on
+    the job can no longer be refused as not run.
+    """
+
+    request: PoolJob
+    origin: str
+    arrived_at: float
+    estimate_s: float
+    tasks: list[Task] = attrs.Factory(list)
+    started: bool = False
+    cancelled: bool = False
+    answer: PoolAnswer | None = None
+    answered: anyio.Event = attrs.Factory(anyio.Event)
+
+    @property
+    def sent_at(self) -> float:
+        """When the caller sent the job."""
+        return self.arrived_at - self.request.elapsed_s
+
+    @property
+    def deadline_at(self) -> float:
+        """When the caller stops waiting."""
+        return self.sent_at + self.request.deadline_s
+
+    @property
+    def objective_s(self) -> float:
+        """Latency in seconds up to which an answer is in time."""
+        return self.request.base_latency_s + self.request.stretch * self.estimate_s
+
+    @property
+    def objective_at(self) -> float:
+        """When an answer is late."""
+        return min(self.sent_at + self.objective_s, self.deadline_at)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that neither run nor are done."""
+        return [task for task in self.tasks if task.run is None and not task.done]
+
+    def runs(self) -> list[Run]:
+        """Return the runs that may be at work."""
+        return [task.run for task in self.tasks if task.run is not None]
+
+    def is_done(self) -> bool:
+        """Return whether all tasks have ended as done."""
+        return all(task.done for task in self.tasks)
+
+    def close(self, answer: PoolAnswer) -> None:
+        """Set the final answer; a later one is ignored."""
+        if self.answer is None:
+            self.answer = answer
+            self.answered.set()
--- /dev/null
+++ b/src/apricotpoint/_pool/keeper.py
@@ -0,0 +1,211 @@
+"""Keeps the lease on one backend server and learns there what has become of its runs."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import anyio
+import logbook
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._pool.exchange import End, Holding, HoldRefused, RunKey, StartOutcome
+from apricotpoint._pool.held import HeldBackend
+from apricotpoint._pool.job import Run, RunState
+
+# Longest wait in seconds of one renewal for an end. Two lost renewals fit into a lease.
+WAIT_S = 0.2
+# Pause in seconds after a renewal without an answer.
+RETRY_S = 0.03
+# Renewals that fence off earlier orders count up by one; another holder starts above that.
+TOKEN_STEP = 1
+# A run whose progress stays the same for this long stands still, in seconds.
+# Progress is reported in percent, so a sound run shows 1% of its time.
+STANDSTILL_S = 0.35
+STANDSTILL_SHARE = 0.08
+
+_log = logbook.Logger("pool")
+
+
+class RunObserver(Protocol):
+    """What a keeper reports; none of the methods blocks."""
+
+    def run_ended(self, run: Run, end: End) -> None:
+        """Take the end of a run on its backend server."""
+
+    def run_lost(self, run: Run, reason: str) -> None:
+        """Take that a run is certainly gone without a known end."""
+
+    def run_stands_still(self, run: Run) -> None:
+        """Take that a run makes no progress."""
+
+    def backend_changed(self, held: HeldBackend) -> None:
+        """Take that a backend server can be used again, or no longer."""
+
+    def backend_gone(self, held: HeldBackend, reason: str) -> None:
+        """Take that this life of a backend server is over."""
+
+    def backend_fenced(self, held: HeldBackend) -> None:
+        """Take that another holder has taken over the backend server."""
+
+
+class Keeper:
+    """The one task that renews the lease on a backend server.
+
+    A start without an answer may have been carried out, or may be later. Its
+    fate is decided by a renewal with a higher fencing token: once that is
+    answered, the start is either in the lists or will be ignored.
+    """
+
+    def __init__(
+        self,
+        held: HeldBackend,
+        *,
+        observer: RunObserver,
+        timers: TimerService,
+        counters: Counters,
+    ) -> None:
+        self._held = held
+        self._observer = observer
+        self._timers = timers
+        self._counters = counters
+        self._fencing = anyio.Event()
+        self._scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Renew the lease until the backend server is released or gone."""
+        held = self._held
+        with self._scope:
+            while not held.released:
+                fence = any(run.state is RunState.UNSURE for run in held.run_by_key.values())
+                wait_s = 0.0 if fence or not held.answered else WAIT_S
+                if not await self._renew(wait_s, fence=fence):
+                    await self._timers.sleep(RETRY_S)
+                self._check_lapse()
+                await self._stop_foreign()
+        await held.calls.close()
+
+    def release(self) -> None:
+        """End the task; nothing is renewed any more."""
+        self._held.released = True
+        self._scope.cancel()
+
+    async def resolve(self, run: Run) -> None:
+        """Find out at once whether a start without an answer was carried out."""
+        run.state = RunState.UNSURE
+        self._counters.add("pool.unsure_starts")
+        await self._renew(0.0, fence=True)
+
+    async def _renew(self, wait_s: float, *, fence: bool) -> bool:
+        held = self._held
+        if fence:
+            held.token += TOKEN_STEP
+        token, sent_at = held.token, self._timers.now()
+        # Without answers the lease is not extended, because orders may still get
+        # through: it has to end for the runs to be given up.
+        lease_until_ms = held.lease_until_ms(sent_at) if held.answered else None
+        try:
+            holding = await held.calls.hold(
+                token=token,
+                acknowledged=held.acknowledged,
+                lease_until_ms=lease_until_ms,
+                wait_s=wait_s,
+            )
+        except HoldRefused as refused:
+            self._refused(refused.outcome, token)
+            return False
+        if held.released:
+            return True
+        if holding is None:
+            self._counters.add("pool.renewals_unanswered")
+            held.calls.renew_connections()
+            if held.answered:
+                held.answered = False
+                _log.warning("backend {} does not answer renewals", held.backend_id)
+            return False
+        self._take_in(holding, token, sent_at)
+        return True
+
+    def _refused(self, outcome: StartOutcome, token: int) -> None:
+        held = self._held
+        held.answered = False
+        if outcome is StartOutcome.OTHER_INCARNATION:
+            self._observer.backend_gone(held, "another incarnation answers")
+        elif outcome is StartOutcome.FENCED and token == held.token:
+            self._counters.add("pool.fenced_renewals")
+            self._observer.backend_fenced(held)
+
+    def _take_in(self, holding: Holding, token: int, sent_at: float) -> None:
+        held, now = self._held, self._timers.now()
+        if holding.born_ms and held.born_ms and holding.born_ms != held.born_ms:
+            self._reborn(holding)
+        held.born_ms = holding.born_ms or held.born_ms
+        held.hear_clock(holding, now)
+        held.heard_at = now
+        known = dict(held.run_by_key)
+        ended_keys = self._take_ends(holding, known)
+        for key, run in known.items():
+            if key in ended_keys or key not in held.run_by_key:
+                continue
+            progress = holding.progress_by_run.get(key)
+            if progress is not None:
+                self._confirm(run, progress, now)
+            elif run.state is RunState.UNSURE:
+                # The token of this renewal keeps the start from being carried out later.
+                if run.token < token and run.sent_at <= sent_at:
+                    self._observer.run_lost(run, "the start never arrived")
+            elif run.state is RunState.RUNNING and run.confirmed_at < sent_at:
+                self._observer.run_lost(run, "the backend server no longer knows the run")
+        held.foreign = {
+            key
+            for key in holding.progress_by_run
+            if key not in known and key not in held.run_by_key and key not in ended_keys
+        }
+        if not held.answered:
+            held.answered = True
+            self._observer.backend_changed(held)
+        elif ended_keys:
+            self._observer.backend_changed(held)
+
+    def _take_ends(self, holding: Holding, known: dict[RunKey, Run]) -> set[RunKey]:
+        held = self._held
+        ended_keys: set[RunKey] = set()
+        for ended in sorted(holding.ended, key=lambda item: item.number):
+            ended_keys.add(ended.key)
+            held.acknowledged = max(held.acknowledged, ended.number)
+            run = known.get(ended.key)
+            if run is not None and ended.key in held.run_by_key:
+                self._observer.run_ended(run, ended.end)
+        return ended_keys
+
+    def _confirm(self, run: Run, progress: int, now: float) -> None:
+        if run.state is not RunState.RUNNING:
+            run.state = RunState.RUNNING
+            run.confirmed_at = now
+        if progress != run.progress or not run.progress_at:
+            run.progress, run.progress_at = progress, now
+            return
+        limit_s = max(STANDSTILL_S, STANDSTILL_SHARE * run.expected_s)
+        if now - run.progress_at > limit_s and not run.stopping:
+            self._observer.run_stands_still(run)
+
+    def _reborn(self, holding: Holding) -> None:
+        held = self._held
+        _log.warning("backend {} has started again", held.backend_id)
+        held.acknowledged = 0
+        for run in list(held.run_by_key.values()):
+            if run.key not in holding.progress_by_run:
+                self._observer.run_lost(run, "the backend server has started again")
+
+    def _check_lapse(self) -> None:
+        held = self._held
+        if held.answered or self._timers.now() < held.lapsed_at:
+            return
+        for run in list(held.run_by_key.values()):
+            self._observer.run_lost(run, "the lease has lapsed without contact")
+
+    async def _stop_foreign(self) -> None:
+        held = self._held
+        for key in sorted(held.foreign, key=lambda item: (item.task, item.run)):
+            self._counters.add("pool.foreign_runs_stopped")
+            await held.calls.stop(key, held.token)
--- /dev/null
+++ b/src/apricotpoint/_pool/learning.py
@@ -0,0 +1,83 @@
+"""Run times of kinds of jobs and speeds of backend servers, learned from ended runs."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+
+import attrs
+
+# Weight of a new observation once enough have been seen.
+KIND_WEIGHT = 0.05
+SPEED_WEIGHT = 0.15
+# Kinds kept; the one unused for longest is forgotten.
+MAX_KINDS = 1024
+# Declared times and the mean of a kind err by about the same factor, so both
+# count the same in the estimate, as exponents of a geometric mean.
+DECLARED_SHARE = 0.5
+SLOWEST, FASTEST = 0.02, 20.0
+
+
+@attrs.define(eq=False)
+class _Mean:
+    """Mean of logarithms: plain at first, exponentially weighted later."""
+
+    weight: float
+    count: int = 0
+    value: float = 0.0
+
+    def add(self, value: float) -> None:
+        self.count += 1
+        self.value += (value - self.value) * max(self.weight, 1 / self.count)
+
+
+class KindTimes:
+    """Run time of a task at speed 1 by kind, and how far declared times are off."""
+
+    def __init__(self) -> None:
+        self._work_by_kind: OrderedDict[str, _Mean] = OrderedDict()
+        self._ratio_by_kind: OrderedDict[str, _Mean] = OrderedDict()
+
+    def estimate_s(self, kind: str, declared_s: float) -> float:
+        """Return the expected run time in seconds at speed 1."""
+        work = self._work_by_kind.get(kind)
+        ratio = self._ratio_by_kind.get(kind)
+        if work is None or ratio is None:
+            return declared_s
+        declared = math.log(max(declared_s, 1e-3)) + ratio.value
+        return math.exp(DECLARED_SHARE * declared + (1 - DECLARED_SHARE) * work.value)
+
+    def observe(self, kind: str, declared_s: float, work_s: float) -> None:
+        """Count a run that took `work_s` seconds, converted to speed 1."""
+        logarithm = math.log(max(work_s, 1e-3))
+        _mean(self._work_by_kind, kind).add(logarithm)
+        _mean(self._ratio_by_kind, kind).add(logarithm - math.log(max(declared_s, 1e-3)))
+
+
+def _mean(mean_by_kind: OrderedDict[str, _Mean], kind: str) -> _Mean:
+    mean = mean_by_kind.get(kind)
+    if mean is None:
+        mean = mean_by_kind[kind] = _Mean(KIND_WEIGHT)
+        if len(mean_by_kind) > MAX_KINDS:
+            mean_by_kind.popitem(last=False)
+    mean_by_kind.move_to_end(kind)
+    return mean
+
+
+class Speed:
+    """Speed of one backend server against the mean of all; 1 until something is known."""
+
+    def __init__(self) -> None:
+        self._mean = _Mean(SPEED_WEIGHT)
+        # One pseudo-observation of speed 1 keeps the first run from deciding alone.
+        self._mean.add(0.0)
+
+    @property
+    def value(self) -> float:
+        """The learned speed."""
+        return math.exp(self._mean.value)
+
+    def observe(self, expected_s: float, took_s: float) -> None:
+        """Count a run that was expected to take `expected_s` at speed 1."""
+        ratio = max(expected_s, 1e-3) / max(took_s, 1e-3)
+        self._mean.add(math.log(min(max(ratio, SLOWEST), FASTEST)))
--- /dev/null
+++ b/src/apricotpoint/_pool/members.py
@@ -0,0 +1,168 @@
+"""The processes of the system as one entry process knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from types import TracebackType
+from typing import Protocol
+
+import anyio
+import anyio.abc
+import logbook
+
+from apricotpoint._core.timers import Subscription, TimerService
+from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
+from apricotpoint._pool.roster import Roster
+from apricotpoint._wire.pool import BackendsHeard, EntryHello, EntryStatus, EntryWelcome
+
+# Period in seconds of the status that every entry process sends to all others.
+STATUS_S = 0.2
+# An entry process is live if its status is not older than this, in seconds.
+LIVE_S = 1.0
+# Period of reports to the control processes, and how long one may take, in seconds.
+HELLO_S = 1.0
+HELLO_TIMEOUT_S = 0.8
+# An entry process that is silent for this long, in seconds, is forgotten.
+FORGET_S = 30.0
+
+_log = logbook.Logger("members")
+
+
+class Links(Transport, Protocol):
+    """A transport whose peers come and go."""
+
+    def add_peer(self, peer_id: str, address: str) -> None:
+        """Open a link to a peer that is not known yet."""
+
+    def remove_peer(self, peer_id: str) -> None:
+        """Close the link to a peer."""
+
+
+class EntryMembers:
+    """Finds control and entry processes from seeds and keeps the status of the latter.
+
+    Every control process that is reached names all members and entry processes
+    that it knows; what was learned once is kept, so that the control processes
+    may all be lost later. Use it as an async context manager.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        failure_domain: str,
+        seeds: Callable[[], Collection[str]],
+        links: Links,
+        address_of: Callable[[str], str],
+        timers: TimerService,
+        roster: Roster,
+        make_status: Callable[[], EntryStatus],
+    ) -> None:
+        self.entry_id = entry_id
+        self._failure_domain = failure_domain
+        self._seeds = seeds
+        self._links = links
+        self._address_of = address_of
+        self._timers = timers
+        self._roster = roster
+        self._make_status = make_status
+        self._control_ids: set[str] = set()
+        self._status_by_entry: dict[str, EntryStatus] = {}
+        self._heard_at_by_entry: dict[str, float] = {}
+        self._was_live: set[str] = set()
+        self._subscription: Subscription | None = None
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def __aenter__(self) -> EntryMembers:
+        self._links.handlers_by_type[EntryStatus] = self._on_status
+        self._links.handlers_by_type[BackendsHeard] = self._on_backends
+        self._subscription = self._timers.every(STATUS_S, self.send_status)
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._say_hello)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        if self._subscription:
+            self._subscription.cancel()
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(exc_type, exc, traceback)
+
+    def control_ids(self) -> list[str]:
+        """Return the control processes known, those of the seeds included."""
+        return sorted(self._control_ids | set(self._seeds()))
+
+    def live(self) -> dict[str, EntryStatus]:
+        """Return the status of all live entry processes, this one included."""
+        now = self._timers.now()
+        live = {
+            entry_id: status
+            for entry_id, status in self._status_by_entry.items()
+            if now - self._heard_at_by_entry[entry_id] <= LIVE_S
+        }
+        live[self.entry_id] = self._make_status()
+        return live
+
+    def hears_others(self) -> bool:
+        """Return whether another entry process is live, or none was ever known."""
+        return len(self.live()) > 1 or not self._status_by_entry
+
+    def send_status(self) -> None:
+        """Send the status to all entry processes, and note which ones are lost."""
+        status = self._make_status()
+        for entry_id in list(self._heard_at_by_entry):
+            self._links.send(entry_id, status)
+        self._note_changes()
+        now = self._timers.now()
+        for entry_id, heard_at in list(self._heard_at_by_entry.items()):
+            if now - heard_at > FORGET_S:
+                del self._heard_at_by_entry[entry_id]
+                self._status_by_entry.pop(entry_id, None)
+                self._links.remove_peer(entry_id)
+
+    def _note_changes(self) -> None:
+        live = set(self.live()) - {self.entry_id}
+        for entry_id in sorted(live - self._was_live):
+            _log.info("entry process {} is live", entry_id)
+        for entry_id in sorted(self._was_live - live):
+            _log.warning("entry process {} is silent", entry_id)
+        self._was_live = live
+
+    def _on_status(self, sender: Sender, message: object) -> None:
+        assert isinstance(message, EntryStatus)
+        self._status_by_entry[sender.peer_id] = message
+        self._heard_at_by_entry[sender.peer_id] = self._timers.now() - sender.age_s
+
+    def _on_backends(self, _: Sender, message: object) -> None:
+        assert isinstance(message, BackendsHeard)
+        self._roster.hear(message)
+
+    async def _say_hello(self) -> None:
+        while True:
+            async with anyio.create_task_group() as group:
+                for control_id in self.control_ids():
+                    self._links.add_peer(control_id, self._address_of(control_id))
+                    group.start_soon(self._hello, control_id)
+            await self._timers.sleep(HELLO_S)
+
+    async def _hello(self, control_id: str) -> None:
+        try:
+            welcome = await self._links.request(
+                control_id, EntryHello(self._failure_domain), timeout_s=HELLO_TIMEOUT_S
+            )
+        except PeerUnreachable:
+            return
+        assert isinstance(welcome, EntryWelcome)
+        self._control_ids |= set(welcome.control_ids)
+        self._roster.hear(BackendsHeard(welcome.backends))
+        for entry_id in welcome.domain_by_entry:
+            if entry_id != self.entry_id and entry_id not in self._heard_at_by_entry:
+                self._links.add_peer(entry_id, self._address_of(entry_id))
+                self._heard_at_by_entry[entry_id] = self._timers.now() - LIVE_S - STATUS_S
+                self._links.send(entry_id, self._make_status())
--- /dev/null
+++ b/src/apricotpoint/_pool/relay.py
@@ -0,0 +1,93 @@
+"""Passes announcements of backend servers from a control process to all entry processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from types import TracebackType
+
+from apricotpoint._core.timers import Subscription, TimerService
+from apricotpoint._link.transport import Sender, Transport
+from apricotpoint._pool.roster import Roster
+from apricotpoint._wire.pool import BackendsHeard, EntryHello, EntryWelcome, PoolBackend
+
+# Announcements that arrive within this time, in seconds, share a message.
+RELAY_S = 0.05
+# An entry process that has not reported for this long, in seconds, gets none.
+ENTRY_LIVE_S = 5.0
+
+
+class AnnouncementRelay:
+    """Announcements and entry processes as one control process knows them.
+
+    Use it as an async context manager.
+    """
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        timers: TimerService,
+        control_ids: Callable[[], Collection[str]],
+    ) -> None:
+        self._transport = transport
+        self._timers = timers
+        self._control_ids = control_ids
+        self._roster = Roster(now=timers.now)
+        self._pending_by_id: dict[str, PoolBackend] = {}
+        self._gone: set[str] = set()
+        self._entry_by_id: dict[str, tuple[float, str]] = {}
+        self._subscription: Subscription | None = None
+
+    async def __aenter__(self) -> AnnouncementRelay:
+        self._transport.request_handlers_by_type[EntryHello] = self._on_hello
+        self._subscription = self._timers.every(RELAY_S, self._flush)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._subscription:
+            self._subscription.cancel()
+        self._transport.request_handlers_by_type.pop(EntryHello, None)
+
+    def announce(self, said: PoolBackend) -> None:
+        """Take an announcement and pass it on."""
+        self._roster.hear(BackendsHeard([said]))
+        self._pending_by_id[said.backend_id] = said
+
+    def sign_off(self, backend_id: str) -> None:
+        """Take the last word of a backend server and pass it on."""
+        self._roster.hear(BackendsHeard([], [backend_id]))
+        self._pending_by_id.pop(backend_id, None)
+        self._gone.add(backend_id)
+
+    def _live_entries(self) -> dict[str, str]:
+        now = self._timers.now()
+        return {
+            entry_id: domain
+            for entry_id, (heard_at, domain) in self._entry_by_id.items()
+            if now - heard_at <= ENTRY_LIVE_S
+        }
+
+    def _flush(self) -> None:
+        self._roster.forget_silent()
+        if not self._pending_by_id and not self._gone:
+            return
+        message = BackendsHeard(list(self._pending_by_id.values()), sorted(self._gone))
+        self._pending_by_id, self._gone = {}, set()
+        for entry_id in self._live_entries():
+            self._transport.send(entry_id, message)
+
+    async def _on_hello(self, sender: Sender, message: object) -> object:
+        assert isinstance(message, EntryHello)
+        known = sender.peer_id in self._live_entries()
+        self._entry_by_id[sender.peer_id] = (self._timers.now(), message.failure_domain)
+        return EntryWelcome(
+            control_ids=sorted(self._control_ids()),
+            domain_by_entry=self._live_entries(),
+            # Later announcements reach a known entry process one by one.
+            backends=[] if known else list(self._roster.backend_by_id.values()),
+        )
--- /dev/null
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -0,0 +1,535 @@
+"""Runs the jobs of a pool: what is taken in, when its tasks start and where."""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable
+from types import TracebackType
+
+import anyio
+import anyio.abc
+import logbook
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import Subscription, TimerService
+from apricotpoint._pool import admission, order, placement
+from apricotpoint._pool.exchange import BackendCalls, End, RunStart, StartOutcome
+from apricotpoint._pool.held import HeldBackend
+from apricotpoint._pool.job import Job, Run, RunState, Task
+from apricotpoint._pool.keeper import Keeper
+from apricotpoint._pool.learning import KindTimes
+from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
+
+# Deadlines and hopeless jobs are checked this often, in seconds.
+TICK_S = 0.02
+# Time in seconds for which a backend server that rejected a start for want of
+# room gets none, unless an end is listed there before.
+FULL_S = 0.1
+# Answers are kept this long, in seconds, for a submission that is repeated.
+KEEP_ANSWER_S = 10.0
+# Expected time in seconds until a backend server that was taken over answers.
+TAKEOVER_WAIT_S = 0.1
+# Jobs looked at for a free place before the others are left to wait.
+MAX_BLOCKED = 4
+# Before any job was seen, the room that a task usually takes is half of a backend server.
+USUAL_SHARE = 0.5
+
+_log = logbook.Logger("pool")
+
+
+class Scheduler:
+    """Jobs and held backend servers of one entry process.
+
+    Use it as an async context manager. All methods must be called on the
+    event loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        counters: Counters,
+        random: random_module.Random,
+        make_calls: Callable[[PoolBackend], BackendCalls],
+    ) -> None:
+        self.held_by_id: dict[str, HeldBackend] = {}
+        self.times = KindTimes()
+        self.on_fenced: Callable[[str], None] = lambda _: None
+        self.draining = False
+        self._timers = timers
+        self._counters = counters
+        self._random = random
+        self._make_calls = make_calls
+        self._keeper_by_id: dict[str, Keeper] = {}
+        self._job_by_id: dict[str, Job] = {}
+        self._ended_by_id: dict[str, tuple[float, Job]] = {}
+        self._next_run_by_task: dict[str, int] = {}
+        self._usual_cpu = 0.0
+        self._wake = anyio.Event()
+        self._group: anyio.abc.TaskGroup | None = None
+        self._subscription: Subscription | None = None
+
+    async def __aenter__(self) -> Scheduler:
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._dispatch_loop)
+        self._subscription = self._timers.every(TICK_S, self._tick)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        if self._subscription:
+            self._subscription.cancel()
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(exc_type, exc, traceback)
+
+    # Backend servers
+
+    def hold(self, said: PoolBackend, token: int) -> None:
+        """Take over a backend server with this fencing token."""
+        assert self._group is not None
+        held = HeldBackend(said, self._make_calls(said), token)
+        held.lapsed_at = self._timers.now()
+        keeper = Keeper(held, observer=self, timers=self._timers, counters=self._counters)
+        self.held_by_id[said.backend_id] = held
+        self._keeper_by_id[said.backend_id] = keeper
+        self._group.start_soon(keeper.run)
+        self._counters.add("pool.backends_taken")
+        _log.info("hold backend {} with token {}", said.backend_id, token)
+
+    def announce(self, said: PoolBackend) -> None:
+        """Take over what a held backend server announces."""
+        held = self.held_by_id.get(said.backend_id)
+        if held is None or said.sequence < held.said.sequence:
+            return
+        if said.leaving and not held.said.leaving:
+            _log.info("backend {} is leaving and gets no more tasks", said.backend_id)
+        held.said = said
+        self.wake()
+
+    def release(self, backend_id: str, reason: str) -> None:
+        """Give up a backend server; its runs are lost to this process."""
+        held = self.held_by_id.pop(backend_id, None)
+        keeper = self._keeper_by_id.pop(backend_id, None)
+        if held is None or keeper is None:
+            return
+        keeper.release()
+        self._counters.add("pool.backends_released")
+        _log.info("release backend {}: {}", backend_id, reason)
+        for run in list(held.run_by_key.values()):
+            held.remove(run, run.task.job.request.room)
+            run.task.run = None
+            self._fail_unknown(run.task.job, f"backend {backend_id} was released: {reason}")
+
+    def load(self) -> PoolLoad:
+        """Return the load for other entry processes."""
+        now = self._timers.now()
+        usable = [held for held in self.held_by_id.values() if held.usable(now)]
+        usual = max(self._usual_task_cpu(), 1)
+        return PoolLoad(
+            backlog_s=self._backlog(None, now).wait_s,
+            free=sum(held.free().cpu // usual for held in usable),
+            capacity=sum(held.said.room.cpu // usual for held in usable),
+        )
+
+    # Jobs
+
+    def predicted_latency_s(self, request: PoolJob) -> float | None:
+        """Return the latency that a job would have here, None if it cannot run here."""
+        now = self._timers.now()
+        if not any(
+            held.serves(request) and not held.said.leaving for held in self.held_by_id.values()
+        ):
+            return None
+        estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
+        job = self._make_job(request, "", now, estimate_s)
+        return admission.predicted_latency_s(self._backlog(job, now), estimate_s, self._fastest())
+
+    def find(self, job_id: str) -> Job | None:
+        """Return a job that runs or has ended lately."""
+        job = self._job_by_id.get(job_id)
+        if job is None and job_id in self._ended_by_id:
+            job = self._ended_by_id[job_id][1]
+        return job
+
+    def submit(self, request: PoolJob, origin: str) -> Job:
+        """Take a job in; the caller has decided that it is not refused."""
+        now = self._timers.now()
+        estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
+        job = self._make_job(request, origin, now, estimate_s)
+        self._job_by_id[request.job_id] = job
+        self._note_cpu(request)
+        self._counters.add("pool.jobs")
+        self.wake()
+        return job
+
+    def refusal(self, request: PoolJob) -> PoolAnswer | None:
+        """Return the refusal of a job that cannot be answered in a useful time."""
+        latency_s = self.predicted_latency_s(request)
+        now = self._timers.now()
+        backlog_s = self._backlog(None, now).wait_s
+        after_s = admission.retry_after_s(backlog_s, self._random.random())
+        if latency_s is None:
+            return PoolAnswer(
+                int(ResultCode.NO_BACKEND), "no backend server can take the job now", after_s
+            )
+        estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
+        if not admission.is_hopeless(
+            latency_s=latency_s,
+            elapsed_s=request.elapsed_s,
+            objective_s=request.base_latency_s + request.stretch * estimate_s,
+            deadline_s=request.deadline_s,
+        ):
+            return None
+        reason = f"predicted latency {latency_s:.3f} s behind a backlog of {backlog_s:.3f} s"
+        return PoolAnswer(int(ResultCode.OVERLOADED), reason, after_s)
+
+    def cancel(self, job_id: str, reason: str) -> None:
+        """Give up a job whose caller has left."""
+        job = self._job_by_id.get(job_id)
+        if job is None or job.cancelled:
+            return
+        started = job.started
+        code = ResultCode.CANCELLED_AFTER_START if started else ResultCode.CANCELLED_BEFORE_START
+        self._counters.add("pool.jobs_cancelled")
+        self._end(job, PoolAnswer(int(code), reason))
+
+    def jobs(self) -> list[Job]:
+        """Return the jobs that are not answered."""
+        return [job for job in self._job_by_id.values() if job.answer is None]
+
+    def start_draining(self) -> None:
+        """Finish the jobs that have begun and give back all others as not run."""
+        self.draining = True
+        for job in self.jobs():
+            if not job.started:
+                self._end(job, PoolAnswer(int(ResultCode.DRAINING), "this process is stopping"))
+
+    def pending(self, kind: str) -> int:
+        """Return the number of jobs of a kind of which no task has started."""
+        return sum(job.request.kind == kind and not job.started for job in self.jobs())
+
+    def idle(self) -> bool:
+        """Return whether no job is open and no run may be at work."""
+        return not self._job_by_id
+
+    def drop_all(self, reason: str) -> None:
+        """Give up everything after a pause, in which others may have taken over."""
+        for backend_id in list(self.held_by_id):
+            self.release(backend_id, reason)
+        for job in self.jobs():
+            self._fail_unknown(job, reason)
+
+    def wake(self) -> None:
+        """Look for tasks to start."""
+        self._wake.set()
+
+    # Reports of keepers
+
+    def run_ended(self, run: Run, end: End) -> None:
+        """Take over the end of a run."""
+        now = self._timers.now()
+        task, job, held = run.task, run.task.job, run.backend
+        if not held.remove(run, job.request.room):
+            return
+        task.run = None
+        held.full_until = 0.0
+        self._counters.add(f"pool.ends_{end.value}")
+        if end is End.DONE:
+            self._learn(run, now)
+            held.health.succeeded()
+            task.done = True
+        elif end is End.FAILED:
+            held.health.failed(now)
+            task.failures += 1
+            task.avoid.add(held.backend_id)
+        self._after_run(job, task)
+
+    def run_lost(self, run: Run, reason: str) -> None:
+        """Take that a run is gone, so that its task can start again."""
+        if not run.backend.remove(run, run.task.job.request.room):
+            return
+        self._counters.add("pool.runs_lost")
+        _log.info(
+            "run {} of {} on backend {} is lost: {}",
+            run.number,
+            run.task.name,
+            run.backend.backend_id,
+            reason,
+        )
+        run.task.run = None
+        run.task.avoid.add(run.backend.backend_id)
+        self._after_run(run.task.job, run.task)
+
+    def run_stands_still(self, run: Run) -> None:
+        """Stop a run without progress, so that its task can start elsewhere."""
+        held = run.backend
+        held.health.failed(self._timers.now())
+        self._counters.add("pool.standstills")
+        _log.warning(
+            "run {} of {} stands still at {}% on backend {}",
+            run.number,
+            run.task.name,
+            run.progress,
+            held.backend_id,
+        )
+        run.task.avoid.add(held.backend_id)
+        self._stop(run)
+
+    def backend_changed(self, held: HeldBackend) -> None:
+        """Look for tasks that the backend server can take."""
+        self.wake()
+
+    def backend_gone(self, held: HeldBackend, reason: str) -> None:
+        """Lose the runs of a life of a backend server that is over."""
+        for run in list(held.run_by_key.values()):
+            self.run_lost(run, reason)
+        if self.held_by_id.get(held.backend_id) is held:
+            self.release(held.backend_id, reason)
+
+    def backend_fenced(self, held: HeldBackend) -> None:
+        """Give up a backend server that another process has taken over."""
+        if self.held_by_id.get(held.backend_id) is held:
+            self.release(held.backend_id, "another holder has a higher token")
+            self.on_fenced(held.said.failure_domain)
+
+    # Starting
+
+    async def _dispatch_loop(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            self._dispatch()
+
+    def _dispatch(self) -> None:
+        now = self._timers.now()
+        usable = [held for held in self.held_by_id.values() if held.usable(now)]
+        if not usable:
+            return
+        fastest = self._fastest()
+        waiting = [
+            job
+            for job in self._job_by_id.values()
+            if job.answer is None and job.waiting() and (job.started or not self.draining)
+        ]
+        waiting.sort(key=lambda job: order.order_key(job, now, fastest))
+        blocked = 0
+        for job in waiting:
+            for task in job.waiting():
+                able = [held for held in usable if held.usable(now)]
+                held = placement.choose(task, able, now)
+                if held is None:
+                    blocked += 1
+                    break
+                self._start(task, held, now)
+            if blocked >= MAX_BLOCKED:
+                return
+
+    def _start(self, task: Task, held: HeldBackend, now: float) -> None:
+        assert self._group is not None
+        job = task.job
+        number = self._next_run_by_task.get(task.name, 0) + 1
+        self._next_run_by_task[task.name] = number
+        run = Run(
+            task=task,
+            number=number,
+            backend=held,
+            token=held.token,
+            sent_at=now,
+            expected_s=job.estimate_s / held.speed.value,
+        )
+        task.run = run
+        task.runs += 1
+        job.started = True
+        held.add(run, job.request.room)
+        self._counters.add("pool.starts")
+        self._group.start_soon(self._order_start, run)
+
+    async def _order_start(self, run: Run) -> None:
+        held, now = run.backend, self._timers.now()
+        lease_until_ms = held.lease_until_ms(now)
+        assert lease_until_ms is not None, "a backend server is used before it has answered"
+        order_ = RunStart(
+            key=run.key,
+            spec=run.task.job.request.spec,
+            lease_until_ms=lease_until_ms,
+            token=run.token,
+        )
+        outcome = await held.calls.start(order_)
+        if held.run_by_key.get(run.key) is not run:
+            return
+        if outcome is StartOutcome.STARTED:
+            run.state = RunState.RUNNING
+            run.confirmed_at = self._timers.now()
+            if run.stopping or run.task.job.cancelled:
+                self._stop(run)
+        elif outcome is StartOutcome.UNKNOWN:
+            held.calls.renew_connections()
+            keeper = self._keeper_by_id.get(held.backend_id)
+            if keeper is not None:
+                await keeper.resolve(run)
+        else:
+            self._start_refused(run, outcome)
+
+    def _start_refused(self, run: Run, outcome: StartOutcome) -> None:
+        held, now, job = run.backend, self._timers.now(), run.task.job
+        self._counters.add(f"pool.refused_{outcome.value}")
+        _log.info(
+            "backend {} refused run {} of {}: {}",
+            held.backend_id,
+            run.number,
+            run.task.name,
+            outcome.value,
+        )
+        held.remove(run, job.request.room)
+        run.task.run = None
+        if outcome is StartOutcome.NO_ROOM:
+            held.full_until = now + FULL_S
+        elif outcome is StartOutcome.UNHEALTHY:
+            held.health.failed(now)
+        elif outcome is StartOutcome.OTHER_INCARNATION:
+            self.backend_gone(held, "another incarnation answers")
+        elif outcome is StartOutcome.REJECTED:
+            self._end(job, PoolAnswer(int(ResultCode.TASKS_FAILED), "a start was rejected"))
+        self._after_run(job, run.task)
+
+    # Ends
+
+    def _after_run(self, job: Job, task: Task) -> None:
+        """Decide on a job after one of its runs has ended or is gone."""
+        if job.answer is None:
+            if job.is_done():
+                self._end(job, PoolAnswer(int(ResultCode.COMPLETE)))
+            elif task.failures >= job.request.max_attempts:
+                reason = f"task {task.name} failed {task.failures} times"
+                self._end(job, PoolAnswer(int(ResultCode.TASKS_FAILED), reason))
+        elif not job.runs():
+            self._forget(job)
+        self.wake()
+
+    def _end(self, job: Job, answer: PoolAnswer) -> None:
+        """Answer a job and stop what may still run of it."""
+        if job.answer is None:
+            self._counters.add(f"pool.answers_{answer.code}")
+            self._counters.record("pool.latency", self._timers.now() - job.sent_at)
+        job.cancelled = True
+        job.close(answer)
+        for run in job.runs():
+            self._stop(run)
+        if not job.runs():
+            self._forget(job)
+        self.wake()
+
+    def _fail_unknown(self, job: Job, reason: str) -> None:
+        code = ResultCode.BACKEND_LOST if job.started else ResultCode.NO_BACKEND
+        self._end(job, PoolAnswer(int(code), reason))
+
+    def _forget(self, job: Job) -> None:
+        job_id = job.request.job_id
+        if self._job_by_id.get(job_id) is job:
+            del self._job_by_id[job_id]
+            self._ended_by_id[job_id] = (self._timers.now(), job)
+
+    def _stop(self, run: Run) -> None:
+        run.stopping = True
+        if run.state is RunState.RUNNING and self._group is not None:
+            self._group.start_soon(self._order_stop, run)
+
+    async def _order_stop(self, run: Run) -> None:
+        held = run.backend
+        while held.run_by_key.get(run.key) is run and not held.released:
+            if await held.calls.stop(run.key, held.token):
+                return
+            await self._timers.sleep(TICK_S)
+
+    def _tick(self) -> None:
+        now = self._timers.now()
+        fastest = self._fastest()
+        for job in self.jobs():
+            if now >= job.deadline_at:
+                if job.started:
+                    code, reason = ResultCode.DEADLINE_AFTER_START, "the deadline has passed"
+                else:
+                    code, reason = ResultCode.DEADLINE_BEFORE_START, "no room before the deadline"
+                self._end(job, PoolAnswer(int(code), reason))
+            elif not job.started and now + job.estimate_s / fastest > job.deadline_at:
+                after_s = admission.retry_after_s(
+                    self._backlog(None, now).wait_s, self._random.random()
+                )
+                reason = "it can no longer end before its deadline"
+                self._end(job, PoolAnswer(int(ResultCode.OVERLOADED), reason, after_s))
+        for job_id, (ended_at, job) in list(self._ended_by_id.items()):
+            if now - ended_at <= KEEP_ANSWER_S:
+                break
+            del self._ended_by_id[job_id]
+            if job_id not in self._job_by_id:
+                for task in job.tasks:
+                    self._next_run_by_task.pop(task.name, None)
+        self.wake()
+
+    # Estimates
+
+    def _make_job(self, request: PoolJob, origin: str, now: float, estimate_s: float) -> Job:
+        job = Job(request=request, origin=origin, arrived_at=now, estimate_s=estimate_s)
+        job.tasks = [Task(job, f"{request.job_id}.0.0.{i}") for i in range(request.count)]
+        return job
+
+    def _learn(self, run: Run, now: float) -> None:
+        request = run.task.job.request
+        took_s = now - run.sent_at
+        self._counters.record("pool.run_time", took_s)
+        # Both are learned from the same run: the speed against what the kind was
+        # expected to take, and the kind at the speed that was known.
+        speed = run.backend.speed.value
+        expected_s = self.times.estimate_s(request.kind, request.estimate_s)
+        run.backend.speed.observe(expected_s, took_s)
+        self.times.observe(request.kind, request.estimate_s, took_s * speed)
+
+    def _fastest(self) -> float:
+        """Return the speed of the fastest backend server held."""
+        return max((held.speed.value for held in self.held_by_id.values()), default=1.0)
+
+    def _note_cpu(self, request: PoolJob) -> None:
+        cpu = float(request.room.cpu)
+        self._usual_cpu += (cpu - self._usual_cpu) * (0.05 if self._usual_cpu else 1.0)
+
+    def _usual_task_cpu(self) -> int:
+        if self._usual_cpu:
+            return int(self._usual_cpu)
+        rooms = [held.said.room.cpu for held in self.held_by_id.values()]
+        return int(min(rooms, default=1) * USUAL_SHARE)
+
+    def _backlog(self, before: Job | None, now: float) -> admission.Backlog:
+        """Return what goes before a job, or everything that waits."""
+        usual = max(self._usual_task_cpu(), 1)
+        fastest = self._fastest()
+        key = order.order_key(before, now, fastest) if before else None
+        usable = [
+            held
+            for held in self.held_by_id.values()
+            if held.answered and not held.said.leaving and now >= held.health.rest_until
+        ]
+        rate = sum(held.said.room.cpu // usual * held.speed.value for held in usable)
+        work_s = 0.0
+        for job in self.jobs():
+            if key is not None and order.order_key(job, now, fastest) > key:
+                continue
+            work_s += len(job.waiting()) * job.estimate_s
+        free = sum(max(held.free().cpu, 0) // usual for held in usable)
+        own = before.request.count if before else 0
+        if work_s == 0 and free >= own:
+            return admission.Backlog(0.0, max(rate, 1e-6))
+        if not usable:
+            # Backend servers that were just taken over answer soon, or others take the jobs.
+            return admission.Backlog(TAKEOVER_WAIT_S, 1.0)
+        # What runs now ends on average after half of its time.
+        running_s = sum(
+            run.task.job.estimate_s / 2 for held in usable for run in held.run_by_key.values()
+        )
+        return admission.Backlog(work_s + running_s, max(rate, 1e-6))
--- a/src/apricotpoint/_wire/configuration.py
+++ b/src/apricotpoint/_wire/configuration.py
@@ -35,6 +35,18 @@
     weight: float = 1.0
 
 
+@attrs.frozen
+class Document:
+    """A configuration that the operator of a platform sends whole, in its own format.
+
+    `version` is the operator's; the highest one is in force. `text` is kept
+    as it was sent. Version 0 stands for none.
+    """
+
+    version: int = 0
+    text: str = ""
+
+
 @attrs.frozen
 class Configuration:
     """One version of the configuration. Versions grow by one for each accepted change."""
@@ -46,6 +58,7 @@
     stopped_vms: list[str] = attrs.Factory(list)
     drained_backends: list[str] = attrs.Factory(list)
     stopped_backends: list[str] = attrs.Factory(list)
+    document: Document = Document()
 
 
 @attrs.frozen
@@ -54,7 +67,9 @@
 
     `action` is one of set_service, set_team, remove_service, remove_team,
     drain_vm, undrain_vm, stop_vm, drain_backend, undrain_backend,
-    stop_backend, add_member, remove_member. `arguments` depend on the action.
+    stop_backend, add_member, remove_member, replace_document. `arguments`
+    depend on the action. A `replace_document` has no base version: the highest
+    version of the document wins, and any other one is accepted without effect.
     """
 
     command_id: str
@@ -80,6 +95,18 @@
     message: str = ""
 
 
+@attrs.frozen
+class DocumentRequest:
+    """Asks the leader for the latest document, confirmed by a majority."""
+
+
+@attrs.frozen
+class DocumentReply:
+    """Answer to `DocumentRequest`; `document` is None if the latest one is not known here."""
+
+    document: Document | None = None
+
+
 @attrs.frozen
 class ConfigPoll:
     """Long poll for a configuration newer than `version`; held up to `wait_s`."""
--- /dev/null
+++ b/src/apricotpoint/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: decodes its names once and calls the product."""
--- /dev/null
+++ b/src/apricotpoint/platform/callers.py
@@ -0,0 +1,147 @@
+"""The interface to callers of the platform, and its readiness check."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import logbook
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route as HttpRoute
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._http.body import read_body
+from apricotpoint._pool.routing import Route, Routing
+from apricotpoint._pool.service import PoolService
+from apricotpoint._wire.pool import PoolAnswer, PoolJob
+from apricotpoint.platform.jobs import decode_job, encode_answer
+
+DEADLINE_HEADER = "apricotpoint-deadline-ms"
+# Seconds after which a caller should return to a process without a configuration.
+NO_CONFIGURATION_RETRY_S = 1.0
+
+_log = logbook.Logger("callers")
+
+
+class CallerInterface:
+    """Serves jobs of callers; `open_requests` counts those not answered yet."""
+
+    def __init__(
+        self,
+        service: PoolService,
+        *,
+        routing: Callable[[], Routing],
+        pending: Callable[[str], int],
+        counters: Counters,
+        stopping: Callable[[], bool],
+    ) -> None:
+        self.open_requests = 0
+        self._service = service
+        self._routing = routing
+        self._pending = pending
+        self._counters = counters
+        self._stopping = stopping
+
+    def make_app(self) -> Starlette:
+        """Return the ASGI app."""
+        methods = ["GET", "POST", "DELETE"]
+        return Starlette(routes=[HttpRoute("/{path:path}", self._handle, methods=methods)])
+
+    async def _handle(self, request: Request) -> Response:
+        self.open_requests += 1
+        try:
+            response = await self._respond(request)
+        finally:
+            self.open_requests -= 1
+        if self._stopping():
+            # The balancer then opens its next connection to another process.
+            response.headers["connection"] = "close"
+        return response
+
+    async def _respond(self, request: Request) -> Response:
+        routing = self._routing()
+        if not routing.version:
+            body = await read_body(request, max_bytes=routing.max_body_bytes)
+            answer = PoolAnswer(
+                int(ResultCode.UNKNOWN_SERVICE), "no configuration yet", NO_CONFIGURATION_RETRY_S
+            )
+            _log.notice("refuse {} bytes: no configuration yet", len(body))
+            return _response(answer)
+        host = request.headers.get("host", "").partition(":")[0]
+        route = routing.find(host, request.url.path)
+        try:
+            body = await read_body(request, max_bytes=routing.max_body_bytes)
+            if route is None:
+                self._counters.add("callers.no_route")
+                reason = f"no route for {host}{request.url.path} in version {routing.version}"
+                return JSONResponse({"reason": reason}, status_code=404)
+            job_id = request.url.path[len(route.prefix) :]
+            if request.method == "POST":
+                job = decode_job(job_id, body, route=route, deadline_s=_deadline_s(request))
+                return _response(await self._submit(request, job))
+        except ApricotError as error:
+            self._counters.add("callers.malformed")
+            _log.notice("refuse {}: {}", request.url.path, error)
+            return _response(PoolAnswer(int(error.code), str(error)))
+        return self._inquire(request.method, job_id, route)
+
+    def _inquire(self, method: str, job_id: str, route: Route) -> Response:
+        if method == "GET" and not job_id:
+            return JSONResponse({"pending": self._pending(route.name)})
+        if not self._service.knows(job_id):
+            return JSONResponse({"reason": f"no job {job_id}"}, status_code=410)
+        if method == "DELETE":
+            self._service.cancel(job_id)
+            return JSONResponse({"state": "cancelled"})
+        return JSONResponse({"state": "running"})
+
+    async def _submit(self, request: Request, job: PoolJob) -> PoolAnswer:
+        """Run a job, and give it up if its caller leaves before it has ended."""
+        answer = PoolAnswer(int(ResultCode.CANCELLED_AFTER_START), "the caller has left")
+        async with anyio.create_task_group() as group:
+
+            async def cancel_when_left() -> None:
+                while (await request.receive())["type"] != "http.disconnect":
+                    pass
+                self._counters.add("callers.left")
+                self._service.cancel(job.job_id)
+
+            group.start_soon(cancel_when_left)
+            answer = await self._service.submit(job)
+            group.cancel_scope.cancel()
+        return answer
+
+
+def make_readiness_app(ready: Callable[[], bool]) -> Starlette:
+    """Return the ASGI app that tells the balancer whether to open connections."""
+
+    async def readiness(_: Request) -> Response:
+        return Response(status_code=200 if ready() else 503)
+
+    return Starlette(routes=[HttpRoute("/readiness", readiness, methods=["GET"])])
+
+
+def _deadline_s(request: Request) -> float | None:
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return None
+    try:
+        deadline_ms = float(text)
+    except ValueError:
+        deadline_ms = -1.0
+    if not 0 < deadline_ms < float("inf"):
+        raise ApricotError(
+            ResultCode.MALFORMED,
+            f"the header {DEADLINE_HEADER} is {text!r}",
+            remedy="send a positive number of milliseconds",
+        )
+    return deadline_ms / 1000
+
+
+def _response(answer: PoolAnswer) -> Response:
+    status, body, headers = encode_answer(answer)
+    return JSONResponse(body, status_code=status, headers=headers)
--- /dev/null
+++ b/src/apricotpoint/platform/control.py
@@ -0,0 +1,99 @@
+"""The interface to workers and operators of the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import logbook
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from apricotpoint._control.state import REPLACE_DOCUMENT
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._http.body import read_body
+from apricotpoint._pool.relay import AnnouncementRelay
+from apricotpoint._wire.configuration import Change, ChangeReply, Document
+from apricotpoint.platform.announcements import decode_heartbeat
+from apricotpoint.platform.configuration import decode_document
+
+MAX_HEARTBEAT_BYTES = 1 << 18
+MAX_DOCUMENT_BYTES = 1 << 26
+
+_log = logbook.Logger("control")
+
+
+def make_app(
+    *,
+    relay: AnnouncementRelay,
+    change: Callable[[Change], Awaitable[ChangeReply]],
+    document: Callable[[], Awaitable[Document | None]],
+    counters: Counters,
+) -> Starlette:
+    """Return the ASGI app for workers and operators."""
+
+    async def heartbeat(request: Request) -> Response:
+        worker_id = request.path_params["worker_id"]
+        try:
+            body = await read_body(request, max_bytes=MAX_HEARTBEAT_BYTES)
+            said = decode_heartbeat(worker_id, body)
+        except ApricotError as error:
+            counters.add("control.heartbeats_refused")
+            _log.notice("refuse a heartbeat: {}", error)
+            return JSONResponse({"reason": str(error)}, status_code=error.code.http_status)
+        counters.add("control.heartbeats")
+        relay.announce(said)
+        return JSONResponse({})
+
+    async def deregister(request: Request) -> Response:
+        relay.sign_off(request.path_params["worker_id"])
+        return JSONResponse({})
+
+    async def replace(request: Request) -> Response:
+        try:
+            body = await read_body(request, max_bytes=MAX_DOCUMENT_BYTES)
+            sent = decode_document(body)
+        except ApricotError as error:
+            counters.add("control.documents_refused")
+            _log.notice("refuse a configuration: {}", error)
+            return JSONResponse({"reason": str(error)}, status_code=400)
+        reply = await change(
+            Change(
+                command_id=f"document-{sent.version}",
+                base_version=0,
+                action=REPLACE_DOCUMENT,
+                target="document",
+                arguments={"version": sent.version, "text": sent.text},
+            )
+        )
+        accepted = reply.code == ResultCode.ACCEPTED
+        _log.info("configuration {}: code {} {}", sent.version, reply.code, reply.message)
+        if accepted:
+            return JSONResponse({"version": sent.version})
+        return JSONResponse({"code": reply.code, "reason": reply.message}, status_code=503)
+
+    async def read(_: Request) -> Response:
+        latest = await document()
+        if latest is None:
+            return JSONResponse({"reason": "the latest version is not known"}, status_code=503)
+        if not latest.version:
+            return JSONResponse({"reason": "no configuration yet"}, status_code=503)
+        return Response(latest.text, media_type="application/json")
+
+    async def not_built(request: Request) -> Response:
+        reason = f"{request.url.path} is not built"
+        _log.notice("refuse {}", reason)
+        return JSONResponse({"reason": reason}, status_code=501)
+
+    return Starlette(
+        routes=[
+            Route("/instances/{worker_id}/heartbeat", heartbeat, methods=["POST"]),
+            Route("/instances/{worker_id}/deregister", deregister, methods=["POST"]),
+            Route("/config/replace", replace, methods=["POST"]),
+            Route("/config/read", read, methods=["GET"]),
+            Route("/{path:path}", not_built, methods=["GET", "POST"]),
+        ]
+    )
--- /dev/null
+++ b/src/apricotpoint/platform/controller.py
@@ -0,0 +1,124 @@
+"""The control program on the platform: its composition root."""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import logbook
+
+from apricotpoint._control.identity import discard_unfinished, initialise, is_initialised
+from apricotpoint._control.node import ControlNode
+from apricotpoint._control.storage import Storage
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.timers import TimerService
+from apricotpoint._http.serve import serve
+from apricotpoint._link.mesh import Mesh
+from apricotpoint._pool.relay import AnnouncementRelay
+from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint.platform.control import make_app
+from apricotpoint.platform.process import PEER_KEY, SettingsFile, run_program, wait_for_stop
+from apricotpoint.platform.settings import PlatformSettings
+
+# Requests in progress get this long at a stop, in seconds.
+GRACE_S = 1.0
+CONNECTION_IDLE_S = 30.0
+
+_log = logbook.Logger("control")
+
+
+def main() -> int:
+    """Run the program and return its exit status."""
+    return run_program("control", _run)
+
+
+async def _run(settings_file: SettingsFile) -> None:
+    settings = settings_file.current
+    folder = settings.data_folder
+    if folder is None:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"{settings.name} has no data folder",
+            remedy="run the control program on a VM with a disk",
+        )
+    await _prepare(folder, settings)
+    timers, counters, incarnation = TimerService(), Counters(), new_incarnation()
+    mesh = Mesh(
+        process_id=settings.address,
+        incarnation=incarnation,
+        listen=settings.peer_address(settings.address),
+        address_by_peer={seed: settings.peer_address(seed) for seed in settings.seeds},
+        keys=[PEER_KEY],
+        timers=timers,
+        counters=counters,
+        address_of=settings.peer_address,
+    )
+    node = ControlNode(
+        node_id=settings.address,
+        failure_domain=settings.failure_domain,
+        members=settings.seeds,
+        initial_members=sorted(settings.seeds),
+        data_folder=folder,
+        transport=mesh,
+        timers=timers,
+        counters=counters,
+        random=random.Random(incarnation),
+    )
+
+    def control_ids() -> list[str]:
+        ids = {*node.replica.log.disk_by_member(), *node.replica.learner_ids, settings.address}
+        return sorted(ids)
+
+    relay = AnnouncementRelay(transport=mesh, timers=timers, control_ids=control_ids)
+    app = make_app(relay=relay, change=node.change, document=node.document, counters=counters)
+    close = anyio.Event()
+
+    async def serve_app(
+        *, task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        await serve(
+            app,
+            settings.control_bind,
+            None,
+            close.wait,
+            grace_s=GRACE_S,
+            idle_s=CONNECTION_IDLE_S,
+            task_status=task_status,
+        )
+
+    async with AsyncExitStack() as stack:
+        for part in (timers, mesh, node, relay):
+            await stack.enter_async_context(part)
+        for member_id in node.replica.log.disk_by_member():
+            mesh.add_peer(member_id, settings.peer_address(member_id))
+        async with anyio.create_task_group() as group:
+            await group.start(serve_app)
+            _log.info("listening on {}", settings.control_bind)
+            await wait_for_stop(settings_file)
+            close.set()
+
+
+async def _prepare(folder: Path, settings: PlatformSettings) -> None:
+    """Initialise an empty data folder, or one whose initialisation was interrupted."""
+    if is_initialised(folder):
+        return
+    discard_unfinished(folder)
+    await initialise(
+        Storage(folder),
+        node_id=settings.address,
+        first=settings.first_start,
+        wall=time.time(),
+        random=random.SystemRandom(),
+    )
+    _log.notice("data folder initialised, first start: {}", settings.first_start)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/apricotpoint/platform/settings.py
@@ -0,0 +1,101 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+
+PATH_VARIABLE = "APRICOTPOINT_SETTINGS"
+
+
+@attrs.frozen
+class PlatformSettings:
+    """What a process is told at its start.
+
+    The IP address is also the id of the process towards its peers, because
+    seeds are named by address only. `first_start` is True only when the whole
+    deployment starts for the first time. Addresses are "host:port".
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    failure_domains: list[str]
+    peer_port: int
+    seeds: list[str]
+    first_start: bool
+    data_folder: Path | None
+    caller_bind: str
+    readiness_bind: str
+    control_bind: str
+    drain_s: float
+    grace_s: float
+
+    def peer_address(self, peer_id: str) -> str:
+        """Return where a process listens for its peers; ports are the same on all VMs."""
+        return f"{peer_id}:{self.peer_port}"
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file from the environment."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"{PATH_VARIABLE} is not set",
+            remedy="set it to the path of the settings file of the platform",
+        )
+    return Path(path)
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Read the settings file; fields that are not known are ignored.
+
+    Raises `ApricotError` with code 5001 that names the file and the field.
+    """
+    try:
+        raw = yaml.safe_load(path.read_text(encoding="utf-8"))
+        return decode_settings(raw)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"settings file {path} cannot be read: {error}",
+            remedy="let the platform write the file again",
+        ) from error
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise ApricotError(
+            ResultCode.INVALID_SETTINGS,
+            f"settings file {path}: {type(error).__name__}: {error}",
+            remedy="let the platform write the field that is missing or wrong",
+        ) from error
+
+
+def decode_settings(raw: Mapping[str, Any]) -> PlatformSettings:
+    """Translate the fields of the platform."""
+    listen = raw.get("listen_addresses") or {}
+    bounds = raw.get("bounds") or {}
+    folder = raw.get("data_directory")
+    return PlatformSettings(
+        name=str(raw["node_name"]),
+        address=str(raw["ip_address"]),
+        failure_domain=str(raw["zone"]),
+        failure_domains=sorted(str(zone) for zone in raw["zones"]),
+        peer_port=int(raw["internal_port_range"][0]),
+        # Seeds are named by the address of their control interface.
+        seeds=[str(seed).rpartition(":")[0] for seed in raw["seed_nodes"]],
+        first_start=bool(raw["bootstrap"]),
+        data_folder=Path(folder) if folder else None,
+        caller_bind=str(listen.get("frontend", "")),
+        readiness_bind=str(listen.get("ready", "")),
+        control_bind=str(listen.get("control_plane", "")),
+        drain_s=float(bounds.get("drain_timeout_ms", 2000)) / 1000,
+        grace_s=float(bounds.get("grace_period_s", 6)),
+    )
