--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -60,12 +60,15 @@
         self._suspended_s = suspended_s
         self._claim_by_domain: dict[str, _Claim] = {}
         self._lowest_term_by_domain: dict[str, int] = {}
-        self._listen_until = timers.now() + LISTEN_S
         self._was_fenced = False
-        self._checked_at = timers.now()
-        self._checked_suspended_s = suspended_s()
+        self._listen_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
 
+    def begin(self) -> None:
+        """Start to listen to the others; to be called before the first check."""
+        self._checked_at, self._checked_suspended_s = self._timers.now(), self._suspended_s()
+        self._listen_until = self._checked_at + LISTEN_S
+
     def term_by_claim(self) -> dict[str, int]:
         """Return the claims of this process."""
         return {domain: claim.term for domain, claim in self._claim_by_domain.items()}
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -67,7 +67,8 @@
 
     `origin` is the entry process that waits for the answer, empty for this
     one. `started` is set with the first order to start a task: from then on
-    the job can no longer be refused as not run.
+    the job can no longer be refused as not run. `done_runs` has the runs that
+    ended as done, with the time that each took.
     """
 
     request: PoolJob
@@ -77,6 +78,7 @@
     tasks: list[Task] = attrs.Factory(list)
     started: bool = False
     cancelled: bool = False
+    done_runs: list[tuple[Run, float]] = attrs.Factory(list)
     answer: PoolAnswer | None = None
     answered: anyio.Event = attrs.Factory(anyio.Event)
 
--- a/src/apricotpoint/_pool/learning.py
+++ b/src/apricotpoint/_pool/learning.py
@@ -10,6 +10,10 @@
 # Weight of a new observation once enough have been seen.
 KIND_WEIGHT = 0.05
 SPEED_WEIGHT = 0.15
+# Weight of the first observations of a speed; later ones count less, down to SPEED_WEIGHT.
+# Tasks of one job differ by far less than jobs, so a comparison with
+# other tasks of the same job counts more than one with the kind.
+SIBLING_OBSERVATIONS = 3
 # Kinds kept; the one unused for longest is forgotten.
 MAX_KINDS = 1024
 # Declared times and the mean of a kind err by about the same factor, so both
@@ -77,7 +81,12 @@
         """The learned speed."""
         return math.exp(self._mean.value)
 
-    def observe(self, expected_s: float, took_s: float) -> None:
-        """Count a run that was expected to take `expected_s` at speed 1."""
+    def observe(self, expected_s: float, took_s: float, *, siblings: bool) -> None:
+        """Count a run that was expected to take `expected_s` at speed 1.
+
+        With `siblings`, the expectation is from other tasks of the same job.
+        """
         ratio = max(expected_s, 1e-3) / max(took_s, 1e-3)
-        self._mean.add(math.log(min(max(ratio, SLOWEST), FASTEST)))
+        logarithm = math.log(min(max(ratio, SLOWEST), FASTEST))
+        for _ in range(SIBLING_OBSERVATIONS if siblings else 1):
+            self._mean.add(logarithm)
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 from collections.abc import Callable
 from types import TracebackType
@@ -242,7 +243,7 @@
         held.full_until = 0.0
         self._counters.add(f"pool.ends_{end.value}")
         if end is End.DONE:
-            self._learn(run, now)
+            self._note_time(run, now)
             held.health.succeeded()
             task.done = True
         elif end is End.FAILED:
@@ -405,6 +406,7 @@
         """Decide on a job after one of its runs has ended or is gone."""
         if job.answer is None:
             if job.is_done():
+                self._learn_from(job)
                 self._end(job, PoolAnswer(int(ResultCode.COMPLETE)))
             elif task.failures >= job.request.max_attempts:
                 reason = f"task {task.name} failed {task.failures} times"
@@ -480,16 +482,25 @@
         job.tasks = [Task(job, f"{request.job_id}.0.0.{i}") for i in range(request.count)]
         return job
 
-    def _learn(self, run: Run, now: float) -> None:
-        request = run.task.job.request
+    def _note_time(self, run: Run, now: float) -> None:
         took_s = now - run.sent_at
         self._counters.record("pool.run_time", took_s)
-        # Both are learned from the same run: the speed against what the kind was
-        # expected to take, and the kind at the speed that was known.
-        speed = run.backend.speed.value
-        expected_s = self.times.estimate_s(request.kind, request.estimate_s)
-        run.backend.speed.observe(expected_s, took_s)
-        self.times.observe(request.kind, request.estimate_s, took_s * speed)
+        run.task.job.done_runs.append((run, took_s))
+
+    def _learn_from(self, job: Job) -> None:
+        """Learn from all runs of a job at once.
+
+        Tasks of one job take about the same work. Comparing each run only with
+        those that ended before it would make every backend server look slow,
+        because whatever ends late was, on average, unlucky.
+        """
+        works = [math.log(took_s * run.backend.speed.value) for run, took_s in job.done_runs]
+        total = sum(works)
+        for (run, took_s), work in zip(job.done_runs, works, strict=True):
+            others = len(works) - 1
+            expected_s = math.exp((total - work) / others) if others else job.estimate_s
+            run.backend.speed.observe(expected_s, took_s, siblings=others > 0)
+            self.times.observe(job.request.kind, job.request.estimate_s, math.exp(work))
 
     def _fastest(self) -> float:
         """Return the speed of the fastest backend server held."""
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -143,6 +143,7 @@
         ):
             await self._stack.enter_async_context(part)
         self._on_configuration(self._feed.configuration())
+        self._claimer.begin()
         self._timers.every(CHECK_S, self._check)
         return self
 
--- a/testing/operator/test_pages.py
+++ b/testing/operator/test_pages.py
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize(
-    "line", re.findall(r"    apricotctl (.*)", (DOCS / "operations.md").read_text())
+    "line", re.findall(r"    apricotctl (.*)", (DOCS / "OPERATIONS.md").read_text())
 )
 def test_example_on_the_operations_page_is_accepted(line: str):
     parse("show members" if line == "members" else line)
--- a/testing/programs/test_operations_page.py
+++ b/testing/programs/test_operations_page.py
@@ -13,7 +13,7 @@
 from apricotpoint._settings.control import ControlSettings
 from apricotpoint._settings.entry import EntrySettings
 
-PAGE = (ROOT / "docs" / "operations.md").read_text()
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 CALL = re.compile(r"\.(?:add|record|set_gauge)\(\s*f?\"([a-z_.{}()]+)\"")
 
 
