--- a/testing/control/test_state.py
+++ b/testing/control/test_state.py
@@ -109,3 +109,21 @@
     restored.apply(Entry(term=9, change=Change("one more", 0, "stop_vm", "e9")))
     assert len(restored.answer_by_command) == MAX_ANSWERS
     assert "c0" not in restored.answer_by_command
+
+
+def replace_document(state: State, version: int, text: str) -> ChangeReply:
+    arguments = {"version": version, "text": text}
+    change = Change(f"document-{version}", 0, "replace_document", "document", arguments)
+    reply = state.apply(Entry(term=1, change=change))
+    assert reply is not None
+    return reply
+
+
+def test_of_two_documents_the_higher_version_wins_whatever_the_order():
+    """Guards against a late or repeated document that takes the place of a newer one."""
+    state = State({})
+    for version, text in [(7, "seven"), (5, "five"), (7, "other"), (7, "seven")]:
+        assert replace_document(state, version, text).code == ResultCode.ACCEPTED
+        assert state.configuration.document.text == "seven"
+    replace_document(state, 9, "nine")
+    assert (state.configuration.document.version, state.configuration.version) == (9, 2)
--- /dev/null
+++ b/testing/platform/test_decoding.py
@@ -0,0 +1,225 @@
+"""The adapter decodes what the platform, its workers, operators and callers send."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.errors import ApricotError
+from apricotpoint._pool.routing import Route
+from apricotpoint._wire.configuration import Document
+from apricotpoint._wire.pool import PoolAnswer, Room
+from apricotpoint.platform.announcements import decode_heartbeat
+from apricotpoint.platform.configuration import decode_document, decode_routing
+from apricotpoint.platform.jobs import decode_job, encode_answer
+from apricotpoint.platform.settings import load_settings
+
+ROUTE = Route(
+    name="r1",
+    host="a.example",
+    prefix="/p/q/",
+    service="s1",
+    timeout_s=1.5,
+    base_latency_s=0.06,
+    stretch=1.6,
+    priority=1,
+    max_attempts=3,
+)
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    route = {
+        "name": "r1",
+        "host": "a.example",
+        "path_prefix": "/p/",
+        "kind": "non_idempotent",
+        "timeout_ms": 1500,
+        "target_latency_ms": 60,
+        "priority": 1,
+        "service": "s1",
+        "max_attempts": 3,
+        "stretch_factor": 1.6,
+    }
+    other = {**route, "name": "r2", "path_prefix": "/p/q/"}
+    return {"version": 7, "routes": [route, other], "services": [{"name": "s1"}], **changes}
+
+
+def job(**changes: Any) -> bytes:
+    step = {"count": 8, "cpu": 11100, "requested_memory_mb": 64, "estimated_duration_ms": 24}
+    return json.dumps({"spec": "x", "phases": [step], "best_effort": True, **changes}).encode()
+
+
+def heartbeat(**changes: Any) -> bytes:
+    said = {
+        "service": "s1",
+        "address": "10.1.0.9:8080",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "capacity": {"cpu": 16000, "requested_memory_mb": 32768, "gpu": 0},
+        "labels": ["a", "r1-3"],
+        "clock_ms": 482113,
+        "sequence": 4,
+        "born": 1000,
+    }
+    return json.dumps({**said, **changes}).encode()
+
+
+def test_the_longest_prefix_selects_the_route():
+    """Guards against requests that reach the rules of another route."""
+    routing = decode_routing(decode_document(json.dumps(configuration()).encode()))
+    found = [routing.find("A.example", path) for path in ("/p/1", "/p/q/1", "/x")]
+    assert [route.name if route else None for route in found] == ["r1", "r2", None]
+    assert routing.version == 7
+    assert decode_routing(Document()).find("a.example", "/p/1") is None
+
+
+def with_route(**changes: Any) -> dict[str, Any]:
+    raw = configuration()
+    raw["routes"][0].update(changes)
+    return raw
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        with_route(service="unknown"),
+        with_route(path_prefix="/p/q/"),
+        with_route(timeout_ms=0),
+        with_route(timeout_ms="1500"),
+        configuration(version=0),
+        configuration(version="7"),
+        configuration(routes={}),
+        configuration(services=[{"name": "s1"}, {"name": "s1"}]),
+        {"version": 7},
+        [],
+    ],
+)
+def test_an_invalid_configuration_is_refused(raw: object):
+    """Guards against a configuration in force that cannot be obeyed."""
+    with pytest.raises(ApricotError) as caught:
+        decode_document(json.dumps(raw).encode())
+    assert caught.value.code == ResultCode.INVALID_COMMAND
+
+
+def test_a_configuration_that_is_cut_short_is_refused():
+    """Guards against half of a configuration."""
+    whole = json.dumps(configuration()).encode()
+    for length in range(len(whole)):
+        with pytest.raises(ApricotError):
+            decode_document(whole[:length])
+
+
+def test_a_heartbeat_becomes_an_announcement():
+    """Guards against fields of the platform that are confused with each other."""
+    said = decode_heartbeat("i-1", heartbeat(state="draining"))
+    assert said.backend_id == "i-1"
+    assert said.room == Room(16000, 32768, 0)
+    assert (said.leaving, said.sequence, said.born_ms) == (True, 4, 1000)
+    assert (said.service, said.failure_domain, said.address) == ("s1", "a", "10.1.0.9:8080")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        heartbeat(state="asleep"),
+        heartbeat(address="10.1.0.9"),
+        heartbeat(sequence="4"),
+        heartbeat(capacity={}),
+        heartbeat(capacity={"cpu": -1, "requested_memory_mb": 1}),
+        json.dumps({"service": "s1"}).encode(),
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_worker(body: bytes):
+    """Guards against a worker that is lost to unreadable heartbeats."""
+    with pytest.raises(ApricotError):
+        decode_heartbeat("i-1", body)
+
+
+def test_a_job_takes_its_rules_from_the_route():
+    """Guards against a caller that waits longer than the route allows, or less."""
+    request = decode_job(JOB_ID, job(), route=ROUTE, deadline_s=9.0)
+    assert (request.count, request.room) == (8, Room(11100, 64, 0))
+    assert (request.deadline_s, request.estimate_s, request.max_attempts) == (1.5, 0.024, 3)
+    assert decode_job(JOB_ID, job(), route=ROUTE, deadline_s=0.5).deadline_s == 0.5
+
+
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [
+        (b"{", ResultCode.MALFORMED),
+        (job(phases=[]), ResultCode.MALFORMED),
+        (job(phases=[{"count": 0}]), ResultCode.MALFORMED),
+        (job(phases=[{"count": 1, "cpu": -5}]), ResultCode.MALFORMED),
+        (job(spec="x" * 4001), ResultCode.TOO_LARGE),
+        (job(best_effort=False), ResultCode.CANNOT_RUN),
+        (job(phases=[{"count": 1}, {"count": 1}]), ResultCode.CANNOT_RUN),
+        (job(phases=[{"count": 1, "gang_scheduled": True}]), ResultCode.CANNOT_RUN),
+        (job(phases=[{"count": 1, "requirements": "b"}]), ResultCode.CANNOT_RUN),
+    ],
+)
+def test_a_job_that_cannot_be_run_is_refused(body: bytes, code: ResultCode):
+    """Guards against a job that is accepted and then dropped."""
+    with pytest.raises(ApricotError) as caught:
+        decode_job(JOB_ID, body, route=ROUTE, deadline_s=None)
+    assert caught.value.code == code
+
+
+@pytest.mark.parametrize(
+    ("code", "status"),
+    [
+        (ResultCode.COMPLETE, 200),
+        (ResultCode.TASKS_FAILED, 200),
+        (ResultCode.OVERLOADED, 503),
+        (ResultCode.NO_BACKEND, 503),
+        (ResultCode.DRAINING, 503),
+        (ResultCode.DEADLINE_BEFORE_START, 503),
+        (ResultCode.MALFORMED, 400),
+        (ResultCode.DEADLINE_AFTER_START, 504),
+        (ResultCode.BACKEND_LOST, 502),
+        (ResultCode.COORDINATOR_UNREACHABLE, 502),
+    ],
+)
+def test_only_what_has_not_run_is_answered_as_refused(code: ResultCode, status: int):
+    """Guards against a refusal of work that may have run."""
+    got, _, headers = encode_answer(PoolAnswer(int(code), "why", 1.2))
+    assert got == status
+    assert ("retry-after" in headers) == (status == 503)
+
+
+def test_settings_name_the_missing_field(tmp_path: Path):
+    """Guards against a process that starts with half of its settings."""
+    path = tmp_path / "boot.yaml"
+    path.write_text("node_name: n\nzone: a\n")
+    with pytest.raises(ApricotError, match="ip_address"):
+        load_settings(path)
+    path.write_text("{")
+    with pytest.raises(ApricotError, match="cannot be read"):
+        load_settings(path)
+
+
+def test_settings_are_translated(tmp_path: Path):
+    """Guards against seeds and addresses that are taken for each other."""
+    path = tmp_path / "boot.yaml"
+    path.write_text(
+        "node_name: n1\nip_address: 10.1.0.13\nzone: a\nzones: {b: r, a: r}\n"
+        "listen_addresses: {frontend: '10.1.0.13:8161', ready: '10.1.0.13:8167'}\n"
+        "internal_port_range: [7720, 7735]\nseed_nodes: ['10.1.0.16:8166']\n"
+        "bootstrap: true\ndata_directory: null\nsomething_new: 1\n"
+    )
+    settings = load_settings(path)
+    assert settings.failure_domains == ["a", "b"]
+    assert settings.seeds == ["10.1.0.16"]
+    assert settings.peer_address("10.1.0.16") == "10.1.0.16:7720"
+    assert (settings.caller_bind, settings.control_bind) == ("10.1.0.13:8161", "")
+    assert settings.data_folder is None
--- /dev/null
+++ b/testing/pool/pool_rig.py
@@ -0,0 +1,271 @@
+"""A stand-in backend server with room and leases, and a scheduler on virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import anyio.abc
+import attrs
+import trio.testing
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._pool.exchange import (
+    End,
+    EndedRun,
+    Holding,
+    HoldRefused,
+    RunKey,
+    RunStart,
+    StartOutcome,
+)
+from apricotpoint._pool.scheduler import Scheduler
+from apricotpoint._wire.pool import PoolBackend, PoolJob, Room
+
+TRIP_S = 0.001
+ANSWER_S = 0.15
+WORKER_ROOM = Room(32_000, 131_072)
+TASK_ROOM = Room(14_000, 64)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test on virtual time that jumps whenever all tasks wait."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(test, backend="trio", backend_options={"clock": clock})
+
+
+def make_backend(backend_id: str = "w1", *, room: Room = WORKER_ROOM) -> PoolBackend:
+    return PoolBackend(
+        backend_id=backend_id,
+        service="desk",
+        address="127.0.0.1:1",
+        failure_domain="a",
+        room=room,
+        labels=[],
+        leaving=False,
+        sequence=1,
+    )
+
+
+def make_job(
+    number: int = 1,
+    *,
+    count: int = 1,
+    work_s: float = 0.2,
+    kind: str = "check",
+    deadline_s: float = 1.5,
+    base_latency_s: float = 0.06,
+    max_attempts: int = 2,
+) -> PoolJob:
+    return PoolJob(
+        job_id=f"{number:016x}",
+        kind=kind,
+        service="desk",
+        spec="",
+        count=count,
+        room=TASK_ROOM,
+        estimate_s=work_s,
+        priority=0,
+        max_attempts=max_attempts,
+        base_latency_s=base_latency_s,
+        stretch=1.6,
+        elapsed_s=0.0,
+        deadline_s=deadline_s,
+    )
+
+
+@attrs.define(eq=False)
+class Work:
+    """A run at the stand-in."""
+
+    key: RunKey
+    began_at: float
+    left_s: float
+    lasts_s: float
+
+
+class FakeWorker:
+    """Obeys tokens, leases and run numbers like the platform's workers.
+
+    `work_s_by_task` overrides the run time. `lose_start_answers` and
+    `delay_starts_s` let the next starts be carried out without an answer, at
+    once or later; `dark` answers nothing; `frozen_tasks` stand still.
+    """
+
+    def __init__(self, *, work_s: float = 0.2, speed: float = 1.0) -> None:
+        self.work_s = work_s
+        self.speed = speed
+        self.fails = False
+        self.stands_still = False
+        self.dark = False
+        self.deaf = False
+        self.lose_start_answers = 0
+        self.delay_starts_s: list[float] = []
+        self.token = 0
+        self.lease_until = 0.0
+        self.room = WORKER_ROOM
+        self.work_by_key: dict[RunKey, Work] = {}
+        self.ended: list[EndedRun] = []
+        self.last_run_by_task: dict[str, int] = {}
+        self.starts: list[RunKey] = []
+        self.holds = 0
+        self._numbers = 0
+        self._changed = anyio.Event()
+
+    async def start(self, order: RunStart) -> StartOutcome:
+        """Carry out a start, with the faults that are set."""
+        await anyio.sleep(TRIP_S)
+        if self.dark:
+            await anyio.sleep(ANSWER_S)
+            return StartOutcome.UNKNOWN
+        if self.delay_starts_s:
+            late_s = self.delay_starts_s.pop()
+            self.group.start_soon(self._start_later, order, late_s)
+            await anyio.sleep(ANSWER_S)
+            return StartOutcome.UNKNOWN
+        outcome = self._start(order)
+        if self.lose_start_answers:
+            self.lose_start_answers -= 1
+            await anyio.sleep(ANSWER_S)
+            return StartOutcome.UNKNOWN
+        await anyio.sleep(TRIP_S)
+        return outcome
+
+    async def _start_later(self, order: RunStart, late_s: float) -> None:
+        await anyio.sleep(late_s)
+        self._start(order)
+
+    def _start(self, order: RunStart) -> StartOutcome:
+        now = anyio.current_time()
+        self._advance()
+        if order.token < self.token:
+            return StartOutcome.FENCED
+        self.token = order.token
+        until = order.lease_until_ms / 1000
+        if until <= now:
+            return StartOutcome.TOO_LATE
+        self.lease_until = max(self.lease_until, until)
+        if order.key in self.work_by_key:
+            return StartOutcome.STARTED
+        if order.key.run <= self.last_run_by_task.get(order.key.task, 0):
+            return StartOutcome.OLD_RUN
+        used = TASK_ROOM.cpu * len(self.work_by_key)
+        if used + TASK_ROOM.cpu > self.room.cpu:
+            return StartOutcome.NO_ROOM
+        self.starts.append(order.key)
+        left_s = float("inf") if self.stands_still else self.work_s / self.speed
+        self.work_by_key[order.key] = Work(order.key, now, left_s, left_s)
+        self.group.start_soon(self._run, order.key, left_s)
+        return StartOutcome.STARTED
+
+    async def _run(self, key: RunKey, seconds: float) -> None:
+        await anyio.sleep(seconds)
+        self._advance()
+        if key in self.work_by_key:
+            self._end(key, End.FAILED if self.fails else End.DONE)
+
+    def _advance(self) -> None:
+        if anyio.current_time() >= self.lease_until:
+            for key in list(self.work_by_key):
+                self._end(key, End.LAPSED)
+
+    def _end(self, key: RunKey, end: End) -> None:
+        del self.work_by_key[key]
+        self._numbers += 1
+        self.last_run_by_task[key.task] = key.run
+        self.ended.append(EndedRun(self._numbers, key, end))
+        self._changed.set()
+
+    async def stop(self, key: RunKey, token: int) -> bool:
+        """Stop a run, now or before it arrives."""
+        await anyio.sleep(TRIP_S)
+        if self.dark or token < self.token:
+            return False
+        self.last_run_by_task[key.task] = max(key.run, self.last_run_by_task.get(key.task, 0))
+        if key in self.work_by_key:
+            self._end(key, End.STOPPED)
+        await anyio.sleep(TRIP_S)
+        return True
+
+    async def hold(
+        self, *, token: int, acknowledged: int, lease_until_ms: int | None, wait_s: float
+    ) -> Holding | None:
+        """Renew the lease and wait for an end."""
+        self.holds += 1
+        await anyio.sleep(TRIP_S)
+        if self.dark:
+            await anyio.sleep(wait_s + ANSWER_S)
+            return None
+        self._advance()
+        if token < self.token:
+            raise HoldRefused(StartOutcome.FENCED)
+        self.token = token
+        if lease_until_ms is not None:
+            self.lease_until = max(self.lease_until, lease_until_ms / 1000)
+        if self.deaf:
+            await anyio.sleep(wait_s + ANSWER_S)
+            return None
+        self.ended = [end for end in self.ended if end.number > acknowledged]
+        if not self.ended:
+            self._changed = anyio.Event()
+            with anyio.move_on_after(wait_s):
+                await self._changed.wait()
+        self._advance()
+        now = anyio.current_time()
+        await anyio.sleep(TRIP_S)
+        return Holding(
+            clock_ms=int(now * 1000),
+            born_ms=0,
+            progress_by_run={
+                key: int(100 * (now - work.began_at) / work.lasts_s)
+                for key, work in self.work_by_key.items()
+            },
+            ended=list(self.ended),
+        )
+
+    def renew_connections(self) -> None:
+        """Do nothing: the stand-in has no connections."""
+
+    async def close(self) -> None:
+        """Do nothing: the stand-in has no connections."""
+
+    group: anyio.abc.TaskGroup
+
+
+@attrs.define(eq=False)
+class Rig:
+    """A scheduler that holds stand-in backend servers."""
+
+    scheduler: Scheduler
+    counters: Counters
+    worker_by_id: dict[str, FakeWorker]
+
+    async def settle(self, seconds: float) -> None:
+        """Let time pass."""
+        await anyio.sleep(seconds)
+
+
+@asynccontextmanager
+async def pool(*workers: FakeWorker) -> AsyncIterator[Rig]:
+    """Run a scheduler that holds these workers, named w1, w2 and so on."""
+    worker_by_id = {f"w{i}": worker for i, worker in enumerate(workers, 1)}
+    counters = Counters()
+    async with (
+        anyio.create_task_group() as group,
+        TimerService() as timers,
+        Scheduler(
+            timers=timers,
+            counters=counters,
+            random=random.Random(1),
+            make_calls=lambda said: worker_by_id[said.backend_id],
+        ) as scheduler,
+    ):
+        for worker_id, worker in worker_by_id.items():
+            worker.group = group
+            scheduler.hold(make_backend(worker_id, room=worker.room), token=100)
+        await anyio.sleep(0.05)
+        yield Rig(scheduler, counters, worker_by_id)
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/testing/pool/test_claims.py
@@ -0,0 +1,59 @@
+"""Claims on failure domains: one claimant, the own failure domain first."""
+
+from __future__ import annotations
+
+from apricotpoint._pool import claims
+from apricotpoint._wire.pool import EntryStatus, PoolLoad
+
+
+def status(domain: str, *, draining: bool = False, **terms: int) -> EntryStatus:
+    return EntryStatus(
+        failure_domain=domain,
+        draining=draining,
+        config_version=1,
+        term_by_claim=terms,
+        held=[],
+        load=PoolLoad(0.0, 0, 0),
+    )
+
+
+def test_without_claims_one_process_of_the_failure_domain_claims_it():
+    """Guards against two claims after a common start."""
+    live = {"1": status("a"), "2": status("a"), "3": status("b")}
+    assert [entry for entry in live if claims.should_claim(entry, "a", live)] == ["1"]
+    assert [entry for entry in live if claims.should_claim(entry, "b", live)] == ["3"]
+
+
+def test_a_claim_stays_when_a_process_with_a_lower_id_joins():
+    """Guards against handovers that nobody needs."""
+    live = {"0": status("a"), "2": status("a", a=7)}
+    assert claims.should_claim("2", "a", live)
+    assert not claims.should_claim("0", "a", live)
+
+
+def test_a_failure_domain_without_processes_is_claimed_from_outside():
+    """Guards against backend servers that nobody uses."""
+    live = {"1": status("b", b=3), "2": status("b")}
+    assert claims.should_claim("2", "a", live)
+    assert not claims.should_claim("1", "a", live)
+
+
+def test_a_process_of_the_failure_domain_takes_it_back():
+    """Guards against a holder that loses the backend servers in the next partition."""
+    live = {"1": status("b", b=3, a=9), "2": status("a")}
+    assert claims.should_claim("2", "a", live)
+    assert not claims.should_claim("1", "a", live)
+
+
+def test_a_draining_process_is_followed_by_another():
+    """Guards against new work at a process that is about to end."""
+    live = {"1": status("a", draining=True, a=3), "2": status("a")}
+    assert claims.should_claim("2", "a", live)
+    assert claims.next_term("a", live, 0) == 4
+
+
+def test_of_two_claims_the_newer_one_counts():
+    """Guards against two claimants after a partition."""
+    live = {"1": status("a", a=3), "2": status("a", a=5)}
+    assert claims.claimant("a", live) == "2"
+    assert not claims.should_claim("1", "a", live)
--- /dev/null
+++ b/testing/pool/test_learning.py
@@ -0,0 +1,56 @@
+"""Speeds and run times are learned without bias."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import anyio
+from pool_rig import FakeWorker, make_job, pool, run
+
+from apricotpoint._pool.learning import KindTimes
+
+
+def test_the_estimate_lies_between_declaration_and_kind():
+    """Guards against trust in declarations that are far off."""
+    times = KindTimes()
+    for _ in range(200):
+        times.observe("check", 0.4, 0.2)
+    assert math.isclose(times.estimate_s("check", 0.4), 0.2, rel_tol=0.01)
+    assert 0.2 < times.estimate_s("check", 0.8) < 0.4
+    assert times.estimate_s("other", 0.8) == 0.8
+
+
+def test_speeds_stay_right_when_the_runs_of_a_job_end_one_after_another():
+    """Guards against speeds that sink because late ends look slow."""
+
+    async def test() -> None:
+        workers = [FakeWorker(work_s=0.06) for _ in range(4)]
+        noise = random.Random(1)
+        async with pool(*workers) as rig:
+            for number in range(1, 60):
+                for worker in workers:
+                    worker.work_s = 0.06 * noise.uniform(0.7, 1.3)
+                job = rig.scheduler.submit(make_job(number, count=8, work_s=0.06), "")
+                await job.answered.wait()
+                await anyio.sleep(0.01)
+            speeds = [held.speed.value for held in rig.scheduler.held_by_id.values()]
+            assert all(0.75 < speed < 1.3 for speed in speeds)
+            assert 0.04 < rig.scheduler.times.estimate_s("check", 0.06) < 0.09
+
+    run(test)
+
+
+def test_a_slow_backend_server_is_recognised():
+    """Guards against long tasks on a backend server at half speed."""
+
+    async def test() -> None:
+        slow, *fast = [FakeWorker(speed=0.5), FakeWorker(), FakeWorker(), FakeWorker()]
+        async with pool(slow, *fast) as rig:
+            for number in range(1, 30):
+                job = rig.scheduler.submit(make_job(number, count=8), "")
+                await job.answered.wait()
+            speed_by_id = {key: held.speed.value for key, held in rig.scheduler.held_by_id.items()}
+            assert speed_by_id["w1"] < 0.7 * min(speed_by_id[key] for key in ("w2", "w3", "w4"))
+
+    run(test)
