--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -164,4 +164,5 @@
             claim = self._claim_by_domain.get(said.failure_domain)
             if claim is None or backend_id in kept or backend_id in self._scheduler.held_by_id:
                 continue
-            self._scheduler.hold(said, claim.term << TERM_BITS)
+            speed = members.speed_by_backend.get(backend_id)
+            self._scheduler.hold(said, claim.term << TERM_BITS, speed=speed)
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,6 +16,13 @@
     from apricotpoint._pool.held import HeldBackend
 
 
+# Tasks of one job differ by about 15%; the longest of them is longer than the
+# mean by this share for each doubling of their number.
+UNEVEN_SHARE = 0.07
+# Progress in percent from which the whole run time can be told.
+TELLING_PROGRESS = 15
+
+
 class RunState(enum.Enum):
     """What is known of a run.
 
@@ -26,6 +34,11 @@
     RUNNING = "running"
 
 
+def longest_s(estimate_s: float, count: int) -> float:
+    """Return the expected run time of the longest of `count` tasks."""
+    return estimate_s * (1 + UNEVEN_SHARE * math.log2(count))
+
+
 @attrs.define(eq=False)
 class Run:
     """One start of a task on a backend server. Times are monotonic seconds."""
@@ -41,6 +54,13 @@
     progress: int = 0
     progress_at: float = 0.0
     stopping: bool = False
+    seems_slow: bool = False
+
+    def predicted_s(self) -> float | None:
+        """Return the run time that the progress so far predicts, None if it does not tell yet."""
+        if self.progress < TELLING_PROGRESS:
+            return None
+        return (self.progress_at - self.sent_at) * 100 / self.progress
 
     @property
     def key(self) -> RunKey:
@@ -92,10 +112,15 @@
         """When the caller stops waiting."""
         return self.sent_at + self.request.deadline_s
 
+    @property
+    def longest_s(self) -> float:
+        """Expected run time of its longest task in seconds at speed 1."""
+        return longest_s(self.estimate_s, self.request.count)
+
     @property
     def objective_s(self) -> float:
         """Latency in seconds up to which an answer is in time."""
-        return self.request.base_latency_s + self.request.stretch * self.estimate_s
+        return self.request.base_latency_s + self.request.stretch * self.longest_s
 
     @property
     def objective_at(self) -> float:
--- a/src/apricotpoint/_pool/keeper.py
+++ b/src/apricotpoint/_pool/keeper.py
@@ -24,6 +24,9 @@
 STANDSTILL_S = 0.35
 STANDSTILL_SHARE = 0.08
 
+# Estimates are off by up to 40%; a run that takes longer by more than this tells of its speed.
+SLOW_FACTOR = 1.7
+
 _log = logbook.Logger("pool")
 
 
@@ -39,6 +42,9 @@
     def run_stands_still(self, run: Run) -> None:
         """Take that a run makes no progress."""
 
+    def run_seems_slow(self, run: Run, predicted_s: float) -> None:
+        """Take that the progress of a run predicts a far longer run time than expected."""
+
     def backend_changed(self, held: HeldBackend) -> None:
         """Take that a backend server can be used again, or no longer."""
 
@@ -184,6 +190,10 @@
             run.confirmed_at = now
         if progress != run.progress or not run.progress_at:
             run.progress, run.progress_at = progress, now
+            predicted_s = run.predicted_s()
+            is_slow = predicted_s is not None and predicted_s > SLOW_FACTOR * run.expected_s
+            if predicted_s is not None and is_slow and not run.seems_slow:
+                self._observer.run_seems_slow(run, predicted_s)
             return
         limit_s = max(STANDSTILL_S, STANDSTILL_SHARE * run.expected_s)
         if now - run.progress_at > limit_s and not run.stopping:
--- a/src/apricotpoint/_pool/learning.py
+++ b/src/apricotpoint/_pool/learning.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections import OrderedDict
+from collections.abc import Sequence
 
 import attrs
 
@@ -19,6 +21,11 @@
 # Declared times and the mean of a kind err by about the same factor, so both
 # count the same in the estimate, as exponents of a geometric mean.
 DECLARED_SHARE = 0.5
+# A speed that was learned elsewhere counts as this many observations.
+RESTORED_COUNT = 5
+# Backend servers of the deployments differ by a factor of 2.2. What is slower than the
+# median by more than e has a fault and does not change the scale.
+OUTLIER_LOG = 1.0
 SLOWEST, FASTEST = 0.02, 20.0
 
 
@@ -57,6 +64,12 @@
         _mean(self._work_by_kind, kind).add(logarithm)
         _mean(self._ratio_by_kind, kind).add(logarithm - math.log(max(declared_s, 1e-3)))
 
+    def shift(self, logarithm: float) -> None:
+        """Change the scale of all run times together with that of all speeds."""
+        for mean_by_kind in (self._work_by_kind, self._ratio_by_kind):
+            for mean in mean_by_kind.values():
+                mean.value += logarithm
+
 
 def _mean(mean_by_kind: OrderedDict[str, _Mean], kind: str) -> _Mean:
     mean = mean_by_kind.get(kind)
@@ -68,6 +81,14 @@
     return mean
 
 
+def mean_speed_log(logs: Sequence[float]) -> float:
+    """Return the mean of logarithms of speeds, without backend servers that have turned slow."""
+    if not logs:
+        return 0.0
+    lowest = statistics.median(logs) - OUTLIER_LOG
+    return statistics.fmean([value for value in logs if value >= lowest])
+
+
 class Speed:
     """Speed of one backend server against the mean of all; 1 until something is known."""
 
@@ -76,11 +97,24 @@
         # One pseudo-observation of speed 1 keeps the first run from deciding alone.
         self._mean.add(0.0)
 
+    def restore(self, value: float) -> None:
+        """Start from a speed that was learned elsewhere."""
+        self._mean = _Mean(SPEED_WEIGHT, count=RESTORED_COUNT, value=math.log(value))
+
     @property
     def value(self) -> float:
         """The learned speed."""
         return math.exp(self._mean.value)
 
+    @property
+    def log(self) -> float:
+        """The logarithm of the learned speed."""
+        return self._mean.value
+
+    def shift(self, logarithm: float) -> None:
+        """Change the scale of the speed."""
+        self._mean.value += logarithm
+
     def observe(self, expected_s: float, took_s: float, *, siblings: bool) -> None:
         """Count a run that was expected to take `expected_s` at speed 1.
 
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -70,6 +70,7 @@
         self._status_by_entry: dict[str, EntryStatus] = {}
         self._heard_at_by_entry: dict[str, float] = {}
         self._was_live: set[str] = set()
+        self.speed_by_backend: dict[str, float] = {}
         self._subscription: Subscription | None = None
         self._group: anyio.abc.TaskGroup | None = None
 
@@ -137,6 +138,7 @@
     def _on_status(self, sender: Sender, message: object) -> None:
         assert isinstance(message, EntryStatus)
         self._status_by_entry[sender.peer_id] = message
+        self.speed_by_backend.update(message.speed_by_backend)
         self._heard_at_by_entry[sender.peer_id] = self._timers.now() - sender.age_s
 
     def _on_backends(self, _: Sender, message: object) -> None:
--- a/src/apricotpoint/_pool/order.py
+++ b/src/apricotpoint/_pool/order.py
@@ -14,7 +14,7 @@
 
 def slack_s(job: Job, now: float, fastest: float) -> float:
     """Return how long the job can wait for room on the fastest backend server and be in time."""
-    return job.objective_at - now - job.estimate_s / fastest
+    return job.objective_at - now - job.longest_s / fastest
 
 
 def order_key(job: Job, now: float, fastest: float) -> tuple[int, float]:
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -29,9 +29,7 @@
     if not fitting:
         return None
     left_s = job.objective_at - now
-    in_time = [
-        held for held in fitting if job.estimate_s * SLOW_MARGIN / held.speed.value <= left_s
-    ]
+    in_time = [held for held in fitting if job.longest_s * SLOW_MARGIN / held.speed.value <= left_s]
     if in_time:
         return min(in_time, key=lambda held: (held.speed.value, held.free().cpu))
     fastest = max(fitting, key=lambda held: (held.speed.value, -held.free().cpu))
@@ -40,4 +38,4 @@
 
 def _worthwhile(job: Job, held: HeldBackend, now: float) -> bool:
     """Return whether a start that is late can still be answered before the deadline."""
-    return now + job.estimate_s / held.speed.value <= job.deadline_at
+    return now + job.longest_s / held.speed.value <= job.deadline_at
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -17,9 +17,9 @@
 from apricotpoint._pool import admission, order, placement
 from apricotpoint._pool.exchange import BackendCalls, End, RunStart, StartOutcome
 from apricotpoint._pool.held import HeldBackend
-from apricotpoint._pool.job import Job, Run, RunState, Task
+from apricotpoint._pool.job import Job, Run, RunState, Task, longest_s
 from apricotpoint._pool.keeper import Keeper
-from apricotpoint._pool.learning import KindTimes
+from apricotpoint._pool.learning import KindTimes, mean_speed_log
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
 # Deadlines and hopeless jobs are checked this often, in seconds.
@@ -31,6 +31,8 @@
 KEEP_ANSWER_S = 10.0
 # Expected time in seconds until a backend server that was taken over answers.
 TAKEOVER_WAIT_S = 0.1
+# Learned speeds scatter, so the largest one promises too much.
+GOOD_SPEED_SHARE = 0.7
 # Jobs looked at for a free place before the others are left to wait.
 MAX_BLOCKED = 4
 # Before any job was seen, the room that a task usually takes is half of a backend server.
@@ -92,10 +94,15 @@
 
     # Backend servers
 
-    def hold(self, said: PoolBackend, token: int) -> None:
-        """Take over a backend server with this fencing token."""
+    def hold(self, said: PoolBackend, token: int, *, speed: float | None = None) -> None:
+        """Take over a backend server with this fencing token.
+
+        `speed` is what its earlier holder has learned.
+        """
         assert self._group is not None
         held = HeldBackend(said, self._make_calls(said), token)
+        if speed is not None:
+            held.speed.restore(speed)
         held.lapsed_at = self._timers.now()
         keeper = Keeper(held, observer=self, timers=self._timers, counters=self._counters)
         self.held_by_id[said.backend_id] = held
@@ -128,6 +135,10 @@
             run.task.run = None
             self._fail_unknown(run.task.job, f"backend {backend_id} was released: {reason}")
 
+    def speeds(self) -> dict[str, float]:
+        """Return the learned speeds of the backend servers held."""
+        return {key: round(held.speed.value, 3) for key, held in self.held_by_id.items()}
+
     def load(self) -> PoolLoad:
         """Return the load for other entry processes."""
         now = self._timers.now()
@@ -150,7 +161,9 @@
             return None
         estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
         job = self._make_job(request, "", now, estimate_s)
-        return admission.predicted_latency_s(self._backlog(job, now), estimate_s, self._fastest())
+        return admission.predicted_latency_s(
+            self._backlog(job, now), job.longest_s, self._fastest()
+        )
 
     def find(self, job_id: str) -> Job | None:
         """Return a job that runs or has ended lately."""
@@ -184,7 +197,8 @@
         if not admission.is_hopeless(
             latency_s=latency_s,
             elapsed_s=request.elapsed_s,
-            objective_s=request.base_latency_s + request.stretch * estimate_s,
+            objective_s=request.base_latency_s
+            + request.stretch * longest_s(estimate_s, request.count),
             deadline_s=request.deadline_s,
         ):
             return None
@@ -406,7 +420,6 @@
         """Decide on a job after one of its runs has ended or is gone."""
         if job.answer is None:
             if job.is_done():
-                self._learn_from(job)
                 self._end(job, PoolAnswer(int(ResultCode.COMPLETE)))
             elif task.failures >= job.request.max_attempts:
                 reason = f"task {task.name} failed {task.failures} times"
@@ -418,8 +431,11 @@
     def _end(self, job: Job, answer: PoolAnswer) -> None:
         """Answer a job and stop what may still run of it."""
         if job.answer is None:
+            self._learn_from(job)
             self._counters.add(f"pool.answers_{answer.code}")
             self._counters.record("pool.latency", self._timers.now() - job.sent_at)
+            if job.started and answer.code != ResultCode.COMPLETE:
+                _log.notice("job {} given up: {}", job.request.job_id, self._describe(job))
         job.cancelled = True
         job.close(answer)
         for run in job.runs():
@@ -428,6 +444,23 @@
             self._forget(job)
         self.wake()
 
+    def _describe(self, job: Job) -> str:
+        """Return what is known of each task, for the log."""
+        now = self._timers.now()
+        parts = [f"estimate {job.estimate_s:.3f} s, age {now - job.sent_at:.3f} s"]
+        for task in job.tasks:
+            run = task.run
+            if task.done:
+                parts.append("done")
+            elif run is None:
+                parts.append(f"waiting after {task.runs} runs")
+            else:
+                parts.append(
+                    f"{run.state.value} on {run.backend.backend_id} for {now - run.sent_at:.3f} s, "
+                    f"{run.progress}%, expected {run.expected_s:.3f} s"
+                )
+        return "; ".join(parts)
+
     def _fail_unknown(self, job: Job, reason: str) -> None:
         code = ResultCode.BACKEND_LOST if job.started else ResultCode.NO_BACKEND
         self._end(job, PoolAnswer(int(code), reason))
@@ -460,7 +493,7 @@
                 else:
                     code, reason = ResultCode.DEADLINE_BEFORE_START, "no room before the deadline"
                 self._end(job, PoolAnswer(int(code), reason))
-            elif not job.started and now + job.estimate_s / fastest > job.deadline_at:
+            elif not job.started and now + job.longest_s / fastest > job.deadline_at:
                 after_s = admission.retry_after_s(
                     self._backlog(None, now).wait_s, self._random.random()
                 )
@@ -488,23 +521,58 @@
         run.task.job.done_runs.append((run, took_s))
 
     def _learn_from(self, job: Job) -> None:
-        """Learn from all runs of a job at once.
+        """Learn from all runs of a job at once, also from those that are stopped.
 
         Tasks of one job take about the same work. Comparing each run only with
         those that ended before it would make every backend server look slow,
-        because whatever ends late was, on average, unlucky.
+        because whatever ends late was, on average, unlucky. Leaving out runs
+        that were stopped would make slow ones look fast.
         """
-        works = [math.log(took_s * run.backend.speed.value) for run, took_s in job.done_runs]
+        runs = self._timed_runs(job)
+        works = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
         total = sum(works)
-        for (run, took_s), work in zip(job.done_runs, works, strict=True):
+        for (run, took_s), work in zip(runs, works, strict=True):
             others = len(works) - 1
             expected_s = math.exp((total - work) / others) if others else job.estimate_s
             run.backend.speed.observe(expected_s, took_s, siblings=others > 0)
             self.times.observe(job.request.kind, job.request.estimate_s, math.exp(work))
+        self._anchor()
+
+    def _timed_runs(self, job: Job) -> list[tuple[Run, float]]:
+        """Return the runs of a job whose run time is known or can be told, with this time."""
+        runs = list(job.done_runs)
+        for run in job.runs():
+            predicted_s = run.predicted_s()
+            if predicted_s is not None:
+                runs.append((run, predicted_s))
+        return runs
+
+    def _anchor(self) -> None:
+        """Keep the mean speed at 1.
+
+        Run times alone tell only the ratio of work to speed. Without an anchor
+        both drift, and with them the objectives, which depend on work.
+        """
+        shift = mean_speed_log([held.speed.log for held in self.held_by_id.values()])
+        for held in self.held_by_id.values():
+            held.speed.shift(-shift)
+        self.times.shift(-shift)
+
+    def run_seems_slow(self, run: Run, predicted_s: float) -> None:
+        """Learn at once from a run that takes far longer than others of its job."""
+        run.seems_slow = True
+        self._counters.add("pool.slow_runs")
+        others = [item for item in self._timed_runs(run.task.job) if item[0] is not run]
+        if others:
+            works = [math.log(took_s * other.backend.speed.value) for other, took_s in others]
+            expected_s = math.exp(sum(works) / len(works))
+            run.backend.speed.observe(expected_s, predicted_s, siblings=True)
+            self._anchor()
 
     def _fastest(self) -> float:
-        """Return the speed of the fastest backend server held."""
-        return max((held.speed.value for held in self.held_by_id.values()), default=1.0)
+        """Return the speed that a job can count on if it gets the better backend servers."""
+        speeds = sorted(held.speed.value for held in self.held_by_id.values())
+        return speeds[int(len(speeds) * GOOD_SPEED_SHARE)] if speeds else 1.0
 
     def _note_cpu(self, request: PoolJob) -> None:
         cpu = float(request.room.cpu)
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -102,6 +102,7 @@
     `term_by_claim` has the failure domains whose backend servers the process
     claims, with the term of each claim. `held` are the backend servers that it
     has not released yet; no other process may take them over meanwhile.
+    `speed_by_backend` has what was learned, for a process that takes over.
     """
 
     failure_domain: str
@@ -110,6 +111,7 @@
     term_by_claim: dict[str, int]
     held: list[str]
     load: PoolLoad
+    speed_by_backend: dict[str, float] = attrs.Factory(dict)
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -203,6 +203,7 @@
             term_by_claim=self._claimer.term_by_claim(),
             held=self._claimer.held(),
             load=self._scheduler.load(),
+            speed_by_backend=self._scheduler.speeds(),
         )
 
     def _check(self) -> None:
--- a/testing/pool/test_learning.py
+++ b/testing/pool/test_learning.py
@@ -54,3 +54,42 @@
             assert speed_by_id["w1"] < 0.7 * min(speed_by_id[key] for key in ("w2", "w3", "w4"))
 
     run(test)
+
+
+def test_a_backend_server_on_which_jobs_never_end_is_recognised_as_slow():
+    """Guards against a slow backend server that looks fast, because its runs are stopped."""
+
+    async def test() -> None:
+        slow, fast = FakeWorker(work_s=1.0, speed=0.3), FakeWorker(work_s=1.0)
+        async with pool(slow, fast) as rig:
+            for number in range(1, 12):
+                job = rig.scheduler.submit(make_job(number, count=4, work_s=1.0), "")
+                await job.answered.wait()
+                await anyio.sleep(0.3)
+            speed_by_id = rig.scheduler.speeds()
+            assert speed_by_id["w1"] < 0.6 * speed_by_id["w2"]
+
+    run(test)
+
+
+def test_run_times_of_very_different_jobs_do_not_move_the_scale():
+    """Guards against speeds and run times that drift together until every job looks late."""
+
+    async def test() -> None:
+        workers = [FakeWorker(speed=speed) for speed in (0.6, 1.2, 1.2, 1.2)]
+        noise = random.Random(2)
+        async with pool(*workers) as rig:
+            for number in range(1, 120):
+                work_s = 0.2 * math.exp(noise.gauss(0, 0.4))
+                for worker in workers:
+                    worker.work_s = work_s
+                declared_s = work_s * math.exp(noise.gauss(0, 0.4))
+                job = rig.scheduler.submit(
+                    make_job(number, count=8, work_s=declared_s, deadline_s=9.0), ""
+                )
+                await job.answered.wait()
+                await anyio.sleep(0.01)
+            assert 0.15 < rig.scheduler.times.estimate_s("check", 0.2) < 0.27
+            assert rig.scheduler.refusal(make_job(999, count=2)) is None
+
+    run(test)
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -277,6 +277,7 @@
         worker = FakeWorker(work_s=0.4)
         async with pool(worker) as rig:
             begun = rig.scheduler.submit(make_job(1, count=2, work_s=0.4), "")
+            await anyio.sleep(0.01)
             queued = rig.scheduler.submit(make_job(2, work_s=0.4, deadline_s=9.0), "")
             await anyio.sleep(0.05)
             rig.scheduler.start_draining()
