Forecast by places, weigh priority against slack, and replay load in tests

Cause: the wait of a short job was predicted from the mean backlog, in which a few long runs made every short job look late (on virtual time, 27% of short jobs refused at a load that fits). Strict order by slack served the most urgent kind worst. After a loss of power the first request was served 3 s after the VMs were back: a process listened for 1.2 s and waited for its configuration first, and the first election took up to 2 s.

Change: a forecast that simulates the places, one step of priority counting like 0.15 s of slack, refusal of what is predicted to take over 0.9 of its objective, a try for what may end in time, claims as soon as the others are heard, and an early first election. Weighed on virtual time: no priority, strict priority, steps of 0.1 and 0.3 s, limits of 0.8 to 1.3.

Election time-outs of 0.7 s were tried and reverted: test_entry_counts_only_where_it_is_synced fails, because a slow disk then ends leaderships.

--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -24,6 +24,9 @@
 # Two heartbeats and one lost request fit into the shortest election time-out.
 HEARTBEAT_S = 0.2
 ELECTION_S = 1.0
+# After a start no leader was lost, so the first election may begin earlier by this
+# much: a leader that exists is heard within two heartbeats.
+FIRST_ELECTION_LEAD_S = 0.5
 REQUEST_S = 0.5
 SNAPSHOT_REQUEST_S = 2.0
 CHANGE_S = 3.0
@@ -98,8 +101,7 @@
         self.random = random
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
-        self.heard_leader_at = timers.now()
-        self.voted_at = timers.now()
+        self.heard_leader_at = self.voted_at = timers.now() - FIRST_ELECTION_LEAD_S
         self.led_at = timers.now()
         self.state = State(log.disk_by_member())
         if log.snapshot is not None:
--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -16,8 +16,11 @@
 from apricotpoint._wire.pool import EntryStatus
 
 CHECK_S = 0.1
-# A process that starts, or was paused, first listens to the others, in seconds.
+# A process that was paused first listens to the others, in seconds.
 LISTEN_S = LIVE_S + STATUS_S
+# A process that starts and has just learned of the others gets their status
+# within two periods of it.
+FIRST_LISTEN_S = 2 * STATUS_S + CHECK_S
 # A check that is later than this, in seconds, means that the process was
 # paused: others regard it as lost and may have taken over.
 PAUSE_S = 0.8
@@ -65,9 +68,8 @@
         roster.subscribe(scheduler.announce)
 
     def begin(self) -> None:
-        """Start to listen to the others; to be called before the first check."""
+        """Start to watch the time; to be called before the first check."""
         self._checked_at, self._checked_suspended_s = self._timers.now(), self._suspended_s()
-        self._listen_until = self._checked_at + LISTEN_S
 
     def term_by_claim(self) -> dict[str, int]:
         """Return the claims of this process."""
@@ -91,6 +93,10 @@
     def check(self, members: EntryMembers) -> None:
         """Compare claims with those of the other entry processes and act on them."""
         self._check_pause()
+        if members.welcomed_at is None:
+            # Without news of the others a claim could take their backend servers away.
+            return
+        self._listen_until = max(self._listen_until, members.welcomed_at + FIRST_LISTEN_S)
         live = members.live()
         if not self.draining:
             self._update_claims(members, live)
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -22,6 +22,8 @@
 # Period of reports to the control processes, and how long one may take, in seconds.
 HELLO_S = 1.0
 HELLO_TIMEOUT_S = 0.8
+# Until the first answer, reports are repeated this often, in seconds.
+FIRST_HELLO_S = 0.15
 # An entry process that is silent for this long, in seconds, is forgotten.
 FORGET_S = 30.0
 
@@ -70,6 +72,7 @@
         self._status_by_entry: dict[str, EntryStatus] = {}
         self._heard_at_by_entry: dict[str, float] = {}
         self._was_live: set[str] = set()
+        self.welcomed_at: float | None = None
         self.speed_by_backend: dict[str, float] = {}
         self._subscription: Subscription | None = None
         self._group: anyio.abc.TaskGroup | None = None
@@ -151,7 +154,11 @@
                 for control_id in self.control_ids():
                     self._links.add_peer(control_id, self._address_of(control_id))
                     group.start_soon(self._hello, control_id)
-            await self._timers.sleep(HELLO_S)
+                if self.welcomed_at is None:
+                    # The first answer is enough to begin.
+                    await self._timers.sleep(FIRST_HELLO_S)
+                    group.cancel_scope.cancel()
+            await self._timers.sleep(HELLO_S if self.welcomed_at else FIRST_HELLO_S)
 
     async def _hello(self, control_id: str) -> None:
         try:
@@ -161,6 +168,8 @@
         except PeerUnreachable:
             return
         assert isinstance(welcome, EntryWelcome)
+        if self.welcomed_at is None:
+            self.welcomed_at = self._timers.now()
         self._control_ids |= set(welcome.control_ids)
         self._roster.hear(BackendsHeard(welcome.backends))
         for entry_id in welcome.domain_by_entry:
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 
+from apricotpoint._pool.admission import OPTIMISTIC_SHARE
 from apricotpoint._pool.held import HeldBackend
 from apricotpoint._pool.job import Job, Task
 
@@ -38,4 +39,5 @@
 
 def _worthwhile(job: Job, held: HeldBackend, now: float) -> bool:
     """Return whether a start that is late can still be answered before the deadline."""
-    return now + job.longest_s / held.speed.value <= job.deadline_at
+    run_s = OPTIMISTIC_SHARE * job.longest_s / held.speed.value
+    return now + run_s <= job.deadline_at
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -14,10 +14,10 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import Subscription, TimerService
-from apricotpoint._pool import admission, order, placement
+from apricotpoint._pool import admission, forecast, order, placement
 from apricotpoint._pool.exchange import BackendCalls, End, RunStart, StartOutcome
 from apricotpoint._pool.held import HeldBackend
-from apricotpoint._pool.job import Job, Run, RunState, Task, longest_s
+from apricotpoint._pool.job import Job, Run, RunState, Task
 from apricotpoint._pool.keeper import Keeper
 from apricotpoint._pool.learning import KindTimes, mean_speed_log
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
@@ -145,26 +145,13 @@
         usable = [held for held in self.held_by_id.values() if held.usable(now)]
         usual = max(self._usual_task_cpu(), 1)
         return PoolLoad(
-            backlog_s=self._backlog(None, now).wait_s,
+            backlog_s=self._backlog_s(now),
             free=sum(held.free().cpu // usual for held in usable),
             capacity=sum(held.said.room.cpu // usual for held in usable),
         )
 
     # Jobs
 
-    def predicted_latency_s(self, request: PoolJob) -> float | None:
-        """Return the latency that a job would have here, None if it cannot run here."""
-        now = self._timers.now()
-        if not any(
-            held.serves(request) and not held.said.leaving for held in self.held_by_id.values()
-        ):
-            return None
-        estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
-        job = self._make_job(request, "", now, estimate_s)
-        return admission.predicted_latency_s(
-            self._backlog(job, now), job.longest_s, self._fastest()
-        )
-
     def find(self, job_id: str) -> Job | None:
         """Return a job that runs or has ended lately."""
         job = self._job_by_id.get(job_id)
@@ -185,25 +172,54 @@
 
     def refusal(self, request: PoolJob) -> PoolAnswer | None:
         """Return the refusal of a job that cannot be answered in a useful time."""
-        latency_s = self.predicted_latency_s(request)
         now = self._timers.now()
-        backlog_s = self._backlog(None, now).wait_s
-        after_s = admission.retry_after_s(backlog_s, self._random.random())
-        if latency_s is None:
-            return PoolAnswer(
-                int(ResultCode.NO_BACKEND), "no backend server can take the job now", after_s
-            )
+        if not any(
+            held.serves(request) and not held.said.leaving for held in self.held_by_id.values()
+        ):
+            return self._refuse(ResultCode.NO_BACKEND, "no backend server can take the job")
         estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
+        job = self._make_job(request, "", now, estimate_s)
+        wait_s, run_s = self._forecast(job, now)
         if not admission.is_hopeless(
-            latency_s=latency_s,
+            wait_s=wait_s,
+            run_s=run_s,
             elapsed_s=request.elapsed_s,
-            objective_s=request.base_latency_s
-            + request.stretch * longest_s(estimate_s, request.count),
+            objective_s=job.objective_s,
             deadline_s=request.deadline_s,
         ):
             return None
-        reason = f"predicted latency {latency_s:.3f} s behind a backlog of {backlog_s:.3f} s"
-        return PoolAnswer(int(ResultCode.OVERLOADED), reason, after_s)
+        reason = f"predicted wait {wait_s:.3f} s and run time {run_s:.3f} s"
+        return self._refuse(ResultCode.OVERLOADED, reason)
+
+    def _forecast(self, job: Job, now: float) -> tuple[float, float]:
+        """Return the predicted wait and run time of a job in seconds."""
+        fastest = self._fastest()
+        run_s = job.longest_s / fastest
+        usable = [
+            held
+            for held in self.held_by_id.values()
+            if held.serves(job.request)
+            and held.answered
+            and not held.said.leaving
+            and now >= held.health.rest_until
+        ]
+        if not usable:
+            # Backend servers that were just taken over answer soon, or others take the jobs.
+            return TAKEOVER_WAIT_S, run_s
+        key = order.order_key(job, now, fastest)
+        ahead = [
+            other
+            for other in self.jobs()
+            if other.waiting() and order.order_key(other, now, fastest) <= key
+        ]
+        places = forecast.places(usable, self._usual_task_cpu(), now)
+        wait_s = forecast.finish_at(job, ahead, places) - now - run_s
+        return max(wait_s, 0.0), run_s
+
+    def _refuse(self, code: ResultCode, reason: str) -> PoolAnswer:
+        backlog_s = self._backlog_s(self._timers.now())
+        after_s = admission.retry_after_s(backlog_s, self._random.random())
+        return PoolAnswer(int(code), reason, after_s)
 
     def cancel(self, job_id: str, reason: str) -> None:
         """Give up a job whose caller has left."""
@@ -493,12 +509,9 @@
                 else:
                     code, reason = ResultCode.DEADLINE_BEFORE_START, "no room before the deadline"
                 self._end(job, PoolAnswer(int(code), reason))
-            elif not job.started and now + job.longest_s / fastest > job.deadline_at:
-                after_s = admission.retry_after_s(
-                    self._backlog(None, now).wait_s, self._random.random()
-                )
+            elif not job.started and now + self._shortest_s(job, fastest) > job.deadline_at:
                 reason = "it can no longer end before its deadline"
-                self._end(job, PoolAnswer(int(ResultCode.OVERLOADED), reason, after_s))
+                self._end(job, self._refuse(ResultCode.OVERLOADED, reason))
         for job_id, (ended_at, job) in list(self._ended_by_id.items()):
             if now - ended_at <= KEEP_ANSWER_S:
                 break
@@ -569,6 +582,9 @@
             run.backend.speed.observe(expected_s, predicted_s, siblings=True)
             self._anchor()
 
+    def _shortest_s(self, job: Job, fastest: float) -> float:
+        return admission.OPTIMISTIC_SHARE * job.longest_s / fastest
+
     def _fastest(self) -> float:
         """Return the speed that a job can count on if it gets the better backend servers."""
         speeds = sorted(held.speed.value for held in self.held_by_id.values())
@@ -584,31 +600,13 @@
         rooms = [held.said.room.cpu for held in self.held_by_id.values()]
         return int(min(rooms, default=1) * USUAL_SHARE)
 
-    def _backlog(self, before: Job | None, now: float) -> admission.Backlog:
-        """Return what goes before a job, or everything that waits."""
+    def _backlog_s(self, now: float) -> float:
+        """Return the predicted time until everything that waits has started."""
         usual = max(self._usual_task_cpu(), 1)
-        fastest = self._fastest()
-        key = order.order_key(before, now, fastest) if before else None
-        usable = [
-            held
+        rate = sum(
+            held.said.room.cpu // usual * held.speed.value
             for held in self.held_by_id.values()
             if held.answered and not held.said.leaving and now >= held.health.rest_until
-        ]
-        rate = sum(held.said.room.cpu // usual * held.speed.value for held in usable)
-        work_s = 0.0
-        for job in self.jobs():
-            if key is not None and order.order_key(job, now, fastest) > key:
-                continue
-            work_s += len(job.waiting()) * job.estimate_s
-        free = sum(max(held.free().cpu, 0) // usual for held in usable)
-        own = before.request.count if before else 0
-        if work_s == 0 and free >= own:
-            return admission.Backlog(0.0, max(rate, 1e-6))
-        if not usable:
-            # Backend servers that were just taken over answer soon, or others take the jobs.
-            return admission.Backlog(TAKEOVER_WAIT_S, 1.0)
-        # What runs now ends on average after half of its time.
-        running_s = sum(
-            run.task.job.estimate_s / 2 for held in usable for run in held.run_by_key.values()
         )
-        return admission.Backlog(work_s + running_s, max(rate, 1e-6))
+        work_s = sum(len(job.waiting()) * job.estimate_s for job in self.jobs())
+        return work_s / max(rate, 1.0)
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -138,13 +138,14 @@
             self._mesh,
             self._scheduler,
             self._members,
-            self._feed,
             self._service,
         ):
             await self._stack.enter_async_context(part)
-        self._on_configuration(self._feed.configuration())
         self._claimer.begin()
         self._timers.every(CHECK_S, self._check)
+        # The feed first waits for the control processes; claims do not depend on them.
+        await self._stack.enter_async_context(self._feed)
+        self._on_configuration(self._feed.configuration())
         return self
 
     async def __aexit__(self, *exc_info: object) -> bool | None:
--- a/testing/pool/pool_rig.py
+++ b/testing/pool/pool_rig.py
@@ -57,6 +57,7 @@
     work_s: float = 0.2,
     kind: str = "check",
     deadline_s: float = 1.5,
+    priority: int = 0,
     base_latency_s: float = 0.06,
     max_attempts: int = 2,
 ) -> PoolJob:
@@ -68,7 +69,7 @@
         count=count,
         room=TASK_ROOM,
         estimate_s=work_s,
-        priority=0,
+        priority=priority,
         max_attempts=max_attempts,
         base_latency_s=base_latency_s,
         stretch=1.6,
@@ -90,7 +91,8 @@
 class FakeWorker:
     """Obeys tokens, leases and run numbers like the platform's workers.
 
-    `work_s_by_task` overrides the run time. `lose_start_answers` and
+    `work_s_by_task` and `cpu_by_task` override the run time
+    and the room of tasks. `lose_start_answers` and
     `delay_starts_s` let the next starts be carried out without an answer, at
     once or later; `dark` answers nothing; `frozen_tasks` stand still.
     """
@@ -108,6 +110,8 @@
         self.lease_until = 0.0
         self.room = WORKER_ROOM
         self.work_by_key: dict[RunKey, Work] = {}
+        self.work_s_by_task: dict[str, float] = {}
+        self.cpu_by_task: dict[str, int] = {}
         self.ended: list[EndedRun] = []
         self.last_run_by_task: dict[str, int] = {}
         self.starts: list[RunKey] = []
@@ -134,6 +138,9 @@
         await anyio.sleep(TRIP_S)
         return outcome
 
+    def _cpu(self, key: RunKey) -> int:
+        return self.cpu_by_task.get(key.task, TASK_ROOM.cpu)
+
     async def _start_later(self, order: RunStart, late_s: float) -> None:
         await anyio.sleep(late_s)
         self._start(order)
@@ -152,11 +159,12 @@
             return StartOutcome.STARTED
         if order.key.run <= self.last_run_by_task.get(order.key.task, 0):
             return StartOutcome.OLD_RUN
-        used = TASK_ROOM.cpu * len(self.work_by_key)
-        if used + TASK_ROOM.cpu > self.room.cpu:
+        used = sum(self._cpu(key) for key in self.work_by_key)
+        if used + self._cpu(order.key) > self.room.cpu:
             return StartOutcome.NO_ROOM
         self.starts.append(order.key)
-        left_s = float("inf") if self.stands_still else self.work_s / self.speed
+        work_s = self.work_s_by_task.get(order.key.task, self.work_s)
+        left_s = float("inf") if self.stands_still else work_s / self.speed
         self.work_by_key[order.key] = Work(order.key, now, left_s, left_s)
         self.group.start_soon(self._run, order.key, left_s)
         return StartOutcome.STARTED
--- /dev/null
+++ b/testing/pool/test_load.py
@@ -0,0 +1,69 @@
+"""Load patterns replayed on virtual time: what callers get must not fall behind."""
+
+from __future__ import annotations
+
+import pytest
+from pool_load import MIX, Tally, credit, make_workers, replay, served
+from pool_rig import FakeWorker
+
+# Loads relative to what one failure domain's backend servers of the stand-in can do
+# with nothing in vain: 1.2 is a quiet day, 2.0 steady overload, 2.4 a peak.
+QUIET, OVERLOAD, PEAK = 1.2, 2.0, 2.4
+
+
+def share(tally: Tally) -> float:
+    return tally.earned / tally.owed
+
+
+def test_a_quiet_day_is_served():
+    """Guards against refusals while there is room: a forecast from the mean backlog made them."""
+    tally_by_kind = replay(load=QUIET)
+    assert served(tally_by_kind) > 0.9
+    assert credit(tally_by_kind) > 0.75
+
+
+@pytest.mark.parametrize("load", [OVERLOAD, PEAK])
+def test_under_overload_no_kind_is_shut_out(load: float):
+    """Guards against an order that serves one kind at the cost of another."""
+    tallies = [replay(load=load, seed=seed) for seed in (1, 2)]
+    for kind in MIX:
+        assert sum(share(tally[kind.name]) for tally in tallies) / 2 > 0.25
+
+
+def test_under_overload_nothing_waits_for_its_deadline_untried():
+    """Guards against jobs that are held to the end and then refused."""
+    for tally in replay(load=OVERLOAD).values():
+        assert tally.failed <= 0.2 * tally.asked
+
+
+def test_a_burst_of_one_kind_is_over_when_it_ends():
+    """Guards against a backlog that outlasts the burst."""
+    burst = (MIX[0], MIX[1], type(MIX[2])("middle", 60.0, 2, 0.2, 0.01, 1))
+    replay(load=1.0, seconds=4.0, mix=burst)
+    calm = replay(load=1.0, seconds=20.0)
+    assert served(calm) > 0.9
+
+
+def fail_fast(passed_s: float, workers: list[FakeWorker]) -> None:
+    workers[1].fails = passed_s > 5.0
+
+
+def hang(passed_s: float, workers: list[FakeWorker]) -> None:
+    workers[1].stands_still = passed_s > 5.0
+
+
+def slow_down(passed_s: float, workers: list[FakeWorker]) -> None:
+    workers[1].speed = workers[2].speed = 0.2 if 5.0 < passed_s < 12.0 else 1.2
+
+
+def go_dark(passed_s: float, workers: list[FakeWorker]) -> None:
+    workers[1].dark = workers[2].dark = 5.0 < passed_s < 9.0
+
+
+@pytest.mark.parametrize("trouble", [fail_fast, hang, slow_down, go_dark])
+def test_a_faulty_quarter_costs_little_more_than_its_room(trouble: object):
+    """Guards against backend servers that fail, hang, slow down or vanish and keep their share."""
+    calm = replay(load=QUIET, workers=make_workers())
+    faulty = replay(load=QUIET, workers=make_workers(), trouble=trouble)  # type: ignore[arg-type]
+    # Two of eight are at fault for the larger part of the time, at most.
+    assert served(faulty) > 0.7 * served(calm)
