Prefer fast backend servers, refuse by room, and give up doomed jobs at once

Cause: long jobs were placed on slow backend servers with a margin of 1.2, though single jobs take up to twice their estimate, and were then given up at their deadline; others were refused while there was room for all their tasks. A job that has begun and can no longer end held its room to the deadline.

Change: a slower backend server is preferred only with a margin of 2; a job that waits must have a good chance, one that finds room for all its tasks is tried with less; a doomed job is answered at once.

--- a/src/apricotpoint/_pool/admission.py
+++ b/src/apricotpoint/_pool/admission.py
@@ -11,9 +11,14 @@
 # objective. Predictions err, and a job that comes late takes room from others that
 # would be in time.
 LATEST_SHARE = 0.9
-# Run times of single jobs scatter around their estimate. A job is worth a try as
-# long as it can end in time when it takes this share of its estimate.
-OPTIMISTIC_SHARE = 0.75
+# Run times of single jobs scatter around their estimate. A job that waits for room
+# is worth a try as long as it can end in time when it takes this share of its estimate.
+OPTIMISTIC_SHARE = 0.9
+# With room for all its tasks, a job with less hope is tried too, as nobody else needs the room.
+IDLE_OPTIMISTIC_SHARE = 0.6
+# A job that has begun is given up when a task that has not would have to take less
+# than this share of its estimate; it holds room that others need.
+DOOMED_SHARE = 0.7
 # Bounds in seconds of the time after which a refused caller is asked to return.
 SHORTEST_RETRY_S, LONGEST_RETRY_S = 1.0, 10.0
 
@@ -23,7 +28,8 @@
 ) -> bool:
     """Return whether a job with this predicted wait and run time should not be taken in."""
     is_late = elapsed_s + wait_s + run_s > LATEST_SHARE * objective_s
-    is_lost = elapsed_s + wait_s + OPTIMISTIC_SHARE * run_s > deadline_s
+    share = OPTIMISTIC_SHARE if wait_s > 0 else IDLE_OPTIMISTIC_SHARE
+    is_lost = elapsed_s + wait_s + share * run_s > deadline_s
     return is_late or is_lost
 
 
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -137,6 +137,10 @@
         for entry_id in sorted(self._was_live - live):
             _log.warning("entry process {} is silent", entry_id)
         self._was_live = live
+        known = self._roster.backend_by_id
+        self.speed_by_backend = {
+            key: speed for key, speed in self.speed_by_backend.items() if key in known
+        }
 
     def _on_status(self, sender: Sender, message: object) -> None:
         assert isinstance(message, EntryStatus)
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -14,8 +14,9 @@
 from apricotpoint._pool.held import HeldBackend
 from apricotpoint._pool.job import Job, Task
 
-# Estimates are off by a tenth or more, so a slow backend server must be in time by this factor.
-SLOW_MARGIN = 1.2
+# Single jobs take up to twice their estimate, so a slower backend server is preferred
+# only if the job is in time there by this factor.
+SLOW_MARGIN = 2.0
 
 
 def choose(task: Task, usable: Iterable[HeldBackend], now: float) -> HeldBackend | None:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -213,6 +213,8 @@
             if other.waiting() and order.order_key(other, now, fastest) <= key
         ]
         places = forecast.places(usable, self._usual_task_cpu(), now)
+        if not ahead and sum(place.free_at <= now for place in places) >= job.request.count:
+            return 0.0, run_s
         wait_s = forecast.finish_at(job, ahead, places) - now - run_s
         return max(wait_s, 0.0), run_s
 
@@ -509,9 +511,12 @@
                 else:
                     code, reason = ResultCode.DEADLINE_BEFORE_START, "no room before the deadline"
                 self._end(job, PoolAnswer(int(code), reason))
-            elif not job.started and now + self._shortest_s(job, fastest) > job.deadline_at:
+            elif job.waiting() and now + self._shortest_s(job, fastest) > job.deadline_at:
                 reason = "it can no longer end before its deadline"
-                self._end(job, self._refuse(ResultCode.OVERLOADED, reason))
+                if job.started:
+                    self._end(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+                else:
+                    self._end(job, self._refuse(ResultCode.OVERLOADED, reason))
         for job_id, (ended_at, job) in list(self._ended_by_id.items()):
             if now - ended_at <= KEEP_ANSWER_S:
                 break
@@ -583,7 +588,8 @@
             self._anchor()
 
     def _shortest_s(self, job: Job, fastest: float) -> float:
-        return admission.OPTIMISTIC_SHARE * job.longest_s / fastest
+        share = admission.DOOMED_SHARE if job.started else admission.OPTIMISTIC_SHARE
+        return share * job.longest_s / fastest
 
     def _fastest(self) -> float:
         """Return the speed that a job can count on if it gets the better backend servers."""
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -288,3 +288,19 @@
             assert begun.answer.code == ResultCode.COMPLETE
 
     run(test)
+
+
+def test_a_job_that_has_begun_and_can_no_longer_end_is_answered_at_once():
+    """Guards against callers that wait for a deadline which is known to pass."""
+
+    async def test() -> None:
+        worker = FakeWorker(work_s=1.0)
+        async with pool(worker) as rig:
+            job = rig.scheduler.submit(make_job(count=4, work_s=1.0, deadline_s=1.5), "")
+            began_at = anyio.current_time()
+            await job.answered.wait()
+            assert job.answer is not None
+            assert job.answer.code == ResultCode.DEADLINE_AFTER_START
+            assert anyio.current_time() - began_at < 1.2
+
+    run(test)
