Let only processes that hear others make new claims

Cause: a test of several entry processes on virtual time showed that a process that is cut off from all others but reaches backend servers claims every failure domain and fences off holders that are well connected: claims.fenced was 2 at the cut-off process and e3 lost its backend servers for a second.

Change: a new claim needs at least one other live entry process, or none ever known. Before, this held only after the process had been fenced once. A lone process of a cut failure domain keeps its claim; one that outlives the claimant there waits for the end of the cut.

The tests of several processes cover start, loss, handover, partition and repeated jobs; test_a_cut_off_process_claims_nothing_new fails before.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -63,7 +63,6 @@
         self._suspended_s = suspended_s
         self._claim_by_domain: dict[str, _Claim] = {}
         self._lowest_term_by_domain: dict[str, int] = {}
-        self._was_fenced = False
         self._listen_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
 
@@ -81,7 +80,6 @@
 
     def fenced(self, domain: str) -> None:
         """Note that another holder with a higher token was found in a failure domain."""
-        self._was_fenced = True
         claim = self._claim_by_domain.pop(domain, None)
         if claim is not None:
             # Should the other one turn out to be gone, the next claim has to be higher.
@@ -124,7 +122,9 @@
                     del self._claim_by_domain[domain]
                     _log.notice("claim on {} is given up", domain)
                     members.send_status()
-            elif wanted and now >= self._listen_until and self._may_claim(members):
+            elif wanted and now >= self._listen_until and members.hears_others():
+                # Whoever hears nobody is the one that is cut off. It keeps what it
+                # claims, but more would take backend servers away from the others.
                 lowest = max(int(self._timers.wall()), self._lowest_term_by_domain.get(domain, 0))
                 term = claims.next_term(domain, live, lowest)
                 self._claim_by_domain[domain] = _Claim(term)
@@ -132,13 +132,6 @@
                 _log.notice("claim {} with term {}", domain, term)
                 members.send_status()
 
-    def _may_claim(self, members: EntryMembers) -> bool:
-        # Whoever was fenced off and hears nobody is the one that is cut off; to
-        # take over again would only take the backend servers away from the others.
-        if members.hears_others():
-            self._was_fenced = False
-        return not self._was_fenced
-
     def _release(self, own_id: str, live: dict[str, EntryStatus]) -> None:
         others = {
             domain
--- /dev/null
+++ b/testing/pool/pool_cluster.py
@@ -0,0 +1,271 @@
+"""Several entry processes over stand-in backend servers and an in-memory network."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+import anyio.abc
+import attrs
+from pool_rig import FakeWorker, make_backend
+
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
+from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
+from apricotpoint._pool.claimer import CHECK_S, Claimer
+from apricotpoint._pool.members import EntryMembers
+from apricotpoint._pool.relay import AnnouncementRelay
+from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.scheduler import Scheduler
+from apricotpoint._pool.service import PoolService
+from apricotpoint._wire.pool import EntryStatus, PoolBackend
+
+TRIP_S = 0.0005
+CONTROL_ID = "control"
+
+
+class FakeLinks:
+    """Implements `Links`: messages arrive after `TRIP_S`, except over a cut."""
+
+    def __init__(self, hub: Hub, peer_id: str) -> None:
+        self.handlers_by_type: dict[type, Handler] = {}
+        self.request_handlers_by_type: dict[type, RequestHandler] = {}
+        self.peer_id = peer_id
+        self._hub = hub
+        self._heard_at_by_peer: dict[str, float] = {}
+        hub.links_by_id[peer_id] = self
+
+    def add_peer(self, peer_id: str, address: str) -> None:
+        """Do nothing: every process reaches every other one."""
+
+    def remove_peer(self, peer_id: str) -> None:
+        """Do nothing: every process reaches every other one."""
+
+    def peers(self) -> list[str]:
+        """Return all other processes."""
+        return [key for key in self._hub.links_by_id if key != self.peer_id]
+
+    def heard_ago(self, peer_id: str) -> float:
+        """Return the seconds since a peer was last heard."""
+        return anyio.current_time() - self._heard_at_by_peer.get(peer_id, -math.inf)
+
+    def incarnation_of(self, peer_id: str) -> int | None:
+        """Return the only incarnation."""
+        return 1
+
+    def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
+        """Send a message."""
+        self._hub.group.start_soon(self._deliver, peer_id, message)
+        return True
+
+    async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
+        """Send a request and wait for its reply."""
+        with anyio.move_on_after(timeout_s):
+            target = await self._reach(peer_id)
+            handler = target and target.request_handlers_by_type.get(type(message))
+            if target is not None and handler is not None:
+                target.hear(self.peer_id)
+                replies: list[object] = []
+                done = anyio.Event()
+
+                async def answer() -> None:
+                    replies.append(await handler(Sender(self.peer_id, 1), message))
+                    done.set()
+
+                # The handler goes on when the requester gives up, as over a network.
+                self._hub.start(target.peer_id, answer)
+                await done.wait()
+                if await self._hub.reaches(peer_id, self.peer_id):
+                    self.hear(peer_id)
+                    return replies[0]
+            await anyio.sleep_forever()
+        raise PeerUnreachable(peer_id)
+
+    def hear(self, peer_id: str) -> None:
+        """Note that a peer was heard."""
+        self._heard_at_by_peer[peer_id] = anyio.current_time()
+
+    async def _reach(self, peer_id: str) -> FakeLinks | None:
+        if not await self._hub.reaches(self.peer_id, peer_id):
+            return None
+        return self._hub.links_by_id.get(peer_id)
+
+    async def _deliver(self, peer_id: str, message: object) -> None:
+        target = await self._reach(peer_id)
+        if target is None:
+            return
+        target.hear(self.peer_id)
+        handler = target.handlers_by_type.get(type(message))
+        if handler is not None:
+            handler(Sender(self.peer_id, 1), message)
+
+
+class Hub:
+    """The network: `cuts` has pairs (sender, receiver) that do not reach each other."""
+
+    def __init__(self, group: anyio.abc.TaskGroup) -> None:
+        self.group = group
+        self.links_by_id: dict[str, FakeLinks] = {}
+        self.group_by_id: dict[str, anyio.abc.TaskGroup] = {}
+        self.cuts: set[tuple[str, str]] = set()
+
+    def isolate(self, peer_id: str) -> None:
+        """Cut a process off from all other processes."""
+        for other in self.links_by_id:
+            self.cuts |= {(peer_id, other), (other, peer_id)}
+
+    async def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether a message arrives, after its way."""
+        await anyio.sleep(TRIP_S)
+        return (sender, receiver) not in self.cuts and receiver in self.links_by_id
+
+    def start(self, peer_id: str, function: object) -> None:
+        """Start a task of a process."""
+        group = self.group_by_id.get(peer_id, self.group)
+        group.start_soon(function)  # type: ignore[arg-type]
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry process, wired like the program."""
+
+    entry_id: str
+    domain: str
+    hub: Hub
+    worker_by_id: dict[str, FakeWorker]
+    counters: Counters = attrs.Factory(Counters)
+    draining: bool = False
+    scheduler: Scheduler = attrs.field(init=False)
+    claimer: Claimer = attrs.field(init=False)
+    members: EntryMembers = attrs.field(init=False)
+    service: PoolService = attrs.field(init=False)
+    scope: anyio.CancelScope = attrs.Factory(anyio.CancelScope)
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Run until the scope is cancelled, which is the death of the process."""
+        with self.scope:
+            async with AsyncExitStack() as stack:
+                group = await stack.enter_async_context(anyio.create_task_group())
+                self.hub.group_by_id[self.entry_id] = group
+                timers = TimerService(wall=lambda: 1_800_000_000 + anyio.current_time())
+                links = FakeLinks(self.hub, self.entry_id)
+                roster = Roster(now=timers.now)
+                self.scheduler = Scheduler(
+                    timers=timers,
+                    counters=self.counters,
+                    random=random.Random(1),
+                    make_calls=lambda said: self.worker_by_id[said.backend_id],
+                )
+                self.claimer = Claimer(
+                    domains=lambda: ["a", "b"],
+                    scheduler=self.scheduler,
+                    roster=roster,
+                    timers=timers,
+                    counters=self.counters,
+                    suspended_s=lambda: 0.0,
+                )
+                self.scheduler.on_fenced = self.claimer.fenced
+                self.members = EntryMembers(
+                    entry_id=self.entry_id,
+                    failure_domain=self.domain,
+                    seeds=lambda: [CONTROL_ID],
+                    links=links,
+                    address_of=str,
+                    timers=timers,
+                    roster=roster,
+                    make_status=self._status,
+                )
+                self.service = PoolService(
+                    own_domain=self.domain,
+                    members=self.members,
+                    scheduler=self.scheduler,
+                    transport=links,
+                    timers=timers,
+                    counters=self.counters,
+                )
+                for part in (timers, self.scheduler, self.members, self.service):
+                    await stack.enter_async_context(part)
+                self.claimer.begin()
+                timers.every(CHECK_S, lambda: self.claimer.check(self.members))
+                task_status.started()
+                await anyio.sleep_forever()
+
+    def kill(self) -> None:
+        """End the process without a word."""
+        self.hub.links_by_id.pop(self.entry_id, None)
+        self.scope.cancel()
+
+    def drain(self) -> None:
+        """Begin to stop."""
+        self.draining = self.claimer.draining = True
+        self.members.send_status()
+
+    def held(self) -> list[str]:
+        """Return the backend servers held."""
+        return sorted(self.scheduler.held_by_id)
+
+    def _status(self) -> EntryStatus:
+        return EntryStatus(
+            failure_domain=self.domain,
+            draining=self.draining,
+            config_version=1,
+            term_by_claim=self.claimer.term_by_claim(),
+            held=self.claimer.held(),
+            load=self.scheduler.load(),
+            speed_by_backend=self.scheduler.speeds(),
+        )
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """Entry processes e1 and e2 in failure domain a, e3 in b; workers a1, a2 and b1, b2."""
+
+    hub: Hub
+    entry_by_id: dict[str, Entry]
+    worker_by_id: dict[str, FakeWorker]
+
+    def holders(self) -> dict[str, list[str]]:
+        """Return which live process holds which backend servers."""
+        return {
+            key: entry.held()
+            for key, entry in self.entry_by_id.items()
+            if not entry.scope.cancel_called
+        }
+
+
+@asynccontextmanager
+async def cluster() -> AsyncIterator[Cluster]:
+    """Run the cluster until all backend servers are held."""
+    worker_by_id = {key: FakeWorker() for key in ("a1", "a2", "b1", "b2")}
+    async with anyio.create_task_group() as group:
+        hub = Hub(group)
+        for worker in worker_by_id.values():
+            worker.group = group
+        async with TimerService() as timers:
+            relay = AnnouncementRelay(
+                transport=FakeLinks(hub, CONTROL_ID),
+                timers=timers,
+                control_ids=lambda: [CONTROL_ID],
+            )
+            async with relay:
+                group.start_soon(_announce, relay, list(worker_by_id))
+                entries = [Entry(key, key_domain, hub, worker_by_id) for key, key_domain in DOMAINS]
+                for entry in entries:
+                    await group.start(entry.run)
+                await anyio.sleep(3.0)
+                yield Cluster(hub, {entry.entry_id: entry for entry in entries}, worker_by_id)
+                group.cancel_scope.cancel()
+
+
+DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"))
+
+
+async def _announce(relay: AnnouncementRelay, worker_ids: list[str]) -> None:
+    for sequence in range(1, 1000):
+        for worker_id in worker_ids:
+            said: PoolBackend = make_backend(worker_id)
+            relay.announce(attrs.evolve(said, failure_domain=worker_id[0], sequence=sequence))
+        await anyio.sleep(1.5)
--- /dev/null
+++ b/testing/pool/test_cluster.py
@@ -0,0 +1,157 @@
+"""Several entry processes: takeover, handover, and no second run of a job."""
+
+from __future__ import annotations
+
+import anyio
+from pool_cluster import Cluster, cluster
+from pool_rig import make_job, run
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._wire.pool import PoolAnswer
+
+
+async def submit_all(
+    world: Cluster, entry_ids: list[str], first: int, answers: list[PoolAnswer]
+) -> None:
+    async def submit(entry_id: str, number: int) -> None:
+        answers.append(await world.entry_by_id[entry_id].service.submit(make_job(number)))
+
+    async with anyio.create_task_group() as group:
+        for number, entry_id in enumerate(entry_ids, first):
+            group.start_soon(submit, entry_id, number)
+
+
+def overlapping(world: Cluster) -> list[str]:
+    """Return tasks that were started on more than one backend server at the same time."""
+    seen: set[str] = set()
+    twice: list[str] = []
+    for worker in world.worker_by_id.values():
+        for key in worker.work_by_key:
+            if key.task in seen:
+                twice.append(key.task)
+            seen.add(key.task)
+    return twice
+
+
+def test_every_backend_server_gets_one_holder_of_its_failure_domain():
+    """Guards against backend servers that nobody or two processes hold after a start."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            assert world.holders() == {"e1": ["a1", "a2"], "e2": [], "e3": ["b1", "b2"]}
+            answers: list[PoolAnswer] = []
+            await submit_all(world, ["e1", "e2", "e3"], 1, answers)
+            assert [answer.code for answer in answers] == [ResultCode.COMPLETE] * 3
+
+    run(test)
+
+
+def test_a_lost_holder_is_followed_and_its_jobs_are_not_known():
+    """Guards against backend servers that stay with a dead process, and false refusals."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            answers: list[PoolAnswer] = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(submit_all, world, ["e2", "e2"], 1, answers)
+                await anyio.sleep(0.05)
+                world.entry_by_id["e1"].kill()
+            assert {answer.code for answer in answers} == {ResultCode.COORDINATOR_UNREACHABLE}
+            await anyio.sleep(1.5)
+            assert world.holders() == {"e2": ["a1", "a2"], "e3": ["b1", "b2"]}
+            await submit_all(world, ["e2"], 10, answers)
+            assert answers[-1].code == ResultCode.COMPLETE
+
+    run(test)
+
+
+def test_a_failure_domain_without_processes_is_held_from_outside():
+    """Guards against backend servers that are idle because their entry processes are gone."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            world.entry_by_id["e3"].kill()
+            await anyio.sleep(3.0)
+            holders = world.holders()
+            assert sorted(holders["e1"] + holders["e2"]) == ["a1", "a2", "b1", "b2"]
+
+    run(test)
+
+
+def test_a_draining_holder_hands_over_without_losing_a_job():
+    """Guards against jobs that are lost, or run twice, while a process stops."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            leaving = world.entry_by_id["e1"]
+            answers: list[PoolAnswer] = []
+            async with anyio.create_task_group() as group:
+                for wave in range(12):
+                    group.start_soon(submit_all, world, ["e2", "e3"], 100 + 10 * wave, answers)
+                    await anyio.sleep(0.1)
+                    assert not overlapping(world)
+                    if wave == 2:
+                        leaving.drain()
+                    if wave == 5:
+                        leaving.scheduler.start_draining()
+            refused = [answer for answer in answers if 2000 <= answer.code < 3000]
+            complete = [answer for answer in answers if answer.code == ResultCode.COMPLETE]
+            assert len(refused) + len(complete) == len(answers) == 24
+            await anyio.sleep(1.0)
+            assert world.holders()["e1"] == []
+            assert world.holders()["e2"] == ["a1", "a2"]
+
+    run(test)
+
+
+def test_a_cut_off_holder_that_reaches_its_backend_servers_yields():
+    """Guards against two holders that take backend servers from each other in turn."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            world.hub.isolate("e1")
+            await anyio.sleep(6.0)
+            holders = world.holders()
+            assert holders["e1"] == []
+            assert holders["e2"] == ["a1", "a2"]
+            fenced = [entry.counters.get("claims.fenced") for entry in world.entry_by_id.values()]
+            assert fenced == [1, 0, 0]
+            world.hub.cuts.clear()
+            await anyio.sleep(3.0)
+            assert world.holders()["e2"] == ["a1", "a2"]
+
+    run(test)
+
+
+def test_a_cut_off_process_claims_nothing_new():
+    """Guards against a process that hears nobody and takes all backend servers it reaches."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            world.hub.isolate("e2")
+            await anyio.sleep(6.0)
+            assert world.holders() == {"e1": ["a1", "a2"], "e2": [], "e3": ["b1", "b2"]}
+            fenced = [entry.counters.get("claims.fenced") for entry in world.entry_by_id.values()]
+            assert fenced == [0, 0, 0]
+
+    run(test)
+
+
+def test_a_job_of_a_lost_entry_process_is_stopped_before_it_can_be_repeated():
+    """Guards against a second run at another process beside the first one."""
+
+    async def test() -> None:
+        async with cluster() as world:
+            for worker in world.worker_by_id.values():
+                worker.work_s = 9.0
+            async with anyio.create_task_group() as group:
+                group.start_soon(submit_all, world, ["e2"], 1, [])
+                await anyio.sleep(0.1)
+                assert any(worker.work_by_key for worker in world.worker_by_id.values())
+                world.hub.isolate("e2")
+                # The caller repeats its job 1.3 s after e2 gave up.
+                await anyio.sleep(0.9 + 1.3)
+                assert not any(worker.work_by_key for worker in world.worker_by_id.values())
+                group.cancel_scope.cancel()
+
+    run(test)
