Move the estimates out of the scheduler and stop unsure runs of ended jobs

Reading it showed a fault: a run whose start got no answer was never stopped when it turned out to be at work after its job had been given up, and kept its room until it ended. The keeper reports such runs now; the new test fails before.

--- a/src/apricotpoint/_pool/held.py
+++ b/src/apricotpoint/_pool/held.py
@@ -74,6 +74,10 @@
             and self.health.allows(now, len(self.run_by_key))
         )
 
+    def takes_tasks(self, now: float) -> bool:
+        """Return whether tasks may be expected to start here as soon as there is room."""
+        return self.answered and not self.said.leaving and now >= self.health.rest_until
+
     def add(self, run: Run, room: Room) -> None:
         """Count a run that is about to be ordered."""
         self.run_by_key[run.key] = run
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -95,13 +95,17 @@
     origin: str
     arrived_at: float
     estimate_s: float
-    tasks: list[Task] = attrs.Factory(list)
+    tasks: list[Task] = attrs.field(init=False)
     started: bool = False
     cancelled: bool = False
     done_runs: list[tuple[Run, float]] = attrs.Factory(list)
     answer: PoolAnswer | None = None
     answered: anyio.Event = attrs.Factory(anyio.Event)
 
+    def __attrs_post_init__(self) -> None:
+        names = (f"{self.request.job_id}.0.0.{index}" for index in range(self.request.count))
+        self.tasks = [Task(self, name) for name in names]
+
     @property
     def sent_at(self) -> float:
         """When the caller sent the job."""
@@ -139,6 +143,22 @@
         """Return whether all tasks have ended as done."""
         return all(task.done for task in self.tasks)
 
+    def describe(self, now: float) -> str:
+        """Return what is known of each task, for the log."""
+        parts = [f"estimate {self.estimate_s:.3f} s, age {now - self.sent_at:.3f} s"]
+        for task in self.tasks:
+            run = task.run
+            if task.done:
+                parts.append("done")
+            elif run is None:
+                parts.append(f"waiting after {task.runs} runs")
+            else:
+                parts.append(
+                    f"{run.state.value} on {run.backend.backend_id} for {now - run.sent_at:.3f} s, "
+                    f"{run.progress}%, expected {run.expected_s:.3f} s"
+                )
+        return "; ".join(parts)
+
     def close(self, answer: PoolAnswer) -> None:
         """Set the final answer; a later one is ignored."""
         if self.answer is None:
--- a/src/apricotpoint/_pool/keeper.py
+++ b/src/apricotpoint/_pool/keeper.py
@@ -42,6 +42,9 @@
     def run_stands_still(self, run: Run) -> None:
         """Take that a run makes no progress."""
 
+    def run_confirmed(self, run: Run) -> None:
+        """Take that a run whose start got no answer is at work."""
+
     def run_seems_slow(self, run: Run, predicted_s: float) -> None:
         """Take that the progress of a run predicts a far longer run time than expected."""
 
@@ -188,6 +191,7 @@
         if run.state is not RunState.RUNNING:
             run.state = RunState.RUNNING
             run.confirmed_at = now
+            self._observer.run_confirmed(run)
         if progress != run.progress or not run.progress_at:
             run.progress, run.progress_at = progress, now
             predicted_s = run.predicted_s()
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random as random_module
 from collections.abc import Callable
 from types import TracebackType
@@ -14,12 +13,12 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import Subscription, TimerService
-from apricotpoint._pool import admission, forecast, order, placement
+from apricotpoint._pool import admission, order, placement
+from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.exchange import BackendCalls, End, RunStart, StartOutcome
 from apricotpoint._pool.held import HeldBackend
 from apricotpoint._pool.job import Job, Run, RunState, Task
 from apricotpoint._pool.keeper import Keeper
-from apricotpoint._pool.learning import KindTimes, mean_speed_log
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
 # Deadlines and hopeless jobs are checked this often, in seconds.
@@ -29,14 +28,8 @@
 FULL_S = 0.1
 # Answers are kept this long, in seconds, for a submission that is repeated.
 KEEP_ANSWER_S = 10.0
-# Expected time in seconds until a backend server that was taken over answers.
-TAKEOVER_WAIT_S = 0.1
-# Learned speeds scatter, so the largest one promises too much.
-GOOD_SPEED_SHARE = 0.7
 # Jobs looked at for a free place before the others are left to wait.
 MAX_BLOCKED = 4
-# Before any job was seen, the room that a task usually takes is half of a backend server.
-USUAL_SHARE = 0.5
 
 _log = logbook.Logger("pool")
 
@@ -57,7 +50,7 @@
         make_calls: Callable[[PoolBackend], BackendCalls],
     ) -> None:
         self.held_by_id: dict[str, HeldBackend] = {}
-        self.times = KindTimes()
+        self.estimates = Estimates(self.held_by_id)
         self.on_fenced: Callable[[str], None] = lambda _: None
         self.draining = False
         self._timers = timers
@@ -68,7 +61,6 @@
         self._job_by_id: dict[str, Job] = {}
         self._ended_by_id: dict[str, tuple[float, Job]] = {}
         self._next_run_by_task: dict[str, int] = {}
-        self._usual_cpu = 0.0
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._subscription: Subscription | None = None
@@ -135,20 +127,9 @@
             run.task.run = None
             self._fail_unknown(run.task.job, f"backend {backend_id} was released: {reason}")
 
-    def speeds(self) -> dict[str, float]:
-        """Return the learned speeds of the backend servers held."""
-        return {key: round(held.speed.value, 3) for key, held in self.held_by_id.items()}
-
     def load(self) -> PoolLoad:
         """Return the load for other entry processes."""
-        now = self._timers.now()
-        usable = [held for held in self.held_by_id.values() if held.usable(now)]
-        usual = max(self._usual_task_cpu(), 1)
-        return PoolLoad(
-            backlog_s=self._backlog_s(now),
-            free=sum(held.free().cpu // usual for held in usable),
-            capacity=sum(held.said.room.cpu // usual for held in usable),
-        )
+        return self.estimates.load(self.jobs(), self._timers.now())
 
     # Jobs
 
@@ -161,25 +142,21 @@
 
     def submit(self, request: PoolJob, origin: str) -> Job:
         """Take a job in; the caller has decided that it is not refused."""
-        now = self._timers.now()
-        estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
-        job = self._make_job(request, origin, now, estimate_s)
+        job = self._make_job(request, origin)
         self._job_by_id[request.job_id] = job
-        self._note_cpu(request)
+        self.estimates.note_room(request)
         self._counters.add("pool.jobs")
         self.wake()
         return job
 
     def refusal(self, request: PoolJob) -> PoolAnswer | None:
         """Return the refusal of a job that cannot be answered in a useful time."""
-        now = self._timers.now()
         if not any(
             held.serves(request) and not held.said.leaving for held in self.held_by_id.values()
         ):
             return self._refuse(ResultCode.NO_BACKEND, "no backend server can take the job")
-        estimate_s = self.times.estimate_s(request.kind, request.estimate_s)
-        job = self._make_job(request, "", now, estimate_s)
-        wait_s, run_s = self._forecast(job, now)
+        job = self._make_job(request, "")
+        wait_s, run_s = self.estimates.forecast(job, self.jobs(), job.arrived_at)
         if not admission.is_hopeless(
             wait_s=wait_s,
             run_s=run_s,
@@ -191,35 +168,16 @@
         reason = f"predicted wait {wait_s:.3f} s and run time {run_s:.3f} s"
         return self._refuse(ResultCode.OVERLOADED, reason)
 
-    def _forecast(self, job: Job, now: float) -> tuple[float, float]:
-        """Return the predicted wait and run time of a job in seconds."""
-        fastest = self._fastest()
-        run_s = job.longest_s / fastest
-        usable = [
-            held
-            for held in self.held_by_id.values()
-            if held.serves(job.request)
-            and held.answered
-            and not held.said.leaving
-            and now >= held.health.rest_until
-        ]
-        if not usable:
-            # Backend servers that were just taken over answer soon, or others take the jobs.
-            return TAKEOVER_WAIT_S, run_s
-        key = order.order_key(job, now, fastest)
-        ahead = [
-            other
-            for other in self.jobs()
-            if other.waiting() and order.order_key(other, now, fastest) <= key
-        ]
-        places = forecast.places(usable, self._usual_task_cpu(), now)
-        if not ahead and sum(place.free_at <= now for place in places) >= job.request.count:
-            return 0.0, run_s
-        wait_s = forecast.finish_at(job, ahead, places) - now - run_s
-        return max(wait_s, 0.0), run_s
+    def _make_job(self, request: PoolJob, origin: str) -> Job:
+        return Job(
+            request=request,
+            origin=origin,
+            arrived_at=self._timers.now(),
+            estimate_s=self.estimates.run_time_s(request),
+        )
 
     def _refuse(self, code: ResultCode, reason: str) -> PoolAnswer:
-        backlog_s = self._backlog_s(self._timers.now())
+        backlog_s = self.estimates.backlog_s(self.jobs(), self._timers.now())
         after_s = admission.retry_after_s(backlog_s, self._random.random())
         return PoolAnswer(int(code), reason, after_s)
 
@@ -275,7 +233,8 @@
         held.full_until = 0.0
         self._counters.add(f"pool.ends_{end.value}")
         if end is End.DONE:
-            self._note_time(run, now)
+            self._counters.record("pool.run_time", now - run.sent_at)
+            job.done_runs.append((run, now - run.sent_at))
             held.health.succeeded()
             task.done = True
         elif end is End.FAILED:
@@ -315,6 +274,17 @@
         run.task.avoid.add(held.backend_id)
         self._stop(run)
 
+    def run_confirmed(self, run: Run) -> None:
+        """Stop a run that turned out to be at work after its job was given up."""
+        if run.stopping or run.task.job.cancelled:
+            self._stop(run)
+
+    def run_seems_slow(self, run: Run, predicted_s: float) -> None:
+        """Learn from a run that takes far longer than expected."""
+        run.seems_slow = True
+        self._counters.add("pool.slow_runs")
+        self.estimates.learn_from_slow(run, predicted_s)
+
     def backend_changed(self, held: HeldBackend) -> None:
         """Look for tasks that the backend server can take."""
         self.wake()
@@ -345,7 +315,7 @@
         usable = [held for held in self.held_by_id.values() if held.usable(now)]
         if not usable:
             return
-        fastest = self._fastest()
+        fastest = self.estimates.good_speed()
         waiting = [
             job
             for job in self._job_by_id.values()
@@ -400,8 +370,7 @@
         if outcome is StartOutcome.STARTED:
             run.state = RunState.RUNNING
             run.confirmed_at = self._timers.now()
-            if run.stopping or run.task.job.cancelled:
-                self._stop(run)
+            self.run_confirmed(run)
         elif outcome is StartOutcome.UNKNOWN:
             held.calls.renew_connections()
             keeper = self._keeper_by_id.get(held.backend_id)
@@ -448,12 +417,13 @@
 
     def _end(self, job: Job, answer: PoolAnswer) -> None:
         """Answer a job and stop what may still run of it."""
+        now = self._timers.now()
         if job.answer is None:
-            self._learn_from(job)
+            self.estimates.learn_from(job)
             self._counters.add(f"pool.answers_{answer.code}")
-            self._counters.record("pool.latency", self._timers.now() - job.sent_at)
+            self._counters.record("pool.latency", now - job.sent_at)
             if job.started and answer.code != ResultCode.COMPLETE:
-                _log.notice("job {} given up: {}", job.request.job_id, self._describe(job))
+                _log.notice("job {} given up: {}", job.request.job_id, job.describe(now))
         job.cancelled = True
         job.close(answer)
         for run in job.runs():
@@ -462,23 +432,6 @@
             self._forget(job)
         self.wake()
 
-    def _describe(self, job: Job) -> str:
-        """Return what is known of each task, for the log."""
-        now = self._timers.now()
-        parts = [f"estimate {job.estimate_s:.3f} s, age {now - job.sent_at:.3f} s"]
-        for task in job.tasks:
-            run = task.run
-            if task.done:
-                parts.append("done")
-            elif run is None:
-                parts.append(f"waiting after {task.runs} runs")
-            else:
-                parts.append(
-                    f"{run.state.value} on {run.backend.backend_id} for {now - run.sent_at:.3f} s, "
-                    f"{run.progress}%, expected {run.expected_s:.3f} s"
-                )
-        return "; ".join(parts)
-
     def _fail_unknown(self, job: Job, reason: str) -> None:
         code = ResultCode.BACKEND_LOST if job.started else ResultCode.NO_BACKEND
         self._end(job, PoolAnswer(int(code), reason))
@@ -503,7 +456,6 @@
 
     def _tick(self) -> None:
         now = self._timers.now()
-        fastest = self._fastest()
         for job in self.jobs():
             if now >= job.deadline_at:
                 if job.started:
@@ -511,7 +463,7 @@
                 else:
                     code, reason = ResultCode.DEADLINE_BEFORE_START, "no room before the deadline"
                 self._end(job, PoolAnswer(int(code), reason))
-            elif job.waiting() and now + self._shortest_s(job, fastest) > job.deadline_at:
+            elif job.waiting() and not self.estimates.can_end(job, now):
                 reason = "it can no longer end before its deadline"
                 if job.started:
                     self._end(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
@@ -525,94 +477,3 @@
                 for task in job.tasks:
                     self._next_run_by_task.pop(task.name, None)
         self.wake()
-
-    # Estimates
-
-    def _make_job(self, request: PoolJob, origin: str, now: float, estimate_s: float) -> Job:
-        job = Job(request=request, origin=origin, arrived_at=now, estimate_s=estimate_s)
-        job.tasks = [Task(job, f"{request.job_id}.0.0.{i}") for i in range(request.count)]
-        return job
-
-    def _note_time(self, run: Run, now: float) -> None:
-        took_s = now - run.sent_at
-        self._counters.record("pool.run_time", took_s)
-        run.task.job.done_runs.append((run, took_s))
-
-    def _learn_from(self, job: Job) -> None:
-        """Learn from all runs of a job at once, also from those that are stopped.
-
-        Tasks of one job take about the same work. Comparing each run only with
-        those that ended before it would make every backend server look slow,
-        because whatever ends late was, on average, unlucky. Leaving out runs
-        that were stopped would make slow ones look fast.
-        """
-        runs = self._timed_runs(job)
-        works = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
-        total = sum(works)
-        for (run, took_s), work in zip(runs, works, strict=True):
-            others = len(works) - 1
-            expected_s = math.exp((total - work) / others) if others else job.estimate_s
-            run.backend.speed.observe(expected_s, took_s, siblings=others > 0)
-            self.times.observe(job.request.kind, job.request.estimate_s, math.exp(work))
-        self._anchor()
-
-    def _timed_runs(self, job: Job) -> list[tuple[Run, float]]:
-        """Return the runs of a job whose run time is known or can be told, with this time."""
-        runs = list(job.done_runs)
-        for run in job.runs():
-            predicted_s = run.predicted_s()
-            if predicted_s is not None:
-                runs.append((run, predicted_s))
-        return runs
-
-    def _anchor(self) -> None:
-        """Keep the mean speed at 1.
-
-        Run times alone tell only the ratio of work to speed. Without an anchor
-        both drift, and with them the objectives, which depend on work.
-        """
-        shift = mean_speed_log([held.speed.log for held in self.held_by_id.values()])
-        for held in self.held_by_id.values():
-            held.speed.shift(-shift)
-        self.times.shift(-shift)
-
-    def run_seems_slow(self, run: Run, predicted_s: float) -> None:
-        """Learn at once from a run that takes far longer than others of its job."""
-        run.seems_slow = True
-        self._counters.add("pool.slow_runs")
-        others = [item for item in self._timed_runs(run.task.job) if item[0] is not run]
-        if others:
-            works = [math.log(took_s * other.backend.speed.value) for other, took_s in others]
-            expected_s = math.exp(sum(works) / len(works))
-            run.backend.speed.observe(expected_s, predicted_s, siblings=True)
-            self._anchor()
-
-    def _shortest_s(self, job: Job, fastest: float) -> float:
-        share = admission.DOOMED_SHARE if job.started else admission.OPTIMISTIC_SHARE
-        return share * job.longest_s / fastest
-
-    def _fastest(self) -> float:
-        """Return the speed that a job can count on if it gets the better backend servers."""
-        speeds = sorted(held.speed.value for held in self.held_by_id.values())
-        return speeds[int(len(speeds) * GOOD_SPEED_SHARE)] if speeds else 1.0
-
-    def _note_cpu(self, request: PoolJob) -> None:
-        cpu = float(request.room.cpu)
-        self._usual_cpu += (cpu - self._usual_cpu) * (0.05 if self._usual_cpu else 1.0)
-
-    def _usual_task_cpu(self) -> int:
-        if self._usual_cpu:
-            return int(self._usual_cpu)
-        rooms = [held.said.room.cpu for held in self.held_by_id.values()]
-        return int(min(rooms, default=1) * USUAL_SHARE)
-
-    def _backlog_s(self, now: float) -> float:
-        """Return the predicted time until everything that waits has started."""
-        usual = max(self._usual_task_cpu(), 1)
-        rate = sum(
-            held.said.room.cpu // usual * held.speed.value
-            for held in self.held_by_id.values()
-            if held.answered and not held.said.leaving and now >= held.health.rest_until
-        )
-        work_s = sum(len(job.waiting()) * job.estimate_s for job in self.jobs())
-        return work_s / max(rate, 1.0)
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -204,7 +204,7 @@
             term_by_claim=self._claimer.term_by_claim(),
             held=self._claimer.held(),
             load=self._scheduler.load(),
-            speed_by_backend=self._scheduler.speeds(),
+            speed_by_backend=self._scheduler.estimates.speeds(),
         )
 
     def _check(self) -> None:
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -215,7 +215,7 @@
             term_by_claim=self.claimer.term_by_claim(),
             held=self.claimer.held(),
             load=self.scheduler.load(),
-            speed_by_backend=self.scheduler.speeds(),
+            speed_by_backend=self.scheduler.estimates.speeds(),
         )
 
 
--- a/testing/pool/test_learning.py
+++ b/testing/pool/test_learning.py
@@ -36,7 +36,7 @@
                 await anyio.sleep(0.01)
             speeds = [held.speed.value for held in rig.scheduler.held_by_id.values()]
             assert all(0.75 < speed < 1.3 for speed in speeds)
-            assert 0.04 < rig.scheduler.times.estimate_s("check", 0.06) < 0.09
+            assert 0.04 < rig.scheduler.estimates.times.estimate_s("check", 0.06) < 0.09
 
     run(test)
 
@@ -66,7 +66,7 @@
                 job = rig.scheduler.submit(make_job(number, count=4, work_s=1.0), "")
                 await job.answered.wait()
                 await anyio.sleep(0.3)
-            speed_by_id = rig.scheduler.speeds()
+            speed_by_id = rig.scheduler.estimates.speeds()
             assert speed_by_id["w1"] < 0.6 * speed_by_id["w2"]
 
     run(test)
@@ -89,7 +89,7 @@
                 )
                 await job.answered.wait()
                 await anyio.sleep(0.01)
-            assert 0.15 < rig.scheduler.times.estimate_s("check", 0.2) < 0.27
+            assert 0.15 < rig.scheduler.estimates.times.estimate_s("check", 0.2) < 0.27
             assert rig.scheduler.refusal(make_job(999, count=2)) is None
 
     run(test)
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -304,3 +304,21 @@
             assert anyio.current_time() - began_at < 1.2
 
     run(test)
+
+
+def test_a_run_that_was_unsure_is_stopped_when_its_job_was_given_up():
+    """Guards against work that goes on because its start was not yet confirmed."""
+
+    async def test() -> None:
+        worker = FakeWorker(work_s=5.0)
+        worker.lose_start_answers = 1
+        async with pool(worker) as rig:
+            rig.scheduler.submit(make_job(work_s=0.5, deadline_s=9.0), "")
+            await anyio.sleep(0.05)
+            assert worker.work_by_key
+            rig.scheduler.cancel(f"{1:016x}", "left")
+            await anyio.sleep(0.5)
+            assert not worker.work_by_key
+            assert rig.scheduler.idle()
+
+    run(test)
