Remove what the change left unused in the pools

An event, a time and a method that nothing reads; a class around one integer (the term of a claim); a function with its property as only caller; two branches that do the same. The comment on SIBLING_OBSERVATIONS described another constant.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Collection
 
-import attrs
 import logbook
 
 from apricotpoint._core.counters import Counters
@@ -34,13 +33,6 @@
 _log = logbook.Logger("claims")
 
 
-@attrs.define(eq=False)
-class _Claim:
-    """The claim of this process on a failure domain."""
-
-    term: int
-
-
 class Claimer:
     """Claims of one entry process; `check` is to be called every `CHECK_S`."""
 
@@ -61,7 +53,7 @@
         self._timers = timers
         self._counters = counters
         self._suspended_s = suspended_s
-        self._claim_by_domain: dict[str, _Claim] = {}
+        self._term_by_domain: dict[str, int] = {}
         self._lowest_term_by_domain: dict[str, int] = {}
         self._listen_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
@@ -72,7 +64,7 @@
 
     def term_by_claim(self) -> dict[str, int]:
         """Return the claims of this process."""
-        return {domain: claim.term for domain, claim in self._claim_by_domain.items()}
+        return dict(self._term_by_domain)
 
     def held(self) -> list[str]:
         """Return the backend servers that no other process may take over yet."""
@@ -80,12 +72,12 @@
 
     def fenced(self, domain: str) -> None:
         """Note that another holder with a higher token was found in a failure domain."""
-        claim = self._claim_by_domain.pop(domain, None)
-        if claim is not None:
+        term = self._term_by_domain.pop(domain, None)
+        if term is not None:
             # Should the other one turn out to be gone, the next claim has to be higher.
-            self._lowest_term_by_domain[domain] = claim.term + int(2 * FENCED_REST_S) + 1
+            self._lowest_term_by_domain[domain] = term + int(2 * FENCED_REST_S) + 1
             self._counters.add("claims.fenced")
-            _log.warning("claim on {} with term {} was fenced off", domain, claim.term)
+            _log.warning("claim on {} with term {} was fenced off", domain, term)
         self._listen_until = max(self._listen_until, self._timers.now() + FENCED_REST_S)
 
     def check(self, members: EntryMembers) -> None:
@@ -109,7 +101,7 @@
             return
         _log.warning("the process did not run for {:.1f} s and gives up its claims", late_s)
         self._counters.add("claims.pauses")
-        self._claim_by_domain.clear()
+        self._term_by_domain.clear()
         self._listen_until = now + LISTEN_S
         self._scheduler.drop_all(f"the process did not run for {late_s:.1f} s")
 
@@ -117,9 +109,9 @@
         own_id, now = members.entry_id, self._timers.now()
         for domain in self._domains():
             wanted = claims.should_claim(own_id, domain, live)
-            if domain in self._claim_by_domain:
+            if domain in self._term_by_domain:
                 if not wanted:
-                    del self._claim_by_domain[domain]
+                    del self._term_by_domain[domain]
                     _log.notice("claim on {} is given up", domain)
                     members.send_status()
             elif wanted and now >= self._listen_until and members.hears_others():
@@ -127,7 +119,7 @@
                 # claims, but more would take backend servers away from the others.
                 lowest = max(int(self._timers.wall()), self._lowest_term_by_domain.get(domain, 0))
                 term = claims.next_term(domain, live, lowest)
-                self._claim_by_domain[domain] = _Claim(term)
+                self._term_by_domain[domain] = term
                 self._counters.add("claims.made")
                 _log.notice("claim {} with term {}", domain, term)
                 members.send_status()
@@ -146,7 +138,7 @@
             elif held.answered:
                 self._roster.confirm(backend_id)
             domain = held.said.failure_domain
-            leaving = self.draining or domain not in self._claim_by_domain
+            leaving = self.draining or domain not in self._term_by_domain
             if leaving and not held.run_by_key and domain in others:
                 self._scheduler.release(backend_id, "another process claims it")
 
@@ -160,8 +152,8 @@
             for backend_id in status.held
         }
         for backend_id, said in self._roster.backend_by_id.items():
-            claim = self._claim_by_domain.get(said.failure_domain)
-            if claim is None or backend_id in kept or backend_id in self._scheduler.held_by_id:
+            term = self._term_by_domain.get(said.failure_domain)
+            if term is None or backend_id in kept or backend_id in self._scheduler.held_by_id:
                 continue
             speed = members.speed_by_backend.get(backend_id)
-            self._scheduler.hold(said, claim.term << TERM_BITS, speed=speed)
+            self._scheduler.hold(said, term << TERM_BITS, speed=speed)
--- a/src/apricotpoint/_pool/held.py
+++ b/src/apricotpoint/_pool/held.py
@@ -40,7 +40,6 @@
     acknowledged: int = 0
     born_ms: int = 0
     answered: bool = False
-    heard_at: float = 0.0
     lapsed_at: float = 0.0
     full_until: float = 0.0
     released: bool = False
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -34,11 +34,6 @@
     RUNNING = "running"
 
 
-def longest_s(estimate_s: float, count: int) -> float:
-    """Return the expected run time of the longest of `count` tasks."""
-    return estimate_s * (1 + UNEVEN_SHARE * math.log2(count))
-
-
 @attrs.define(eq=False)
 class Run:
     """One start of a task on a backend server. Times are monotonic seconds."""
@@ -119,7 +114,7 @@
     @property
     def longest_s(self) -> float:
         """Expected run time of its longest task in seconds at speed 1."""
-        return longest_s(self.estimate_s, self.request.count)
+        return self.estimate_s * (1 + UNEVEN_SHARE * math.log2(self.request.count))
 
     @property
     def objective_s(self) -> float:
--- a/src/apricotpoint/_pool/keeper.py
+++ b/src/apricotpoint/_pool/keeper.py
@@ -78,7 +78,6 @@
         self._observer = observer
         self._timers = timers
         self._counters = counters
-        self._fencing = anyio.Event()
         self._scope = anyio.CancelScope()
 
     async def run(self) -> None:
@@ -150,7 +149,6 @@
             self._reborn(holding)
         held.born_ms = holding.born_ms or held.born_ms
         held.hear_clock(holding, now)
-        held.heard_at = now
         known = dict(held.run_by_key)
         ended_keys = self._take_ends(holding, known)
         for key, run in known.items():
@@ -170,11 +168,9 @@
             for key in holding.progress_by_run
             if key not in known and key not in held.run_by_key and key not in ended_keys
         }
-        if not held.answered:
+        if not held.answered or ended_keys:
             held.answered = True
             self._observer.backend_changed(held)
-        elif ended_keys:
-            self._observer.backend_changed(held)
 
     def _take_ends(self, holding: Holding, known: dict[RunKey, Run]) -> set[RunKey]:
         held = self._held
--- a/src/apricotpoint/_pool/learning.py
+++ b/src/apricotpoint/_pool/learning.py
@@ -12,9 +12,8 @@
 # Weight of a new observation once enough have been seen.
 KIND_WEIGHT = 0.05
 SPEED_WEIGHT = 0.15
-# Weight of the first observations of a speed; later ones count less, down to SPEED_WEIGHT.
-# Tasks of one job differ by far less than jobs, so a comparison with
-# other tasks of the same job counts more than one with the kind.
+# Tasks of one job differ by far less than jobs, so a comparison with other tasks of
+# the same job counts as this many observations, one with the kind as one.
 SIBLING_OBSERVATIONS = 3
 # Kinds kept; the one unused for longest is forgotten.
 MAX_KINDS = 1024
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -101,10 +101,6 @@
             self._transport.send(target, PoolCancel(job_id))
         self._scheduler.cancel(job_id, "the caller has left")
 
-    def open_jobs(self) -> int:
-        """Return the number of jobs that are scheduled or waited for here."""
-        return len(self._scheduler.jobs()) + len(self._target_by_job)
-
     def knows(self, job_id: str) -> bool:
         """Return whether a job is being run for a caller of this process."""
         return job_id in self._target_by_job or any(
