Let one process hold all backend servers of a small pool

Cause: each failure domain was scheduled by itself: 8 backend servers with 18 places, where a wide job needs 8 places at once and a long one needs a fast backend server that is free now.

Change: pools of up to 40 backend servers have one leader, which claims all failure domains that it reaches: the claimant with the most backend servers that answer, else the process that started last. A process claims a foreign failure domain only with news from it, so that a part that was cut off does not fence off the others when the partition ends; a process that hears no other one may claim its own failure domain if it hears its backend servers. The own status is made at most every 20 ms instead of for each job routed.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -23,6 +23,9 @@
 # A check that is later than this, in seconds, means that the process was
 # paused: others regard it as lost and may have taken over.
 PAUSE_S = 0.8
+# News of a failure domain, in seconds, that show that it can be reached. Its backend
+# servers announce themselves each 1.5 s, one after the other.
+REACHED_S = 0.6
 # Time in seconds before a process that was fenced off tries to take over again.
 FENCED_REST_S = 1.0
 # The fencing token is the term of the claim with room below it for the steps
@@ -45,8 +48,10 @@
         timers: TimerService,
         counters: Counters,
         suspended_s: Callable[[], float],
+        shared_backends: int = claims.SHARED_BACKENDS,
     ) -> None:
         self.draining = False
+        self._shared_backends = shared_backends
         self._domains = domains
         self._scheduler = scheduler
         self._roster = roster
@@ -70,6 +75,14 @@
         """Return the backend servers that no other process may take over yet."""
         return list(self._scheduler.held_by_id)
 
+    def answering(self) -> int:
+        """Return the number of backend servers held that answer."""
+        return sum(held.answered for held in self._scheduler.held_by_id.values())
+
+    def shared(self) -> bool:
+        """Return whether the pool is small enough for one holder of all failure domains."""
+        return len(self._roster.backend_by_id) <= self._shared_backends
+
     def fenced(self, domain: str) -> None:
         """Note that another holder with a higher token was found in a failure domain."""
         term = self._term_by_domain.pop(domain, None)
@@ -90,7 +103,7 @@
         live = members.live()
         if not self.draining:
             self._update_claims(members, live)
-        self._release(members.entry_id, live)
+        self._release(members, live)
         self._take(members, live)
 
     def _check_pause(self) -> None:
@@ -107,16 +120,19 @@
 
     def _update_claims(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         own_id, now = members.entry_id, self._timers.now()
+        shared = self.shared()
+        leads = shared and claims.leader(live) == own_id
         for domain in self._domains():
-            wanted = claims.should_claim(own_id, domain, live)
+            if shared:
+                wanted = leads and self._reaches(domain, members, live)
+            else:
+                wanted = claims.should_claim(own_id, domain, live)
             if domain in self._term_by_domain:
                 if not wanted:
                     del self._term_by_domain[domain]
                     _log.notice("claim on {} is given up", domain)
                     members.send_status()
-            elif wanted and now >= self._listen_until and members.hears_others():
-                # Whoever hears nobody is the one that is cut off. It keeps what it
-                # claims, but more would take backend servers away from the others.
+            elif wanted and now >= self._listen_until and self._may_claim(domain, members, live):
                 lowest = max(int(self._timers.wall()), self._lowest_term_by_domain.get(domain, 0))
                 term = claims.next_term(domain, live, lowest)
                 self._term_by_domain[domain] = term
@@ -124,13 +140,43 @@
                 _log.notice("claim {} with term {}", domain, term)
                 members.send_status()
 
-    def _release(self, own_id: str, live: dict[str, EntryStatus]) -> None:
+    def _may_claim(self, domain: str, members: EntryMembers, live: dict[str, EntryStatus]) -> bool:
+        """Return whether a new claim cannot take backend servers away from others.
+
+        Whoever hears no other entry process may be the one that is cut off. It keeps
+        what it claims. If it still hears the backend servers of its failure domain,
+        which reach it through a control process, the whole failure domain is cut off
+        and has to serve by itself.
+        """
+        if members.hears_others():
+            return True
+        is_own = domain == live[members.entry_id].failure_domain
+        return is_own and self._hears_backends(domain)
+
+    def _reaches(self, domain: str, members: EntryMembers, live: dict[str, EntryStatus]) -> bool:
+        """Return whether a failure domain is not cut off from this process.
+
+        Otherwise a process that is cut off with its failure domain would fence
+        off the holder of all others when the partition ends.
+        """
+        if domain in self._term_by_domain or domain == live[members.entry_id].failure_domain:
+            return True
+        if any(status.failure_domain == domain for status in live.values()):
+            return True
+        return self._hears_backends(domain)
+
+    def _hears_backends(self, domain: str) -> bool:
+        heard_at = self._roster.heard_at(domain)
+        return heard_at is not None and self._timers.now() - heard_at <= REACHED_S
+
+    def _release(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         others = {
             domain
             for entry_id, status in live.items()
-            if entry_id != own_id and not status.draining
+            if entry_id != members.entry_id and not status.draining
             for domain in status.term_by_claim
         }
+        handed_over = False
         for backend_id, held in list(self._scheduler.held_by_id.items()):
             said = self._roster.backend_by_id.get(backend_id)
             if said is None:
@@ -141,6 +187,10 @@
             leaving = self.draining or domain not in self._term_by_domain
             if leaving and not held.run_by_key and domain in others:
                 self._scheduler.release(backend_id, "another process claims it")
+                handed_over = True
+        if handed_over:
+            # The successor waits for this word before it takes them over.
+            members.send_status()
 
     def _take(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         if self.draining:
--- a/src/apricotpoint/_pool/claims.py
+++ b/src/apricotpoint/_pool/claims.py
@@ -3,6 +3,11 @@
 Claims need no agreement: backend servers obey the highest fencing token, and a
 job is scheduled by one process. Two claims at once therefore cost time but
 break no promise; the rules here make them rare and short.
+
+A small pool has one holder for all failure domains that reach each other: the
+tasks of a wide job find room sooner among all backend servers than among those
+of one failure domain. In a large pool, which one process could not schedule,
+each failure domain has a holder of its own.
 """
 
 from __future__ import annotations
@@ -11,6 +16,10 @@
 
 from apricotpoint._wire.pool import EntryStatus
 
+# Backend servers that one process can schedule. At 20 starts a second each, 24 of them
+# take about half a core (docs/measurements-platform.md, "Costs").
+SHARED_BACKENDS = 40
+
 
 def claimant(domain: str, status_by_entry: Mapping[str, EntryStatus]) -> str | None:
     """Return the process whose claim on a failure domain is in force, None if there is none.
@@ -56,3 +65,34 @@
     """Return a term above all that are known for a failure domain, at least `lowest`."""
     known = [status.term_by_claim.get(domain, 0) for status in status_by_entry.values()]
     return max([lowest, *(term + 1 for term in known)])
+
+
+def leader(status_by_entry: Mapping[str, EntryStatus]) -> str | None:
+    """Return the process that should claim all failure domains of a small pool.
+
+    The claimant with the most backend servers that answer stays, so that
+    little changes hands when two parts of the system meet again. Without a
+    claimant it is the process that has started last: in a rolling restart, the
+    others are still to be stopped.
+    """
+    live = {key: status for key, status in status_by_entry.items() if not status.draining}
+    claimants = [
+        (status.answering, max(status.term_by_claim.values()), entry_id)
+        for entry_id, status in live.items()
+        if status.term_by_claim
+    ]
+    if claimants:
+        return max(claimants)[2]
+    ranks = [(status.started_at, entry_id) for entry_id, status in live.items()]
+    return max(ranks)[1] if ranks else None
+
+
+def scheduling_process(
+    domain: str, status_by_entry: Mapping[str, EntryStatus], *, shared: bool
+) -> str | None:
+    """Return the process that schedules the jobs of callers in a failure domain."""
+    if shared:
+        chosen = leader(status_by_entry)
+        if chosen is not None and status_by_entry[chosen].term_by_claim:
+            return chosen
+    return claimant(domain, status_by_entry)
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -17,6 +17,8 @@
 
 # Period in seconds of the status that every entry process sends to all others.
 STATUS_S = 0.2
+# The own status is made anew after this time, in seconds; each job that is routed reads it.
+OWN_STATUS_S = 0.02
 # An entry process is live if its status is not older than this, in seconds.
 LIVE_S = 1.0
 # Period of reports to the control processes, and how long one may take, in seconds.
@@ -71,6 +73,8 @@
         self._control_ids: set[str] = set()
         self._status_by_entry: dict[str, EntryStatus] = {}
         self._heard_at_by_entry: dict[str, float] = {}
+        self._status: EntryStatus | None = None
+        self._status_at = 0.0
         self._was_live: set[str] = set()
         self.welcomed_at: float | None = None
         self.speed_by_backend: dict[str, float] = {}
@@ -110,16 +114,23 @@
             for entry_id, status in self._status_by_entry.items()
             if now - self._heard_at_by_entry[entry_id] <= LIVE_S
         }
-        live[self.entry_id] = self._make_status()
+        live[self.entry_id] = self._own_status()
         return live
 
+    def _own_status(self) -> EntryStatus:
+        now = self._timers.now()
+        if self._status is None or now - self._status_at > OWN_STATUS_S:
+            self._status, self._status_at = self._make_status(), now
+        return self._status
+
     def hears_others(self) -> bool:
         """Return whether another entry process is live, or none was ever known."""
         return len(self.live()) > 1 or not self._status_by_entry
 
     def send_status(self) -> None:
         """Send the status to all entry processes, and note which ones are lost."""
-        status = self._make_status()
+        self._status = None
+        status = self._own_status()
         for entry_id in list(self._heard_at_by_entry):
             self._links.send(entry_id, status)
         self._note_changes()
--- a/src/apricotpoint/_pool/roster.py
+++ b/src/apricotpoint/_pool/roster.py
@@ -29,6 +29,7 @@
         self.backend_by_id: dict[str, PoolBackend] = {}
         self._heard_at_by_id: dict[str, float] = {}
         self._gone_at_by_id: dict[str, float] = {}
+        self._heard_at_by_domain: dict[str, float] = {}
         self._now = now
         self._callbacks: list[Callable[[PoolBackend], None]] = []
 
@@ -43,6 +44,10 @@
         for said in message.heard:
             self._hear(said)
 
+    def heard_at(self, domain: str) -> float | None:
+        """Return when a backend server of a failure domain last announced itself."""
+        return self._heard_at_by_domain.get(domain)
+
     def confirm(self, backend_id: str) -> None:
         """Note that a backend server answers its holder."""
         if backend_id in self._heard_at_by_id:
@@ -69,6 +74,7 @@
             _log.info("backend {} in {} has announced itself", said.backend_id, said.failure_domain)
         self.backend_by_id[said.backend_id] = said
         self._heard_at_by_id[said.backend_id] = self._now()
+        self._heard_at_by_domain[said.failure_domain] = self._now()
         for callback in self._callbacks:
             callback(said)
 
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import TracebackType
 
 import anyio
@@ -37,7 +38,8 @@
     """Submission of jobs at one entry process.
 
     Use it as an async context manager. `own_domain` is the failure domain of
-    this process, whose backend servers are preferred.
+    this process, whose backend servers are preferred in a large pool; `shared`
+    tells whether the pool has one holder for all failure domains.
     """
 
     def __init__(
@@ -49,8 +51,10 @@
         transport: Transport,
         timers: TimerService,
         counters: Counters,
+        shared: Callable[[], bool],
     ) -> None:
         self._own_domain = own_domain
+        self._shared = shared
         self._members = members
         self._scheduler = scheduler
         self._transport = transport
@@ -113,7 +117,7 @@
             for entry_id, status in self._members.live().items()
             if entry_id not in excluded
         }
-        own = claims.claimant(self._own_domain, live)
+        own = claims.scheduling_process(self._own_domain, live, shared=self._shared())
         if own is not None and live[own].held:
             return own
         others = [
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -102,7 +102,9 @@
     `term_by_claim` has the failure domains whose backend servers the process
     claims, with the term of each claim. `held` are the backend servers that it
     has not released yet; no other process may take them over meanwhile.
-    `speed_by_backend` has what was learned, for a process that takes over.
+    `answering` counts those that answer. `speed_by_backend` has what was
+    learned, for a process that takes over. `started_at` is the start of the
+    process in unix seconds.
     """
 
     failure_domain: str
@@ -112,6 +114,8 @@
     held: list[str]
     load: PoolLoad
     speed_by_backend: dict[str, float] = attrs.Factory(dict)
+    answering: int = 0
+    started_at: float = 0.0
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -72,6 +72,7 @@
         incarnation = new_incarnation()
         counters = Counters()
         self._timers = TimerService()
+        self._started_at = self._timers.wall()
         self._mesh = Mesh(
             process_id=settings.address,
             incarnation=incarnation,
@@ -122,6 +123,7 @@
             transport=self._mesh,
             timers=self._timers,
             counters=counters,
+            shared=self._claimer.shared,
         )
         self._callers = CallerInterface(
             self._service,
@@ -205,6 +207,8 @@
             held=self._claimer.held(),
             load=self._scheduler.load(),
             speed_by_backend=self._scheduler.estimates.speeds(),
+            answering=self._claimer.answering(),
+            started_at=self._started_at,
         )
 
     def _check(self) -> None:
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -10,12 +10,13 @@
 import anyio
 import anyio.abc
 import attrs
-from pool_rig import FakeWorker, make_backend
+from pool_rig import ANSWER_S, FakeWorker, make_backend
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.claimer import CHECK_S, Claimer
+from apricotpoint._pool.exchange import Holding, RunKey, RunStart, StartOutcome
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.relay import AnnouncementRelay
 from apricotpoint._pool.roster import Roster
@@ -24,7 +25,8 @@
 from apricotpoint._wire.pool import EntryStatus, PoolBackend
 
 TRIP_S = 0.0005
-CONTROL_ID = "control"
+CONTROL_IDS = ("control-a", "control-b")
+ANNOUNCE_S = 1.5
 
 
 class FakeLinks:
@@ -103,6 +105,48 @@
             handler(Sender(self.peer_id, 1), message)
 
 
+class DomainCalls:
+    """Calls of one process to a worker, which get no answer over a partition."""
+
+    def __init__(self, worker: FakeWorker, hub: Hub, domain: str, worker_domain: str) -> None:
+        self._worker = worker
+        self._hub = hub
+        self._domain = domain
+        self._worker_domain = worker_domain
+
+    def _is_cut(self) -> bool:
+        return self._hub.separates(self._domain, self._worker_domain)
+
+    async def start(self, order: RunStart) -> StartOutcome:
+        """Order a start."""
+        if self._is_cut():
+            await anyio.sleep(ANSWER_S)
+            return StartOutcome.UNKNOWN
+        return await self._worker.start(order)
+
+    async def stop(self, key: RunKey, token: int) -> bool:
+        """Order a stop."""
+        return not self._is_cut() and await self._worker.stop(key, token)
+
+    async def hold(
+        self, *, token: int, acknowledged: int, lease_until_ms: int | None, wait_s: float
+    ) -> Holding | None:
+        """Renew the lease."""
+        if self._is_cut():
+            await anyio.sleep(wait_s + ANSWER_S)
+            return None
+        holding = await self._worker.hold(
+            token=token, acknowledged=acknowledged, lease_until_ms=lease_until_ms, wait_s=wait_s
+        )
+        return None if self._is_cut() else holding
+
+    async def renew_connections(self) -> None:
+        """Do nothing: there are no connections."""
+
+    async def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+
 class Hub:
     """The network: `cuts` has pairs (sender, receiver) that do not reach each other."""
 
@@ -111,12 +155,17 @@
         self.links_by_id: dict[str, FakeLinks] = {}
         self.group_by_id: dict[str, anyio.abc.TaskGroup] = {}
         self.cuts: set[tuple[str, str]] = set()
+        self.cut_domain: str | None = None
 
     def isolate(self, peer_id: str) -> None:
         """Cut a process off from all other processes."""
         for other in self.links_by_id:
             self.cuts |= {(peer_id, other), (other, peer_id)}
 
+    def separates(self, domain: str, other: str) -> bool:
+        """Return whether a partition lies between two failure domains."""
+        return domain != other and self.cut_domain in (domain, other)
+
     async def reaches(self, sender: str, receiver: str) -> bool:
         """Return whether a message arrives, after its way."""
         await anyio.sleep(TRIP_S)
@@ -136,6 +185,8 @@
     domain: str
     hub: Hub
     worker_by_id: dict[str, FakeWorker]
+    shared_backends: int
+    started_at: float
     counters: Counters = attrs.Factory(Counters)
     draining: bool = False
     scheduler: Scheduler = attrs.field(init=False)
@@ -157,7 +208,12 @@
                     timers=timers,
                     counters=self.counters,
                     random=random.Random(1),
-                    make_calls=lambda said: self.worker_by_id[said.backend_id],
+                    make_calls=lambda said: DomainCalls(
+                        self.worker_by_id[said.backend_id],
+                        self.hub,
+                        self.domain,
+                        said.failure_domain,
+                    ),
                 )
                 self.claimer = Claimer(
                     domains=lambda: ["a", "b"],
@@ -166,12 +222,13 @@
                     timers=timers,
                     counters=self.counters,
                     suspended_s=lambda: 0.0,
+                    shared_backends=self.shared_backends,
                 )
                 self.scheduler.on_fenced = self.claimer.fenced
                 self.members = EntryMembers(
                     entry_id=self.entry_id,
                     failure_domain=self.domain,
-                    seeds=lambda: [CONTROL_ID],
+                    seeds=lambda: list(CONTROL_IDS),
                     links=links,
                     address_of=str,
                     timers=timers,
@@ -185,6 +242,7 @@
                     transport=links,
                     timers=timers,
                     counters=self.counters,
+                    shared=self.claimer.shared,
                 )
                 for part in (timers, self.scheduler, self.members, self.service):
                     await stack.enter_async_context(part)
@@ -216,6 +274,8 @@
             held=self.claimer.held(),
             load=self.scheduler.load(),
             speed_by_backend=self.scheduler.estimates.speeds(),
+            answering=self.claimer.answering(),
+            started_at=self.started_at,
         )
 
 
@@ -227,6 +287,24 @@
     entry_by_id: dict[str, Entry]
     worker_by_id: dict[str, FakeWorker]
 
+    def cut_domain(self, domain: str) -> None:
+        """Cut a failure domain off, with its processes and backend servers."""
+        domain_by_id = {**dict(DOMAINS), **{key: key[-1] for key in CONTROL_IDS}}
+        self.hub.cut_domain = domain
+        for one, one_domain in domain_by_id.items():
+            for other, other_domain in domain_by_id.items():
+                if self.hub.separates(one_domain, other_domain):
+                    self.hub.cuts.add((one, other))
+
+    def heal(self) -> None:
+        """End all partitions."""
+        self.hub.cut_domain = None
+        self.hub.cuts.clear()
+
+    def reaches(self, entry_id: str, worker_id: str) -> bool:
+        """Return whether no partition lies between a process and a worker."""
+        return not self.hub.separates(dict(DOMAINS)[entry_id], worker_id[0])
+
     def holders(self) -> dict[str, list[str]]:
         """Return which live process holds which backend servers."""
         return {
@@ -237,35 +315,53 @@
 
 
 @asynccontextmanager
-async def cluster() -> AsyncIterator[Cluster]:
-    """Run the cluster until all backend servers are held."""
+async def cluster(*, shared_backends: int = 0, leader: str = "e1") -> AsyncIterator[Cluster]:
+    """Run the cluster until all backend servers are held.
+
+    Pools of up to `shared_backends` have one holder for all failure domains, which is
+    `leader` as long as nothing happens.
+    """
     worker_by_id = {key: FakeWorker() for key in ("a1", "a2", "b1", "b2")}
     async with anyio.create_task_group() as group:
         hub = Hub(group)
         for worker in worker_by_id.values():
             worker.group = group
-        async with TimerService() as timers:
-            relay = AnnouncementRelay(
-                transport=FakeLinks(hub, CONTROL_ID),
-                timers=timers,
-                control_ids=lambda: [CONTROL_ID],
-            )
-            async with relay:
-                group.start_soon(_announce, relay, list(worker_by_id))
-                entries = [Entry(key, key_domain, hub, worker_by_id) for key, key_domain in DOMAINS]
-                for entry in entries:
-                    await group.start(entry.run)
-                await anyio.sleep(3.0)
-                yield Cluster(hub, {entry.entry_id: entry for entry in entries}, worker_by_id)
-                group.cancel_scope.cancel()
+        async with AsyncExitStack() as stack:
+            timers = await stack.enter_async_context(TimerService())
+            relay_by_id = {
+                control_id: await stack.enter_async_context(
+                    AnnouncementRelay(
+                        transport=FakeLinks(hub, control_id),
+                        timers=timers,
+                        control_ids=lambda: CONTROL_IDS,
+                    )
+                )
+                for control_id in CONTROL_IDS
+            }
+            group.start_soon(_announce, relay_by_id, hub, list(worker_by_id))
+            entries = [
+                Entry(key, key_domain, hub, worker_by_id, shared_backends, key == leader)
+                for key, key_domain in DOMAINS
+            ]
+            for entry in entries:
+                await group.start(entry.run)
+            await anyio.sleep(3.0)
+            yield Cluster(hub, {entry.entry_id: entry for entry in entries}, worker_by_id)
+            group.cancel_scope.cancel()
 
 
 DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"))
 
 
-async def _announce(relay: AnnouncementRelay, worker_ids: list[str]) -> None:
+async def _announce(
+    relay_by_id: dict[str, AnnouncementRelay], hub: Hub, worker_ids: list[str]
+) -> None:
     for sequence in range(1, 1000):
         for worker_id in worker_ids:
+            domain = worker_id[0]
+            reached = [key for key in relay_by_id if not hub.separates(domain, key[-1])]
             said: PoolBackend = make_backend(worker_id)
-            relay.announce(attrs.evolve(said, failure_domain=worker_id[0], sequence=sequence))
-        await anyio.sleep(1.5)
+            relay_by_id[reached[0]].announce(
+                attrs.evolve(said, failure_domain=domain, sequence=sequence)
+            )
+            await anyio.sleep(ANNOUNCE_S / len(worker_ids))
--- a/testing/pool/test_claims.py
+++ b/testing/pool/test_claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from apricotpoint._pool import claims
 from apricotpoint._wire.pool import EntryStatus, PoolLoad
 
@@ -57,3 +59,25 @@
     live = {"1": status("a", a=3), "2": status("a", a=5)}
     assert claims.claimant("a", live) == "2"
     assert not claims.should_claim("1", "a", live)
+
+
+def test_a_small_pool_has_one_leader_which_stays():
+    """Guards against a claim that moves each time a process joins or another claimant is heard."""
+    live = {
+        "1": attrs.evolve(status("a", a=3), answering=8),
+        "2": attrs.evolve(status("b", b=9), answering=16),
+        "3": attrs.evolve(status("b"), started_at=99.0),
+    }
+    assert claims.leader(live) == "2"
+    assert claims.scheduling_process("a", live, shared=True) == "2"
+    assert claims.scheduling_process("a", live, shared=False) == "1"
+
+
+def test_without_claims_the_process_that_started_last_leads():
+    """Guards against a holder that is the next to be stopped in a rolling restart."""
+    live = {
+        "1": attrs.evolve(status("a"), started_at=7.0),
+        "2": attrs.evolve(status("b"), started_at=5.0),
+        "3": attrs.evolve(status("b", draining=True), started_at=9.0),
+    }
+    assert claims.leader(live) == "1"
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 from pool_cluster import Cluster, cluster
 from pool_rig import make_job, run
 
@@ -155,3 +156,59 @@
                 group.cancel_scope.cancel()
 
     run(test)
+
+
+def test_a_small_pool_is_held_by_one_process():
+    """Guards against wide jobs that wait in one failure domain while others have room."""
+
+    async def test() -> None:
+        async with cluster(shared_backends=4) as world:
+            held = sorted(world.holders().values(), key=len)
+            assert held == [[], [], ["a1", "a2", "b1", "b2"]]
+            answers: list[PoolAnswer] = []
+            await submit_all(world, ["e1", "e2", "e3"], 1, answers)
+            assert [answer.code for answer in answers] == [ResultCode.COMPLETE] * 3
+
+    run(test)
+
+
+@pytest.mark.parametrize("leader", ["e1", "e3"])
+def test_both_sides_of_a_partition_serve_and_one_holder_is_left_after_it(leader: str):
+    """Guards against a cut-off part that serves nothing, and one that fences off the others.
+
+    e3 is the only process of its failure domain; its control process is cut off with it.
+    """
+
+    async def test() -> None:
+        async with cluster(shared_backends=4, leader=leader) as world:
+            assert world.holders()[leader] == ["a1", "a2", "b1", "b2"]
+            world.cut_domain("b")
+            await anyio.sleep(4.0)
+            holders = world.holders()
+            assert sorted(key for key in holders["e3"] if world.reaches("e3", key)) == ["b1", "b2"]
+            answers: list[PoolAnswer] = []
+            await submit_all(world, ["e1", "e3"], 1, answers)
+            assert [answer.code for answer in answers] == [ResultCode.COMPLETE] * 2
+            # Only a holder from before the partition has backend servers of the other side.
+            assert leader == "e3" or holders["e3"] == ["b1", "b2"]
+            world.heal()
+            await anyio.sleep(5.0)
+            held = sorted(world.holders().values(), key=len)
+            assert held == [[], [], ["a1", "a2", "b1", "b2"]]
+            assert not overlapping(world)
+
+    run(test)
+
+
+def test_a_lost_holder_of_a_small_pool_is_followed():
+    """Guards against a pool without a holder after the only one is lost."""
+
+    async def test() -> None:
+        async with cluster(shared_backends=4) as world:
+            (lost,) = [key for key, held in world.holders().items() if held]
+            world.entry_by_id[lost].kill()
+            await anyio.sleep(2.0)
+            held = sorted(world.holders().values(), key=len)
+            assert held == [[], ["a1", "a2", "b1", "b2"]]
+
+    run(test)
