Place tasks by their objective, refine run times by progress and move late runs

Jobs that would have ended were given up because a declared time, which is off by 40%, said so. After a loss of all processes every entry process asked the first control process alone, which did not answer yet, for 2 s.

Changes: a task starts where its job is within its objective, and before its deadline by a factor of 1.4, otherwise it waits for a faster one while that would be in time; speeds follow siblings at a weight of 0.05 and jump when a backend server has changed; the run time of a job follows its own runs; a run that will miss the deadline moves to a backend server that is fast enough; more waiting jobs are looked at for a free place; ended lives are forgotten; without a configuration all control processes are asked.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -23,6 +23,9 @@
 _REPLY_S = 1.0
 _RETRY_S = 0.25
 _CURRENT_S = 3.0
+# Without any version yet, all control processes are asked for this long, in seconds: one
+# that has just started does not answer until it knows that its disk is not an old one.
+_FIRST_S = 0.4
 _DIGEST_BYTES = 8
 _DECODER = msgspec.msgpack.Decoder(Configuration)
 
@@ -119,6 +122,11 @@
         position = 0
         while True:
             control_ids = self._control_ids()
+            if not self._configuration.version:
+                with anyio.move_on_after(_FIRST_S):
+                    await self._fetch(control_ids)
+                await self._timers.sleep(_FIRST_S / 2)
+                continue
             if not control_ids:
                 await self._timers.sleep(_RETRY_S)
                 continue
--- a/src/apricotpoint/_pool/admission.py
+++ b/src/apricotpoint/_pool/admission.py
@@ -8,17 +8,16 @@
 from __future__ import annotations
 
 # A job is refused when it is predicted to take longer than this share of its
-# objective. Predictions err, and a job that comes late takes room from others that
-# would be in time.
-LATEST_SHARE = 0.9
+# objective: what comes late takes room from others that would be in time.
+LATEST_SHARE = 1.0
 # Run times of single jobs scatter around their estimate. A job that waits for room
 # is worth a try as long as it can end in time when it takes this share of its estimate.
-OPTIMISTIC_SHARE = 0.9
+OPTIMISTIC_SHARE = 0.85
 # With room for all its tasks, a job with less hope is tried too, as nobody else needs the room.
-IDLE_OPTIMISTIC_SHARE = 0.6
+IDLE_OPTIMISTIC_SHARE = 0.5
 # A job that has begun is given up when a task that has not would have to take less
 # than this share of its estimate; it holds room that others need.
-DOOMED_SHARE = 0.7
+DOOMED_SHARE = 0.6
 # Bounds in seconds of the time after which a refused caller is asked to return.
 SHORTEST_RETRY_S, LONGEST_RETRY_S = 1.0, 10.0
 
--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -62,6 +62,7 @@
         self._lowest_term_by_domain: dict[str, int] = {}
         self._listen_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
+        scheduler.on_gone = roster.end
 
     def begin(self) -> None:
         """Start to watch the time; to be called before the first check."""
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -13,8 +13,9 @@
 
 # Expected time in seconds until a backend server that was taken over answers.
 TAKEOVER_WAIT_S = 0.1
-# Learned speeds scatter, so the largest one promises too much.
-GOOD_SPEED_SHARE = 0.7
+# Learned speeds scatter, so the largest one promises too much. At least a tenth of the
+# backend servers are as fast as this one.
+GOOD_SPEED_SHARE = 0.9
 # Weight of a new job in the mean room of a task.
 CPU_WEIGHT = 0.05
 # Before any job was seen, the room that a task usually takes is half of a backend server.
@@ -65,7 +66,7 @@
             for held in self._held_by_id.values()
             if held.takes_tasks(now)
         )
-        work_s = sum(len(job.waiting()) * job.estimate_s for job in jobs)
+        work_s = sum(len(job.waiting()) * job.task_s for job in jobs)
         return work_s / max(rate, 1.0)
 
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
@@ -115,6 +116,12 @@
             self.times.observe(job.request.kind, job.request.estimate_s, math.exp(work))
         self._anchor()
 
+    def refine(self, job: Job) -> None:
+        """Take over the run time of a job's tasks from its runs, which differ by 15%."""
+        works = [math.log(took_s * run.backend.speed.value) for run, took_s in _timed_runs(job)]
+        if works:
+            job.refined_s = math.exp(sum(works) / len(works))
+
     def learn_from_slow(self, run: Run, predicted_s: float) -> None:
         """Learn at once from a run that takes far longer than others of its job."""
         others = [item for item in _timed_runs(run.task.job) if item[0] is not run]
--- a/src/apricotpoint/_pool/forecast.py
+++ b/src/apricotpoint/_pool/forecast.py
@@ -52,7 +52,7 @@
         return float("inf")
     for other in ahead:
         for _ in other.waiting():
-            _occupy(free, other.estimate_s)
+            _occupy(free, other.task_s)
     return max(_occupy(free, job.longest_s) for _ in job.waiting())
 
 
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -50,6 +50,7 @@
     progress_at: float = 0.0
     stopping: bool = False
     seems_slow: bool = False
+    has_told: bool = False
 
     def predicted_s(self) -> float | None:
         """Return the run time that the progress so far predicts, None if it does not tell yet."""
@@ -80,6 +81,8 @@
 class Job:
     """A submitted job at the process that schedules it.
 
+    `estimate_s` is the run time of a task at speed 1 as expected at first,
+    `refined_s` what the runs so far tell, None if they do not tell yet.
     `origin` is the entry process that waits for the answer, empty for this
     one. `started` is set with the first order to start a task: from then on
     the job can no longer be refused as not run. `done_runs` has the runs that
@@ -93,6 +96,7 @@
     tasks: list[Task] = attrs.field(init=False)
     started: bool = False
     cancelled: bool = False
+    refined_s: float | None = None
     done_runs: list[tuple[Run, float]] = attrs.Factory(list)
     answer: PoolAnswer | None = None
     answered: anyio.Event = attrs.Factory(anyio.Event)
@@ -111,10 +115,15 @@
         """When the caller stops waiting."""
         return self.sent_at + self.request.deadline_s
 
+    @property
+    def task_s(self) -> float:
+        """Expected run time of a task in seconds at speed 1."""
+        return self.estimate_s if self.refined_s is None else self.refined_s
+
     @property
     def longest_s(self) -> float:
         """Expected run time of its longest task in seconds at speed 1."""
-        return self.estimate_s * (1 + UNEVEN_SHARE * math.log2(self.request.count))
+        return self.task_s * (1 + UNEVEN_SHARE * math.log2(self.request.count))
 
     @property
     def objective_s(self) -> float:
--- a/src/apricotpoint/_pool/keeper.py
+++ b/src/apricotpoint/_pool/keeper.py
@@ -48,6 +48,9 @@
     def run_seems_slow(self, run: Run, predicted_s: float) -> None:
         """Take that the progress of a run predicts a far longer run time than expected."""
 
+    def run_predicted(self, run: Run, predicted_s: float) -> None:
+        """Take the run time that the progress of a run predicts."""
+
     def backend_changed(self, held: HeldBackend) -> None:
         """Take that a backend server can be used again, or no longer."""
 
@@ -194,6 +197,8 @@
             is_slow = predicted_s is not None and predicted_s > SLOW_FACTOR * run.expected_s
             if predicted_s is not None and is_slow and not run.seems_slow:
                 self._observer.run_seems_slow(run, predicted_s)
+            if predicted_s is not None:
+                self._observer.run_predicted(run, predicted_s)
             return
         limit_s = max(STANDSTILL_S, STANDSTILL_SHARE * run.expected_s)
         if now - run.progress_at > limit_s and not run.stopping:
--- a/src/apricotpoint/_pool/learning.py
+++ b/src/apricotpoint/_pool/learning.py
@@ -11,17 +11,20 @@
 
 # Weight of a new observation once enough have been seen.
 KIND_WEIGHT = 0.05
-SPEED_WEIGHT = 0.15
-# Tasks of one job differ by far less than jobs, so a comparison with other tasks of
-# the same job counts as this many observations, one with the kind as one.
-SIBLING_OBSERVATIONS = 3
+SPEED_WEIGHT = 0.05
+# Jobs of a kind differ by a factor of 1.4, tasks of one job by 15%, so a comparison with
+# the kind tells little.
+KIND_COMPARISON_WEIGHT = 0.01
+# Compared with other tasks of its job, a run that is off by more than this factor, as a
+# logarithm, means that the backend server has changed; the speed follows at this weight.
+CHANGE_LOG, CHANGE_WEIGHT = 0.6, 0.4
 # Kinds kept; the one unused for longest is forgotten.
 MAX_KINDS = 1024
 # Declared times and the mean of a kind err by about the same factor, so both
 # count the same in the estimate, as exponents of a geometric mean.
 DECLARED_SHARE = 0.5
 # A speed that was learned elsewhere counts as this many observations.
-RESTORED_COUNT = 5
+RESTORED_COUNT = 20
 # Backend servers of the deployments differ by a factor of 2.2. What is slower than the
 # median by more than e has a fault and does not change the scale.
 OUTLIER_LOG = 1.0
@@ -36,9 +39,10 @@
     count: int = 0
     value: float = 0.0
 
-    def add(self, value: float) -> None:
+    def add(self, value: float, *, least_weight: float = 0.0) -> None:
         self.count += 1
-        self.value += (value - self.value) * max(self.weight, 1 / self.count)
+        weight = max(self.weight, 1 / self.count, least_weight)
+        self.value += (value - self.value) * weight
 
 
 class KindTimes:
@@ -121,5 +125,8 @@
         """
         ratio = max(expected_s, 1e-3) / max(took_s, 1e-3)
         logarithm = math.log(min(max(ratio, SLOWEST), FASTEST))
-        for _ in range(SIBLING_OBSERVATIONS if siblings else 1):
-            self._mean.add(logarithm)
+        if not siblings:
+            self._mean.value += (logarithm - self._mean.value) * KIND_COMPARISON_WEIGHT
+            return
+        has_changed = abs(logarithm - self._mean.value) > CHANGE_LOG
+        self._mean.add(logarithm, least_weight=CHANGE_WEIGHT if has_changed else 0.0)
--- a/src/apricotpoint/_pool/order.py
+++ b/src/apricotpoint/_pool/order.py
@@ -14,7 +14,7 @@
 
 # One step of priority counts like this much slack, in seconds. Larger steps serve more
 # short jobs, and too few of the large long ones.
-PRIORITY_SLACK_S = 0.05
+PRIORITY_SLACK_S = 0.1
 
 
 def slack_s(job: Job, now: float, fastest: float) -> float:
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -2,40 +2,73 @@
 
 Answers the load pattern of backend servers of unequal speed: a task goes to
 the slowest one on which its job is still in time, so that the fast ones are
-free for long tasks, which cannot be in time elsewhere. A job that can no
-longer be in time anywhere takes the fastest one.
+free for long tasks, which cannot be in time elsewhere. A task that would be
+late on all that have room waits for a faster one as long as it can be in time
+there.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Sequence
 
 from apricotpoint._pool.admission import OPTIMISTIC_SHARE
 from apricotpoint._pool.held import HeldBackend
-from apricotpoint._pool.job import Job, Task
+from apricotpoint._pool.job import Job, Run, Task
 
-# Single jobs take up to twice their estimate, so a slower backend server is preferred
-# only if the job is in time there by this factor.
-SLOW_MARGIN = 2.0
+# Run times scatter around their estimate by a factor of 1.35 (one standard deviation,
+# measured on the deployments), so a job has to be before its deadline by this factor.
+# Its objective scatters with its run time and needs no margin.
+DEADLINE_MARGIN = 1.4
+# A run that will miss its deadline is moved if it is predicted to end before the deadline
+# elsewhere by this factor; the prediction is from its own progress.
+MOVE_MARGIN = 1.05
+# Time in seconds until a stopped run has made room: the platform allows 0.05 s.
+STOP_S = 0.06
+# A task is not started more often than this to be in time; each start throws work away.
+MAX_RUNS = 3
+# Learned speeds that differ by less than this factor count as the same.
+SAME_SPEED_FACTOR = 1.25
 
 
-def choose(task: Task, usable: Iterable[HeldBackend], now: float) -> HeldBackend | None:
+def choose(
+    task: Task, fitting: Sequence[HeldBackend], now: float, *, fastest: float
+) -> HeldBackend | None:
     """Return where to start the task now, None to let it wait.
 
-    `usable` may be used at all; room is checked here.
+    `fitting` are the backend servers that have room for it, `fastest` is the
+    speed that it may find if it waits.
     """
     job = task.job
-    fitting = [held for held in usable if held.serves(job.request) and held.has_room(job.request)]
-    if len(fitting) > 1:
-        fitting = [held for held in fitting if held.backend_id not in task.avoid] or fitting
-    if not fitting:
-        return None
-    left_s = job.objective_at - now
-    in_time = [held for held in fitting if job.longest_s * SLOW_MARGIN / held.speed.value <= left_s]
+    candidates = [held for held in fitting if held.backend_id not in task.avoid] or fitting
+    in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
     if in_time:
-        return min(in_time, key=lambda held: (held.speed.value, held.free().cpu))
-    fastest = max(fitting, key=lambda held: (held.speed.value, -held.free().cpu))
-    return fastest if _worthwhile(job, fastest, now) else None
+        return min(in_time, key=lambda held: (_speed_class(held), held.free().cpu))
+    best = max(candidates, key=lambda held: (_speed_class(held), -held.free().cpu))
+    if best.speed.value * SAME_SPEED_FACTOR < fastest and _is_in_time(job, fastest, now):
+        return None
+    return best if _worthwhile(job, best, now) else None
+
+
+def _is_in_time(job: Job, speed: float, now: float) -> bool:
+    run_s = job.longest_s / speed
+    in_objective = now + run_s <= job.sent_at + job.objective_s
+    return in_objective and now + DEADLINE_MARGIN * run_s <= job.deadline_at
+
+
+def should_move(run: Run, work_s: float, others: Sequence[HeldBackend], now: float) -> bool:
+    """Return whether a run that will miss its deadline should start again elsewhere.
+
+    `others` have room for it; `work_s` is its run time at speed 1.
+    """
+    if not others or run.task.runs >= MAX_RUNS:
+        return False
+    best = max(held.speed.value for held in others)
+    return now + STOP_S + work_s * MOVE_MARGIN / best <= run.task.job.deadline_at
+
+
+def _speed_class(held: HeldBackend) -> int:
+    return round(held.speed.log / math.log(SAME_SPEED_FACTOR))
 
 
 def _worthwhile(job: Job, held: HeldBackend, now: float) -> bool:
--- a/src/apricotpoint/_pool/roster.py
+++ b/src/apricotpoint/_pool/roster.py
@@ -53,6 +53,10 @@
         if backend_id in self._heard_at_by_id:
             self._heard_at_by_id[backend_id] = self._now()
 
+    def end(self, backend_id: str) -> None:
+        """Forget a backend server whose life is over, until it announces itself again."""
+        self._remove(backend_id)
+
     def forget_silent(self) -> list[str]:
         """Forget backend servers that were silent for long and return their ids."""
         now = self._now()
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -29,7 +29,7 @@
 # Answers are kept this long, in seconds, for a submission that is repeated.
 KEEP_ANSWER_S = 10.0
 # Jobs looked at for a free place before the others are left to wait.
-MAX_BLOCKED = 4
+MAX_BLOCKED = 10
 
 _log = logbook.Logger("pool")
 
@@ -38,7 +38,8 @@
     """Jobs and held backend servers of one entry process.
 
     Use it as an async context manager. All methods must be called on the
-    event loop.
+    event loop. `on_fenced` is called with a failure domain in which another
+    holder was found, `on_gone` with a backend server whose life is over.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self.held_by_id: dict[str, HeldBackend] = {}
         self.estimates = Estimates(self.held_by_id)
         self.on_fenced: Callable[[str], None] = lambda _: None
+        self.on_gone: Callable[[str], None] = lambda _: None
         self.draining = False
         self._timers = timers
         self._counters = counters
@@ -237,6 +239,7 @@
             job.done_runs.append((run, now - run.sent_at))
             held.health.succeeded()
             task.done = True
+            self.estimates.refine(job)
         elif end is End.FAILED:
             held.health.failed(now)
             task.failures += 1
@@ -285,6 +288,35 @@
         self._counters.add("pool.slow_runs")
         self.estimates.learn_from_slow(run, predicted_s)
 
+    def run_predicted(self, run: Run, predicted_s: float) -> None:
+        """Refine the estimate of its job, and move a run that will miss the deadline."""
+        job = run.task.job
+        if not run.has_told:
+            run.has_told = True
+            self.estimates.refine(job)
+        if run.stopping or run.sent_at + predicted_s <= job.deadline_at:
+            return
+        now = self._timers.now()
+        work_s = predicted_s * run.backend.speed.value
+        others = [
+            held
+            for held in self.held_by_id.values()
+            if held.usable(now) and held.serves(job.request) and held.has_room(job.request)
+        ]
+        if not placement.should_move(run, work_s, others, now):
+            return
+        self._counters.add("pool.runs_moved")
+        _log.info(
+            "run {} of {} at {}% on backend {} would end {:.3f} s too late and starts elsewhere",
+            run.number,
+            run.task.name,
+            run.progress,
+            run.backend.backend_id,
+            run.sent_at + predicted_s - job.deadline_at,
+        )
+        run.task.avoid.add(run.backend.backend_id)
+        self._stop(run)
+
     def backend_changed(self, held: HeldBackend) -> None:
         """Look for tasks that the backend server can take."""
         self.wake()
@@ -295,6 +327,7 @@
             self.run_lost(run, reason)
         if self.held_by_id.get(held.backend_id) is held:
             self.release(held.backend_id, reason)
+            self.on_gone(held.backend_id)
 
     def backend_fenced(self, held: HeldBackend) -> None:
         """Give up a backend server that another process has taken over."""
@@ -324,16 +357,27 @@
         waiting.sort(key=lambda job: order.order_key(job, now, fastest))
         blocked = 0
         for job in waiting:
-            for task in job.waiting():
-                able = [held for held in usable if held.usable(now)]
-                held = placement.choose(task, able, now)
-                if held is None:
-                    blocked += 1
-                    break
-                self._start(task, held, now)
+            if not self._start_tasks(job, usable, now, fastest):
+                blocked += 1
             if blocked >= MAX_BLOCKED:
                 return
 
+    def _start_tasks(self, job: Job, usable: list[HeldBackend], now: float, fastest: float) -> bool:
+        """Start what can start of a job; False if there was no room for a task."""
+        for task in job.waiting():
+            fitting = [
+                held
+                for held in usable
+                if held.usable(now) and held.serves(job.request) and held.has_room(job.request)
+            ]
+            if not fitting:
+                return False
+            held = placement.choose(task, fitting, now, fastest=fastest)
+            if held is None:
+                return True
+            self._start(task, held, now)
+        return True
+
     def _start(self, task: Task, held: HeldBackend, now: float) -> None:
         assert self._group is not None
         job = task.job
--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -148,3 +148,22 @@
             assert feed.configuration().version == 2
 
     with_cluster(test, tmp_path)
+
+
+def test_first_version_does_not_wait_for_a_replica_that_does_not_answer(tmp_path: Path):
+    """Guards against seconds without a configuration after a loss of all processes.
+
+    The replicas do not answer the first requests, and the first one none at all.
+    """
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        await cluster.change(leader, "a", 0)
+        cluster.network.isolate("e1")
+        async with make_feed(cluster, "e1") as feed:
+            assert feed.configuration().version == 0
+            cluster.network.cuts = {("e1", "c1"), ("c1", "e1")}
+            await anyio.sleep(1.0)
+            assert feed.configuration().version == 1
+
+    with_cluster(test, tmp_path)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -281,11 +281,15 @@
 
 @attrs.define(eq=False)
 class Cluster:
-    """Entry processes e1 and e2 in failure domain a, e3 in b; workers a1, a2 and b1, b2."""
+    """Entry processes e1 and e2 in failure domain a, e3 in b; workers a1, a2 and b1, b2.
+
+    Workers in `silent` do not announce themselves.
+    """
 
     hub: Hub
     entry_by_id: dict[str, Entry]
     worker_by_id: dict[str, FakeWorker]
+    silent: set[str]
 
     def cut_domain(self, domain: str) -> None:
         """Cut a failure domain off, with its processes and backend servers."""
@@ -338,7 +342,8 @@
                 )
                 for control_id in CONTROL_IDS
             }
-            group.start_soon(_announce, relay_by_id, hub, list(worker_by_id))
+            silent: set[str] = set()
+            group.start_soon(_announce, relay_by_id, hub, list(worker_by_id), silent)
             entries = [
                 Entry(key, key_domain, hub, worker_by_id, shared_backends, key == leader)
                 for key, key_domain in DOMAINS
@@ -346,7 +351,8 @@
             for entry in entries:
                 await group.start(entry.run)
             await anyio.sleep(3.0)
-            yield Cluster(hub, {entry.entry_id: entry for entry in entries}, worker_by_id)
+            entry_by_id = {entry.entry_id: entry for entry in entries}
+            yield Cluster(hub, entry_by_id, worker_by_id, silent)
             group.cancel_scope.cancel()
 
 
@@ -354,10 +360,12 @@
 
 
 async def _announce(
-    relay_by_id: dict[str, AnnouncementRelay], hub: Hub, worker_ids: list[str]
+    relay_by_id: dict[str, AnnouncementRelay], hub: Hub, worker_ids: list[str], silent: set[str]
 ) -> None:
     for sequence in range(1, 1000):
         for worker_id in worker_ids:
+            if worker_id in silent:
+                continue
             domain = worker_id[0]
             reached = [key for key in relay_by_id if not hub.separates(domain, key[-1])]
             said: PoolBackend = make_backend(worker_id)
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -34,6 +34,8 @@
     Kind("middle", 16.7, 2, 0.2, 0.01, 1),
 )
 BASE_LATENCY_S, STRETCH, DEADLINE_S = 0.06, 1.6, 1.5
+# The sheets give the time that a worker takes for a second of work: 0.55 or 1.2.
+FAST, SLOW = 1 / 0.55, 1 / 1.2
 # An answer up to this multiple of the objective is late and earns a fifth.
 LATE_FACTOR, LATE_SHARE = 3.0, 0.2
 
@@ -52,10 +54,10 @@
 
 
 def make_workers(count: int = 8) -> list[FakeWorker]:
-    """Return workers like those of one failure domain: a quarter slow, a third larger."""
+    """Return workers like those of the deployments: a quarter fast, a third larger."""
     workers = []
     for number in range(count):
-        worker = FakeWorker(speed=0.55 if number % 4 == 0 else 1.2)
+        worker = FakeWorker(speed=FAST if number % 4 == 0 else SLOW)
         worker.room = Room(48_000 if number % 3 == 2 else 32_000, 131_072)
         workers.append(worker)
     return workers
@@ -128,7 +130,7 @@
     count = max(1, round(kind.tasks * math.exp(source.gauss(-0.08, 0.4))))
     work_s = kind.work_s * math.exp(source.gauss(-0.08, 0.4))
     works_s = [work_s * source.uniform(0.85, 1.15) for _ in range(count)]
-    cpu = int(14_000 * math.exp(source.gauss(0, 0.15)))
+    cpu = int(14_000 * math.exp(source.gauss(-0.02, 0.2)))
     request = attrs.evolve(
         make_job(
             number + 1_000_000 * kind.tasks,
--- a/testing/pool/pool_rig.py
+++ b/testing/pool/pool_rig.py
@@ -99,7 +99,8 @@
     `work_s_by_task` and `cpu_by_task` override the run time
     and the room of tasks. `lose_start_answers` and
     `delay_starts_s` let the next starts be carried out without an answer, at
-    once or later; `dark` answers nothing; `frozen_tasks` stand still.
+    once or later; `dark` answers nothing; `is_other_life` refuses renewals;
+    `frozen_tasks` stand still.
     """
 
     def __init__(self, *, work_s: float = 0.2, speed: float = 1.0) -> None:
@@ -109,6 +110,7 @@
         self.stands_still = False
         self.dark = False
         self.deaf = False
+        self.is_other_life = False
         self.lose_start_answers = 0
         self.delay_starts_s: list[float] = []
         self.token = 0
@@ -213,6 +215,8 @@
             await anyio.sleep(wait_s + ANSWER_S)
             return None
         self._advance()
+        if self.is_other_life:
+            raise HoldRefused(StartOutcome.OTHER_INCARNATION)
         if token < self.token:
             raise HoldRefused(StartOutcome.FENCED)
         self.token = token
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -212,3 +212,18 @@
             assert held == [[], ["a1", "a2", "b1", "b2"]]
 
     run(test)
+
+
+def test_a_backend_server_whose_life_is_over_is_taken_over_once():
+    """Guards against endless calls to an address that another life has taken."""
+
+    async def test() -> None:
+        async with cluster(shared_backends=4) as world:
+            taken = world.entry_by_id["e1"].counters.get("pool.backends_taken")
+            world.worker_by_id["a1"].is_other_life = True
+            world.silent.add("a1")
+            await anyio.sleep(3.0)
+            assert world.holders()["e1"] == ["a2", "b1", "b2"]
+            assert world.entry_by_id["e1"].counters.get("pool.backends_taken") == taken
+
+    run(test)
