Find places by heaps and keep room and speed of backend servers at hand

Change: places of about the same speed share a heap; room and speed are kept until they change; fitting backend servers are listed once for each job; the own status is made at most every 0.1 s.

Conclusion: the holder is still bound by its processor in bursts.

--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -87,10 +87,10 @@
             for other in jobs
             if other.waiting() and order.order_key(other, now, fastest) <= key
         ]
-        places = forecast.places(usable, self._usual_cpu(), now)
-        if not ahead and sum(place.free_at <= now for place in places) >= job.request.count:
+        places = forecast.Places(usable, self._usual_cpu(), now)
+        if not ahead and places.free_now() >= job.request.count:
             return 0.0, run_s
-        wait_s = forecast.finish_at(job, ahead, places) - now - run_s
+        wait_s = places.finish_at(job, ahead) - now - run_s
         return max(wait_s, 0.0), run_s
 
     def can_end(self, job: Job, now: float) -> bool:
--- a/src/apricotpoint/_pool/forecast.py
+++ b/src/apricotpoint/_pool/forecast.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
-import attrs
-
 from apricotpoint._pool.held import HeldBackend
 from apricotpoint._pool.job import Job, Run
 
@@ -18,14 +17,6 @@
 OVERDUE_SHARE = 0.2
 
 
-@attrs.define(eq=False)
-class Place:
-    """Room for one task on a backend server, free from `free_at` on."""
-
-    free_at: float
-    speed: float
-
-
 def remaining_s(run: Run, now: float) -> float:
     """Return how long a run is expected to go on."""
     total_s = run.predicted_s() or run.expected_s
@@ -33,30 +24,55 @@
     return max(total_s - passed_s, OVERDUE_SHARE * passed_s if passed_s > total_s else 0.0)
 
 
-def places(backends: Iterable[HeldBackend], usual_cpu: int, now: float) -> list[Place]:
-    """Return the places of these backend servers for tasks of usual size."""
-    found: list[Place] = []
-    for held in backends:
-        speed = held.speed.value
-        found += [Place(now, speed) for _ in range(max(held.free().cpu, 0) // max(usual_cpu, 1))]
-        found += [Place(now + remaining_s(run, now), speed) for run in held.run_by_key.values()]
-    return found
+class Places:
+    """Room for single tasks of usual size, by speed and by when it becomes free.
 
-
-def finish_at(job: Job, ahead: Iterable[Job], free: list[Place]) -> float:
-    """Return when a job ends if the jobs ahead of it take the places first.
-
-    Each task goes where it ends first. The places are used up.
+    Backend servers of about the same speed share a heap, so that a task finds
+    the place where it ends first without a look at all of them.
     """
-    if not free:
-        return float("inf")
-    for other in ahead:
-        for _ in other.waiting():
-            _occupy(free, other.task_s)
-    return max(_occupy(free, job.longest_s) for _ in job.waiting())
-
-
-def _occupy(free: list[Place], work_s: float) -> float:
-    place = min(free, key=lambda item: item.free_at + work_s / item.speed)
-    place.free_at += work_s / place.speed
-    return place.free_at
+
+    def __init__(self, backends: Iterable[HeldBackend], usual_cpu: int, now: float) -> None:
+        self._now = now
+        self._free_at_by_class: dict[int, list[float]] = {}
+        speeds_by_class: dict[int, list[float]] = {}
+        for held in backends:
+            speed_class = held.speed.speed_class
+            free_at = self._free_at_by_class.setdefault(speed_class, [])
+            free_at += [now] * (max(held.free().cpu, 0) // max(usual_cpu, 1))
+            free_at += [now + remaining_s(run, now) for run in held.run_by_key.values()]
+            speeds_by_class.setdefault(speed_class, []).append(held.speed.value)
+        self._speed_by_class = {
+            speed_class: sum(speeds) / len(speeds)
+            for speed_class, speeds in speeds_by_class.items()
+            if self._free_at_by_class[speed_class]
+        }
+        for speed_class in self._speed_by_class:
+            heapq.heapify(self._free_at_by_class[speed_class])
+
+    def free_now(self) -> int:
+        """Return the number of places that are free."""
+        return sum(
+            free_at <= self._now
+            for speed_class in self._speed_by_class
+            for free_at in self._free_at_by_class[speed_class]
+        )
+
+    def finish_at(self, job: Job, ahead: Iterable[Job]) -> float:
+        """Return when a job ends if the jobs ahead of it take the places first.
+
+        Each task goes where it ends first. The places are used up.
+        """
+        if not self._speed_by_class:
+            return float("inf")
+        for other in ahead:
+            for _ in other.waiting():
+                self._occupy(other.task_s)
+        return max(self._occupy(job.longest_s) for _ in job.waiting())
+
+    def _occupy(self, work_s: float) -> float:
+        ends_at, speed_class = min(
+            (self._free_at_by_class[speed_class][0] + work_s / speed, speed_class)
+            for speed_class, speed in self._speed_by_class.items()
+        )
+        heapq.heapreplace(self._free_at_by_class[speed_class], ends_at)
+        return ends_at
--- a/src/apricotpoint/_pool/held.py
+++ b/src/apricotpoint/_pool/held.py
@@ -44,6 +44,8 @@
     full_until: float = 0.0
     released: bool = False
     _clock_offset_ms: float | None = None
+    _free: Room | None = None
+    _free_of: PoolBackend | None = None
 
     @property
     def backend_id(self) -> str:
@@ -52,7 +54,9 @@
 
     def free(self) -> Room:
         """Return the room that no run uses."""
-        return self.said.room.minus(self.used)
+        if self._free is None or self._free_of is not self.said:
+            self._free, self._free_of = self.said.room.minus(self.used), self.said
+        return self._free
 
     def serves(self, request: PoolJob) -> bool:
         """Return whether the backend server could run a task of the job if it were empty."""
@@ -81,12 +85,14 @@
         """Count a run that is about to be ordered."""
         self.run_by_key[run.key] = run
         self.used = self.used.plus(room)
+        self._free = None
 
     def remove(self, run: Run, room: Room) -> bool:
         """Forget a run and free its room; False if it is not known."""
         if self.run_by_key.pop(run.key, None) is None:
             return False
         self.used = self.used.minus(room)
+        self._free = None
         return True
 
     def hear_clock(self, holding: Holding, now: float) -> None:
--- a/src/apricotpoint/_pool/learning.py
+++ b/src/apricotpoint/_pool/learning.py
@@ -29,6 +29,8 @@
 # median by more than e has a fault and does not change the scale.
 OUTLIER_LOG = 1.0
 SLOWEST, FASTEST = 0.02, 20.0
+# Learned speeds that differ by less than this factor count as the same.
+SAME_SPEED_FACTOR = 1.25
 
 
 @attrs.define(eq=False)
@@ -93,21 +95,28 @@
 
 
 class Speed:
-    """Speed of one backend server against the mean of all; 1 until something is known."""
+    """Speed of one backend server against the mean of all; 1 until something is known.
+
+    `value` is the learned speed; `speed_class` is the same for about the same speeds.
+    """
+
+    value: float
+    speed_class: int
 
     def __init__(self) -> None:
         self._mean = _Mean(SPEED_WEIGHT)
         # One pseudo-observation of speed 1 keeps the first run from deciding alone.
         self._mean.add(0.0)
+        self._update()
 
     def restore(self, value: float) -> None:
         """Start from a speed that was learned elsewhere."""
         self._mean = _Mean(SPEED_WEIGHT, count=RESTORED_COUNT, value=math.log(value))
+        self._update()
 
-    @property
-    def value(self) -> float:
-        """The learned speed."""
-        return math.exp(self._mean.value)
+    def _update(self) -> None:
+        self.value = math.exp(self._mean.value)
+        self.speed_class = round(self._mean.value / math.log(SAME_SPEED_FACTOR))
 
     @property
     def log(self) -> float:
@@ -117,6 +126,7 @@
     def shift(self, logarithm: float) -> None:
         """Change the scale of the speed."""
         self._mean.value += logarithm
+        self._update()
 
     def observe(self, expected_s: float, took_s: float, *, siblings: bool) -> None:
         """Count a run that was expected to take `expected_s` at speed 1.
@@ -127,6 +137,7 @@
         logarithm = math.log(min(max(ratio, SLOWEST), FASTEST))
         if not siblings:
             self._mean.value += (logarithm - self._mean.value) * KIND_COMPARISON_WEIGHT
-            return
-        has_changed = abs(logarithm - self._mean.value) > CHANGE_LOG
-        self._mean.add(logarithm, least_weight=CHANGE_WEIGHT if has_changed else 0.0)
+        else:
+            has_changed = abs(logarithm - self._mean.value) > CHANGE_LOG
+            self._mean.add(logarithm, least_weight=CHANGE_WEIGHT if has_changed else 0.0)
+        self._update()
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -18,7 +18,7 @@
 # Period in seconds of the status that every entry process sends to all others.
 STATUS_S = 0.2
 # The own status is made anew after this time, in seconds; each job that is routed reads it.
-OWN_STATUS_S = 0.02
+OWN_STATUS_S = 0.1
 # An entry process is live if its status is not older than this, in seconds.
 LIVE_S = 1.0
 # Period of reports to the control processes, and how long one may take, in seconds.
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Sequence
 
 from apricotpoint._pool.admission import OPTIMISTIC_SHARE
 from apricotpoint._pool.held import HeldBackend
 from apricotpoint._pool.job import Job, Run, Task
+from apricotpoint._pool.learning import SAME_SPEED_FACTOR
 
 # Run times scatter around their estimate by a factor of 1.35 (one standard deviation,
 # measured on the deployments), so a job has to be before its deadline by this factor.
@@ -27,8 +27,6 @@
 STOP_S = 0.06
 # A task is not started more often than this to be in time; each start throws work away.
 MAX_RUNS = 3
-# Learned speeds that differ by less than this factor count as the same.
-SAME_SPEED_FACTOR = 1.25
 
 
 def choose(
@@ -43,8 +41,8 @@
     candidates = [held for held in fitting if held.backend_id not in task.avoid] or fitting
     in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
     if in_time:
-        return min(in_time, key=lambda held: (_speed_class(held), held.free().cpu))
-    best = max(candidates, key=lambda held: (_speed_class(held), -held.free().cpu))
+        return min(in_time, key=lambda held: (held.speed.speed_class, held.free().cpu))
+    best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free().cpu))
     if best.speed.value * SAME_SPEED_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
     return best if _worthwhile(job, best, now) else None
@@ -67,10 +65,6 @@
     return now + STOP_S + work_s * MOVE_MARGIN / best <= run.task.job.deadline_at
 
 
-def _speed_class(held: HeldBackend) -> int:
-    return round(held.speed.log / math.log(SAME_SPEED_FACTOR))
-
-
 def _worthwhile(job: Job, held: HeldBackend, now: float) -> bool:
     """Return whether a start that is late can still be answered before the deadline."""
     run_s = OPTIMISTIC_SHARE * job.longest_s / held.speed.value
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -364,18 +364,21 @@
 
     def _start_tasks(self, job: Job, usable: list[HeldBackend], now: float, fastest: float) -> bool:
         """Start what can start of a job; False if there was no room for a task."""
+        request = job.request
+        fitting = [
+            held
+            for held in usable
+            if held.has_room(request) and held.serves(request) and held.usable(now)
+        ]
         for task in job.waiting():
-            fitting = [
-                held
-                for held in usable
-                if held.usable(now) and held.serves(job.request) and held.has_room(job.request)
-            ]
             if not fitting:
                 return False
             held = placement.choose(task, fitting, now, fastest=fastest)
             if held is None:
                 return True
             self._start(task, held, now)
+            if not (held.has_room(request) and held.usable(now)):
+                fitting.remove(held)
         return True
 
     def _start(self, task: Task, held: HeldBackend, now: float) -> None:
