Give up a job when a run of it shows that it cannot end before its deadline

Change: a run with at least 25% of its progress that will miss the deadline by 5% of its run time, and cannot be moved, ends its job at once.

--- a/src/apricotpoint/_pool/admission.py
+++ b/src/apricotpoint/_pool/admission.py
@@ -18,6 +18,9 @@
 # A job that has begun is given up when a task that has not would have to take less
 # than this share of its estimate; it holds room that others need.
 DOOMED_SHARE = 0.6
+# From this progress in percent on, the run time that it predicts is off by less than this
+# share: progress is reported in whole percent.
+CERTAIN_PROGRESS, CERTAIN_SHARE = 25, 0.05
 # Bounds in seconds of the time after which a refused caller is asked to return.
 SHORTEST_RETRY_S, LONGEST_RETRY_S = 1.0, 10.0
 
@@ -32,6 +35,15 @@
     return is_late or is_lost
 
 
+def is_lost(*, progress: int, run_s: float, ends_at: float, deadline_at: float) -> bool:
+    """Return whether a run tells that its job cannot be answered before the deadline.
+
+    Under overload, room that such a job holds until its deadline is missing for
+    jobs that can be in time. `progress` is in percent.
+    """
+    return progress >= CERTAIN_PROGRESS and ends_at > deadline_at + CERTAIN_SHARE * run_s
+
+
 def retry_after_s(backlog_s: float, spread: float) -> float:
     """Return when a refused caller should come back.
 
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -289,7 +289,7 @@
         self.estimates.learn_from_slow(run, predicted_s)
 
     def run_predicted(self, run: Run, predicted_s: float) -> None:
-        """Refine the estimate of its job, and move a run that will miss the deadline."""
+        """Refine the estimate of its job, and act on a run that will miss the deadline."""
         job = run.task.job
         if not run.has_told:
             run.has_told = True
@@ -304,6 +304,14 @@
             if held.usable(now) and held.serves(job.request) and held.has_room(job.request)
         ]
         if not placement.should_move(run, work_s, others, now):
+            if admission.is_lost(
+                progress=run.progress,
+                run_s=predicted_s,
+                ends_at=run.sent_at + predicted_s,
+                deadline_at=job.deadline_at,
+            ):
+                reason = f"task {run.task.name} would end {predicted_s:.3f} s after its start"
+                self._end(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
             return
         self._counters.add("pool.runs_moved")
         _log.info(
