Split the table of jobs and the choice of starts off the scheduler

JobTable keeps open and ended jobs and run numbers; dispatch.starts decides which tasks start where, apart from sending orders.

--- /dev/null
+++ b/src/apricotpoint/_pool/dispatch.py
@@ -0,0 +1,43 @@
+"""Decision which tasks start now, and where."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from apricotpoint._pool import order, placement
+from apricotpoint._pool.held import HeldBackend
+from apricotpoint._pool.job import Job, Task
+
+# Jobs without room for their next task before the others are left to wait. Behind a wide
+# job that waits for much room, smaller ones still find some.
+MAX_BLOCKED = 10
+
+
+def starts(
+    waiting: list[Job], usable: Sequence[HeldBackend], now: float, *, fastest: float
+) -> Iterator[tuple[Task, HeldBackend]]:
+    """Yield each task that starts now with its backend server.
+
+    The caller starts a task, which takes up room, before it asks for the next one.
+    """
+    waiting.sort(key=lambda job: order.order_key(job, now, fastest))
+    blocked = 0
+    for job in waiting:
+        request = job.request
+        fitting = [
+            held
+            for held in usable
+            if held.has_room(request) and held.serves(request) and held.usable(now)
+        ]
+        for task in job.waiting():
+            if not fitting:
+                blocked += 1
+                break
+            held = placement.choose(task, fitting, now, fastest=fastest)
+            if held is None:
+                break
+            yield task, held
+            if not (held.has_room(request) and held.usable(now)):
+                fitting.remove(held)
+        if blocked >= MAX_BLOCKED:
+            return
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -13,11 +13,12 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import Subscription, TimerService
-from apricotpoint._pool import admission, order, placement
+from apricotpoint._pool import admission, dispatch, placement
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.exchange import BackendCalls, End, RunStart, StartOutcome
 from apricotpoint._pool.held import HeldBackend
 from apricotpoint._pool.job import Job, Run, RunState, Task
+from apricotpoint._pool.jobtable import JobTable
 from apricotpoint._pool.keeper import Keeper
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
@@ -26,10 +27,6 @@
 # Time in seconds for which a backend server that rejected a start for want of
 # room gets none, unless an end is listed there before.
 FULL_S = 0.1
-# Answers are kept this long, in seconds, for a submission that is repeated.
-KEEP_ANSWER_S = 10.0
-# Jobs looked at for a free place before the others are left to wait.
-MAX_BLOCKED = 10
 
 _log = logbook.Logger("pool")
 
@@ -60,9 +57,7 @@
         self._random = random
         self._make_calls = make_calls
         self._keeper_by_id: dict[str, Keeper] = {}
-        self._job_by_id: dict[str, Job] = {}
-        self._ended_by_id: dict[str, tuple[float, Job]] = {}
-        self._next_run_by_task: dict[str, int] = {}
+        self._jobs = JobTable(now=timers.now)
         self._wake = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._subscription: Subscription | None = None
@@ -137,15 +132,12 @@
 
     def find(self, job_id: str) -> Job | None:
         """Return a job that runs or has ended lately."""
-        job = self._job_by_id.get(job_id)
-        if job is None and job_id in self._ended_by_id:
-            job = self._ended_by_id[job_id][1]
-        return job
+        return self._jobs.find(job_id)
 
     def submit(self, request: PoolJob, origin: str) -> Job:
         """Take a job in; the caller has decided that it is not refused."""
         job = self._make_job(request, origin)
-        self._job_by_id[request.job_id] = job
+        self._jobs.add(job)
         self.estimates.note_room(request)
         self._counters.add("pool.jobs")
         self.wake()
@@ -186,7 +178,7 @@
 
     def cancel(self, job_id: str, reason: str) -> None:
         """Give up a job whose caller has left."""
-        job = self._job_by_id.get(job_id)
+        job = self._jobs.find(job_id)
         if job is None or job.cancelled:
             return
         started = job.started
@@ -196,7 +188,7 @@
 
     def jobs(self) -> list[Job]:
         """Return the jobs that are not answered."""
-        return [job for job in self._job_by_id.values() if job.answer is None]
+        return self._jobs.unanswered()
 
     def start_draining(self) -> None:
         """Finish the jobs that have begun and give back all others as not run."""
@@ -211,7 +203,7 @@
 
     def idle(self) -> bool:
         """Return whether no job is open and no run may be at work."""
-        return not self._job_by_id
+        return self._jobs.is_empty()
 
     def drop_all(self, reason: str) -> None:
         """Give up everything after a pause, in which others may have taken over."""
@@ -357,47 +349,19 @@
         usable = [held for held in self.held_by_id.values() if held.usable(now)]
         if not usable:
             return
-        fastest = self.estimates.good_speed()
         waiting = [
-            job
-            for job in self._job_by_id.values()
-            if job.answer is None and job.waiting() and (job.started or not self.draining)
-        ]
-        waiting.sort(key=lambda job: order.order_key(job, now, fastest))
-        blocked = 0
-        for job in waiting:
-            if not self._start_tasks(job, usable, now, fastest):
-                blocked += 1
-            if blocked >= MAX_BLOCKED:
-                return
-
-    def _start_tasks(self, job: Job, usable: list[HeldBackend], now: float, fastest: float) -> bool:
-        """Start what can start of a job; False if there was no room for a task."""
-        request = job.request
-        fitting = [
-            held
-            for held in usable
-            if held.has_room(request) and held.serves(request) and held.usable(now)
+            job for job in self.jobs() if job.waiting() and (job.started or not self.draining)
         ]
-        for task in job.waiting():
-            if not fitting:
-                return False
-            held = placement.choose(task, fitting, now, fastest=fastest)
-            if held is None:
-                return True
+        fastest = self.estimates.good_speed()
+        for task, held in dispatch.starts(waiting, usable, now, fastest=fastest):
             self._start(task, held, now)
-            if not (held.has_room(request) and held.usable(now)):
-                fitting.remove(held)
-        return True
 
     def _start(self, task: Task, held: HeldBackend, now: float) -> None:
         assert self._group is not None
         job = task.job
-        number = self._next_run_by_task.get(task.name, 0) + 1
-        self._next_run_by_task[task.name] = number
         run = Run(
             task=task,
-            number=number,
+            number=self._jobs.next_run(task),
             backend=held,
             token=held.token,
             sent_at=now,
@@ -468,7 +432,7 @@
                 reason = f"task {task.name} failed {task.failures} times"
                 self._end(job, PoolAnswer(int(ResultCode.TASKS_FAILED), reason))
         elif not job.runs():
-            self._forget(job)
+            self._jobs.close(job)
         self.wake()
 
     def _end(self, job: Job, answer: PoolAnswer) -> None:
@@ -485,19 +449,13 @@
         for run in job.runs():
             self._stop(run)
         if not job.runs():
-            self._forget(job)
+            self._jobs.close(job)
         self.wake()
 
     def _fail_unknown(self, job: Job, reason: str) -> None:
         code = ResultCode.BACKEND_LOST if job.started else ResultCode.NO_BACKEND
         self._end(job, PoolAnswer(int(code), reason))
 
-    def _forget(self, job: Job) -> None:
-        job_id = job.request.job_id
-        if self._job_by_id.get(job_id) is job:
-            del self._job_by_id[job_id]
-            self._ended_by_id[job_id] = (self._timers.now(), job)
-
     def _stop(self, run: Run) -> None:
         run.stopping = True
         if run.state is RunState.RUNNING and self._group is not None:
@@ -525,13 +483,7 @@
                     self._end(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
                 else:
                     self._end(job, self._refuse(ResultCode.OVERLOADED, reason))
-        for job_id, (ended_at, job) in list(self._ended_by_id.items()):
-            if now - ended_at <= KEEP_ANSWER_S:
-                break
-            del self._ended_by_id[job_id]
-            if job_id not in self._job_by_id:
-                for task in job.tasks:
-                    self._next_run_by_task.pop(task.name, None)
+        self._jobs.expire()
         # Time alone frees a backend server that rests, and moves a task to a slower one.
         if any(job.waiting() for job in self.jobs()):
             self.wake()
