Start jobs that might miss their deadline on a faster backend server with room

Change: a task starts on the slowest backend server where it is before its deadline by a factor of 2 (two standard deviations); without one, on the fastest where it is by 1.4.

--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -2,7 +2,8 @@
 
 Answers the load pattern of backend servers of unequal speed: a task goes to
 the slowest one on which its job is still in time, so that the fast ones are
-free for long tasks, which cannot be in time elsewhere. A task that would be
+free for long tasks, which cannot be in time elsewhere. A task that might miss
+its deadline there takes a faster one if there is room. A task that would be
 late on all that have room waits for a faster one as long as it can be in time
 there.
 """
@@ -20,6 +21,8 @@
 # measured on the deployments), so a job has to be before its deadline by this factor.
 # Its objective scatters with its run time and needs no margin.
 DEADLINE_MARGIN = 1.4
+# Two standard deviations: with room on faster backend servers, a job gets one of those.
+SAFE_MARGIN = 2.0
 # A run that will miss its deadline is moved if it is predicted to end before the deadline
 # elsewhere by this factor; the prediction is from its own progress.
 MOVE_MARGIN = 1.05
@@ -40,8 +43,11 @@
     job = task.job
     candidates = [held for held in fitting if held.backend_id not in task.avoid] or fitting
     in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
+    safe = [held for held in in_time if _is_before_deadline(job, held, now)]
+    if safe:
+        return min(safe, key=lambda held: (held.speed.speed_class, held.free().cpu))
     if in_time:
-        return min(in_time, key=lambda held: (held.speed.speed_class, held.free().cpu))
+        return max(in_time, key=lambda held: (held.speed.speed_class, -held.free().cpu))
     best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free().cpu))
     if best.speed.value * SAME_SPEED_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
@@ -54,6 +60,10 @@
     return in_objective and now + DEADLINE_MARGIN * run_s <= job.deadline_at
 
 
+def _is_before_deadline(job: Job, held: HeldBackend, now: float) -> bool:
+    return now + SAFE_MARGIN * job.longest_s / held.speed.value <= job.deadline_at
+
+
 def should_move(run: Run, work_s: float, others: Sequence[HeldBackend], now: float) -> bool:
     """Return whether a run that will miss its deadline should start again elsewhere.
 
--- a/testing/pool/test_choice.py
+++ b/testing/pool/test_choice.py
@@ -46,6 +46,14 @@
     assert placement.choose(task, [fast, slow], 0.0, fastest=FAST) is slow
 
 
+def test_a_task_that_might_miss_its_deadline_takes_a_faster_backend_server_if_it_can():
+    """Guards against long jobs with too low a declared time that fail beside idle fast ones."""
+    fast, slow = make_held("fast", FAST), make_held("slow", SLOW)
+    (task,) = open_job(0.9).tasks
+    assert placement.choose(task, [fast, slow], 0.0, fastest=FAST) is fast
+    assert placement.choose(task, [slow], 0.0, fastest=FAST) is slow
+
+
 def test_a_long_task_goes_to_a_fast_backend_server():
     """Guards against long jobs that miss their deadline on a slow backend server."""
     fast, slow = make_held("fast", FAST), make_held("slow", SLOW)
