Claim a foreign failure domain only with news of it from the last 0.6 s

When the partition ended the newer terms fenced off the holder of all backend servers.

Change: the sign has to be a status or an announcement of the last 0.6 s. The test of staggered silence fails without the change.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -162,9 +162,14 @@
         """
         if domain in self._term_by_domain or domain == live[members.entry_id].failure_domain:
             return True
-        if any(status.failure_domain == domain for status in live.values()):
-            return True
-        return self._hears_backends(domain)
+        # The processes of a failure domain that is cut off fall silent one after the other
+        # within a period of their status, so being live is not enough.
+        heard = (
+            members.heard_ago(entry_id)
+            for entry_id, status in live.items()
+            if entry_id != members.entry_id and status.failure_domain == domain
+        )
+        return min(heard, default=REACHED_S + 1) <= REACHED_S or self._hears_backends(domain)
 
     def _hears_backends(self, domain: str) -> bool:
         heard_at = self._roster.heard_at(domain)
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -123,6 +123,10 @@
             self._status, self._status_at = self._make_status(), now
         return self._status
 
+    def heard_ago(self, entry_id: str) -> float:
+        """Return the seconds since the last status of a known entry process."""
+        return self._timers.now() - self._heard_at_by_entry[entry_id]
+
     def hears_others(self) -> bool:
         """Return whether another entry process is live, or none was ever known."""
         return len(self.live()) > 1 or not self._status_by_entry
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -297,3 +297,28 @@
             assert anyio.current_time() - began_at < 0.1
 
     run(test)
+
+
+def test_a_cut_off_process_does_not_claim_what_it_heard_of_a_moment_ago():
+    """Guards against a claim on the other side when its processes fall silent one by one.
+
+    Such a claim fenced off the holder of all failure domains when the partition ended.
+    """
+
+    async def test() -> None:
+        async with cluster(shared_backends=4) as world:
+            # The last status of e1 is older than that of e2 when the partition begins.
+            world.hub.cuts.add(("e1", "e3"))
+            await anyio.sleep(0.3)
+            world.cut_domain("b")
+            await anyio.sleep(4.0)
+            assert world.holders()["e3"] == ["b1", "b2"]
+            world.heal()
+            await anyio.sleep(5.0)
+            # Only the claim on the failure domain that was cut off is fenced off. Both sides
+            # had two backend servers, so either of their holders may be left.
+            assert world.entry_by_id["e1"].counters.get("claims.fenced") <= 1
+            held = sorted(world.holders().values(), key=len)
+            assert held == [[], [], ["a1", "a2", "b1", "b2"]]
+
+    run(test)
