Share the checks for room and for the deadline in the pool

The second look at the change found the test whether a backend server can take a task of a job now written three times (dispatch, scheduler), and the test against the deadline three times in placement. HeldBackend.can_start and one _meets_deadline serve them.

--- a/src/apricotpoint/_pool/dispatch.py
+++ b/src/apricotpoint/_pool/dispatch.py
@@ -24,11 +24,7 @@
     blocked = 0
     for job in waiting:
         request = job.request
-        fitting = [
-            held
-            for held in usable
-            if held.has_room(request) and held.serves(request) and held.usable(now)
-        ]
+        fitting = [held for held in usable if held.can_start(request, now)]
         for task in job.waiting():
             if not fitting:
                 blocked += 1
@@ -37,7 +33,7 @@
             if held is None:
                 break
             yield task, held
-            if not (held.has_room(request) and held.usable(now)):
+            if not held.can_start(request, now):
                 fitting.remove(held)
         if blocked >= MAX_BLOCKED:
             return
--- a/src/apricotpoint/_pool/held.py
+++ b/src/apricotpoint/_pool/held.py
@@ -77,6 +77,10 @@
             and self.health.allows(now, len(self.run_by_key))
         )
 
+    def can_start(self, request: PoolJob, now: float) -> bool:
+        """Return whether a task of the job may start here now."""
+        return self.has_room(request) and self.serves(request) and self.usable(now)
+
     def takes_tasks(self, now: float) -> bool:
         """Return whether tasks may be expected to start here as soon as there is room."""
         return self.answered and not self.said.leaving and now >= self.health.rest_until
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -43,7 +43,7 @@
     job = task.job
     candidates = [held for held in fitting if held.backend_id not in task.avoid] or fitting
     in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
-    safe = [held for held in in_time if _is_before_deadline(job, held, now)]
+    safe = [held for held in in_time if _meets_deadline(job, held.speed.value, now, SAFE_MARGIN)]
     if safe:
         return min(safe, key=lambda held: (held.speed.speed_class, held.free().cpu))
     if in_time:
@@ -51,17 +51,18 @@
     best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free().cpu))
     if best.speed.value * SAME_SPEED_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
-    return best if _worthwhile(job, best, now) else None
+    return best if _meets_deadline(job, best.speed.value, now, OPTIMISTIC_SHARE) else None
 
 
 def _is_in_time(job: Job, speed: float, now: float) -> bool:
     run_s = job.longest_s / speed
     in_objective = now + run_s <= job.sent_at + job.objective_s
-    return in_objective and now + DEADLINE_MARGIN * run_s <= job.deadline_at
+    return in_objective and _meets_deadline(job, speed, now, DEADLINE_MARGIN)
 
 
-def _is_before_deadline(job: Job, held: HeldBackend, now: float) -> bool:
-    return now + SAFE_MARGIN * job.longest_s / held.speed.value <= job.deadline_at
+def _meets_deadline(job: Job, speed: float, now: float, factor: float) -> bool:
+    """Return whether the longest task is before the deadline at `factor` times its run time."""
+    return now + factor * (job.longest_s / speed) <= job.deadline_at
 
 
 def should_move(run: Run, work_s: float, others: Sequence[HeldBackend], now: float) -> bool:
@@ -73,9 +74,3 @@
         return False
     best = max(held.speed.value for held in others)
     return now + STOP_S + work_s * MOVE_MARGIN / best <= run.task.job.deadline_at
-
-
-def _worthwhile(job: Job, held: HeldBackend, now: float) -> bool:
-    """Return whether a start that is late can still be answered before the deadline."""
-    run_s = OPTIMISTIC_SHARE * job.longest_s / held.speed.value
-    return now + run_s <= job.deadline_at
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -291,11 +291,7 @@
             return
         now = self._timers.now()
         work_s = predicted_s * run.backend.speed.value
-        others = [
-            held
-            for held in self.held_by_id.values()
-            if held.usable(now) and held.serves(job.request) and held.has_room(job.request)
-        ]
+        others = [held for held in self.held_by_id.values() if held.can_start(job.request, now)]
         if not placement.should_move(run, work_s, others, now):
             if admission.is_lost(
                 progress=run.progress,
