Open links between processes for a message and close them when idle

Change: a mesh may be given the time after which an unused link closes its connection; such links send and expect heartbeats only while a request is open in either direction. Without that time nothing changes. A receiver can have both connections of a silent peer opened anew.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -56,7 +56,8 @@
     Peers may be added while the mesh runs. `address_of` is called with the id
     of an unknown process that has sent a valid message; it returns the address
     of the new peer, or None to drop the message. Messages are authenticated
-    with the first key of `keys`; those received may use any of them.
+    with the first key of `keys`; those received may use any of them. Links that are
+    not used for `idle_after_s` seconds close their connections (see `PeerLink`).
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         timers: TimerService,
         counters: Counters,
         address_of: Callable[[str], str | None] = accept_no_new_peers,
+        idle_after_s: float = math.inf,
     ) -> None:
         self.handlers_by_type: dict[type, Handler] = {}
         self.request_handlers_by_type: dict[type, RequestHandler] = {}
@@ -84,6 +86,7 @@
         self._request_ids = itertools.count(secrets.randbits(48) + 1)
         self._requests_in_progress = 0
         self._address_of = address_of
+        self._idle_after_s = idle_after_s
         self._link_by_id = {
             peer_id: self._make_link(peer_id, address)
             for peer_id, address in address_by_peer.items()
@@ -152,12 +155,14 @@
         request_id = next(self._request_ids)
         pending = _PendingRequest(peer_id)
         self._pending_request_by_id[request_id] = pending
+        link.begin_request()
         try:
             if not link.send(message, request_id=request_id):
                 raise PeerUnreachable(f"the send queue to peer {peer_id} is full")
             with anyio.move_on_after(timeout_s):
                 await pending.arrived.wait()
         finally:
+            link.end_request()
             del self._pending_request_by_id[request_id]
         if not pending.arrived.is_set():
             self._counters.add("link.request_timeouts")
@@ -185,6 +190,15 @@
         if scope is not None:
             scope.cancel()
 
+    def replace_connections(self, peer_id: str) -> None:
+        """Open the connections to and from a peer anew; no effect if the peer is unknown.
+
+        For a peer that is silent although it should send: its connection may be broken unnoticed.
+        """
+        link = self._link_by_id.get(peer_id)
+        if link is not None:
+            link.replace_connections()
+
     def seconds_since_contact(self, peer_id: str) -> float:
         """Return the seconds since the last message from the peer; infinity if there was none."""
         link = self._link_by_id.get(peer_id)
@@ -204,6 +218,7 @@
             key=self._keys[0],
             timers=self._timers,
             counters=self._counters,
+            idle_after_s=self._idle_after_s,
         )
 
     def _start_link(self, link: PeerLink) -> None:
@@ -314,6 +329,7 @@
             return
         assert self._group is not None
         self._requests_in_progress += 1
+        link.begin_request()
         self._group.start_soon(self._answer, handler, link, sender, envelope)
 
     async def _answer(
@@ -330,4 +346,5 @@
                 sender.peer_id,
             )
         finally:
+            link.end_request()
             self._requests_in_progress -= 1
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -67,6 +67,11 @@
     that are not acknowledged in time are sent again. `run` is the only task that
     writes to the connection. `last_contact_at` is the time of the last message
     received from the peer, minus infinity if there was none.
+
+    A link that has sent nothing for `idle_after_s` seconds closes its connection; the next
+    message opens a new one. Such a link sends heartbeats, and expects them, only while a
+    request is open in either direction. With infinity the connection stays open, and
+    heartbeats are always sent.
     """
 
     def __init__(
@@ -79,10 +84,15 @@
         key: bytes,
         timers: TimerService,
         counters: Counters,
+        idle_after_s: float = math.inf,
     ) -> None:
         self.peer_id = peer_id
         self.peer_incarnation: int | None = None
         self.last_contact_at = -math.inf
+        self._idle_after_s = idle_after_s
+        self._open_requests = 0
+        # Since when the peer is expected to send at least heartbeats.
+        self._contact_expected_since = -math.inf
         self._process_id = process_id
         self._incarnation = incarnation
         self._address = address
@@ -124,6 +134,22 @@
         self._wakeup.set()
         return True
 
+    def begin_request(self) -> None:
+        """Keep up heartbeats until `end_request` was called as often as this."""
+        if not self._open_requests:
+            self._contact_expected_since = self._timers.now()
+        self._open_requests += 1
+        self._wakeup.set()
+
+    def end_request(self) -> None:
+        """Note the end of a request that was counted by `begin_request`."""
+        self._open_requests -= 1
+
+    def replace_connections(self) -> None:
+        """Replace the connection of this process, and ask the peer to replace its own."""
+        self._redial_requested = True
+        self.send(Redial())
+
     async def wait_until_flushed(self) -> None:
         """Return when no message waits for transmission or acknowledgement."""
         while self._queue or self._unacknowledged:  # noqa: ASYNC110  # Used only at shutdown.
@@ -167,8 +193,7 @@
                     else:
                         await self._wakeup.wait()
         finally:
-            if self._socket is not None:
-                self._socket.close()
+            self._close_socket()
 
     def _send_newer_incarnation(self) -> None:
         """Send `NewerIncarnation`, at most once in `PEER_TIMEOUT_S`."""
@@ -211,8 +236,25 @@
             self._wakeup.set()
         return True
 
+    def _expects_contact(self) -> bool:
+        return self._open_requests > 0 or self._idle_after_s == math.inf
+
+    def _silent_since(self) -> float:
+        return max(self.last_contact_at, self._dialled_at, self._contact_expected_since)
+
+    def _is_idle(self, now: float) -> bool:
+        return (
+            not self._expects_contact()
+            and not self._queue
+            and not self._unacknowledged
+            and now - self._last_sent_at >= self._idle_after_s
+        )
+
     def _maintain(self, now: float) -> None:
-        is_timed_out = now - max(self.last_contact_at, self._dialled_at) >= PEER_TIMEOUT_S
+        if self._is_idle(now):
+            self._close_socket()
+            return
+        is_timed_out = self._expects_contact() and now - self._silent_since() >= PEER_TIMEOUT_S
         if self._socket is None or self._redial_requested or is_timed_out:
             self._redial_requested = False
             self._dial(now)
@@ -224,7 +266,9 @@
         while self._queue and now - self._queue[0].queued_at > MAX_QUEUE_TIME_S:
             self._queue.popleft()
             self._counters.add("link.expired")
-        is_heartbeat_due = now - self._last_sent_at >= HEARTBEAT_PERIOD_S
+        is_heartbeat_due = (
+            self._expects_contact() and now - self._last_sent_at >= HEARTBEAT_PERIOD_S
+        )
         is_acknowledgement_due = self._acknowledgements_due >= _ACKNOWLEDGE_AFTER_MESSAGES
         if (is_heartbeat_due or is_acknowledgement_due) and not self._has_output():
             self.send(codec.Nothing())
@@ -238,11 +282,21 @@
         )
 
     def _next_wakeup_at(self, *, blocked: bool) -> float:
-        due = max(self.last_contact_at, self._dialled_at) + PEER_TIMEOUT_S
-        if not blocked:
-            due = min(due, self._last_sent_at + HEARTBEAT_PERIOD_S)
+        due = self._last_sent_at + self._idle_after_s if self._socket is not None else math.inf
+        if self._expects_contact():
+            due = self._silent_since() + PEER_TIMEOUT_S
+            if not blocked:
+                due = min(due, self._last_sent_at + HEARTBEAT_PERIOD_S)
+        elif self._queue or self._unacknowledged:
+            # The connection is in use, for instance because its buffer is full.
+            due = self._timers.now() + PEER_TIMEOUT_S
         return min(due, self._retransmit_at) if self._transmitted_count else due
 
+    def _close_socket(self) -> None:
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
     def _dial(self, now: float) -> None:
         if self._socket is not None:
             self._counters.add("link.redials")
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -78,7 +78,13 @@
         return [message.batch_ids[0] for _, message in self.received]
 
     @asynccontextmanager
-    async def process(self, name: str, incarnation: int = 1, keys: list[bytes] = KEYS):  # noqa: ANN201
+    async def process(  # noqa: ANN201
+        self,
+        name: str,
+        incarnation: int = 1,
+        keys: list[bytes] = KEYS,
+        idle_after_s: float = math.inf,
+    ):
         """Run one incarnation of a process on a new port."""
         other = "b" if name == "a" else "a"
         port = free_port()
@@ -91,6 +97,7 @@
             keys=keys,
             timers=self.timers,
             counters=self.counters[name],
+            idle_after_s=idle_after_s,
         )
         mesh.handlers_by_type[CancelBatch] = lambda sender, message: self.received.append(
             (sender, message)
