--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random as random_module
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from types import TracebackType
@@ -28,6 +29,9 @@
 # has just started does not answer before it knows that its disk is not an outdated copy.
 _FIRST_FETCH_S = 0.4
 _DIGEST_BYTES = 8
+# Number of processes other than control processes that are asked for a version. Asking all of
+# hundreds would cost more than all their other messages.
+_ASKED_PEERS = 4
 _DECODER = msgspec.msgpack.Decoder(Configuration)
 
 
@@ -50,8 +54,10 @@
         counters: Counters,
         cache_path: Path | None = None,
         storage: Storage | None = None,
+        random: random_module.Random | None = None,
     ) -> None:
         self._transport = transport
+        self._random = random or random_module.Random()
         self._control_ids = control_ids if callable(control_ids) else lambda: control_ids
         self._timers = timers
         self._counters = counters
@@ -109,8 +115,10 @@
         return await self._group.__aexit__(exc_type, exc, traceback)
 
     def _other_peer_ids(self) -> list[str]:
+        """Return some processes other than control processes, to ask when those are lost."""
         control_ids = set(self._control_ids())
-        return [peer for peer in self._transport.peers() if peer not in control_ids]
+        others = [peer for peer in self._transport.peers() if peer not in control_ids]
+        return self._random.sample(others, min(_ASKED_PEERS, len(others)))
 
     async def _on_config_poll(self, _: Sender, message: object) -> object:
         assert isinstance(message, ConfigPoll)
--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -1,6 +1,7 @@
-"""Claims failure domains, and acquires and releases their backend servers accordingly.
+"""Claims shares, and acquires and releases their backend servers accordingly.
 
-See `claims` for the rules by which entry processes choose the claimant.
+See `claims` for the rules by which entry processes choose the claimant, and `shares` for the
+division of the backend servers.
 """
 
 from __future__ import annotations
@@ -12,16 +13,18 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
 from apricotpoint._pool import claims
+from apricotpoint._pool.claims import ShareClaim
 from apricotpoint._pool.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
-from apricotpoint._wire.pool import EntryStatus
+from apricotpoint._pool.shares import Layout, Share, make_layout
+from apricotpoint._wire.pool import EntryStatus, PoolBackend
 
 CLAIM_CHECK_PERIOD_S = 0.1
-# After a pause of the process, new claims wait until each live process has sent its status.
+# After a pause of the process, new claims wait until each live holder has sent its status.
 PAUSE_OBSERVATION_S = LIVENESS_TIMEOUT_S + STATUS_PERIOD_S
-# A process that has just started and learned of the others receives their status within
-# two status periods; new claims wait for it.
+# A process that has just started and learned of the others receives the status of the holders
+# within two status periods; new claims wait for it.
 START_OBSERVATION_S = 2 * STATUS_PERIOD_S + CLAIM_CHECK_PERIOD_S
 # A check that is delayed by this much means that the process was paused: other entry
 # processes regard it as unreachable and may have acquired its backend servers.
@@ -29,6 +32,13 @@
 # A failure domain counts as reachable if something was received from it within this time.
 # Its backend servers announce themselves every 1.5 s each, spread over that period.
 REACHABLE_S = 0.6
+# A new claim needs a message from any other process that is not older than this. It is shorter
+# than the silence after which a holder counts as lost: a process that was cut off at the same
+# moment as it lost the holder has received nothing since then.
+CONTACT_EVIDENCE_S = 0.45
+# Delay of a claim on a share of other failure domains for which no claim was ever received:
+# its holder may not have learned yet that this process needs its status.
+UNSEEN_DELAY_S = 3.0
 # Time before a process that was fenced off makes a new claim.
 FENCED_BACKOFF_S = 1.0
 # The upper bits of a fencing token are the term of the claim. The lower bits are for the
@@ -40,7 +50,7 @@
 
 
 class Claimer:
-    """Claims of one entry process on failure domains.
+    """Claims of one entry process on the parts of failure domains that form the shares.
 
     Call `check` every `CLAIM_CHECK_PERIOD_S`: a late call counts as a pause of the process, after
     which all claims are given up. `domains` returns all failure domains of the deployment,
@@ -57,18 +67,21 @@
         timers: TimerService,
         counters: Counters,
         suspended_s: Callable[[], float],
-        max_single_holder_backends: int = claims.MAX_SINGLE_HOLDER_BACKENDS,
     ) -> None:
         self.draining = False
-        self._max_single_holder_backends = max_single_holder_backends
         self._domains = domains
         self._scheduler = scheduler
         self._roster = roster
         self._timers = timers
         self._counters = counters
         self._suspended_s = suspended_s
-        self._term_by_domain: dict[str, int] = {}
-        self._min_term_by_domain: dict[str, int] = {}
+        self._layout = Layout()
+        self._layout_revisions: tuple[int, int] | None = None
+        self._term_by_part: dict[str, int] = {}
+        self._min_term_by_part: dict[str, int] = {}
+        # Since when each share has had no claimant.
+        self._unclaimed_since: dict[Share, float] = {}
+        self._claimed_before: set[Share] = set()
         self._no_new_claims_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
         scheduler.on_backend_ended = roster.remove_ended
@@ -78,8 +91,8 @@
         self._checked_at, self._checked_suspended_s = self._timers.now(), self._suspended_s()
 
     def term_by_claim(self) -> dict[str, int]:
-        """Return the term of each claim of this process by failure domain."""
-        return dict(self._term_by_domain)
+        """Return the term of each claim of this process by part of a failure domain."""
+        return dict(self._term_by_part)
 
     def held_backend_ids(self) -> list[str]:
         """Return the ids of the backend servers held.
@@ -92,28 +105,27 @@
         """Return the number of held backend servers that answered their last lease renewal."""
         return sum(held.is_responsive for held in self._scheduler.held_by_id.values())
 
-    def has_single_holder(self) -> bool:
-        """Return whether the pool is so small that one process holds all failure domains."""
-        return len(self._roster.announcement_by_id) <= self._max_single_holder_backends
-
-    def give_up_claim(self, domain: str) -> None:
-        """Give up the claim on a failure domain where another holder has a higher fencing token."""
-        term = self._term_by_domain.pop(domain, None)
-        if term is not None:
-            # If that holder turns out to be unreachable, the next claim needs a higher term.
-            self._min_term_by_domain[domain] = term + int(2 * FENCED_BACKOFF_S) + 1
-            self._counters.add("claims.fenced")
-            _log.warning(
-                "fenced off in failure domain {}: claim with term {} given up",
-                domain,
-                term,
-            )
+    def give_up_claim(self, announcement: PoolBackend) -> None:
+        """Give up the claim on a part after a backend server showed a higher fencing token."""
+        part = self._layout.part_of(announcement.backend_id, announcement.failure_domain)
+        term = self._term_by_part.pop(part, None)
+        if term is None:
+            return
+        self._counters.add("claims.fenced")
+        # If that holder turns out to be unreachable, the next claim needs a higher term.
+        self._min_term_by_part[part] = term + int(2 * FENCED_BACKOFF_S) + 1
+        _log.warning(
+            "fenced off on backend server {}: claim on {} with term {} given up",
+            announcement.backend_id,
+            part,
+            term,
+        )
         self._no_new_claims_until = max(
             self._no_new_claims_until, self._timers.now() + FENCED_BACKOFF_S
         )
 
     def check(self, members: EntryMembers) -> None:
-        """Update the claims from the status of the live entry processes and act on them.
+        """Update the claims from the status of the live holders and act on them.
 
         Makes no claims until a control process has answered once.
         """
@@ -124,11 +136,30 @@
         self._no_new_claims_until = max(
             self._no_new_claims_until, members.first_welcome_at + START_OBSERVATION_S
         )
+        self._update_layout(members)
         live = members.live_entries()
+        terms_before, held_before = self.term_by_claim(), set(self._scheduler.held_by_id)
         if not self.draining:
             self._update_claims(members, live)
         self._release_backends(members, live)
         self._acquire_backends(members, live)
+        if self._term_by_part != terms_before or self._scheduler.held_by_id.keys() != held_before:
+            # Jobs wait for a new holder, and a new holder for what this process has released.
+            members.send_status()
+
+    def _update_layout(self, members: EntryMembers) -> None:
+        revisions = (self._roster.revision, members.directory.revision)
+        if revisions == self._layout_revisions:
+            return
+        self._layout_revisions = revisions
+        cores_by_domain: dict[str, list[float]] = {}
+        for summary in members.summaries().values():
+            cores_by_domain.setdefault(summary.failure_domain, []).append(summary.cores)
+        count_by_domain = {**dict.fromkeys(self._domains(), 0), **self._roster.count_by_domain()}
+        layout = make_layout(count_by_domain, cores_by_domain)
+        if layout.part_count_by_domain != self._layout.part_count_by_domain:
+            _log.notice("failure domains have these parts: {}", dict(layout.part_count_by_domain))
+        self._layout = layout
 
     def _check_pause(self) -> None:
         now, suspended_s = self._timers.now(), self._suspended_s()
@@ -138,65 +169,101 @@
             return
         _log.warning("process was paused for {:.1f} s; giving up all claims", paused_s)
         self._counters.add("claims.pauses")
-        self._term_by_domain.clear()
+        self._term_by_part.clear()
         self._no_new_claims_until = now + PAUSE_OBSERVATION_S
         self._scheduler.release_all(f"process was paused for {paused_s:.1f} s")
 
     def _update_claims(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         own_id, now = members.entry_id, self._timers.now()
-        single_holder = self.has_single_holder()
-        leads = single_holder and claims.leader(live) == own_id
-        for domain in self._domains():
-            if single_holder:
-                wanted = leads and self._is_reachable(domain, members, live)
-            else:
-                wanted = claims.should_claim(own_id, domain, live)
-            if domain in self._term_by_domain:
-                if not wanted:
-                    del self._term_by_domain[domain]
-                    _log.notice(
-                        "released the claim on failure domain {}: another process should claim it",
-                        domain,
-                    )
-                    members.send_status()
-            elif (
-                wanted
-                and now >= self._no_new_claims_until
-                and self._may_claim(domain, members, live)
-            ):
-                min_term = max(
-                    int(self._timers.wall_time()), self._min_term_by_domain.get(domain, 0)
-                )
-                term = claims.next_term(domain, live, min_term)
-                self._term_by_domain[domain] = term
-                self._counters.add("claims.made")
-                _log.notice("claimed failure domain {} with term {}", domain, term)
-                members.send_status()
-
-    def _may_claim(self, domain: str, members: EntryMembers, live: dict[str, EntryStatus]) -> bool:
-        """Return whether this process may make a new claim on a failure domain.
-
-        A process that receives nothing from other entry processes may itself be cut off. It
-        then keeps its claims but makes no new ones, except on its own failure domain while it
-        still receives announcements from there, which arrive through a control process: then
-        the whole failure domain is cut off and has to serve its callers by itself.
+        share_claims = claims.evaluate(self._layout, live, members.available_summaries())
+        all_parts = {part for share in self._layout.shares for part in share.parts}
+        for part in self._term_by_part.keys() - all_parts:
+            self._release_claim(part, "its failure domain has fewer parts now")
+        watched: set[str] = set()
+        for share_claim in share_claims:
+            share = share_claim.share
+            if len(share.domains) > 1:
+                watched |= set(share.domains)
+            if share_claim.claimant is not None:
+                self._unclaimed_since.pop(share, None)
+                self._claimed_before.add(share)
+            wanted = self._is_wanted(share_claim, members, now)
+            if wanted and share_claim.claimant is None:
+                watched |= set(share.domains)
+            for part, domain in zip(share.parts, share.domains, strict=True):
+                if part in self._term_by_part:
+                    if not wanted:
+                        self._release_claim(part, "another process should claim it")
+                elif (
+                    wanted
+                    and now >= self._no_new_claims_until
+                    and self._is_reachable(domain, members, live)
+                    and self._has_contact(members)
+                ):
+                    self._claim(part, live)
+        watched.discard(live[own_id].failure_domain)
+        if not watched <= members.watched_domains:
+            members.request_hello()
+        members.watched_domains = frozenset(watched)
+        members.audience_domains = frozenset(
+            domain
+            for share in self._layout.shares
+            if any(part in self._term_by_part for part in share.parts)
+            for domain in share.domains
+        ) | {held.announcement.failure_domain for held in self._scheduler.held_by_id.values()}
+
+    def _is_wanted(self, share_claim: ShareClaim, members: EntryMembers, now: float) -> bool:
+        """Return whether this process should claim a share, or keep its claim on it."""
+        own_id, share = members.entry_id, share_claim.share
+        if share_claim.claimant is not None:
+            if share_claim.is_provisional and share_claim.candidates[0] == own_id:
+                return True
+            return share_claim.claimant == own_id
+        since = self._unclaimed_since.setdefault(share, now)
+        delay_s = share_claim.delay_s(own_id)
+        if delay_s is None:
+            return False
+        is_foreign = share_claim.candidates.index(own_id) >= share_claim.local_count
+        if is_foreign and share not in self._claimed_before:
+            delay_s += UNSEEN_DELAY_S
+        return now - since >= delay_s
+
+    def _claim(self, part: str, live: dict[str, EntryStatus]) -> None:
+        min_term = max(int(self._timers.wall_time()), self._min_term_by_part.get(part, 0))
+        term = claims.next_term(part, live.values(), min_term)
+        self._term_by_part[part] = term
+        self._counters.add("claims.made")
+        _log.notice("claimed {} with term {}", part, term)
+
+    def _release_claim(self, part: str, reason: str) -> None:
+        del self._term_by_part[part]
+        _log.notice("released the claim on {}: {}", part, reason)
+
+    def _has_contact(self, members: EntryMembers) -> bool:
+        """Return whether another process was heard from just now, and ask for a sign if not.
+
+        A process that receives nothing may itself be cut off. It then keeps its claims but makes
+        no new ones, by which it would fence off the other holders later.
         """
-        if members.has_live_peers():
+        last_contact_at = members.last_contact_at
+        if (
+            last_contact_at is not None
+            and self._timers.now() - last_contact_at <= CONTACT_EVIDENCE_S
+        ):
             return True
-        is_own = domain == live[members.entry_id].failure_domain
-        return is_own and self._in_contact(domain)
+        members.probe()
+        return False
 
     def _is_reachable(
         self, domain: str, members: EntryMembers, live: dict[str, EntryStatus]
     ) -> bool:
-        """Return whether a failure domain may be claimed by a single holder of the pool.
+        """Return whether this process may claim parts of a failure domain.
 
-        True for the own failure domain, for those already claimed, and for those from which
-        something was received within `REACHABLE_S`. Without this check, a process that
-        is cut off together with its failure domain would claim all others, and would fence off
-        their holder when the partition ends.
+        True for the own failure domain, and for those from which something was received within
+        `REACHABLE_S`. Without this check, a process that is cut off together with its failure
+        domain would claim all others, and would fence off their holders when the partition ends.
         """
-        if domain in self._term_by_domain or domain == live[members.entry_id].failure_domain:
+        if domain == live[members.entry_id].failure_domain or self._in_contact(domain):
             return True
         # Processes that are cut off become unreachable one after another within one status
         # period, so it is not enough that one of them still counts as live.
@@ -205,7 +272,7 @@
             for entry_id, status in live.items()
             if entry_id != members.entry_id and status.failure_domain == domain
         )
-        return min(ages_s, default=REACHABLE_S + 1) <= REACHABLE_S or self._in_contact(domain)
+        return min(ages_s, default=REACHABLE_S + 1) <= REACHABLE_S
 
     def _in_contact(self, domain: str) -> bool:
         last_contact_at = self._roster.last_contact_at(domain)
@@ -213,29 +280,26 @@
 
     def _release_backends(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         claimed_by_others = {
-            domain
+            part
             for entry_id, status in live.items()
             if entry_id != members.entry_id and not status.draining
-            for domain in status.term_by_claim
+            for part in status.term_by_claim
         }
-        handed_over = False
         for backend_id, held in list(self._scheduler.held_by_id.items()):
             announcement = self._roster.announcement_by_id.get(backend_id)
             if announcement is None:
                 self._scheduler.release(backend_id, "it was unregistered or is unreachable")
-            elif held.is_responsive:
+                continue
+            if held.is_responsive:
                 self._roster.record_contact(backend_id)
-            domain = held.announcement.failure_domain
-            must_hand_over = self.draining or domain not in self._term_by_domain
-            if must_hand_over and not held.run_by_key and domain in claimed_by_others:
-                self._scheduler.release(backend_id, "another process claims its failure domain")
-                handed_over = True
-        if handed_over:
-            # The other process acquires them once this status no longer lists them as held.
-            members.send_status()
+            part = self._layout.part_of(backend_id, held.announcement.failure_domain)
+            must_hand_over = self.draining or part not in self._term_by_part
+            held.handing_over = must_hand_over and part in claimed_by_others
+            if held.handing_over and not held.run_by_key:
+                self._scheduler.release(backend_id, f"another process claims {part}")
 
     def _acquire_backends(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
-        if self.draining:
+        if self.draining or not self._term_by_part:
             return
         held_by_others = {
             backend_id
@@ -244,7 +308,8 @@
             for backend_id in status.held
         }
         for backend_id, announcement in self._roster.announcement_by_id.items():
-            term = self._term_by_domain.get(announcement.failure_domain)
+            part = self._layout.part_of(backend_id, announcement.failure_domain)
+            term = self._term_by_part.get(part)
             if (
                 term is None
                 or backend_id in held_by_others
--- a/src/apricotpoint/_pool/claims.py
+++ b/src/apricotpoint/_pool/claims.py
@@ -1,110 +1,194 @@
-"""Rules by which entry processes choose the one that claims a failure domain.
+"""Rules by which entry processes choose the one that claims a share.
 
-The claimant of a failure domain holds the leases on its backend servers. Claims
-need no consensus: a backend server obeys only the highest fencing token, and
-each job is scheduled by one process. Two claimants at the same time therefore
-cost time but violate no guarantee to callers; these rules make that rare and
-short.
+The claimant of a share holds the leases on its backend servers. Claims need no
+consensus: a backend server obeys only the highest fencing token, and each job is
+scheduled by one process. Two claimants at the same time therefore cost time but
+violate no guarantee to callers; these rules make that rare and short.
 
-A small pool has a single holder for all failure domains that reach each other:
-jobs with many tasks get resources sooner from all backend servers than from
-those of one failure domain. In a large pool, which one process could not
-schedule, each failure domain has its own holder.
-
-All functions take the last status of each live entry process, this one included.
+All functions take the last status of each live holder, this process included, and
+the summaries of all known entry processes.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
-from apricotpoint._wire.pool import EntryStatus
-
-# Number of backend servers that one process can schedule. At 20 starts a second each, 24 of
-# them use about half a core (docs/measurements-platform.md, "Costs").
-MAX_SINGLE_HOLDER_BACKENDS = 40
+from collections.abc import Iterable, Mapping
 
+import attrs
+import xxhash
 
-def claimant(domain: str, status_by_entry: Mapping[str, EntryStatus]) -> str | None:
-    """Return the process whose claim on a failure domain is active, None if there is none.
+from apricotpoint._pool.shares import Layout, Share, capacity
+from apricotpoint._wire.pool import EntryStatus, EntrySummary
 
-    Of several claims, one by a process in the failure domain itself wins, because that process
-    still reaches the backend servers when the failure domain is cut off; then the one with the
-    highest term. Claims of draining processes are ignored.
-    """
-    claims = [
-        (status.failure_domain == domain, status.term_by_claim[domain], entry_id)
-        for entry_id, status in status_by_entry.items()
-        if domain in status.term_by_claim and not status.draining
-    ]
-    return max(claims)[2] if claims else None
+# Delay between one candidate for a share and the next. Nobody knows whether a process that
+# holds nothing is alive, so a candidate whose claim does not arrive in time is passed over.
+CANDIDATE_DELAY_S = 0.3
+# Additional delay of holders of other failure domains, behind the candidates of the own one.
+FOREIGN_DELAY_S = 1.0
+# Candidates of the own failure domain for which those of others wait.
+MAX_LOCAL_CANDIDATES = 3
 
 
-def candidate(domain: str, status_by_entry: Mapping[str, EntryStatus]) -> str | None:
-    """Return the process that should claim a failure domain that has no active claim.
+@attrs.frozen
+class ShareClaim:
+    """The claim on a share: its claimant and the processes that may follow it.
 
-    Processes of the failure domain come first, then those with the fewest claims. None if all
-    processes are draining.
+    `claimant` is None if no live process claims the share. `is_provisional` tells whether
+    the first candidate should take the claim over although the claimant is alive. The
+    first `local_count` candidates are in failure domains of the share.
     """
-    ranks = [
-        (status.failure_domain != domain, len(status.term_by_claim), entry_id)
+
+    share: Share
+    claimant: str | None
+    is_provisional: bool
+    candidates: list[str]
+    local_count: int
+
+    def delay_s(self, entry_id: str) -> float | None:
+        """Return for how long a share without a claimant is left to better candidates.
+
+        None if the process is no candidate.
+        """
+        if entry_id not in self.candidates:
+            return None
+        position = self.candidates.index(entry_id)
+        if position < self.local_count or not self.local_count:
+            return position * CANDIDATE_DELAY_S
+        position -= max(self.local_count - MAX_LOCAL_CANDIDATES, 0)
+        return FOREIGN_DELAY_S + position * CANDIDATE_DELAY_S
+
+
+def evaluate(
+    layout: Layout,
+    status_by_entry: Mapping[str, EntryStatus],
+    summary_by_entry: Mapping[str, EntrySummary],
+) -> list[ShareClaim]:
+    """Return the claims on all shares, in the order of the layout."""
+    live = {key: status for key, status in status_by_entry.items() if not status.draining}
+    claimed_by_entry: dict[str, list[Share]] = {}
+    for share in layout.shares:
+        for entry_id, status in live.items():
+            if any(part in status.term_by_claim for part in share.parts):
+                claimed_by_entry.setdefault(entry_id, []).append(share)
+    load_by_entry = {
+        key: sum(share.backend_count for share in shares)
+        for key, shares in claimed_by_entry.items()
+    }
+    claims = []
+    for share in layout.shares:
+        claimant = _claimant(share, live, claimed_by_entry)
+        candidates = _candidates(share, status_by_entry, summary_by_entry, load_by_entry)
+        is_provisional = False
+        if claimant is None:
+            if candidates:
+                # Another share without a claimant then goes to another process.
+                first = candidates[0]
+                load_by_entry[first] = load_by_entry.get(first, 0) + share.backend_count
+        elif candidates and candidates[0] != claimant:
+            is_provisional = _fits(share, claimant, live, claimed_by_entry) < _would_fit(
+                share, candidates[0], summary_by_entry, load_by_entry
+            )
+        local_count = sum(
+            summary_by_entry[entry_id].failure_domain in share.domains for entry_id in candidates
+        )
+        claims.append(ShareClaim(share, claimant, is_provisional, candidates, local_count))
+    return claims
+
+
+def next_term(part: str, statuses: Iterable[EntryStatus], min_term: int) -> int:
+    """Return a term above all known claims on a part, and at least `min_term`."""
+    return max([min_term, *(status.term_by_claim.get(part, 0) + 1 for status in statuses)])
+
+
+def holders(domain: str, status_by_entry: Mapping[str, EntryStatus]) -> list[str]:
+    """Return the processes that claim a part of a failure domain and are not draining."""
+    return [
+        entry_id
         for entry_id, status in status_by_entry.items()
         if not status.draining
+        and any(part.partition("#")[0] == domain for part in status.term_by_claim)
     ]
-    return min(ranks)[2] if ranks else None
-
-
-def should_claim(own_id: str, domain: str, status_by_entry: Mapping[str, EntryStatus]) -> bool:
-    """Return whether this process should make, or keep, a claim on a failure domain.
-
-    A claim by a process of another failure domain passes to one of the failure domain itself.
-    """
-    holder = claimant(domain, status_by_entry)
-    if holder is not None:
-        is_local = status_by_entry[holder].failure_domain == domain
-        other = candidate(domain, status_by_entry)
-        if is_local or other is None or status_by_entry[other].failure_domain != domain:
-            return holder == own_id
-        return other == own_id
-    return candidate(domain, status_by_entry) == own_id
-
-
-def next_term(domain: str, status_by_entry: Mapping[str, EntryStatus], min_term: int) -> int:
-    """Return a term above all known claims on a failure domain, and at least `min_term`."""
-    known = [status.term_by_claim.get(domain, 0) for status in status_by_entry.values()]
-    return max([min_term, *(term + 1 for term in known)])
 
 
-def leader(status_by_entry: Mapping[str, EntryStatus]) -> str | None:
-    """Return the process that should claim all failure domains of a small pool.
+def _claimant(
+    share: Share,
+    live: Mapping[str, EntryStatus],
+    claimed_by_entry: Mapping[str, list[Share]],
+) -> str | None:
+    """Return the process whose claim on a share is active.
 
-    This is the claimant with the most responsive backend servers, so that few backend servers
-    change their holder when a partition ends. Without a claimant it is the process that started
-    last, because in a rolling restart the others are still to be stopped. None if all processes
-    are draining.
+    Of several, one in a failure domain of the share wins, because it still reaches the backend
+    servers when that domain is cut off; then one that can carry the share beside its others.
+    Of two that still are equal, the one with more responsive backend servers wins, so that few
+    change their holder when a partition ends.
     """
-    live = {key: status for key, status in status_by_entry.items() if not status.draining}
-    claimants = [
-        (status.answering, max(status.term_by_claim.values()), entry_id)
-        for entry_id, status in live.items()
-        if status.term_by_claim
+    ranks = [
+        (
+            _fits(share, entry_id, live, claimed_by_entry),
+            live[entry_id].answering,
+            max(live[entry_id].term_by_claim.get(part, 0) for part in share.parts),
+            entry_id,
+        )
+        for entry_id, shares in claimed_by_entry.items()
+        if share in shares
     ]
-    if claimants:
-        return max(claimants)[2]
-    ranks = [(status.started_at, entry_id) for entry_id, status in live.items()]
-    return max(ranks)[1] if ranks else None
-
-
-def scheduling_process(
-    domain: str, status_by_entry: Mapping[str, EntryStatus], *, single_holder: bool
-) -> str | None:
-    """Return the process that schedules the jobs of callers in a failure domain.
-
-    `single_holder` tells whether the pool has one holder for all failure domains. None if no
-    process claims the failure domain.
+    return max(ranks)[-1] if ranks else None
+
+
+def _fits(
+    share: Share,
+    entry_id: str,
+    live: Mapping[str, EntryStatus],
+    claimed_by_entry: Mapping[str, list[Share]],
+) -> tuple[bool, bool]:
+    """Return whether a claimant is in a domain of the share, and carries it beside earlier ones."""
+    status, shares = live[entry_id], claimed_by_entry[entry_id]
+    earlier = shares[: shares.index(share)]
+    load = sum(item.backend_count for item in earlier) + share.backend_count
+    return status.failure_domain in share.domains, not earlier or load <= capacity(status.cores)
+
+
+def _would_fit(
+    share: Share,
+    entry_id: str,
+    summary_by_entry: Mapping[str, EntrySummary],
+    load_by_entry: Mapping[str, int],
+) -> tuple[bool, bool]:
+    summary, load = summary_by_entry[entry_id], load_by_entry.get(entry_id, 0)
+    fits = not load or load + share.backend_count <= capacity(summary.cores)
+    return summary.failure_domain in share.domains, fits
+
+
+def _candidates(
+    share: Share,
+    status_by_entry: Mapping[str, EntryStatus],
+    summary_by_entry: Mapping[str, EntrySummary],
+    load_by_entry: Mapping[str, int],
+) -> list[str]:
+    """Return the processes that may claim a share, the best first.
+
+    These are the processes of its failure domains, then the holders of others. Those without a
+    share and the largest VMs come first; then the process that started last, because in a
+    rolling restart the others are still to be stopped.
     """
-    if single_holder:
-        chosen = leader(status_by_entry)
-        if chosen is not None and status_by_entry[chosen].term_by_claim:
-            return chosen
-    return claimant(domain, status_by_entry)
+    eligible_by_entry = {
+        entry_id: summary
+        for entry_id, summary in summary_by_entry.items()
+        if not summary.draining
+        and not (entry_id in status_by_entry and status_by_entry[entry_id].draining)
+    }
+    has_local = any(
+        summary.failure_domain in share.domains for summary in eligible_by_entry.values()
+    )
+    ranks = [
+        (
+            summary.failure_domain not in share.domains,
+            load_by_entry.get(entry_id, 0),
+            -round(summary.cores, 2),
+            -summary.started_at,
+            xxhash.xxh3_64_intdigest(f"{entry_id}/{share.parts[0]}".encode()),
+            entry_id,
+        )
+        for entry_id, summary in eligible_by_entry.items()
+        if summary.failure_domain in share.domains or summary.is_holder or not has_local
+    ]
+    return [rank[-1] for rank in sorted(ranks)]
--- /dev/null
+++ b/src/apricotpoint/_pool/directory.py
@@ -0,0 +1,78 @@
+"""Lists of processes that one entry process has received from the control processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from apricotpoint._wire.pool import EntrySummary, EntryWelcome
+
+# A list that was not confirmed for this long is ignored while another control process answers:
+# several periods in which entry processes make themselves known.
+LIST_EXPIRY_S = 7.0
+
+
+@attrs.define(eq=False)
+class _ProcessList:
+    digest: int
+    control_ids: list[str]
+    summary_by_entry: dict[str, EntrySummary]
+    confirmed_at: float
+
+
+class EntryDirectory:
+    """Control and entry processes by the lists of all control processes that answer.
+
+    The last lists are kept when no control process answers any more. `revision` rises when the
+    known entry processes change. `now` returns monotonic seconds.
+    """
+
+    def __init__(self, *, now: Callable[[], float]) -> None:
+        self.revision = 0
+        self.control_ids: set[str] = set()
+        self.summary_by_entry: dict[str, EntrySummary] = {}
+        self._now = now
+        self._list_by_control: dict[str, _ProcessList] = {}
+
+    def digest(self, control_id: str) -> int:
+        """Return the digest of the last list of a control process, 0 if there is none."""
+        known = self._list_by_control.get(control_id)
+        return known.digest if known is not None else 0
+
+    def update(self, control_id: str, welcome: EntryWelcome) -> None:
+        """Process the answer of a control process."""
+        known = self._list_by_control.get(control_id)
+        if welcome.entries is not None:
+            summaries = {summary.entry_id: summary for summary in welcome.entries}
+        elif known is not None and known.digest == welcome.list_digest:
+            summaries = known.summary_by_entry
+        else:
+            # An answer to an earlier request; the next one brings the list.
+            return
+        self._list_by_control[control_id] = _ProcessList(
+            welcome.list_digest, welcome.control_ids, summaries, self._now()
+        )
+        self._merge()
+
+    def _merge(self) -> None:
+        now = self._now()
+        for control_id, item in list(self._list_by_control.items()):
+            if now - item.confirmed_at > LIST_EXPIRY_S:
+                del self._list_by_control[control_id]
+        self.control_ids = {
+            control_id for item in self._list_by_control.values() for control_id in item.control_ids
+        }
+        merged: dict[str, EntrySummary] = {}
+        for item in self._list_by_control.values():
+            for entry_id, summary in item.summary_by_entry.items():
+                other = merged.get(entry_id)
+                if other is None or _age_key(other) < _age_key(summary):
+                    merged[entry_id] = summary
+        if merged != self.summary_by_entry:
+            self.summary_by_entry = merged
+            self.revision += 1
+
+
+def _age_key(summary: EntrySummary) -> tuple[float, int]:
+    return summary.started_at, summary.revision
--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -31,7 +31,9 @@
     `born_ms` is the start of the incarnation in unix milliseconds, 0 if not reported.
     `is_responsive` tells whether the last renewal was answered, `full_until` is the end of the
     backoff after a start that was refused for lack of resources. `used` are the resources of the
-    runs in `run_by_key`. `released` is set when the lease is no longer to be renewed.
+    runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
+    server, which gets no new starts then. `released` is set when the lease is no longer to be
+    renewed.
     """
 
     announcement: PoolBackend
@@ -47,6 +49,7 @@
     is_responsive: bool = False
     lease_expires_at: float = 0.0
     full_until: float = 0.0
+    handing_over: bool = False
     released: bool = False
     _clock_offset_ms: float | None = None
     _free: Room | None = None
@@ -78,6 +81,7 @@
         return (
             self.is_responsive
             and not self.announcement.leaving
+            and not self.handing_over
             and not self.released
             and not self.untracked_runs
             and now >= self.full_until
@@ -96,6 +100,7 @@
         return (
             self.is_responsive
             and not self.announcement.leaving
+            and not self.handing_over
             and now >= self.health.backoff_until
         )
 
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -2,30 +2,51 @@
 
 from __future__ import annotations
 
+import random as random_module
 from collections.abc import Callable, Collection
 from types import TracebackType
 from typing import Protocol
 
 import anyio
 import anyio.abc
+import attrs
 import logbook
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
+from apricotpoint._pool.directory import EntryDirectory
 from apricotpoint._pool.roster import Roster
-from apricotpoint._wire.pool import BackendsHeard, EntryHello, EntryStatus, EntryWelcome
+from apricotpoint._wire.pool import (
+    BackendsHeard,
+    EntryHello,
+    EntryProbe,
+    EntryStatus,
+    EntrySummary,
+    EntryWelcome,
+)
 
-# Period of the status that every entry process sends to all others, also as a heartbeat.
+# Period of the status that a holder sends, also as a heartbeat.
 STATUS_PERIOD_S = 0.2
+# Learned speeds are sent with one status in so many, because they change slowly.
+SPEEDS_EVERY_STATUSES = 5
 # The own status, which is read for each job that is routed, is cached for this time.
 OWN_STATUS_MAX_AGE_S = 0.1
-# An entry process is live if its last status is not older than this.
+# A holder is live if its last status is not older than this.
 LIVENESS_TIMEOUT_S = 1.0
+# A holder without contact for this long is asked for its status over new connections, because a
+# connection may go silent while its process is well.
+SUSPICION_TIMEOUT_S = 0.5
 # Period and time-out of the `EntryHello` requests to the control processes.
-HELLO_PERIOD_S = 1.0
+HELLO_PERIOD_S = 2.0
 HELLO_TIMEOUT_S = 0.8
-# Period of these requests until the first one is answered.
-INITIAL_HELLO_PERIOD_S = 0.15
+# Period of these requests after the start, while the other processes become known.
+INITIAL_HELLO_PERIOD_S = 0.25
+INITIAL_HELLOS_S = 2.0
+# Shortest time between two rounds of probes, and their time-out.
+PROBE_PERIOD_S = 0.2
+PROBE_TIMEOUT_S = 0.5
+# Number of other entry processes that are probed for contact with anyone.
+PROBED_PEERS = 2
 # An entry process without contact for this long is removed.
 ENTRY_EXPIRY_S = 30.0
 
@@ -41,55 +62,75 @@
     def remove_peer(self, peer_id: str) -> None:
         """Close the link to a peer; does nothing if there is none."""
 
+    def replace_connections(self, peer_id: str) -> None:
+        """Open the connections to and from a peer anew."""
+
 
 class EntryMembers:
-    """Discovers control and entry processes and keeps the last status of each entry process.
+    """Discovers control and entry processes and keeps the last status of each holder.
 
     Use it as an async context manager. `seeds` returns the ids of the control processes to ask
     first. Each control process that answers names all control and entry processes that it knows.
     They are kept, so that the entry processes still find each other when all control processes
-    become unreachable later. `first_welcome_at` is the monotonic time of the first such answer,
-    None before it. `speed_by_backend` has the learned speeds that other processes report.
+    become unreachable later.
+
+    Only holders send their status, to the processes in `audience_domains` and to the other
+    holders; all others are known by their summaries. Repeated announcements from
+    `watched_domains` arrive with little delay. `first_welcome_at` is the monotonic time of the
+    first answer of a control process, None before it. `last_contact_at` is the time of the last
+    message from any process, None before it. `speed_by_backend` has the learned speeds that
+    other processes report.
     """
 
     def __init__(
         self,
         *,
-        entry_id: str,
-        failure_domain: str,
+        summary: EntrySummary,
         seeds: Callable[[], Collection[str]],
         transport: DynamicTransport,
         address_of: Callable[[str], str],
         timers: TimerService,
         roster: Roster,
+        random: random_module.Random,
         make_status: Callable[[], EntryStatus],
     ) -> None:
-        self.entry_id = entry_id
-        self._failure_domain = failure_domain
+        self.entry_id = summary.entry_id
+        self.audience_domains: frozenset[str] = frozenset()
+        self.watched_domains: frozenset[str] = frozenset()
+        self.directory = EntryDirectory(now=timers.now)
+        self.first_welcome_at: float | None = None
+        self.last_contact_at: float | None = None
+        self.speed_by_backend: dict[str, float] = {}
+        self._summary = summary
         self._seeds = seeds
         self._transport = transport
         self._address_of = address_of
         self._timers = timers
         self._roster = roster
+        self._random = random
         self._make_status = make_status
-        self._control_ids: set[str] = set()
         self._status_by_entry: dict[str, EntryStatus] = {}
         self._last_contact_at_by_entry: dict[str, float] = {}
+        self._suspected: set[str] = set()
+        self._probed_at = float("-inf")
         self._status: EntryStatus | None = None
         self._status_at = 0.0
+        self._status_count = 0
         self._previously_live: set[str] = set()
-        self.first_welcome_at: float | None = None
-        self.speed_by_backend: dict[str, float] = {}
+        self._greeted: set[str] = set()
+        self._hello_requested = anyio.Event()
+        self._needs_backends = True
         self._subscription: PeriodicTimer | None = None
         self._group: anyio.abc.TaskGroup | None = None
 
     async def __aenter__(self) -> EntryMembers:
         self._transport.handlers_by_type[EntryStatus] = self._on_status
         self._transport.handlers_by_type[BackendsHeard] = self._on_announcements
+        self._transport.request_handlers_by_type[EntryProbe] = self._on_probe
         self._subscription = self._timers.every(STATUS_PERIOD_S, self.send_status)
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
-        self._group.start_soon(self._hello_loop)
+        self._greet_new_control_processes()
         return self
 
     async def __aexit__(
@@ -106,10 +147,28 @@
 
     def control_ids(self) -> list[str]:
         """Return the ids of the known control processes, those of the seeds included."""
-        return sorted(self._control_ids | set(self._seeds()))
+        return sorted(self.directory.control_ids | set(self._seeds()))
+
+    def summaries(self) -> dict[str, EntrySummary]:
+        """Return the summaries of all known entry processes by id, this one included."""
+        return {**self.directory.summary_by_entry, self.entry_id: self._summary}
+
+    def available_summaries(self) -> dict[str, EntrySummary]:
+        """Return the summaries of all known entry processes without holders that are silent."""
+        available = self.summaries()
+        for entry_id, status in self._status_by_entry.items():
+            summary = available.get(entry_id)
+            if (
+                summary is not None
+                and (status.term_by_claim or status.held)
+                and summary.started_at <= status.started_at
+                and self.seconds_since_contact(entry_id) > LIVENESS_TIMEOUT_S
+            ):
+                del available[entry_id]
+        return available
 
     def live_entries(self) -> dict[str, EntryStatus]:
-        """Return the status of all live entry processes by id, this one included."""
+        """Return the last status of all live holders by id, and that of this process."""
         now = self._timers.now()
         live = {
             entry_id: status
@@ -126,26 +185,71 @@
         return self._status
 
     def seconds_since_contact(self, entry_id: str) -> float:
-        """Return the seconds since the last status of an entry process, which must be known."""
-        return self._timers.now() - self._last_contact_at_by_entry[entry_id]
+        """Return the seconds since the last status of a process, infinity if there was none."""
+        return self._timers.now() - self._last_contact_at_by_entry.get(entry_id, float("-inf"))
 
-    def has_live_peers(self) -> bool:
-        """Return whether another entry process is live, or none was ever known."""
-        return len(self.live_entries()) > 1 or not self._status_by_entry
+    def open_link(self, entry_id: str) -> None:
+        """Make sure that messages can be sent to an entry process."""
+        self._transport.add_peer(entry_id, self._address_of(entry_id))
 
     def send_status(self) -> None:
-        """Send a new status to all entry processes, and remove those without contact for long."""
+        """Send a new status to all processes that need it, and probe holders that are silent."""
         self._status = None
         status = self._own_status()
-        for entry_id in list(self._last_contact_at_by_entry):
-            self._transport.send(entry_id, status)
+        self._update_summary(status)
+        if self._summary.is_holder:
+            self._status_count += 1
+            if self._status_count % SPEEDS_EVERY_STATUSES:
+                status = attrs.evolve(status, speed_by_backend={})
+            for entry_id in self._audience():
+                self.open_link(entry_id)
+                self._transport.send(entry_id, status)
         self._update_live_entries()
+        self._probe_silent_holders()
+        self._remove_expired()
+        self._greet_new_control_processes()
+
+    def probe(self) -> None:
+        """Ask control processes and some entry processes for an answer, as a sign of contact."""
         now = self._timers.now()
-        for entry_id, last_contact_at in list(self._last_contact_at_by_entry.items()):
-            if now - last_contact_at > ENTRY_EXPIRY_S:
-                del self._last_contact_at_by_entry[entry_id]
-                self._status_by_entry.pop(entry_id, None)
-                self._transport.remove_peer(entry_id)
+        if now - self._probed_at < PROBE_PERIOD_S:
+            return
+        self._probed_at = now
+        self.request_hello()
+        others = sorted(set(self.summaries()) - {self.entry_id})
+        for entry_id in self._random.sample(others, min(PROBED_PEERS, len(others))):
+            self._start_probe(entry_id)
+
+    def request_hello(self) -> None:
+        """Have an `EntryHello` sent to all control processes now."""
+        self._hello_requested.set()
+        self._hello_requested = anyio.Event()
+
+    def _audience(self) -> set[str]:
+        audience = {
+            entry_id
+            for entry_id, summary in self.directory.summary_by_entry.items()
+            if summary.is_holder or summary.failure_domain in self.audience_domains
+        }
+        audience |= self._previously_live
+        return audience - {self.entry_id}
+
+    def _update_summary(self, status: EntryStatus) -> None:
+        is_holder = bool(status.term_by_claim or status.held)
+        if (self._summary.is_holder, self._summary.draining) == (is_holder, status.draining):
+            return
+        was_holder = self._summary.is_holder
+        self._summary = attrs.evolve(
+            self._summary,
+            is_holder=is_holder,
+            draining=status.draining,
+            revision=self._summary.revision + 1,
+        )
+        if was_holder and not is_holder:
+            # The last status tells that all backend servers are released.
+            for entry_id in self._audience():
+                self._transport.send(entry_id, status)
+        self.request_hello()
 
     def _update_live_entries(self) -> None:
         """Log changes of liveness, and drop the speeds of backend servers that are not known."""
@@ -153,57 +257,114 @@
         for entry_id in sorted(live - self._previously_live):
             _log.info("entry process {} is live", entry_id)
         for entry_id in sorted(self._previously_live - live):
-            _log.warning(
-                "entry process {} is unreachable: no status within {} s",
-                entry_id,
-                LIVENESS_TIMEOUT_S,
-            )
+            status = self._status_by_entry.get(entry_id)
+            if status is not None and (status.term_by_claim or status.held):
+                _log.warning(
+                    "entry process {} is unreachable: no status within {} s",
+                    entry_id,
+                    LIVENESS_TIMEOUT_S,
+                )
         self._previously_live = live
         known = self._roster.announcement_by_id
         self.speed_by_backend = {
             key: speed for key, speed in self.speed_by_backend.items() if key in known
         }
 
+    def _probe_silent_holders(self) -> None:
+        for entry_id, status in self._status_by_entry.items():
+            silent_s = self.seconds_since_contact(entry_id)
+            is_holder = bool(status.term_by_claim or status.held)
+            if not is_holder or not SUSPICION_TIMEOUT_S < silent_s <= 2 * LIVENESS_TIMEOUT_S:
+                self._suspected.discard(entry_id)
+                continue
+            if entry_id not in self._suspected:
+                self._suspected.add(entry_id)
+                self._transport.replace_connections(entry_id)
+            self._start_probe(entry_id)
+            self.probe()
+
+    def _start_probe(self, entry_id: str) -> None:
+        assert self._group is not None
+        self.open_link(entry_id)
+        self._group.start_soon(self._send_probe, entry_id)
+
+    async def _send_probe(self, entry_id: str) -> None:
+        try:
+            status = await self._transport.request(
+                entry_id, EntryProbe(), timeout_s=PROBE_TIMEOUT_S
+            )
+        except PeerUnreachable:
+            return
+        assert isinstance(status, EntryStatus)
+        self._record_status(entry_id, status, self._timers.now())
+
+    async def _on_probe(self, _: Sender, message: object) -> object:
+        assert isinstance(message, EntryProbe)
+        return self._own_status()
+
+    def _remove_expired(self) -> None:
+        now = self._timers.now()
+        for entry_id, last_contact_at in list(self._last_contact_at_by_entry.items()):
+            if now - last_contact_at > ENTRY_EXPIRY_S:
+                del self._last_contact_at_by_entry[entry_id]
+                self._status_by_entry.pop(entry_id, None)
+                self._suspected.discard(entry_id)
+                if entry_id not in self.directory.summary_by_entry:
+                    self._transport.remove_peer(entry_id)
+
+    def _record_status(self, entry_id: str, status: EntryStatus, received_at: float) -> None:
+        self._status_by_entry[entry_id] = status
+        self.speed_by_backend.update(status.speed_by_backend)
+        self._last_contact_at_by_entry[entry_id] = received_at
+        self.last_contact_at = self._timers.now()
+
     def _on_status(self, sender: Sender, message: object) -> None:
         assert isinstance(message, EntryStatus)
-        self._status_by_entry[sender.peer_id] = message
-        self.speed_by_backend.update(message.speed_by_backend)
-        self._last_contact_at_by_entry[sender.peer_id] = self._timers.now() - sender.age_s
+        self._record_status(sender.peer_id, message, self._timers.now() - sender.age_s)
 
     def _on_announcements(self, _: Sender, message: object) -> None:
         assert isinstance(message, BackendsHeard)
         self._roster.update(message)
+        if self._roster.take_missing():
+            self._needs_backends = True
 
-    async def _hello_loop(self) -> None:
-        while True:
-            async with anyio.create_task_group() as group:
-                for control_id in self.control_ids():
-                    self._transport.add_peer(control_id, self._address_of(control_id))
-                    group.start_soon(self._send_hello, control_id)
-                if self.first_welcome_at is None:
-                    # One answer is enough to start with; the slower ones are not waited for.
-                    await self._timers.sleep(INITIAL_HELLO_PERIOD_S)
-                    group.cancel_scope.cancel()
-            await self._timers.sleep(
-                HELLO_PERIOD_S if self.first_welcome_at else INITIAL_HELLO_PERIOD_S
-            )
+    def _greet_new_control_processes(self) -> None:
+        assert self._group is not None
+        for control_id in set(self.control_ids()) - self._greeted:
+            self._greeted.add(control_id)
+            self._transport.add_peer(control_id, self._address_of(control_id))
+            self._group.start_soon(self._greet, control_id)
+
+    async def _greet(self, control_id: str) -> None:
+        """Send `EntryHello` to a control process from time to time, as long as it is known."""
+        while control_id in self.control_ids():
+            summary = self._summary
+            await self._send_hello(control_id)
+            if summary is not self._summary:
+                continue
+            welcome_at, now = self.first_welcome_at, self._timers.now()
+            is_new = welcome_at is None or now - welcome_at < INITIAL_HELLOS_S
+            with anyio.move_on_after(INITIAL_HELLO_PERIOD_S if is_new else HELLO_PERIOD_S):
+                await self._hello_requested.wait()
+        self._greeted.discard(control_id)
 
     async def _send_hello(self, control_id: str) -> None:
+        hello = EntryHello(
+            summary=self._summary,
+            list_digest=self.directory.digest(control_id),
+            needs_backends=self._needs_backends,
+            watched_domains=sorted(self.watched_domains),
+        )
+        self._needs_backends = False
         try:
-            welcome = await self._transport.request(
-                control_id, EntryHello(self._failure_domain), timeout_s=HELLO_TIMEOUT_S
-            )
+            welcome = await self._transport.request(control_id, hello, timeout_s=HELLO_TIMEOUT_S)
         except PeerUnreachable:
+            # The announcements that it would have brought are asked for again.
+            self._needs_backends = self._needs_backends or hello.needs_backends
             return
         assert isinstance(welcome, EntryWelcome)
+        self.last_contact_at = self._timers.now()
         if self.first_welcome_at is None:
             self.first_welcome_at = self._timers.now()
-        self._control_ids |= set(welcome.control_ids)
+        self.directory.update(control_id, welcome)
         self._roster.update(BackendsHeard(welcome.backends))
-        for entry_id in welcome.domain_by_entry:
-            if entry_id != self.entry_id and entry_id not in self._last_contact_at_by_entry:
-                self._transport.add_peer(entry_id, self._address_of(entry_id))
-                self._last_contact_at_by_entry[entry_id] = (
-                    self._timers.now() - LIVENESS_TIMEOUT_S - STATUS_PERIOD_S
-                )
-                self._transport.send(entry_id, self._make_status())
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -5,45 +5,77 @@
 from collections.abc import Callable, Collection
 from types import TracebackType
 
+import attrs
+import msgspec
+import xxhash
+
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
 from apricotpoint._pool.roster import Roster
-from apricotpoint._wire.pool import BackendsHeard, EntryHello, EntryWelcome, PoolBackend
+from apricotpoint._wire.pool import (
+    BackendsHeard,
+    EntryHello,
+    EntrySummary,
+    EntryWelcome,
+    PoolBackend,
+)
 
-# Announcements that arrive within this period are forwarded in one message.
+# New and changed announcements that arrive within this period are forwarded in one message.
 RELAY_PERIOD_S = 0.05
+# The same for repeated announcements from failure domains that an entry process watches, and
+# from all others. They only show that the backend server is still there.
+WATCHED_RELAY_PERIOD_S = 0.25
+REPEATED_RELAY_PERIOD_S = 3.0
 # An entry process that has not sent `EntryHello` for this long gets no announcements.
 ENTRY_TIMEOUT_S = 5.0
 
 
+@attrs.define(eq=False)
+class _Entry:
+    """An entry process and the repeated announcements that are still to be forwarded to it."""
+
+    hello: EntryHello
+    last_contact_at: float
+    repeated_due_at: float
+    repeated_ids: set[str] = attrs.Factory(set)
+
+
 class AnnouncementRelay:
     """Collects announcements at one control process and forwards them to the entry processes.
 
     Use it as an async context manager. It also answers `EntryHello`, by which entry processes
-    make themselves known and learn of each other. `control_ids` returns the ids of all control
-    processes known here.
+    make themselves known and learn of each other. New and changed announcements are shared with
+    the other control processes, so that none of them names a backend server that has left.
+    `control_ids` returns the ids of all control processes known here, `own_id` is that of this
+    one.
     """
 
     def __init__(
         self,
         *,
+        own_id: str,
         transport: Transport,
         timers: TimerService,
         control_ids: Callable[[], Collection[str]],
     ) -> None:
+        self._own_id = own_id
         self._transport = transport
         self._timers = timers
         self._control_ids = control_ids
         self._roster = Roster(now=timers.now)
-        self._pending_by_id: dict[str, PoolBackend] = {}
+        self._changed_by_id: dict[str, PoolBackend] = {}
+        self._watched_ids: set[str] = set()
         self._unregistered: set[str] = set()
-        # Time of the last `EntryHello` of each entry process, and its failure domain.
-        self._entry_by_id: dict[str, tuple[float, str]] = {}
-        self._subscription: PeriodicTimer | None = None
+        self._entry_by_id: dict[str, _Entry] = {}
+        self._subscriptions: list[PeriodicTimer] = []
 
     async def __aenter__(self) -> AnnouncementRelay:
         self._transport.request_handlers_by_type[EntryHello] = self._on_hello
-        self._subscription = self._timers.every(RELAY_PERIOD_S, self._flush)
+        self._transport.handlers_by_type[BackendsHeard] = self._on_announcements
+        self._subscriptions = [
+            self._timers.every(RELAY_PERIOD_S, self._forward_changes),
+            self._timers.every(WATCHED_RELAY_PERIOD_S, self._forward_repetitions),
+        ]
         return self
 
     async def __aexit__(
@@ -52,45 +84,94 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._subscription:
-            self._subscription.cancel()
+        for subscription in self._subscriptions:
+            subscription.cancel()
         self._transport.request_handlers_by_type.pop(EntryHello, None)
+        self._transport.handlers_by_type.pop(BackendsHeard, None)
 
     def announce(self, announcement: PoolBackend) -> None:
-        """Accept an announcement and forward it within `RELAY_PERIOD_S`."""
+        """Accept an announcement; forward it within `RELAY_PERIOD_S` if it is new or changed."""
+        backend_id = announcement.backend_id
+        known = self._roster.announcement_by_id.get(backend_id)
         self._roster.update(BackendsHeard([announcement]))
-        self._pending_by_id[announcement.backend_id] = announcement
+        accepted = self._roster.announcement_by_id.get(backend_id)
+        if accepted is not announcement:
+            return
+        if known is None or attrs.evolve(known, sequence=announcement.sequence) != announcement:
+            self._changed_by_id[backend_id] = announcement
+        elif backend_id not in self._changed_by_id:
+            self._watched_ids.add(backend_id)
 
     def unregister(self, backend_id: str) -> None:
-        """Remove a backend server that is shutting down, and tell the entry processes."""
+        """Remove a backend server that is shutting down, and tell the other processes."""
         self._roster.update(BackendsHeard([], [backend_id]))
-        self._pending_by_id.pop(backend_id, None)
+        self._changed_by_id.pop(backend_id, None)
+        self._watched_ids.discard(backend_id)
         self._unregistered.add(backend_id)
 
-    def _live_entries(self) -> dict[str, str]:
+    def _live_entries(self) -> dict[str, _Entry]:
         now = self._timers.now()
         return {
-            entry_id: domain
-            for entry_id, (last_contact_at, domain) in self._entry_by_id.items()
-            if now - last_contact_at <= ENTRY_TIMEOUT_S
+            entry_id: entry
+            for entry_id, entry in self._entry_by_id.items()
+            if now - entry.last_contact_at <= ENTRY_TIMEOUT_S
         }
 
-    def _flush(self) -> None:
+    def _forward_changes(self) -> None:
         self._roster.remove_unreachable()
-        if not self._pending_by_id and not self._unregistered:
+        if not self._changed_by_id and not self._unregistered:
             return
-        message = BackendsHeard(list(self._pending_by_id.values()), sorted(self._unregistered))
-        self._pending_by_id, self._unregistered = {}, set()
-        for entry_id in self._live_entries():
-            self._transport.send(entry_id, message)
+        message = BackendsHeard(list(self._changed_by_id.values()), sorted(self._unregistered))
+        self._changed_by_id, self._unregistered = {}, set()
+        others = [key for key in self._control_ids() if key != self._own_id]
+        for peer_id in [*self._live_entries(), *others]:
+            self._transport.send(peer_id, message)
+
+    def _forward_repetitions(self) -> None:
+        """Forward repeated announcements: at once if watched, else with those of a period."""
+        now = self._timers.now()
+        domain_by_id = {
+            key: self._roster.announcement_by_id[key].failure_domain
+            for key in self._watched_ids
+            if key in self._roster.announcement_by_id
+        }
+        self._watched_ids = set()
+        for entry_id, entry in self._live_entries().items():
+            entry.repeated_ids |= domain_by_id.keys()
+            if now >= entry.repeated_due_at:
+                due = entry.repeated_ids
+                entry.repeated_due_at = now + REPEATED_RELAY_PERIOD_S
+            else:
+                watched = set(entry.hello.watched_domains)
+                due = {key for key, domain in domain_by_id.items() if domain in watched}
+            if due:
+                entry.repeated_ids = entry.repeated_ids - due
+                self._transport.send(entry_id, BackendsHeard([], [], sorted(due)))
+
+    def _on_announcements(self, _: Sender, message: object) -> None:
+        """Process what another control process forwards."""
+        assert isinstance(message, BackendsHeard)
+        self._roster.update(message)
 
     async def _on_hello(self, sender: Sender, message: object) -> object:
         assert isinstance(message, EntryHello)
-        known = sender.peer_id in self._live_entries()
-        self._entry_by_id[sender.peer_id] = (self._timers.now(), message.failure_domain)
+        now = self._timers.now()
+        known = self._live_entries().get(sender.peer_id)
+        if known is None:
+            self._entry_by_id[sender.peer_id] = _Entry(message, now, now + REPEATED_RELAY_PERIOD_S)
+        else:
+            known.hello, known.last_contact_at = message, now
+        entries = self._summaries()
+        digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(entries))
+        # A known entry process has got the earlier announcements and is sent each new one.
+        needs_backends = known is None or message.needs_backends
         return EntryWelcome(
             control_ids=sorted(self._control_ids()),
-            domain_by_entry=self._live_entries(),
-            # A known entry process has got the earlier announcements and is sent each new one.
-            backends=[] if known else list(self._roster.announcement_by_id.values()),
+            list_digest=digest,
+            entries=None if digest == message.list_digest else entries,
+            backends=list(self._roster.announcement_by_id.values()) if needs_backends else [],
         )
+
+    def _summaries(self) -> list[EntrySummary]:
+        live = self._live_entries()
+        return [live[entry_id].hello.summary for entry_id in sorted(live)]
--- a/src/apricotpoint/_pool/roster.py
+++ b/src/apricotpoint/_pool/roster.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 
+import attrs
 import logbook
 
 from apricotpoint._wire.pool import BackendsHeard, PoolBackend
@@ -18,20 +20,39 @@
 _log = logbook.Logger("roster")
 
 
+@attrs.frozen
+class _Removal:
+    """Last announcement before a removal, which is `final` if its incarnation has ended."""
+
+    removed_at: float
+    born_ms: int
+    sequence: int
+    final: bool
+
+    def allows(self, announcement: PoolBackend) -> bool:
+        """Return whether an announcement was sent after the removal."""
+        if announcement.born_ms != self.born_ms:
+            return announcement.born_ms > self.born_ms
+        return not self.final and bool(self.born_ms) and announcement.sequence > self.sequence
+
+
 class Roster:
     """The last announcement of each backend server.
 
     An announcement replaces the last one under its id if it is of a newer incarnation, or of the
-    same incarnation with a higher sequence number, so delayed ones have no effect. For a removed
-    backend server, announcements that do not report the incarnation are ignored for
-    `REMOVED_RETENTION_S`. `now` returns monotonic seconds.
+    same incarnation with a higher sequence number, so delayed ones have no effect. This holds for
+    `REMOVED_RETENTION_S` after its removal, too; an incarnation that has left stays removed, and
+    announcements that do not report the incarnation are ignored for that time. `revision` rises
+    with each backend server that is added or removed. `now` returns monotonic seconds.
     """
 
     def __init__(self, *, now: Callable[[], float]) -> None:
         self.announcement_by_id: dict[str, PoolBackend] = {}
         self._last_contact_at_by_id: dict[str, float] = {}
-        self._removed_at_by_id: dict[str, float] = {}
+        self.revision = 0
+        self._removal_by_id: dict[str, _Removal] = {}
         self._last_contact_at_by_domain: dict[str, float] = {}
+        self._is_missing = False
         self._now = now
         self._callbacks: list[Callable[[PoolBackend], None]] = []
 
@@ -42,9 +63,28 @@
     def update(self, message: BackendsHeard) -> None:
         """Process the announcements and the ids of unregistered backend servers in a message."""
         for backend_id in message.gone:
-            self._remove(backend_id)
+            self._remove(backend_id, "it has left", final=True)
         for announcement in message.heard:
             self._update_announcement(announcement)
+        for backend_id in message.repeated:
+            self._record_repetition(backend_id)
+
+    def count_by_domain(self) -> dict[str, int]:
+        """Return the number of announced backend servers by failure domain."""
+        return dict(Counter(item.failure_domain for item in self.announcement_by_id.values()))
+
+    def take_missing(self) -> bool:
+        """Return whether a repeated announcement was not known, and forget about it."""
+        missing, self._is_missing = self._is_missing, False
+        return missing
+
+    def _record_repetition(self, backend_id: str) -> None:
+        known = self.announcement_by_id.get(backend_id)
+        if known is None:
+            self._is_missing = self._is_missing or backend_id not in self._removal_by_id
+            return
+        self._last_contact_at_by_id[backend_id] = self._now()
+        self._last_contact_at_by_domain[known.failure_domain] = self._now()
 
     def last_contact_at(self, domain: str) -> float | None:
         """Return when a failure domain last sent an announcement, None if it sent none."""
@@ -56,8 +96,8 @@
             self._last_contact_at_by_id[backend_id] = self._now()
 
     def remove_ended(self, backend_id: str) -> None:
-        """Remove a backend server whose incarnation has ended, until it announces itself again."""
-        self._remove(backend_id)
+        """Remove a backend server whose incarnation has ended; a later one may announce itself."""
+        self._remove(backend_id, "its incarnation has ended", final=True)
 
     def remove_unreachable(self) -> list[str]:
         """Remove backend servers without contact for `UNREACHABLE_TIMEOUT_S`; return their ids."""
@@ -68,10 +108,11 @@
             if now - last_contact_at > UNREACHABLE_TIMEOUT_S
         ]
         for backend_id in unreachable:
-            self._remove(backend_id)
-        for backend_id, removed_at in list(self._removed_at_by_id.items()):
-            if now - removed_at > REMOVED_RETENTION_S:
-                del self._removed_at_by_id[backend_id]
+            reason = f"no contact for {UNREACHABLE_TIMEOUT_S:g} s"
+            self._remove(backend_id, reason, final=False)
+        for backend_id, removal in list(self._removal_by_id.items()):
+            if now - removal.removed_at > REMOVED_RETENTION_S:
+                del self._removal_by_id[backend_id]
         return unreachable
 
     def _update_announcement(self, announcement: PoolBackend) -> None:
@@ -81,11 +122,8 @@
             known.sequence,
         ):
             return
-        if (
-            known is None
-            and announcement.backend_id in self._removed_at_by_id
-            and not announcement.born_ms
-        ):
+        removal = self._removal_by_id.get(announcement.backend_id)
+        if known is None and removal is not None and not removal.allows(announcement):
             return
         if known is None:
             _log.info(
@@ -93,14 +131,21 @@
                 announcement.backend_id,
                 announcement.failure_domain,
             )
+            self.revision += 1
         self.announcement_by_id[announcement.backend_id] = announcement
         self._last_contact_at_by_id[announcement.backend_id] = self._now()
         self._last_contact_at_by_domain[announcement.failure_domain] = self._now()
         for callback in self._callbacks:
             callback(announcement)
 
-    def _remove(self, backend_id: str) -> None:
-        if self.announcement_by_id.pop(backend_id, None) is not None:
-            _log.info("removed backend server {}", backend_id)
+    def _remove(self, backend_id: str, reason: str, *, final: bool) -> None:
+        known = self.announcement_by_id.pop(backend_id, None)
+        if known is not None:
+            _log.info("removed backend server {}: {}", backend_id, reason)
+            self.revision += 1
+            self._removal_by_id[backend_id] = _Removal(
+                self._now(), known.born_ms, known.sequence, final
+            )
+        elif backend_id not in self._removal_by_id:
+            self._removal_by_id[backend_id] = _Removal(self._now(), 0, 0, final)
         self._last_contact_at_by_id.pop(backend_id, None)
-        self._removed_at_by_id[backend_id] = self._now()
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -35,7 +35,7 @@
     """Jobs of one entry process and the backend servers on which it holds leases.
 
     Use it as an async context manager. Call all methods on the event loop. `on_fenced` is called
-    with a failure domain in which another process has a higher fencing token, `on_backend_ended`
+    with a backend server on which another process has a higher fencing token, `on_backend_ended`
     with the id of a backend server whose incarnation has ended. `make_client` returns a client
     for an announced backend server; the scheduler closes it.
     """
@@ -50,7 +50,7 @@
     ) -> None:
         self.held_by_id: dict[str, HeldBackend] = {}
         self.estimates = Estimates(self.held_by_id)
-        self.on_fenced: Callable[[str], None] = lambda _: None
+        self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
         self.draining = False
         self._timers = timers
@@ -352,7 +352,7 @@
         """Release a backend server whose lease another process holds."""
         if self.held_by_id.get(held.backend_id) is held:
             self.release(held.backend_id, "another holder has a higher fencing token")
-            self.on_fenced(held.announcement.failure_domain)
+            self.on_fenced(held.announcement)
 
     # Starts of tasks
 
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random as random_module
 from types import TracebackType
 
 import anyio
@@ -17,7 +17,7 @@
 from apricotpoint._pool.job import Job
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.scheduler import Scheduler
-from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob
+from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob, PoolLoad
 
 # Time without contact after which a process counts as unreachable. The process that waits for a
 # job and the one that schedules it both use it: the first answers its caller at about the time
@@ -35,18 +35,28 @@
 # A refused job is forwarded to a process whose backlog is below this share of the own one.
 FORWARD_BACKLOG_SHARE = 0.5
 
+# Backlog that halves the jobs which a holder without free room gets.
+BACKLOG_HALVING_S = 0.1
+
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
 
 _log = logbook.Logger("jobs")
 
 
+def routing_weight(load: PoolLoad) -> float:
+    """Return the relative share of the jobs that a holder with this load gets.
+
+    Free room counts most; without any, holders with a short backlog get more.
+    """
+    return load.free + 1 / (1 + load.backlog_s / BACKLOG_HALVING_S)
+
+
 class PoolService:
     """Submission and cancellation of the jobs of callers at one entry process.
 
     Use it as an async context manager. `own_domain` is the failure domain of this process, whose
-    backend servers are preferred in a large pool; `has_single_holder` tells whether the pool has
-    one holder for all failure domains.
+    holders are preferred.
     """
 
     def __init__(
@@ -58,10 +68,10 @@
         transport: Transport,
         timers: TimerService,
         counters: Counters,
-        has_single_holder: Callable[[], bool],
+        random: random_module.Random,
     ) -> None:
         self._own_domain = own_domain
-        self._has_single_holder = has_single_holder
+        self._random = random
         self._members = members
         self._scheduler = scheduler
         self._transport = transport
@@ -144,27 +154,42 @@
         )
 
     def _scheduling_process(self, excluded: set[str]) -> str | None:
+        """Return the process that schedules a job: a holder of the own failure domain, if any.
+
+        Of several holders one is chosen at random by its free room, so that the entry processes
+        do not all send their jobs to the same one until its next status arrives.
+        """
         live = {
             entry_id: status
             for entry_id, status in self._members.live_entries().items()
-            if entry_id not in excluded
+            if entry_id not in excluded and not status.draining and status.held
         }
-        own = claims.scheduling_process(
-            self._own_domain, live, single_holder=self._has_single_holder()
-        )
-        if own is not None and live[own].held:
-            return own
-        others = [
-            (status.load.backlog_s, entry_id)
-            for entry_id, status in live.items()
-            if status.held and not status.draining
+        local_ids = claims.holders(self._own_domain, live)
+        if local_ids:
+            own_id = self._members.entry_id
+            if own_id in local_ids and live[own_id].load.free:
+                return own_id
+            weights = [routing_weight(live[entry_id].load) for entry_id in local_ids]
+            return self._random.choices(local_ids, weights)[0]
+        if live:
+            return min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
+        # Holders of other failure domains send their status to holders only.
+        distant_ids = [
+            entry_id
+            for entry_id, summary in self._members.available_summaries().items()
+            if summary.is_holder
+            and not summary.draining
+            and entry_id not in excluded
+            and entry_id != self._members.entry_id
+            and summary.failure_domain != self._own_domain
         ]
-        return min(others)[1] if others else own
+        return self._random.choice(distant_ids) if distant_ids else None
 
     async def _submit_to(self, target: str, request: PoolJob) -> PoolAnswer:
         if target == self._members.entry_id:
             return await self._run_locally(request, "")
         self._counters.add("jobs.passed_on")
+        self._members.open_link(target)
         self._target_by_job[request.job_id] = target
         timeout_s = max(request.deadline_s - request.elapsed_s, 0.0) + REPLY_MARGIN_S
         answer: PoolAnswer | None = None
@@ -193,7 +218,15 @@
         return answer
 
     async def _cancel_when_unreachable(self, target: str, scope: anyio.CancelScope) -> None:
-        while self._transport.seconds_since_contact(target) <= PEER_TIMEOUT_S:
+        """Cancel a scope when the process that got a job is silent; it sends at least heartbeats.
+
+        The time before the job was sent does not count: an idle link carries no heartbeats.
+        """
+        began_at = self._timers.now()
+        while (
+            min(self._transport.seconds_since_contact(target), self._timers.now() - began_at)
+            <= PEER_TIMEOUT_S
+        ):
             await self._timers.sleep(PEER_CHECK_PERIOD_S)
         scope.cancel()
 
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -60,28 +60,68 @@
 
 @attrs.frozen
 class BackendsHeard:
-    """Announcements that a control process relays; `gone` are backend servers that have left."""
+    """Announcements that a control process relays.
+
+    `heard` are new or changed ones, `repeated` the ids of backend servers that have
+    announced themselves again without a change, and `gone` those that have left.
+    """
 
     heard: list[PoolBackend]
     gone: list[str] = attrs.Factory(list)
+    repeated: list[str] = attrs.Factory(list)
 
 
 @attrs.frozen
-class EntryHello:
-    """Makes an entry process known to a control process. Answered by `EntryWelcome`."""
+class EntrySummary:
+    """What an entry process makes known to all others through the control processes.
+
+    `cores` is the processor of its VM, in cores. `is_holder` tells whether it claims or
+    holds backend servers, `started_at` is its start in unix seconds. `revision` rises
+    with each change of the other fields.
+    """
 
+    entry_id: str
     failure_domain: str
+    cores: float
+    started_at: float
+    draining: bool = False
+    is_holder: bool = False
+    revision: int = 0
+
+
+@attrs.frozen
+class EntryHello:
+    """Makes an entry process known to a control process. Answered by `EntryWelcome`.
+
+    `list_digest` is that of the last list of entry processes received from this control
+    process, 0 if there was none. `needs_backends` asks for all announcements. Repeated
+    announcements of backend servers in `watched_domains` are relayed with little delay.
+    """
+
+    summary: EntrySummary
+    list_digest: int = 0
+    needs_backends: bool = True
+    watched_domains: list[str] = attrs.Factory(list)
 
 
 @attrs.frozen
 class EntryWelcome:
-    """The processes that a control process knows, and the backend servers announced recently."""
+    """The processes that a control process knows, and the backend servers announced recently.
+
+    `entries` is None if the list has the digest that the entry process has named.
+    """
 
     control_ids: list[str]
-    domain_by_entry: dict[str, str]
+    list_digest: int
+    entries: list[EntrySummary] | None
     backends: list[PoolBackend]
 
 
+@attrs.frozen
+class EntryProbe:
+    """Asks an entry process for its status, when nothing was received from it for a while."""
+
+
 @attrs.frozen
 class PoolLoad:
     """Load of the backend servers whose lease one entry process holds.
@@ -98,14 +138,15 @@
 
 @attrs.frozen
 class EntryStatus:
-    """State of an entry process, sent to all others, which also serves as its heartbeat.
-
-    `term_by_claim` has the failure domains whose backend servers the process
-    claims, with the term of each claim. `held` are the backend servers whose
-    lease it has not released yet; no other process may take them over before.
-    `answering` counts those of them that answer. `speed_by_backend` has the
-    learned speeds, for a process that takes over. `started_at` is the start of
-    the process in unix seconds.
+    """State of an entry process that holds backend servers, which also serves as its heartbeat.
+
+    `term_by_claim` has the parts of failure domains (`_pool.shares`) whose backend
+    servers the process claims, with the term of each claim. `held` are the backend
+    servers whose lease it has not released yet; no other process may take them over
+    before. `answering` counts those of them that answer. `speed_by_backend` has the
+    learned speeds, for a process that takes over; it is left out of most statuses.
+    `cores` is the processor of its VM, in cores; `started_at` is the start of the
+    process in unix seconds.
     """
 
     failure_domain: str
@@ -116,6 +157,7 @@
     load: PoolLoad
     speed_by_backend: dict[str, float] = attrs.Factory(dict)
     answering: int = 0
+    cores: float = 1.0
     started_at: float = 0.0
 
 
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -28,7 +28,13 @@
 from apricotpoint._pool.relay import AnnouncementRelay
 from apricotpoint._programs.incarnation import new_incarnation
 from apricotpoint.platform.controlapi import make_control_app
-from apricotpoint.platform.process import PEER_KEY, SettingsFile, run_program, wait_for_stop_signal
+from apricotpoint.platform.process import (
+    PEER_IDLE_S,
+    PEER_KEY,
+    SettingsFile,
+    run_program,
+    wait_for_stop_signal,
+)
 from apricotpoint.platform.settings import PlatformSettings
 
 # Time that requests in progress get to finish at shutdown.
@@ -63,6 +69,7 @@
         timers=timers,
         counters=counters,
         address_of=settings.peer_address,
+        idle_after_s=PEER_IDLE_S,
     )
     node = ControlNode(
         node_id=settings.address,
@@ -80,7 +87,9 @@
         ids = {*node.replica.log.disk_by_member(), *node.replica.learner_ids, settings.address}
         return sorted(ids)
 
-    relay = AnnouncementRelay(transport=mesh, timers=timers, control_ids=control_ids)
+    relay = AnnouncementRelay(
+        own_id=settings.address, transport=mesh, timers=timers, control_ids=control_ids
+    )
     app = make_control_app(
         relay=relay, change=node.change, document=node.document, counters=counters
     )
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -23,10 +23,11 @@
 from apricotpoint._pool.service import PoolService
 from apricotpoint._programs.incarnation import new_incarnation
 from apricotpoint._wire.configuration import Configuration
-from apricotpoint._wire.pool import EntryStatus
+from apricotpoint._wire.pool import EntryStatus, EntrySummary
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
 from apricotpoint.platform.configuration import decode_routing
 from apricotpoint.platform.process import (
+    PEER_IDLE_S,
     PEER_KEY,
     SettingsFile,
     run_program,
@@ -74,6 +75,7 @@
         self._close_servers = anyio.Event()
         incarnation = new_incarnation()
         counters = Counters()
+        generator = random.Random(incarnation)
         self._timers = TimerService()
         self._started_at = self._timers.wall_time()
         self._mesh = Mesh(
@@ -85,12 +87,13 @@
             timers=self._timers,
             counters=counters,
             address_of=settings.peer_address,
+            idle_after_s=PEER_IDLE_S,
         )
         self._roster = Roster(now=self._timers.now)
         self._scheduler = Scheduler(
             timers=self._timers,
             counters=counters,
-            random=random.Random(incarnation),
+            random=generator,
             make_client=WorkerClient,
         )
         self._claimer = Claimer(
@@ -103,13 +106,18 @@
         )
         self._scheduler.on_fenced = self._claimer.give_up_claim
         self._members = EntryMembers(
-            entry_id=settings.address,
-            failure_domain=settings.failure_domain,
+            summary=EntrySummary(
+                entry_id=settings.address,
+                failure_domain=settings.failure_domain,
+                cores=settings.cores,
+                started_at=self._started_at,
+            ),
             seeds=settings_file.seeds,
             transport=self._mesh,
             address_of=settings.peer_address,
             timers=self._timers,
             roster=self._roster,
+            random=generator,
             make_status=self._make_status,
         )
         self._feed = ConfigurationFeed(
@@ -126,7 +134,7 @@
             transport=self._mesh,
             timers=self._timers,
             counters=counters,
-            has_single_holder=self._claimer.has_single_holder,
+            random=generator,
         )
         self._callers = CallerInterface(
             self._service,
@@ -194,14 +202,14 @@
         _log.info("drained: {} requests are still open", self._callers.open_requests)
 
     def _has_successor(self) -> bool:
-        own_domains = set(self._claimer.term_by_claim())
-        other_domains = {
-            domain
+        own_parts = set(self._claimer.term_by_claim())
+        other_parts = {
+            part
             for entry_id, status in self._members.live_entries().items()
             if entry_id != self._members.entry_id and not status.draining
-            for domain in status.term_by_claim
+            for part in status.term_by_claim
         }
-        return own_domains <= other_domains
+        return own_parts <= other_parts
 
     def _is_ready(self) -> bool:
         return not self._stopping and self._routing.version > 0
@@ -216,6 +224,7 @@
             load=self._scheduler.load(),
             speed_by_backend=self._scheduler.estimates.speeds(),
             answering=self._claimer.responsive_backend_count(),
+            cores=self._settings.cores,
             started_at=self._started_at,
         )
 
--- a/src/apricotpoint/platform/process.py
+++ b/src/apricotpoint/platform/process.py
@@ -20,6 +20,10 @@
 # The key only keeps messages of other programs from being accepted.
 PEER_KEY = b"apricotpoint peers"
 
+# A link to a peer that is not used for this long closes its connection: hundreds of processes
+# cannot keep connections between all pairs.
+PEER_IDLE_S = 6.0
+
 # Allocations between two garbage collections. Each job allocates about 1000 objects, which
 # are freed by reference counting; the default of 700 would run a collection for each job.
 GC_THRESHOLD_ALLOCATIONS = 20_000
--- a/src/apricotpoint/platform/settings.py
+++ b/src/apricotpoint/platform/settings.py
@@ -21,7 +21,8 @@
     """Settings of one process.
 
     `address` is the IP address, which is also the id of the process among its
-    peers, because the platform names seeds by address only. `seeds` are the ids
+    peers, because the platform names seeds by address only. `cores` is the processor
+    of the VM, in cores of the usual speed. `seeds` are the ids
     of control processes. `first_start` is True only when the whole deployment
     starts for the first time. The `_bind` addresses are "host:port".
     """
@@ -30,6 +31,7 @@
     address: str
     failure_domain: str
     failure_domains: list[str]
+    cores: float
     peer_port: int
     seeds: list[str]
     first_start: bool
@@ -86,12 +88,15 @@
     """Convert a settings file, parsed from YAML, to `PlatformSettings`."""
     listen = raw.get("listen_addresses") or {}
     bounds = raw.get("bounds") or {}
+    limits = raw.get("limits") or {}
     folder = raw.get("data_directory")
     return PlatformSettings(
         name=str(raw["node_name"]),
         address=str(raw["ip_address"]),
         failure_domain=str(raw["zone"]),
         failure_domains=sorted(str(zone) for zone in raw["zones"]),
+        # A share of one core that is `cpu_cores` times as fast as a usual one.
+        cores=float(limits.get("cpu_share", 1.0)) * float(limits.get("cpu_cores", 1)),
         peer_port=int(raw["internal_port_range"][0]),
         # The platform gives the address of their control API; its port is not used.
         seeds=[str(seed).rpartition(":")[0] for seed in raw["seed_nodes"]],
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -22,11 +22,15 @@
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
-from apricotpoint._wire.pool import EntryStatus, PoolBackend
+from apricotpoint._pool.shares import BACKENDS_PER_CORE
+from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolBackend
 
 ONE_WAY_DELAY_S = 0.0005
 CONTROL_IDS = ("control-a", "control-b")
 ANNOUNCE_S = 1.5
+# Processors that carry the two backend servers of a failure domain, and all four.
+ONE_DOMAIN_CORES = 2 / BACKENDS_PER_CORE
+ALL_DOMAINS_CORES = 4 / BACKENDS_PER_CORE
 
 
 class FakeTransport:
@@ -46,6 +50,9 @@
     def remove_peer(self, peer_id: str) -> None:
         """Do nothing: every process reaches every other one."""
 
+    def replace_connections(self, peer_id: str) -> None:
+        """Do nothing: there are no connections."""
+
     def peers(self) -> list[str]:
         """Return the ids of all other processes."""
         return [key for key in self._network.transport_by_id if key != self.peer_id]
@@ -187,7 +194,7 @@
     domain: str
     network: FakeNetwork
     backend_by_id: dict[str, FakeBackend]
-    max_single_holder_backends: int
+    cores: float
     started_at: float
     counters: Counters = attrs.Factory(Counters)
     draining: bool = False
@@ -224,17 +231,21 @@
                     timers=timers,
                     counters=self.counters,
                     suspended_s=lambda: 0.0,
-                    max_single_holder_backends=self.max_single_holder_backends,
                 )
                 self.scheduler.on_fenced = self.claimer.give_up_claim
                 self.members = EntryMembers(
-                    entry_id=self.entry_id,
-                    failure_domain=self.domain,
+                    summary=EntrySummary(
+                        entry_id=self.entry_id,
+                        failure_domain=self.domain,
+                        cores=self.cores,
+                        started_at=self.started_at,
+                    ),
                     seeds=lambda: list(CONTROL_IDS),
                     transport=transport,
                     address_of=str,
                     timers=timers,
                     roster=roster,
+                    random=random.Random(2),
                     make_status=self._status,
                 )
                 self.service = PoolService(
@@ -244,7 +255,7 @@
                     transport=transport,
                     timers=timers,
                     counters=self.counters,
-                    has_single_holder=self.claimer.has_single_holder,
+                    random=random.Random(3),
                 )
                 for part in (timers, self.scheduler, self.members, self.service):
                     await stack.enter_async_context(part)
@@ -277,6 +288,7 @@
             load=self.scheduler.load(),
             speed_by_backend=self.scheduler.estimates.speeds(),
             answering=self.claimer.responsive_backend_count(),
+            cores=self.cores,
             started_at=self.started_at,
         )
 
@@ -322,12 +334,12 @@
 
 @asynccontextmanager
 async def run_cluster(
-    *, max_single_holder_backends: int = 0, leader: str = "e1"
+    *, cores: float = ONE_DOMAIN_CORES, leader: str = "e1"
 ) -> AsyncIterator[Cluster]:
     """Run the cluster until all backend servers are held.
 
-    Pools of up to `max_single_holder_backends` have one holder for all failure domains, which is
-    `leader` as long as nothing happens.
+    Each entry process has `cores`. One that can carry all backend servers holds all of them; this
+    is `leader` as long as nothing happens.
     """
     backend_by_id = {key: FakeBackend() for key in ("a1", "a2", "b1", "b2")}
     async with anyio.create_task_group() as group:
@@ -339,6 +351,7 @@
             relay_by_id = {
                 control_id: await stack.enter_async_context(
                     AnnouncementRelay(
+                        own_id=control_id,
                         transport=FakeTransport(network, control_id),
                         timers=timers,
                         control_ids=lambda: CONTROL_IDS,
@@ -354,7 +367,7 @@
                     key_domain,
                     network,
                     backend_by_id,
-                    max_single_holder_backends,
+                    cores,
                     key == leader,
                 )
                 for key, key_domain in DOMAINS
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 import pytest
-from pool_cluster import Cluster, run_cluster
+from pool_cluster import ALL_DOMAINS_CORES, Cluster, run_cluster
 from pool_harness import make_job, run_on_virtual_time
 
 from apricotpoint._core.codes import ResultCode
@@ -168,7 +168,7 @@
     """Guards against jobs that wait in one failure domain while others have free resources."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             held = sorted(cluster.holders().values(), key=len)
             assert held == [[], [], ["a1", "a2", "b1", "b2"]]
             answers: list[PoolAnswer] = []
@@ -186,7 +186,7 @@
     """
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4, leader=leader) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES, leader=leader) as cluster:
             assert cluster.holders()[leader] == ["a1", "a2", "b1", "b2"]
             cluster.partition("b")
             await anyio.sleep(4.0)
@@ -213,7 +213,7 @@
     """Guards against a pool without a holder after the only one was killed."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             (killed,) = [key for key, held in cluster.holders().items() if held]
             cluster.entry_by_id[killed].kill()
             await anyio.sleep(2.0)
@@ -227,7 +227,7 @@
     """Guards against endless requests to an address at which another incarnation answers."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             taken = cluster.entry_by_id["e1"].counters.get("pool.backends_taken")
             cluster.backend_by_id["a1"].is_other_incarnation = True
             cluster.unannounced.add("a1")
@@ -242,10 +242,10 @@
     """Guards against refusals between the loss of a holder and the claim of the next one."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             cluster.entry_by_id["e1"].kill()
             # The others have just detected it, and neither has made a claim yet.
-            while len(cluster.entry_by_id["e2"].members.live_entries()) > 2:  # noqa: ASYNC110
+            while "e1" in cluster.entry_by_id["e2"].members.live_entries():  # noqa: ASYNC110
                 await anyio.sleep(0.01)
             assert not any(cluster.holders().values())
             answers: list[PoolAnswer] = []
@@ -259,9 +259,9 @@
     """Guards against starts for a caller that disconnected while there was no holder."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             cluster.entry_by_id["e1"].kill()
-            while len(cluster.entry_by_id["e2"].members.live_entries()) > 2:  # noqa: ASYNC110
+            while "e1" in cluster.entry_by_id["e2"].members.live_entries():  # noqa: ASYNC110
                 await anyio.sleep(0.01)
             answers: list[PoolAnswer] = []
             async with anyio.create_task_group() as group:
@@ -279,7 +279,7 @@
     """Guards against callers that wait until their deadline although there is no holder."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             cluster.unannounced.update(cluster.backend_by_id)
             for backend in cluster.backend_by_id.values():
                 backend.is_other_incarnation = True
@@ -297,7 +297,7 @@
     """Guards against jobs too large for every backend server that wait until their deadline."""
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             began_at = anyio.current_time()
             request = attrs.evolve(make_job(1), room=Room(999_000, 64))
             answer = await cluster.entry_by_id["e2"].service.submit(request)
@@ -315,7 +315,7 @@
     """
 
     async def test() -> None:
-        async with run_cluster(max_single_holder_backends=4) as cluster:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
             # When the partition begins, the last status from e1 is older than the one from e2.
             cluster.network.dropped_pairs.add(("e1", "e3"))
             await anyio.sleep(0.3)
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -191,7 +191,7 @@
         backend = FakeBackend()
         fenced: list[str] = []
         async with run_scheduler(backend) as harness:
-            harness.scheduler.on_fenced = fenced.append
+            harness.scheduler.on_fenced = lambda item: fenced.append(item.failure_domain)
             backend.token = 1 << 40
             await anyio.sleep(1.0)
             assert fenced == ["a"]
