Rest the timer of schedulers without jobs and heartbeats of configuration polls

Change: the timer runs only while jobs are known; polls are quiet. A job that is submitted again moves to the end of the table, where one renewed entry stopped the removal of all later ones.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 import secrets
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from types import TracebackType
 
 import anyio
@@ -57,7 +57,8 @@
     of an unknown process that has sent a valid message; it returns the address
     of the new peer, or None to drop the message. Messages are authenticated
     with the first key of `keys`; those received may use any of them. Links that are
-    not used for `idle_after_s` seconds close their connections (see `PeerLink`).
+    not used for `idle_after_s` seconds close their connections (see `PeerLink`). Open
+    requests of `quiet_types` need no heartbeats there: such requests just time out.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         counters: Counters,
         address_of: Callable[[str], str | None] = accept_no_new_peers,
         idle_after_s: float = math.inf,
+        quiet_types: Collection[type] = (),
     ) -> None:
         self.handlers_by_type: dict[type, Handler] = {}
         self.request_handlers_by_type: dict[type, RequestHandler] = {}
@@ -87,6 +89,7 @@
         self._requests_in_progress = 0
         self._address_of = address_of
         self._idle_after_s = idle_after_s
+        self._quiet_types = frozenset(quiet_types)
         self._link_by_id = {
             peer_id: self._make_link(peer_id, address)
             for peer_id, address in address_by_peer.items()
@@ -155,14 +158,17 @@
         request_id = next(self._request_ids)
         pending = _PendingRequest(peer_id)
         self._pending_request_by_id[request_id] = pending
-        link.begin_request()
+        needs_heartbeats = type(message) not in self._quiet_types
+        if needs_heartbeats:
+            link.begin_request()
         try:
             if not link.send(message, request_id=request_id):
                 raise PeerUnreachable(f"the send queue to peer {peer_id} is full")
             with anyio.move_on_after(timeout_s):
                 await pending.arrived.wait()
         finally:
-            link.end_request()
+            if needs_heartbeats:
+                link.end_request()
             del self._pending_request_by_id[request_id]
         if not pending.arrived.is_set():
             self._counters.add("link.request_timeouts")
@@ -329,12 +335,14 @@
             return
         assert self._group is not None
         self._requests_in_progress += 1
-        link.begin_request()
         self._group.start_soon(self._answer, handler, link, sender, envelope)
 
     async def _answer(
         self, handler: RequestHandler, link: PeerLink, sender: Sender, envelope: codec.Envelope
     ) -> None:
+        needs_heartbeats = type(envelope.message) not in self._quiet_types
+        if needs_heartbeats:
+            link.begin_request()
         try:
             reply = await handler(sender, envelope.message)
             link.send(reply, request_id=envelope.request_id, is_reply=True)
@@ -346,5 +354,6 @@
                 sender.peer_id,
             )
         finally:
-            link.end_request()
+            if needs_heartbeats:
+                link.end_request()
             self._requests_in_progress -= 1
--- a/src/apricotpoint/_pool/jobtable.py
+++ b/src/apricotpoint/_pool/jobtable.py
@@ -43,6 +43,10 @@
         """Return whether no job is open."""
         return not self._open_by_id
 
+    def has_entries(self) -> bool:
+        """Return whether any job is open or ended recently."""
+        return bool(self._open_by_id or self._ended_by_id)
+
     def next_run(self, task: Task) -> int:
         """Return the next run number of a task; it rises over repeated submissions, too."""
         number = self._last_run_by_task.get(task.name, 0) + 1
@@ -54,6 +58,8 @@
         job_id = job.request.job_id
         if self._open_by_id.get(job_id) is job:
             del self._open_by_id[job_id]
+            # A job that was submitted again moves to the end of the order.
+            self._ended_by_id.pop(job_id, None)
             self._ended_by_id[job_id] = (self._now(), job)
 
     def expire(self) -> None:
@@ -61,6 +67,7 @@
         now = self._now()
         for job_id, (ended_at, job) in list(self._ended_by_id.items()):
             if now - ended_at <= ANSWER_RETENTION_S:
+                # Entries are in the order in which their jobs ended.
                 return
             del self._ended_by_id[job_id]
             if job_id not in self._open_by_id:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -67,7 +67,6 @@
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
         self._group.start_soon(self._dispatch_loop)
-        self._subscription = self._timers.every(TICK_PERIOD_S, self._tick)
         return self
 
     async def __aexit__(
@@ -150,6 +149,8 @@
         """
         job = self._make_job(request, origin)
         self._jobs.add(job)
+        if self._subscription is None:
+            self._subscription = self._timers.every(TICK_PERIOD_S, self._tick)
         self.estimates.record_resources(request)
         self._counters.add("pool.jobs")
         self.request_dispatch()
@@ -524,6 +525,11 @@
                 else:
                     self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
         self._jobs.expire()
+        if not self._jobs.has_entries() and self._subscription is not None:
+            # Most processes schedule no jobs, and a timer that never rests costs each of them.
+            self._subscription.cancel()
+            self._subscription = None
+            return
         # No event marks the end of a backoff, or the time at which a task accepts a slower backend
         # server.
         if any(job.waiting_tasks() for job in self.unanswered_jobs()):
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -27,6 +27,7 @@
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.relay import AnnouncementRelay
 from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint._wire.configuration import ConfigPoll
 from apricotpoint.platform.controlapi import make_control_app
 from apricotpoint.platform.process import (
     PEER_IDLE_S,
@@ -70,6 +71,7 @@
         counters=counters,
         address_of=settings.peer_address,
         idle_after_s=PEER_IDLE_S,
+        quiet_types=[ConfigPoll],
     )
     node = ControlNode(
         node_id=settings.address,
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -22,7 +22,7 @@
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
 from apricotpoint._programs.incarnation import new_incarnation
-from apricotpoint._wire.configuration import Configuration
+from apricotpoint._wire.configuration import ConfigPoll, Configuration
 from apricotpoint._wire.pool import EntryStatus, EntrySummary
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
 from apricotpoint.platform.configuration import decode_routing
@@ -88,6 +88,7 @@
             counters=counters,
             address_of=settings.peer_address,
             idle_after_s=PEER_IDLE_S,
+            quiet_types=[ConfigPoll],
         )
         self._roster = Roster(now=self._timers.now)
         self._scheduler = Scheduler(
