Have the late answer of the feed's test arrive while it is still waited for

Cause: the defect 'a stale configuration version is accepted' was caught by no test: the answer came 0.5 s after the request, just when the feed stops to wait, so the check never saw it. The code is right. Change: the answer comes after half of the first time-out. Result: with the defect put in by hand the test fails, and passes without it.

--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -7,7 +7,7 @@
 import anyio
 from control_network import IDS, Cluster, Endpoint, wait_until, with_cluster
 
-from apricotpoint._control.feed import ConfigurationFeed
+from apricotpoint._control.feed import _FIRST_FETCH_S, ConfigurationFeed
 from apricotpoint._core.counters import Counters
 from apricotpoint._link.transport import Sender
 from apricotpoint._wire.configuration import ConfigPoll, ConfigUpdate, Configuration
@@ -159,7 +159,8 @@
             await cluster.change(leader, f"cmd-{version}", version)
 
         async def answer_late(_: Sender, __: object) -> object:
-            await anyio.sleep(0.5)
+            # After the other answer, but before the feed stops to wait for the first ones.
+            await anyio.sleep(_FIRST_FETCH_S / 2)
             return ConfigUpdate(version=1, current=False, configuration=Configuration(version=1))
 
         behind = Endpoint(cluster.network, "behind")
