Match replies in the stand-in network by incarnation, as the mesh does

Cause of OLD_DISK after kills and restarts with late messages (KNOWN-RED): the stand-in numbers requests from 1 in each incarnation, so a reply to the start check of an earlier incarnation, which rightly names a newer start, was taken for the reply to that of the next one. The mesh drops such replies. Change: the stand-in compares the incarnation, too.

--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -140,7 +140,11 @@
     async def receive(self, envelope: codec.Envelope) -> None:
         """Pass a reply to its request, or a request to its handler, and send the reply."""
         if envelope.is_reply:
-            if envelope.request_id in self._reply_by_request:
+            # As in the mesh, a reply to an earlier incarnation answers no request of this one.
+            if (
+                envelope.peer_incarnation == self._incarnation
+                and envelope.request_id in self._reply_by_request
+            ):
                 done, replies = self._reply_by_request[envelope.request_id]
                 replies.append(envelope.message)
                 done.set()
@@ -163,6 +167,7 @@
                 reply,
                 request_id=envelope.request_id,
                 is_reply=True,
+                peer_incarnation=envelope.incarnation,
             ),
         )
 
