Have a process that joins learn of the holders before it claims

Change: the new process probes all holders named to it; a holder sends its status to such newcomers; holders make themselves known each 0.3 s, so that a restarted control process soon names them; links reconnect within 0.2 s. A refused job is forwarded by the expected wait for all its tasks.

--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -22,6 +22,8 @@
 MAX_QUEUED_MESSAGES = 1000
 MAX_UNACKNOWLEDGED_MESSAGES = 2000
 MAX_MESSAGE_BYTES = 64 << 20
+# Pauses between attempts to connect to a peer that does not accept connections.
+MIN_RECONNECT_S, MAX_RECONNECT_S = 0.05, 0.2
 # Kept small so that messages wait in the queue of this process, where their age is known.
 _SOCKET_BUFFER_MESSAGES = 16
 # Acknowledges a burst of reliable messages before the next heartbeat, so that the
@@ -302,7 +304,9 @@
             self._counters.add("link.redials")
             self._socket.close()
         self._socket = pynng.Push0(
-            send_buffer_size=_SOCKET_BUFFER_MESSAGES, reconnect_time_min=50, reconnect_time_max=500
+            send_buffer_size=_SOCKET_BUFFER_MESSAGES,
+            reconnect_time_min=round(MIN_RECONNECT_S * 1000),
+            reconnect_time_max=round(MAX_RECONNECT_S * 1000),
         )
         self._socket.dial(f"tcp://{self._address}", block=False)
         self._dialled_at = now
--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -12,9 +12,16 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
+from apricotpoint._link.peer import MAX_RECONNECT_S
 from apricotpoint._pool import claims
 from apricotpoint._pool.claims import ShareClaim
-from apricotpoint._pool.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
+from apricotpoint._pool.members import (
+    HOLDER_HELLO_PERIOD_S,
+    INITIAL_HELLO_PERIOD_S,
+    LIVENESS_TIMEOUT_S,
+    STATUS_PERIOD_S,
+    EntryMembers,
+)
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.shares import Layout, Share, make_layout
@@ -23,9 +30,10 @@
 CLAIM_CHECK_PERIOD_S = 0.1
 # After a pause of the process, new claims wait until each live holder has sent its status.
 PAUSE_OBSERVATION_S = LIVENESS_TIMEOUT_S + STATUS_PERIOD_S
-# A process that has just started and learned of the others receives the status of the holders
-# within two status periods; new claims wait for it.
-START_OBSERVATION_S = 2 * STATUS_PERIOD_S + CLAIM_CHECK_PERIOD_S
+# A process that has just started waits for this long with new claims. The control process that
+# answered first may have been restarted, too: it names the holders after their next `EntryHello`
+# has arrived over a new connection, and is asked again then.
+START_OBSERVATION_S = HOLDER_HELLO_PERIOD_S + INITIAL_HELLO_PERIOD_S + MAX_RECONNECT_S
 # A check that is delayed by this much means that the process was paused: other entry
 # processes regard it as unreachable and may have acquired its backend servers.
 PAUSE_THRESHOLD_S = 0.8
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -40,11 +40,12 @@
 # A holder without contact for this long is asked for its status over new connections, because a
 # connection may go silent while its process is well.
 SUSPICION_TIMEOUT_S, DISTANT_SUSPICION_TIMEOUT_S = 0.5, 1.0
-# Period and time-out of the `EntryHello` requests to the control processes.
-HELLO_PERIOD_S = 2.0
+# Period and time-out of the `EntryHello` requests to the control processes. Holders send more of
+# them, so that a control process that was restarted soon names all holders.
+HELLO_PERIOD_S, HOLDER_HELLO_PERIOD_S = 2.0, 0.3
 HELLO_TIMEOUT_S = 0.8
 # Period of these requests after the start, while the other processes become known.
-INITIAL_HELLO_PERIOD_S = 0.25
+INITIAL_HELLO_PERIOD_S = 0.2
 INITIAL_HELLOS_S = 2.0
 # Shortest time between two rounds of probes, and their time-out.
 PROBE_PERIOD_S = 0.2
@@ -121,6 +122,7 @@
         self._status_by_entry: dict[str, EntryStatus] = {}
         self._last_contact_at_by_entry: dict[str, float] = {}
         self._suspected: set[str] = set()
+        self._newcomers: set[str] = set()
         self._probed_at = float("-inf")
         self._status: EntryStatus | None = None
         self._status_at = 0.0
@@ -256,6 +258,8 @@
         }
         if is_for_all:
             audience |= self._previously_live
+        self._newcomers -= self.directory.summary_by_entry.keys()
+        audience |= self._newcomers
         return audience - {self.entry_id}
 
     def _update_summary(self, status: EntryStatus) -> None:
@@ -308,6 +312,13 @@
             self._start_probe(entry_id)
             self.probe()
 
+    def _probe_unknown_holders(self) -> None:
+        """Ask holders of which no status was received yet; they may not know this process."""
+        for entry_id, summary in self.directory.summary_by_entry.items():
+            is_unknown = entry_id not in self._status_by_entry and entry_id != self.entry_id
+            if is_unknown and summary.is_holder:
+                self._start_probe(entry_id)
+
     def _start_probe(self, entry_id: str) -> None:
         assert self._group is not None
         self.open_link(entry_id)
@@ -323,8 +334,11 @@
         assert isinstance(status, EntryStatus)
         self._record_status(entry_id, status, self._timers.now())
 
-    async def _on_probe(self, _: Sender, message: object) -> object:
+    async def _on_probe(self, sender: Sender, message: object) -> object:
         assert isinstance(message, EntryProbe)
+        if sender.peer_id not in self.directory.summary_by_entry:
+            # It has just started; until it is listed here, it gets each status because of this.
+            self._newcomers.add(sender.peer_id)
         return self._own_status()
 
     def _remove_expired(self) -> None:
@@ -369,7 +383,8 @@
                 continue
             welcome_at, now = self.first_welcome_at, self._timers.now()
             is_new = welcome_at is None or now - welcome_at < INITIAL_HELLOS_S
-            with anyio.move_on_after(INITIAL_HELLO_PERIOD_S if is_new else HELLO_PERIOD_S):
+            period_s = HOLDER_HELLO_PERIOD_S if summary.is_holder else HELLO_PERIOD_S
+            with anyio.move_on_after(INITIAL_HELLO_PERIOD_S if is_new else period_s):
                 await self._hello_requested.wait()
         self._greeted.discard(control_id)
 
@@ -392,4 +407,5 @@
         if self.first_welcome_at is None:
             self.first_welcome_at = self._timers.now()
         self.directory.update(control_id, welcome)
+        self._probe_unknown_holders()
         self._roster.update(BackendsHeard(welcome.backends))
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 from types import TracebackType
 
@@ -32,8 +33,8 @@
 # them within a second after their last holder became unreachable.
 HOLDER_TIMEOUT_S = 1.0
 HOLDER_POLL_S = 0.02
-# A refused job is forwarded to a process whose backlog is below this share of the own one.
-FORWARD_BACKLOG_SHARE = 0.5
+# A refused job is forwarded to a process whose expected wait is below this share of the own one.
+FORWARD_WAIT_SHARE = 0.5
 
 # Backlog that halves the jobs which a holder without free room gets.
 BACKLOG_HALVING_S = 0.1
@@ -52,6 +53,18 @@
     return load.free + 1 / (1 + load.backlog_s / BACKLOG_HALVING_S)
 
 
+def expected_wait_s(load: PoolLoad, request: PoolJob) -> float:
+    """Return a rough wait of a job at a holder, in seconds, for the choice among holders.
+
+    A job with many tasks waits for some of them even without a backlog, if they find no room
+    at once. Without any capacity the wait is infinite.
+    """
+    if not load.capacity:
+        return math.inf
+    waiting_tasks = max(request.count - load.free, 0)
+    return load.backlog_s + request.estimate_s * waiting_tasks / load.capacity
+
+
 class PoolService:
     """Submission and cancellation of the jobs of callers at one entry process.
 
@@ -264,20 +277,15 @@
         return False
 
     def _less_loaded_process(self, request: PoolJob) -> str | None:
-        """Return another process that can run the job now or much sooner, None if there is none."""
-        own_s = self._scheduler.load().backlog_s if self._scheduler.held_by_id else float("inf")
+        """Return another holder that can run the job now or much sooner, None if there is none."""
+        own_s = expected_wait_s(self._scheduler.load(), request)
         waits = [
-            (status.load.backlog_s, entry_id)
+            (expected_wait_s(status.load, request), entry_id)
             for entry_id, status in self._members.live_entries().items()
-            if entry_id != self._members.entry_id
-            and not status.draining
-            and status.held
-            and (
-                status.load.free >= request.count
-                or status.load.backlog_s < own_s * FORWARD_BACKLOG_SHARE
-            )
+            if entry_id != self._members.entry_id and not status.draining and status.held
         ]
-        return min(waits)[1] if waits else None
+        best_s, entry_id = min(waits, default=(math.inf, ""))
+        return entry_id if best_s == 0 or best_s < own_s * FORWARD_WAIT_SHARE else None
 
     async def _on_job(self, sender: Sender, message: object) -> object:
         assert isinstance(message, PoolJob)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -304,6 +304,21 @@
     entry_by_id: dict[str, Entry]
     backend_by_id: dict[str, FakeBackend]
     unannounced: set[str]
+    relay_by_id: dict[str, AnnouncementRelay]
+
+    async def restart(self, entry_id: str) -> None:
+        """Start a new incarnation of a killed entry process."""
+        former = self.entry_by_id[entry_id]
+        started_at = former.started_at + 1 + anyio.current_time()
+        entry = attrs.evolve(former, started_at=started_at, counters=Counters())
+        entry.scope = anyio.CancelScope()
+        self.entry_by_id[entry_id] = entry
+        await self.network.group.start(entry.run)
+
+    def forget_entries(self) -> None:
+        """Have all control processes forget the entry processes, as after a restart."""
+        for relay in self.relay_by_id.values():
+            relay._entry_by_id.clear()
 
     def partition(self, domain: str) -> None:
         """Partition a failure domain, with its processes and backend servers, from the others."""
@@ -376,7 +391,7 @@
                 await group.start(entry.run)
             await anyio.sleep(3.0)
             entry_by_id = {entry.entry_id: entry for entry in entries}
-            yield Cluster(network, entry_by_id, backend_by_id, unannounced)
+            yield Cluster(network, entry_by_id, backend_by_id, unannounced, relay_by_id)
             group.cancel_scope.cancel()
 
 
