Confine unexpected values and errors to what they concern

Change: addresses are checked; callbacks, renewals and dispatches that fail are logged with their cause and cost one call, one lease or one pass. Errors with a result code still end the process.

--- a/src/apricotpoint/_core/timers.py
+++ b/src/apricotpoint/_core/timers.py
@@ -9,6 +9,11 @@
 import anyio
 import anyio.abc
 import attrs
+import logbook
+
+from apricotpoint._core.errors import ApricotError
+
+_log = logbook.Logger("timers")
 
 
 @attrs.define(eq=False)
@@ -34,7 +39,8 @@
     `now` follows the clock of the running event loop, so tests that run on
     trio's `MockClock` get virtual time. `wall_clock` can be replaced for the same
     reason. Use the service as an async context manager: callbacks are called
-    only inside it, and an exception in one cancels the body of the context.
+    only inside it. An `ApricotError` in one cancels the body of the context; any
+    other exception is logged, and the callback is called again after its period.
     """
 
     def __init__(self, *, wall_clock: Callable[[], float] = time.time) -> None:
@@ -101,4 +107,14 @@
                 continue
             # A callback that is late is called once, not once for each missed period.
             timer.due_at = max(timer.due_at + timer.period_s, now)
-            timer.callback()
+            try:
+                timer.callback()
+            except ApricotError:
+                raise
+            except Exception:
+                # One unexpected value must not end a process that serves others.
+                _log.exception(
+                    "periodic callback {} failed; the next call is in {:.3f} s",
+                    getattr(timer.callback, "__qualname__", timer.callback),
+                    timer.period_s,
+                )
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -331,7 +331,9 @@
             )
         except PeerUnreachable:
             return
-        assert isinstance(status, EntryStatus)
+        if not isinstance(status, EntryStatus):
+            _log.warning("entry process {} answered a probe by {}", entry_id, type(status).__name__)
+            return
         self._record_status(entry_id, status, self._timers.now())
 
     async def _on_probe(self, sender: Sender, message: object) -> object:
@@ -402,7 +404,11 @@
             # The announcements that it would have brought are asked for again.
             self._needs_backends = self._needs_backends or hello.needs_backends
             return
-        assert isinstance(welcome, EntryWelcome)
+        if not isinstance(welcome, EntryWelcome):
+            _log.warning(
+                "control process {} answered a hello by {}", control_id, type(welcome).__name__
+            )
+            return
         self.last_contact_at = self._timers.now()
         if self.first_welcome_at is None:
             self.first_welcome_at = self._timers.now()
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -97,12 +97,23 @@
         renewer = LeaseRenewer(held, observer=self, timers=self._timers, counters=self._counters)
         self.held_by_id[announcement.backend_id] = held
         self._renewer_by_id[announcement.backend_id] = renewer
-        self._group.start_soon(renewer.run)
+        self._group.start_soon(self._run_renewer, held, renewer)
         self._counters.add("pool.backends_taken")
         _log.info(
             "acquiring backend server {} with fencing token {}", announcement.backend_id, token
         )
 
+    async def _run_renewer(self, held: HeldBackend, renewer: LeaseRenewer) -> None:
+        """Renew a lease; an unexpected error costs this backend server, not the process."""
+        try:
+            await renewer.run()
+        except Exception:
+            _log.exception("renewals of the lease on backend server {} failed", held.backend_id)
+            self._counters.add("pool.renewal_errors")
+            if self.held_by_id.get(held.backend_id) is held:
+                self.release(held.backend_id, "its renewals failed unexpectedly")
+            await held.client.close()
+
     def announce(self, announcement: PoolBackend) -> None:
         """Process an announcement; ignored if it is outdated or its backend server is not held."""
         held = self.held_by_id.get(announcement.backend_id)
@@ -361,7 +372,11 @@
         while True:
             await self._dispatch_requested.wait()
             self._dispatch_requested = anyio.Event()
-            self._dispatch()
+            try:
+                self._dispatch()
+            except Exception:
+                self._counters.add("pool.dispatch_errors")
+                _log.exception("dispatch failed; waiting tasks are looked at again")
 
     def _dispatch(self) -> None:
         now = self._timers.now()
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -50,7 +50,7 @@
 
     Free room counts most; without any, holders with a short backlog get more.
     """
-    return load.free + 1 / (1 + load.backlog_s / BACKLOG_HALVING_S)
+    return max(load.free, 0) + 1 / (1 + max(load.backlog_s, 0.0) / BACKLOG_HALVING_S)
 
 
 def expected_wait_s(load: PoolLoad, request: PoolJob) -> float:
--- a/src/apricotpoint/platform/heartbeats.py
+++ b/src/apricotpoint/platform/heartbeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import attrs
 import msgspec
 
@@ -9,6 +11,7 @@
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 from apricotpoint._wire.pool import PoolBackend, Room
 
+MAX_PORT = 65535
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -53,11 +56,10 @@
             f"the heartbeat of worker {worker_id} has state {heartbeat.state!r}; "
             "it must be ready or draining"
         )
-    host, _, port = heartbeat.address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not _is_address(heartbeat.address):
         raise _malformed(
             f"the heartbeat of worker {worker_id} has address {heartbeat.address!r}; "
-            "it must be host:port"
+            "it must be an IP address and a port"
         )
     if (
         heartbeat.sequence < 0
@@ -80,5 +82,15 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is "IP:port"; a call to any other address raises no `OSError`."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT
+
+
 def _malformed(message: str) -> ApricotError:
     return ApricotError(ResultCode.MALFORMED, message)
--- a/src/apricotpoint/platform/workers.py
+++ b/src/apricotpoint/platform/workers.py
@@ -120,7 +120,7 @@
             raise RenewalRefused(_decode_outcome(response))
         try:
             return _decode_hold_response(response.content)
-        except (*DECODE_ERRORS, ValueError, IndexError) as error:
+        except (*DECODE_ERRORS, ArithmeticError, LookupError, TypeError, ValueError) as error:
             _log.warning(
                 "response of worker {} to /hold cannot be decoded: {}", self._worker_id, error
             )
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -332,3 +332,21 @@
             assert harness.scheduler.idle()
 
     run_on_virtual_time(test)
+
+
+def test_an_unexpected_error_of_one_backend_server_costs_only_its_lease():
+    """Guards against a process that ends because of one malformed response."""
+
+    async def test() -> None:
+        backend = FakeBackend()
+        async with run_scheduler(backend) as harness:
+
+            async def fail(**_: object) -> None:
+                raise RuntimeError("unexpected")
+
+            backend.renew_lease = fail  # type: ignore[method-assign, assignment]
+            await anyio.sleep(1.0)
+            assert harness.scheduler.held_by_id == {}
+            assert harness.counters.get("pool.renewal_errors") == 1
+
+    run_on_virtual_time(test)
