--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -23,7 +23,7 @@
 MAX_UNACKNOWLEDGED_MESSAGES = 2000
 MAX_MESSAGE_BYTES = 64 << 20
 # Pauses between attempts to connect to a peer that does not accept connections.
-MIN_RECONNECT_S, MAX_RECONNECT_S = 0.05, 0.2
+MIN_RECONNECT_S, MAX_RECONNECT_S = 0.05, 0.15
 # Kept small so that messages wait in the queue of this process, where their age is known.
 _SOCKET_BUFFER_MESSAGES = 16
 # Acknowledges a burst of reliable messages before the next heartbeat, so that the
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -42,11 +42,11 @@
 SUSPICION_TIMEOUT_S, DISTANT_SUSPICION_TIMEOUT_S = 0.5, 1.0
 # Period and time-out of the `EntryHello` requests to the control processes. Holders send more of
 # them, so that a control process that was restarted soon names all holders.
-HELLO_PERIOD_S, HOLDER_HELLO_PERIOD_S = 2.0, 0.3
+HELLO_PERIOD_S, HOLDER_HELLO_PERIOD_S = 2.0, 0.2
 HELLO_TIMEOUT_S = 0.8
 # Period of these requests after the start, while the other processes become known.
-INITIAL_HELLO_PERIOD_S = 0.2
-INITIAL_HELLOS_S = 2.0
+INITIAL_HELLO_PERIOD_S = 0.15
+INITIAL_HELLOS_S = 1.0
 # Shortest time between two rounds of probes, and their time-out.
 PROBE_PERIOD_S = 0.2
 PROBE_TIMEOUT_S = 0.5
