Start nothing after a pause until the claims were checked

Change: dispatch and start ask whether the last check is recent, suspended time included. Result: two new tests, which fail before.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -93,11 +93,23 @@
         self._no_new_claims_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
         scheduler.on_backend_ended = roster.remove_ended
+        scheduler.may_start = self.is_current
 
     def start_pause_detection(self) -> None:
         """Start to measure the time between checks; call this before the first `check`."""
         self._checked_at, self._checked_suspended_s = self._timers.now(), self._suspended_s()
 
+    def is_current(self) -> bool:
+        """Return whether this process was not paused since the last check.
+
+        After a pause its claims may have passed to others, until the next check has given them up.
+        """
+        return self._seconds_since_check() < PAUSE_THRESHOLD_S
+
+    def _seconds_since_check(self) -> float:
+        suspended_s = self._suspended_s() - self._checked_suspended_s
+        return self._timers.now() - self._checked_at + suspended_s
+
     def term_by_claim(self) -> dict[str, int]:
         """Return the term of each claim of this process by part of a failure domain."""
         return dict(self._term_by_part)
@@ -177,9 +189,8 @@
         )
 
     def _check_pause(self) -> None:
-        now, suspended_s = self._timers.now(), self._suspended_s()
-        paused_s = now - self._checked_at + suspended_s - self._checked_suspended_s
-        self._checked_at, self._checked_suspended_s = now, suspended_s
+        now, paused_s = self._timers.now(), self._seconds_since_check()
+        self._checked_at, self._checked_suspended_s = now, self._suspended_s()
         if paused_s < PAUSE_THRESHOLD_S:
             return
         _log.warning("process was paused for {:.1f} s; giving up all claims", paused_s)
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -36,8 +36,9 @@
 
     Use it as an async context manager. Call all methods on the event loop. `on_fenced` is called
     with a backend server on which another process has a higher fencing token, `on_backend_ended`
-    with the id of a backend server whose incarnation has ended. `make_client` returns a client
-    for an announced backend server; the scheduler closes it.
+    with the id of a backend server whose incarnation has ended. `may_start` tells whether the
+    claims of this process are known to be still its own; no task starts otherwise. `make_client`
+    returns a client for an announced backend server; the scheduler closes it.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self.estimates = Estimates(self.held_by_id)
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
+        self.may_start: Callable[[], bool] = lambda: True
         self.draining = False
         self._timers = timers
         self._counters = counters
@@ -379,6 +381,8 @@
                 _log.exception("dispatch failed; waiting tasks are looked at again")
 
     def _dispatch(self) -> None:
+        if not self.may_start():
+            return
         now = self._timers.now()
         eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
         if not eligible:
@@ -412,6 +416,10 @@
 
     async def _send_start(self, run: Run) -> None:
         held, now = run.backend, self._timers.now()
+        if not self.may_start():
+            # The process was paused since the dispatch; its jobs end with its claims.
+            self._counters.add("pool.starts_withheld")
+            return
         lease_until_ms = held.lease_until_ms(now)
         assert lease_until_ms is not None, (
             "start on a backend server that has not answered a renewal yet"
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -366,3 +366,19 @@
             assert cluster.entry_by_id["e1"].counters.get("claims.fenced") == 0
 
     run_on_virtual_time(test)
+
+
+def test_a_suspended_process_may_not_start_tasks_before_its_next_check():
+    """Guards against starts just after a suspension, which the monotonic clock does not count."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            claimer = cluster.entry_by_id["e1"].claimer
+            assert claimer.is_current()
+            claimer._suspended_s = lambda: 2.0
+            assert not claimer.is_current()
+            await anyio.sleep(0.15)
+            assert claimer.is_current()
+            assert cluster.entry_by_id["e1"].counters.get("claims.pauses") == 1
+
+    run_on_virtual_time(test)
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -350,3 +350,26 @@
             assert harness.counters.get("pool.renewal_errors") == 1
 
     run_on_virtual_time(test)
+
+
+def test_no_task_starts_after_a_pause_until_the_claims_were_checked():
+    """Guards against a start by a process that was paused while another took over its claims."""
+
+    async def test() -> None:
+        backend = FakeBackend()
+        async with run_scheduler(backend) as harness:
+            await anyio.sleep(0.5)
+            current = True
+            harness.scheduler.may_start = lambda: current
+            harness.scheduler.submit(make_job(1), "")
+            # The pause comes between the dispatch and the requests that it makes.
+            harness.scheduler._dispatch()
+            current = False
+            await anyio.sleep(0.2)
+            harness.scheduler.submit(make_job(2), "")
+            await anyio.sleep(0.2)
+            assert not backend.starts
+            harness.scheduler.release_all("the process was paused")
+            assert not harness.scheduler.unanswered_jobs()
+
+    run_on_virtual_time(test)
