Finish begun jobs during a hand-over and return the others

Change: begun jobs may start tasks there, new ones are refused so that they go to the successor, and those that wait are answered as not run, on which their entry process routes them again.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -323,6 +323,9 @@
             held.handing_over = must_hand_over and part in claimed_by_others
             if held.handing_over and not held.run_by_key:
                 self._scheduler.release(backend_id, f"another process claims {part}")
+        held_backends = self._scheduler.held_by_id.values()
+        if held_backends and all(held.handing_over for held in held_backends):
+            self._scheduler.return_unstarted_jobs("another process claims all its backend servers")
 
     def _acquire_backends(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         if self.draining or not self._term_by_part:
--- a/src/apricotpoint/_pool/dispatch.py
+++ b/src/apricotpoint/_pool/dispatch.py
@@ -26,7 +26,11 @@
     blocked = 0
     for job in waiting:
         request = job.request
-        fitting = [held for held in eligible if held.can_start(request, now)]
+        fitting = [
+            held
+            for held in eligible
+            if held.can_start(request, now) and (job.started or not held.handing_over)
+        ]
         for task in job.waiting_tasks():
             if not fitting:
                 blocked += 1
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -53,7 +53,11 @@
 
     def load(self, jobs: Iterable[Job], now: float) -> PoolLoad:
         """Return the load figures for other entry processes, with `jobs` unanswered."""
-        eligible = [held for held in self._held_by_id.values() if held.is_eligible(now)]
+        eligible = [
+            held
+            for held in self._held_by_id.values()
+            if held.is_eligible(now) and not held.handing_over
+        ]
         typical_cpu = self._typical_cpu()
         return PoolLoad(
             backlog_s=self.backlog_s(jobs, now),
--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -32,8 +32,8 @@
     `is_responsive` tells whether the last renewal was answered, `full_until` is the end of the
     backoff after a start that was refused for lack of resources. `used` are the resources of the
     runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
-    server, which gets no new starts then. `released` is set when the lease is no longer to be
-    renewed.
+    server: only jobs that have started may start tasks there then. `released` is set when the
+    lease is no longer to be renewed.
     """
 
     announcement: PoolBackend
@@ -81,7 +81,6 @@
         return (
             self.is_responsive
             and not self.announcement.leaving
-            and not self.handing_over
             and not self.released
             and not self.untracked_runs
             and now >= self.full_until
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -171,7 +171,11 @@
 
     def refusal(self, request: PoolJob) -> PoolAnswer | None:
         """Return the refusal of a job that cannot be answered in time, None to accept the job."""
-        available = [held for held in self.held_by_id.values() if not held.announcement.leaving]
+        available = [
+            held
+            for held in self.held_by_id.values()
+            if not held.announcement.leaving and not held.handing_over
+        ]
         if not available:
             return self._make_refusal(ResultCode.NO_BACKEND, "this process holds no backend server")
         if not any(held.can_run(request) for held in available):
@@ -226,11 +230,16 @@
     def start_draining(self) -> None:
         """Finish the jobs that have started, and answer all others as not run (`DRAINING`)."""
         self.draining = True
+        self.return_unstarted_jobs("this process is shutting down")
+
+    def return_unstarted_jobs(self, reason: str) -> None:
+        """Answer the jobs that have not started as `DRAINING`, so that they go to another holder.
+
+        Otherwise they would wait for backend servers that are handed over, until their deadline.
+        """
         for job in self.unanswered_jobs():
             if not job.started:
-                self._finish_job(
-                    job, PoolAnswer(int(ResultCode.DRAINING), "this process is shutting down")
-                )
+                self._finish_job(job, PoolAnswer(int(ResultCode.DRAINING), reason))
 
     def unstarted_jobs(self, kind: str) -> int:
         """Return the number of open jobs of a kind of which no task has started."""
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import attrs
 from pool_harness import (
     FakeBackend,
     make_announcement,
@@ -373,3 +374,33 @@
             assert not harness.scheduler.unanswered_jobs()
 
     run_on_virtual_time(test)
+
+
+def test_a_hand_over_finishes_the_jobs_that_have_started_and_returns_the_others():
+    """Guards against jobs that wait for handed-over backend servers until their deadline."""
+
+    async def test() -> None:
+        backend = FakeBackend()
+        async with run_scheduler(backend) as harness:
+            await anyio.sleep(0.5)
+            scheduler = harness.scheduler
+            # More tasks than fit at once, so that some start during the hand-over.
+            begun = scheduler.submit(attrs.evolve(make_job(1), count=5), "")
+            waiting = scheduler.submit(attrs.evolve(make_job(2), count=5), "")
+            await anyio.sleep(0.05)
+            assert begun.started
+            assert not waiting.started
+            for held in scheduler.held_by_id.values():
+                held.handing_over = True
+            scheduler.return_unstarted_jobs("handed over")
+            refusal = scheduler.refusal(make_job(3))
+            assert refusal is not None
+            assert refusal.code == ResultCode.NO_BACKEND
+            assert scheduler.load().free == 0
+            await anyio.sleep(1.5)
+            assert waiting.answer is not None
+            assert waiting.answer.code == ResultCode.DRAINING
+            assert begun.answer is not None
+            assert begun.answer.code == ResultCode.COMPLETE
+
+    run_on_virtual_time(test)
