Move a share from a VM that cannot carry it to one that can

Cause: after the loss of all processes the VMs that come back first claim, small ones among them, and a claim on a single share always counted as carried, so a VM of 0.387 cores kept a share meant for 1.29. Change: a claimant that cannot carry its share gives way to a candidate that can; where none can, nothing moves.

--- a/src/apricotpoint/_pool/claims.py
+++ b/src/apricotpoint/_pool/claims.py
@@ -143,7 +143,7 @@
     status, shares = live[entry_id], claimed_by_entry[entry_id]
     earlier = shares[: shares.index(share)]
     load = sum(item.backend_count for item in earlier) + share.backend_count
-    return status.failure_domain in share.domains, not earlier or load <= capacity(status.cores)
+    return status.failure_domain in share.domains, load <= capacity(status.cores)
 
 
 def _would_fit(
@@ -152,9 +152,9 @@
     summary_by_entry: Mapping[str, EntrySummary],
     load_by_entry: Mapping[str, int],
 ) -> tuple[bool, bool]:
-    summary, load = summary_by_entry[entry_id], load_by_entry.get(entry_id, 0)
-    fits = not load or load + share.backend_count <= capacity(summary.cores)
-    return summary.failure_domain in share.domains, fits
+    summary = summary_by_entry[entry_id]
+    load = load_by_entry.get(entry_id, 0) + share.backend_count
+    return summary.failure_domain in share.domains, load <= capacity(summary.cores)
 
 
 def _candidates(
--- a/testing/pool/test_claims.py
+++ b/testing/pool/test_claims.py
@@ -146,3 +146,23 @@
         "3": attrs.evolve(status("b", draining=True), started_at=9.0),
     }
     assert evaluate(live, POOLED)["a"].candidates == ["1", "2"]
+
+
+def test_a_vm_that_can_carry_a_share_takes_it_over_from_a_smaller_one():
+    """Guards against small holders that stay after a restart in which they came back first."""
+    small = attrs.evolve(status("a", a=3), cores=0.1)
+    live = {"1": small, "2": status("a")}
+    found = evaluate(live)["a"]
+    assert (found.claimant, found.is_provisional, found.candidates[0]) == ("1", True, "2")
+    found = evaluate({**live, "2": status("a", a=4)})["a"]
+    assert (found.claimant, found.is_provisional) == ("2", False)
+
+
+def test_a_share_that_no_vm_can_carry_keeps_its_holder():
+    """Guards against a share that moves on and on between VMs that are all too small."""
+    live = {
+        key: attrs.evolve(status("a", **({"a": 3} if key == "1" else {})), cores=0.1)
+        for key in ("1", "2", "3")
+    }
+    found = evaluate(live)["a"]
+    assert (found.claimant, found.is_provisional) == ("1", False)
