Split discovery from the statuses of entry processes

members.py had grown over 400 lines with two owners of state: what the control processes say (now discovery.py) and what holders say of themselves.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -15,13 +15,8 @@
 from apricotpoint._link.peer import MAX_RECONNECT_S
 from apricotpoint._pool import claims
 from apricotpoint._pool.claims import ShareClaim
-from apricotpoint._pool.members import (
-    HOLDER_HELLO_PERIOD_S,
-    INITIAL_HELLO_PERIOD_S,
-    LIVENESS_TIMEOUT_S,
-    STATUS_PERIOD_S,
-    EntryMembers,
-)
+from apricotpoint._pool.discovery import HOLDER_HELLO_PERIOD_S, INITIAL_HELLO_PERIOD_S
+from apricotpoint._pool.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.shares import Layout, Share, make_layout
@@ -150,11 +145,11 @@
         Makes no claims until a control process has answered once.
         """
         self._check_pause()
-        if members.first_welcome_at is None:
+        if members.discovery.first_welcome_at is None:
             # While the other entry processes are unknown, a claim could fence off their leases.
             return
         self._no_new_claims_until = max(
-            self._no_new_claims_until, members.first_welcome_at + START_OBSERVATION_S
+            self._no_new_claims_until, members.discovery.first_welcome_at + START_OBSERVATION_S
         )
         self._update_layout(members)
         live = members.live_entries()
@@ -168,7 +163,7 @@
             members.send_status()
 
     def _update_layout(self, members: EntryMembers) -> None:
-        revisions = (self._roster.revision, members.directory.revision)
+        revisions = (self._roster.revision, members.discovery.directory.revision)
         if revisions == self._layout_revisions:
             return
         self._layout_revisions = revisions
@@ -228,9 +223,9 @@
                 ):
                     self._claim(part, live)
         watched.discard(live[own_id].failure_domain)
-        if not watched <= members.watched_domains:
-            members.request_hello()
-        members.watched_domains = frozenset(watched)
+        if not watched <= members.discovery.watched_domains:
+            members.discovery.request_hello()
+        members.discovery.watched_domains = frozenset(watched)
         members.audience_domains = frozenset(
             domain
             for share in self._layout.shares
--- /dev/null
+++ b/src/apricotpoint/_pool/discovery.py
@@ -0,0 +1,138 @@
+"""Discovery of the control and entry processes through the control processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from types import TracebackType
+
+import anyio
+import anyio.abc
+import logbook
+
+from apricotpoint._core.timers import TimerService
+from apricotpoint._link.transport import PeerUnreachable
+from apricotpoint._pool.directory import EntryDirectory
+from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.transport import DynamicTransport
+from apricotpoint._wire.pool import BackendsHeard, EntryHello, EntrySummary, EntryWelcome
+
+# Period and time-out of the `EntryHello` requests to the control processes. Holders send more of
+# them, so that a control process that was restarted soon names all holders.
+HELLO_PERIOD_S, HOLDER_HELLO_PERIOD_S = 2.0, 0.2
+HELLO_TIMEOUT_S = 0.8
+# Period of these requests after the start, while the other processes become known.
+INITIAL_HELLO_PERIOD_S = 0.15
+INITIAL_HELLOS_S = 1.0
+
+_log = logbook.Logger("discovery")
+
+
+class Discovery:
+    """Makes one entry process known to all control processes, and learns of the others.
+
+    Use it as an async context manager. `seeds` returns the ids of the control processes to ask
+    first; those that answer name the others. Replace `summary` when it changes. Repeated
+    announcements from `watched_domains` arrive with little delay. `first_welcome_at` is the
+    monotonic time of the first answer, None before it. `on_welcome` is called after each answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        summary: EntrySummary,
+        seeds: Callable[[], Collection[str]],
+        transport: DynamicTransport,
+        address_of: Callable[[str], str],
+        timers: TimerService,
+        roster: Roster,
+    ) -> None:
+        self.summary = summary
+        self.directory = EntryDirectory(now=timers.now)
+        self.watched_domains: frozenset[str] = frozenset()
+        self.first_welcome_at: float | None = None
+        self.on_welcome: Callable[[], None] = lambda: None
+        self._seeds = seeds
+        self._transport = transport
+        self._address_of = address_of
+        self._timers = timers
+        self._roster = roster
+        self._greeted: set[str] = set()
+        self._hello_requested = anyio.Event()
+        self._needs_backends = True
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def __aenter__(self) -> Discovery:
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self.greet_new_control_processes()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(exc_type, exc, traceback)
+
+    def control_ids(self) -> list[str]:
+        """Return the ids of the known control processes, those of the seeds included."""
+        return sorted(self.directory.control_ids | set(self._seeds()))
+
+    def request_hello(self) -> None:
+        """Have an `EntryHello` sent to all control processes now."""
+        self._hello_requested.set()
+        self._hello_requested = anyio.Event()
+
+    def request_backends(self) -> None:
+        """Have the next `EntryHello` ask for all announcements."""
+        self._needs_backends = True
+
+    def greet_new_control_processes(self) -> None:
+        """Start to greet the control processes that have become known."""
+        assert self._group is not None
+        for control_id in set(self.control_ids()) - self._greeted:
+            self._greeted.add(control_id)
+            self._transport.add_peer(control_id, self._address_of(control_id))
+            self._group.start_soon(self._greet, control_id)
+
+    async def _greet(self, control_id: str) -> None:
+        """Send `EntryHello` to a control process from time to time, as long as it is known."""
+        while control_id in self.control_ids():
+            summary = self.summary
+            await self._send_hello(control_id)
+            if summary is not self.summary:
+                continue
+            welcome_at, now = self.first_welcome_at, self._timers.now()
+            is_new = welcome_at is None or now - welcome_at < INITIAL_HELLOS_S
+            period_s = HOLDER_HELLO_PERIOD_S if summary.is_holder else HELLO_PERIOD_S
+            with anyio.move_on_after(INITIAL_HELLO_PERIOD_S if is_new else period_s):
+                await self._hello_requested.wait()
+        self._greeted.discard(control_id)
+
+    async def _send_hello(self, control_id: str) -> None:
+        hello = EntryHello(
+            summary=self.summary,
+            list_digest=self.directory.digest(control_id),
+            needs_backends=self._needs_backends,
+            watched_domains=sorted(self.watched_domains),
+        )
+        self._needs_backends = False
+        try:
+            welcome = await self._transport.request(control_id, hello, timeout_s=HELLO_TIMEOUT_S)
+        except PeerUnreachable:
+            # The announcements that it would have brought are asked for again.
+            self._needs_backends = self._needs_backends or hello.needs_backends
+            return
+        if not isinstance(welcome, EntryWelcome):
+            _log.warning(
+                "control process {} answered a hello by {}", control_id, type(welcome).__name__
+            )
+            return
+        if self.first_welcome_at is None:
+            self.first_welcome_at = self._timers.now()
+        self.directory.update(control_id, welcome)
+        self._roster.update(BackendsHeard(welcome.backends))
+        self.on_welcome()
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/members.py
@@ -1,11 +1,10 @@
-"""Discovery and liveness of the control and entry processes, as seen by one entry process."""
+"""Statuses and liveness of the other entry processes, as seen by one entry process."""
 
 from __future__ import annotations
 
 import random as random_module
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from types import TracebackType
-from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -13,17 +12,16 @@
 import logbook
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
-from apricotpoint._pool.directory import EntryDirectory
+from apricotpoint._link.transport import PeerUnreachable, Sender
+from apricotpoint._pool.discovery import Discovery
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.shares import domain_of
+from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import (
     BackendsHeard,
-    EntryHello,
     EntryProbe,
     EntryStatus,
     EntrySummary,
-    EntryWelcome,
 )
 
 # Period of the status that a holder sends, also as a heartbeat.
@@ -40,13 +38,6 @@
 # A holder without contact for this long is asked for its status over new connections, because a
 # connection may go silent while its process is well.
 SUSPICION_TIMEOUT_S, DISTANT_SUSPICION_TIMEOUT_S = 0.5, 1.0
-# Period and time-out of the `EntryHello` requests to the control processes. Holders send more of
-# them, so that a control process that was restarted soon names all holders.
-HELLO_PERIOD_S, HOLDER_HELLO_PERIOD_S = 2.0, 0.2
-HELLO_TIMEOUT_S = 0.8
-# Period of these requests after the start, while the other processes become known.
-INITIAL_HELLO_PERIOD_S = 0.15
-INITIAL_HELLOS_S = 1.0
 # Shortest time between two rounds of probes, and their time-out.
 PROBE_PERIOD_S = 0.2
 PROBE_TIMEOUT_S = 0.5
@@ -58,46 +49,26 @@
 _log = logbook.Logger("members")
 
 
-class DynamicTransport(Transport, Protocol):
-    """A transport to which peers can be added and removed."""
-
-    def add_peer(self, peer_id: str, address: str) -> None:
-        """Open a link to a peer; does nothing if there is one already."""
-
-    def remove_peer(self, peer_id: str) -> None:
-        """Close the link to a peer; does nothing if there is none."""
-
-    def replace_connections(self, peer_id: str) -> None:
-        """Open the connections to and from a peer anew."""
-
-
 def holds_in_domain(status: EntryStatus, domain: str) -> bool:
     """Return whether a process claims a part of a failure domain."""
     return any(domain_of(part) == domain for part in status.term_by_claim)
 
 
 class EntryMembers:
-    """Discovers control and entry processes and keeps the last status of each holder.
-
-    Use it as an async context manager. `seeds` returns the ids of the control processes to ask
-    first. Each control process that answers names all control and entry processes that it knows.
-    They are kept, so that the entry processes still find each other when all control processes
-    become unreachable later.
-
-    Only holders send their status, to the processes in `audience_domains` and to the other
-    holders; all others are known by their summaries. Holders in `shared_domains`, those of the
-    shares of the own failure domain, are asked for their status when they become known. Repeated
-    announcements from `watched_domains` arrive with little delay. `first_welcome_at` is the
-    monotonic time of the first answer of a control process, None before it. `last_contact_at` is
-    the time of the last message from any process, None before it. `speed_by_backend` has the
-    learned speeds that other processes report.
+    """Sends the status of one entry process and keeps the last status of each holder.
+
+    Use it as an async context manager. Only holders send their status, to the processes in
+    `audience_domains` and to the other holders; all others are known by the summaries that
+    `discovery` has. Holders in `shared_domains`, those of the shares of the own failure domain,
+    are asked for their status when they become known. `last_contact_at` is the time of the last
+    message from any process, None before it. `speed_by_backend` has the learned speeds that
+    other processes report.
     """
 
     def __init__(
         self,
         *,
-        summary: EntrySummary,
-        seeds: Callable[[], Collection[str]],
+        discovery: Discovery,
         transport: DynamicTransport,
         address_of: Callable[[str], str],
         timers: TimerService,
@@ -105,16 +76,12 @@
         random: random_module.Random,
         make_status: Callable[[], EntryStatus],
     ) -> None:
-        self.entry_id = summary.entry_id
+        self.discovery = discovery
+        self.entry_id = discovery.summary.entry_id
         self.audience_domains: frozenset[str] = frozenset()
-        self.watched_domains: frozenset[str] = frozenset()
         self.shared_domains: frozenset[str] = frozenset()
-        self.directory = EntryDirectory(now=timers.now)
-        self.first_welcome_at: float | None = None
         self.last_contact_at: float | None = None
         self.speed_by_backend: dict[str, float] = {}
-        self._summary = summary
-        self._seeds = seeds
         self._transport = transport
         self._address_of = address_of
         self._timers = timers
@@ -129,11 +96,9 @@
         self._status: EntryStatus | None = None
         self._status_at = 0.0
         self._status_count = 0
+        # What the last status said that must reach everyone at once when it changes.
         self._sent_state: object = None
         self._previously_live: set[str] = set()
-        self._greeted: set[str] = set()
-        self._hello_requested = anyio.Event()
-        self._needs_backends = True
         self._subscription: PeriodicTimer | None = None
         self._group: anyio.abc.TaskGroup | None = None
 
@@ -144,7 +109,7 @@
         self._subscription = self._timers.every(STATUS_PERIOD_S, self.send_status)
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
-        self._greet_new_control_processes()
+        self.discovery.on_welcome = self._on_welcome
         return self
 
     async def __aexit__(
@@ -159,13 +124,9 @@
         self._group.cancel_scope.cancel()
         return await self._group.__aexit__(exc_type, exc, traceback)
 
-    def control_ids(self) -> list[str]:
-        """Return the ids of the known control processes, those of the seeds included."""
-        return sorted(self.directory.control_ids | set(self._seeds()))
-
     def summaries(self) -> dict[str, EntrySummary]:
         """Return the summaries of all known entry processes by id, this one included."""
-        return {**self.directory.summary_by_entry, self.entry_id: self._summary}
+        return {**self.discovery.directory.summary_by_entry, self.entry_id: self.discovery.summary}
 
     def available_summaries(self) -> dict[str, EntrySummary]:
         """Return the summaries of all known entry processes without holders that are silent."""
@@ -199,7 +160,7 @@
         return self._status
 
     def _is_near(self, status: EntryStatus) -> bool:
-        return holds_in_domain(status, self._summary.failure_domain)
+        return holds_in_domain(status, self.discovery.summary.failure_domain)
 
     def _liveness_timeout_s(self, status: EntryStatus) -> float:
         return LIVENESS_TIMEOUT_S if self._is_near(status) else DISTANT_LIVENESS_TIMEOUT_S
@@ -217,7 +178,7 @@
         self._status = None
         status = self._own_status()
         self._update_summary(status)
-        if self._summary.is_holder:
+        if self.discovery.summary.is_holder:
             self._status_count += 1
             if self._status_count % SPEEDS_EVERY_STATUSES:
                 status = attrs.evolve(status, speed_by_backend={})
@@ -227,7 +188,7 @@
         self._update_live_entries()
         self._probe_silent_holders()
         self._remove_expired()
-        self._greet_new_control_processes()
+        self.discovery.greet_new_control_processes()
 
     def probe(self) -> None:
         """Ask control processes and some entry processes for an answer, as a sign of contact."""
@@ -235,16 +196,11 @@
         if now - self._probed_at < PROBE_PERIOD_S:
             return
         self._probed_at = now
-        self.request_hello()
+        self.discovery.request_hello()
         others = sorted(set(self.summaries()) - {self.entry_id})
         for entry_id in self._random.sample(others, min(PROBED_PEERS, len(others))):
             self._start_probe(entry_id)
 
-    def request_hello(self) -> None:
-        """Have an `EntryHello` sent to all control processes now."""
-        self._hello_requested.set()
-        self._hello_requested = anyio.Event()
-
     def _audience(self, status: EntryStatus) -> set[str]:
         """Return the processes that need this status now.
 
@@ -255,31 +211,27 @@
         self._sent_state = state
         audience = {
             entry_id
-            for entry_id, summary in self.directory.summary_by_entry.items()
+            for entry_id, summary in self.discovery.directory.summary_by_entry.items()
             if summary.failure_domain in self.audience_domains or (summary.is_holder and is_for_all)
         }
         if is_for_all:
             audience |= self._previously_live
-        self._newcomers -= self.directory.summary_by_entry.keys()
+        self._newcomers -= self.discovery.directory.summary_by_entry.keys()
         audience |= self._newcomers
         return audience - {self.entry_id}
 
     def _update_summary(self, status: EntryStatus) -> None:
-        is_holder = bool(status.term_by_claim or status.held)
-        if (self._summary.is_holder, self._summary.draining) == (is_holder, status.draining):
+        known, is_holder = self.discovery.summary, bool(status.term_by_claim or status.held)
+        if (known.is_holder, known.draining) == (is_holder, status.draining):
             return
-        was_holder = self._summary.is_holder
-        self._summary = attrs.evolve(
-            self._summary,
-            is_holder=is_holder,
-            draining=status.draining,
-            revision=self._summary.revision + 1,
+        self.discovery.summary = attrs.evolve(
+            known, is_holder=is_holder, draining=status.draining, revision=known.revision + 1
         )
-        if was_holder and not is_holder:
+        if known.is_holder and not is_holder:
             # The last status tells that all backend servers are released.
             for entry_id in self._audience(status):
                 self._transport.send(entry_id, status)
-        self.request_hello()
+        self.discovery.request_hello()
 
     def _update_live_entries(self) -> None:
         """Log changes of liveness, and drop the speeds of backend servers that are not known."""
@@ -304,7 +256,7 @@
         for entry_id, status in self._status_by_entry.items():
             silent_s = self.seconds_since_contact(entry_id)
             is_holder = bool(status.term_by_claim or status.held)
-            if not self._is_near(status) and not self._summary.is_holder:
+            if not self._is_near(status) and not self.discovery.summary.is_holder:
                 # It sends its status to this process only by chance.
                 continue
             after_s = SUSPICION_TIMEOUT_S if self._is_near(status) else DISTANT_SUSPICION_TIMEOUT_S
@@ -317,9 +269,13 @@
             self._start_probe(entry_id)
             self.probe()
 
+    def _on_welcome(self) -> None:
+        self.last_contact_at = self._timers.now()
+        self._probe_unknown_holders()
+
     def _probe_unknown_holders(self) -> None:
         """Ask holders of which no status was received yet; they may not know this process."""
-        for entry_id, summary in self.directory.summary_by_entry.items():
+        for entry_id, summary in self.discovery.directory.summary_by_entry.items():
             is_unknown = entry_id not in self._status_by_entry and entry_id != self.entry_id
             is_near = summary.failure_domain in self.shared_domains
             if is_unknown and is_near and summary.is_holder:
@@ -344,7 +300,7 @@
 
     async def _on_probe(self, sender: Sender, message: object) -> object:
         assert isinstance(message, EntryProbe)
-        if sender.peer_id not in self.directory.summary_by_entry:
+        if sender.peer_id not in self.discovery.directory.summary_by_entry:
             # It has just started; until it is listed here, it gets each status because of this.
             self._newcomers.add(sender.peer_id)
         return self._own_status()
@@ -356,7 +312,7 @@
                 del self._last_contact_at_by_entry[entry_id]
                 self._status_by_entry.pop(entry_id, None)
                 self._suspected.discard(entry_id)
-                if entry_id not in self.directory.summary_by_entry:
+                if entry_id not in self.discovery.directory.summary_by_entry:
                     self._transport.remove_peer(entry_id)
 
     def _record_status(self, entry_id: str, status: EntryStatus, received_at: float) -> None:
@@ -373,51 +329,4 @@
         assert isinstance(message, BackendsHeard)
         self._roster.update(message)
         if self._roster.take_missing():
-            self._needs_backends = True
-
-    def _greet_new_control_processes(self) -> None:
-        assert self._group is not None
-        for control_id in set(self.control_ids()) - self._greeted:
-            self._greeted.add(control_id)
-            self._transport.add_peer(control_id, self._address_of(control_id))
-            self._group.start_soon(self._greet, control_id)
-
-    async def _greet(self, control_id: str) -> None:
-        """Send `EntryHello` to a control process from time to time, as long as it is known."""
-        while control_id in self.control_ids():
-            summary = self._summary
-            await self._send_hello(control_id)
-            if summary is not self._summary:
-                continue
-            welcome_at, now = self.first_welcome_at, self._timers.now()
-            is_new = welcome_at is None or now - welcome_at < INITIAL_HELLOS_S
-            period_s = HOLDER_HELLO_PERIOD_S if summary.is_holder else HELLO_PERIOD_S
-            with anyio.move_on_after(INITIAL_HELLO_PERIOD_S if is_new else period_s):
-                await self._hello_requested.wait()
-        self._greeted.discard(control_id)
-
-    async def _send_hello(self, control_id: str) -> None:
-        hello = EntryHello(
-            summary=self._summary,
-            list_digest=self.directory.digest(control_id),
-            needs_backends=self._needs_backends,
-            watched_domains=sorted(self.watched_domains),
-        )
-        self._needs_backends = False
-        try:
-            welcome = await self._transport.request(control_id, hello, timeout_s=HELLO_TIMEOUT_S)
-        except PeerUnreachable:
-            # The announcements that it would have brought are asked for again.
-            self._needs_backends = self._needs_backends or hello.needs_backends
-            return
-        if not isinstance(welcome, EntryWelcome):
-            _log.warning(
-                "control process {} answered a hello by {}", control_id, type(welcome).__name__
-            )
-            return
-        self.last_contact_at = self._timers.now()
-        if self.first_welcome_at is None:
-            self.first_welcome_at = self._timers.now()
-        self.directory.update(control_id, welcome)
-        self._probe_unknown_holders()
-        self._roster.update(BackendsHeard(welcome.backends))
+            self.discovery.request_backends()
--- /dev/null
+++ b/src/apricotpoint/_pool/transport.py
@@ -0,0 +1,20 @@
+"""The transport that entry processes use: peers come and go while it runs."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from apricotpoint._link.transport import Transport
+
+
+class DynamicTransport(Transport, Protocol):
+    """A transport to which peers can be added and removed."""
+
+    def add_peer(self, peer_id: str, address: str) -> None:
+        """Open a link to a peer; does nothing if there is one already."""
+
+    def remove_peer(self, peer_id: str) -> None:
+        """Close the link to a peer; does nothing if there is none."""
+
+    def replace_connections(self, peer_id: str) -> None:
+        """Open the connections to and from a peer anew."""
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -17,6 +17,7 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
+from apricotpoint._pool.discovery import Discovery
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.routing import Routing
@@ -109,7 +110,7 @@
             suspended_s=suspended_s,
         )
         self._scheduler.on_fenced = self._claimer.give_up_claim
-        self._members = EntryMembers(
+        self._discovery = Discovery(
             summary=EntrySummary(
                 entry_id=settings.address,
                 failure_domain=settings.failure_domain,
@@ -121,12 +122,19 @@
             address_of=settings.peer_address,
             timers=self._timers,
             roster=self._roster,
+        )
+        self._members = EntryMembers(
+            discovery=self._discovery,
+            transport=self._mesh,
+            address_of=settings.peer_address,
+            timers=self._timers,
+            roster=self._roster,
             random=generator,
             make_status=self._make_status,
         )
         self._feed = ConfigurationFeed(
             transport=self._mesh,
-            control_ids=self._members.control_ids,
+            control_ids=self._discovery.control_ids,
             timers=self._timers,
             counters=counters,
         )
@@ -156,6 +164,7 @@
             self._mesh,
             self._scheduler,
             self._members,
+            self._discovery,
             self._service,
         ):
             await self._stack.enter_async_context(component)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -18,6 +18,7 @@
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
+from apricotpoint._pool.discovery import Discovery
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.relay import AnnouncementRelay
 from apricotpoint._pool.roster import Roster
@@ -242,7 +243,7 @@
                     suspended_s=lambda: 0.0,
                 )
                 self.scheduler.on_fenced = self.claimer.give_up_claim
-                self.members = EntryMembers(
+                discovery = Discovery(
                     summary=EntrySummary(
                         entry_id=self.entry_id,
                         failure_domain=self.domain,
@@ -254,6 +255,13 @@
                     address_of=str,
                     timers=timers,
                     roster=roster,
+                )
+                self.members = EntryMembers(
+                    discovery=discovery,
+                    transport=transport,
+                    address_of=str,
+                    timers=timers,
+                    roster=roster,
                     random=random.Random(2),
                     make_status=self._status,
                 )
@@ -266,7 +274,7 @@
                     counters=self.counters,
                     random=random.Random(3),
                 )
-                for part in (timers, self.scheduler, self.members, self.service):
+                for part in (timers, self.scheduler, self.members, discovery, self.service):
                     await stack.enter_async_context(part)
                 self.claimer.start_pause_detection()
                 timers.every(CLAIM_CHECK_PERIOD_S, lambda: self.claimer.check(self.members))
