--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -26,6 +26,9 @@
 # from all others. They only show that the backend server is still there.
 WATCHED_RELAY_PERIOD_S = 0.25
 REPEATED_RELAY_PERIOD_S = 3.0
+# The list of live entry processes is made anew after this time, or when one of them changes:
+# hundreds of processes ask for it.
+LIST_MAX_AGE_S = 0.5
 # An entry process that has not sent `EntryHello` for this long gets no announcements.
 ENTRY_TIMEOUT_S = 5.0
 
@@ -67,6 +70,9 @@
         self._watched_ids: set[str] = set()
         self._unregistered: set[str] = set()
         self._entry_by_id: dict[str, _Entry] = {}
+        # The list of live entry processes with its digest, and the time at which it was made.
+        self._list: tuple[list[EntrySummary], int] = ([], 0)
+        self._list_made_at = float("-inf")
         self._subscriptions: list[PeriodicTimer] = []
 
     async def __aenter__(self) -> AnnouncementRelay:
@@ -156,13 +162,16 @@
     async def _on_hello(self, sender: Sender, message: object) -> object:
         assert isinstance(message, EntryHello)
         now = self._timers.now()
-        known = self._live_entries().get(sender.peer_id)
-        if known is None:
+        known = self._entry_by_id.get(sender.peer_id)
+        if known is None or now - known.last_contact_at > ENTRY_TIMEOUT_S:
+            known = None
             self._entry_by_id[sender.peer_id] = _Entry(message, now, now + REPEATED_RELAY_PERIOD_S)
+            self._list_made_at = float("-inf")
         else:
+            if known.hello.summary != message.summary:
+                self._list_made_at = float("-inf")
             known.hello, known.last_contact_at = message, now
-        entries = self._summaries()
-        digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(entries))
+        entries, digest = self._current_list()
         # A known entry process has got the earlier announcements and is sent each new one.
         needs_backends = known is None or message.needs_backends
         return EntryWelcome(
@@ -172,6 +181,12 @@
             backends=list(self._roster.announcement_by_id.values()) if needs_backends else [],
         )
 
-    def _summaries(self) -> list[EntrySummary]:
-        live = self._live_entries()
-        return [live[entry_id].hello.summary for entry_id in sorted(live)]
+    def _current_list(self) -> tuple[list[EntrySummary], int]:
+        """Return the summaries of the live entry processes and their digest."""
+        now = self._timers.now()
+        if now - self._list_made_at > LIST_MAX_AGE_S:
+            live = self._live_entries()
+            entries = [live[entry_id].hello.summary for entry_id in sorted(live)]
+            digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(entries))
+            self._list, self._list_made_at = (entries, digest), now
+        return self._list
