Replace connections on which short requests get no answer

Change: a request without a reply has the connections replaced if nothing arrived meanwhile. Delays of candidates count by the parts of a share and from the time at which a process may claim; a changed number of backend servers started them anew.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -155,7 +155,7 @@
         link = self._link_by_id.get(peer_id)
         if link is None:
             raise PeerUnreachable(f"peer {peer_id!r} is not known")
-        request_id = next(self._request_ids)
+        request_id, sent_at = next(self._request_ids), self._timers.now()
         pending = _PendingRequest(peer_id)
         self._pending_request_by_id[request_id] = pending
         needs_heartbeats = type(message) not in self._quiet_types
@@ -172,6 +172,7 @@
             del self._pending_request_by_id[request_id]
         if not pending.arrived.is_set():
             self._counters.add("link.request_timeouts")
+            link.check_silence(sent_at)
             raise PeerUnreachable(f"no reply from peer {peer_id} within {timeout_s:g} s")
         return pending.reply
 
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -16,6 +16,8 @@
 HEARTBEAT_PERIOD_S = 0.4
 PEER_TIMEOUT_S = 1.5
 RETRANSMIT_TIMEOUT_S = 1.0
+# Shortest time between two connections that replace a silent one.
+MIN_REDIAL_INTERVAL_S = 0.5
 # Unreliable messages that were queued for longer are dropped: load reports are
 # stale after 1 s, and requests of the control processes have timed out by then.
 MAX_QUEUE_TIME_S = 2.0
@@ -152,6 +154,17 @@
         self._redial_requested = True
         self.send(Redial())
 
+    def check_silence(self, since: float) -> None:
+        """Replace the connections after a request without a reply if nothing arrived meanwhile.
+
+        On a link without permanent heartbeats, requests shorter than `PEER_TIMEOUT_S` would
+        otherwise be sent for ever on a connection that no longer carries data. `since` is the
+        time of the request.
+        """
+        is_recent = self._timers.now() - self._dialled_at < MIN_REDIAL_INTERVAL_S
+        if self._idle_after_s < math.inf and self.last_contact_at < since and not is_recent:
+            self.replace_connections()
+
     async def wait_until_flushed(self) -> None:
         """Return when no message waits for transmission or acknowledgement."""
         while self._queue or self._unacknowledged:  # noqa: ASYNC110  # Used only at shutdown.
--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -19,7 +19,7 @@
 from apricotpoint._pool.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
-from apricotpoint._pool.shares import Layout, Share, make_layout
+from apricotpoint._pool.shares import Layout, make_layout
 from apricotpoint._wire.pool import EntryStatus, PoolBackend
 
 CLAIM_CHECK_PERIOD_S = 0.1
@@ -82,9 +82,10 @@
         self._layout_revisions: tuple[int, int] | None = None
         self._term_by_part: dict[str, int] = {}
         self._min_term_by_part: dict[str, int] = {}
-        # Since when each share has had no claimant.
-        self._unclaimed_since: dict[Share, float] = {}
-        self._claimed_before: set[Share] = set()
+        # By the parts of a share, as the number of its backend servers changes at any time: since
+        # when it has had no claimant, and whether it ever had one.
+        self._unclaimed_since_by_parts: dict[tuple[str, ...], float] = {}
+        self._claimed_parts: set[tuple[str, ...]] = set()
         self._no_new_claims_until = self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
         scheduler.on_backend_ended = roster.remove_ended
@@ -206,8 +207,8 @@
             if len(share.domains) > 1:
                 watched |= set(share.domains)
             if share_claim.claimant is not None:
-                self._unclaimed_since.pop(share, None)
-                self._claimed_before.add(share)
+                self._unclaimed_since_by_parts.pop(share.parts, None)
+                self._claimed_parts.add(share.parts)
             wanted = self._is_wanted(share_claim, members, now)
             if wanted and share_claim.claimant is None:
                 watched |= set(share.domains)
@@ -240,14 +241,15 @@
             if share_claim.is_provisional and share_claim.candidates[0] == own_id:
                 return True
             return share_claim.claimant == own_id
-        since = self._unclaimed_since.setdefault(share, now)
+        since = self._unclaimed_since_by_parts.setdefault(share.parts, now)
         delay_s = share_claim.delay_s(own_id)
         if delay_s is None:
             return False
         is_foreign = share_claim.candidates.index(own_id) >= share_claim.local_count
-        if is_foreign and share not in self._claimed_before:
+        if is_foreign and share.parts not in self._claimed_parts:
             delay_s += UNSEEN_DELAY_S
-        return now - since >= delay_s
+        # Time in which this process could not claim anyway leaves the others no time to claim.
+        return now - max(since, self._no_new_claims_until) >= delay_s
 
     def _claim(self, part: str, live: dict[str, EntryStatus]) -> None:
         min_term = max(int(self._timers.wall_time()), self._min_term_by_part.get(part, 0))
--- a/testing/link/test_idle_links.py
+++ b/testing/link/test_idle_links.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import anyio
+import pytest
 from test_mesh import ProcessPair, run_with_pair, wait_until
 
-from apricotpoint._link.transport import Sender
+from apricotpoint._link.transport import PeerUnreachable, Sender
 from apricotpoint._pool.service import PEER_TIMEOUT_S
 from apricotpoint._wire.jobs import CancelForward, JobLookup
 from apricotpoint._wire.tasks import CancelBatch
@@ -107,3 +110,33 @@
             assert set(pair.handled_batch_ids()) == {1, 3}
 
     run_with_pair(check)
+
+
+@pytest.mark.parametrize("silent", ["a", "b", "ab"])
+def test_short_requests_recover_from_silent_connections(silent: str):
+    """Guards against a control process that stays unreachable over connections gone silent.
+
+    Requests to it time out before the time after which a silent link is opened anew.
+    """
+
+    async def check(pair: ProcessPair) -> None:
+        async with (
+            pair.process("a", idle_after_s=30.0) as a,
+            pair.process("b", idle_after_s=30.0) as b,
+        ):
+
+            async def answer(_: Sender, message: object) -> object:
+                return message
+
+            b.request_handlers_by_type[JobLookup] = answer
+            await a.request("b", JobLookup("t", "k", 0.0), timeout_s=2.0)
+            for name in silent:
+                pair.proxy_to[name].blackhole()
+            answered = False
+            with anyio.fail_after(6):
+                while not answered:
+                    with suppress(PeerUnreachable):
+                        await a.request("b", JobLookup("t", "k", 0.0), timeout_s=0.5)
+                        answered = True
+
+    run_with_pair(check)
