--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -23,6 +23,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
 from apricotpoint._core.timers import TimerService
+from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.relay import AnnouncementRelay
 from apricotpoint._programs.incarnation import new_incarnation
@@ -32,7 +33,6 @@
     PEER_IDLE_S,
     PEER_KEY,
     SettingsFile,
-    import_server,
     run_program,
     wait_for_stop_signal,
 )
@@ -51,7 +51,6 @@
 
 
 async def _run(settings_file: SettingsFile) -> None:
-    server_import = import_server()
     settings = settings_file.current
     folder = settings.data_folder
     if folder is None:
@@ -101,8 +100,7 @@
     async def serve_app(
         *, task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED
     ) -> None:
-        server_module = await server_import
-        await server_module.serve(
+        await serve(
             app,
             settings.control_bind,
             None,
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import sys
 from contextlib import AsyncExitStack
-from types import ModuleType
 
 import anyio
 import anyio.abc
@@ -15,6 +13,7 @@
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
+from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.discovery import Discovery
@@ -32,7 +31,6 @@
     PEER_IDLE_S,
     PEER_KEY,
     SettingsFile,
-    import_server,
     run_program,
     suspended_s,
     wait_for_stop_signal,
@@ -76,7 +74,6 @@
         self._routing = Routing()
         self._stack = AsyncExitStack()
         self._close_servers = anyio.Event()
-        self._server_import: asyncio.Future[ModuleType] | None = None
         incarnation = new_incarnation()
         counters = Counters()
         generator = random.Random(incarnation)
@@ -157,7 +154,6 @@
         )
 
     async def __aenter__(self) -> EntryProcess:
-        self._server_import = import_server()
         await self._stack.__aenter__()
         for component in (
             self._timers,
@@ -260,9 +256,7 @@
         *,
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        assert self._server_import is not None
-        server_module = await self._server_import
-        await server_module.serve(
+        await serve(
             app,
             bind,
             None,
--- a/src/apricotpoint/platform/process.py
+++ b/src/apricotpoint/platform/process.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import gc
-import importlib
 import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from types import ModuleType
 
 import anyio
 import logbook
@@ -61,16 +58,6 @@
         _log.info("settings file reloaded: seeds {}", self.current.seeds)
 
 
-def import_server() -> asyncio.Future[ModuleType]:
-    """Import the HTTP server in a thread and return its module.
-
-    The import takes a third of the start-up time; the process discovers the others meanwhile.
-    """
-    return asyncio.get_running_loop().run_in_executor(
-        None, importlib.import_module, "apricotpoint._http.serve"
-    )
-
-
 def suspended_s() -> float:
     """Return for how long this VM has been suspended, which the monotonic clock does not count."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
