Tell a refused connection from silence when runs are lost

A refused connection is now an outcome of its own; lost runs are logged with it and with the number of their neighbours, and a worker that does not answer is logged once per silence. No decision changes.

--- a/src/apricotpoint/_pool/backendclient.py
+++ b/src/apricotpoint/_pool/backendclient.py
@@ -14,8 +14,9 @@
     `FENCED`: a higher fencing token is in use. `OLD_RUN`: a run of the task with this or a higher
     number has ended or was stopped. `TOO_LATE`: the lease in the request has expired. `NO_ROOM`:
     the free resources are not enough. `OTHER_INCARNATION`: the request was for another incarnation.
-    `REJECTED`: the request is not valid. `UNKNOWN`: no usable answer, so the start may still be
-    carried out.
+    `NOT_LISTENING`: the VM refused the connection, so the request was not sent; the process there
+    has ended, or a partition resets connections. `REJECTED`: the request is not valid. `UNKNOWN`:
+    no usable answer, so the start may still be carried out.
     """
 
     STARTED = "started"
@@ -25,6 +26,7 @@
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other_incarnation"
+    NOT_LISTENING = "not_listening"
     REJECTED = "rejected"
     UNKNOWN = "unknown"
 
@@ -112,7 +114,7 @@
 
         `acknowledged` is the number of the last ended run that was processed; the backend server
         may drop it and those before. Without `lease_until_ms` the lease is not extended. Raises
-        `RenewalRefused` if the backend server refuses.
+        `RenewalRefused` if the backend server refuses, or its VM refuses the connection.
         """
 
     async def renew_connections(self) -> None:
--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -29,7 +29,8 @@
     `untracked_runs` are runs listed there that belong to no job of this process, such as those of
     an earlier holder. `acknowledged` is the number of the last ended run that was processed.
     `born_ms` is the start of the incarnation in unix milliseconds, 0 if not reported.
-    `is_responsive` tells whether the last renewal was answered, `full_until` is the end of the
+    `is_responsive` tells whether the last renewal was answered, `refuses_connections` whether its
+    VM has refused a connection since the last answer. `full_until` is the end of the
     backoff after a start that was refused for lack of resources. `used` are the resources of the
     runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
     server: only jobs that have started may start tasks there then. `released` is set when the
@@ -47,6 +48,7 @@
     acknowledged: int = 0
     born_ms: int = 0
     is_responsive: bool = False
+    refuses_connections: bool = False
     lease_expires_at: float = 0.0
     full_until: float = 0.0
     handing_over: bool = False
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -150,7 +150,16 @@
     def _handle_refusal(self, outcome: StartOutcome, token: int) -> None:
         held = self._held
         held.is_responsive = False
-        if outcome is StartOutcome.OTHER_INCARNATION:
+        if outcome is StartOutcome.NOT_LISTENING:
+            self._counters.add("pool.renewals_not_listening")
+            if not held.refuses_connections:
+                held.refuses_connections = True
+                _log.warning(
+                    "the VM of backend server {} refuses connections; {} runs are active there",
+                    held.backend_id,
+                    len(held.run_by_key),
+                )
+        elif outcome is StartOutcome.OTHER_INCARNATION:
             self._observer.backend_ended(held, "another incarnation answers at its address")
         elif outcome is StartOutcome.FENCED and token == held.token:
             self._counters.add("pool.fenced_renewals")
@@ -158,6 +167,7 @@
 
     def _process_reply(self, reply: LeaseReply, token: int, sent_at: float) -> None:
         held, now = self._held, self._timers.now()
+        held.refuses_connections = False
         if reply.born_ms and held.born_ms and reply.born_ms != held.born_ms:
             self._handle_restart(reply)
         held.born_ms = reply.born_ms or held.born_ms
@@ -233,9 +243,13 @@
         held = self._held
         if held.is_responsive or self._timers.now() < held.lease_expires_at:
             return
-        for run in list(held.run_by_key.values()):
+        runs = list(held.run_by_key.values())
+        silence = "refused connections" if held.refuses_connections else "did not answer"
+        for run in runs:
             self._observer.run_terminated(
-                run, "the lease expired while the backend server did not answer"
+                run,
+                f"the lease expired while the backend server {silence}; "
+                f"{len(runs) - 1} other runs were active there",
             )
 
     async def _stop_untracked_runs(self) -> None:
--- a/src/apricotpoint/platform/workers.py
+++ b/src/apricotpoint/platform/workers.py
@@ -76,6 +76,7 @@
 
     def __init__(self, announcement: PoolBackend) -> None:
         self._worker_id = announcement.backend_id
+        self._is_answering = True
         self._connections = WorkerConnections(
             announcement.address,
             # Another incarnation of the worker at the same address refuses the call.
@@ -91,13 +92,19 @@
             "deadline_ms": request.lease_until_ms,
             "fencing_token": request.token,
         }
-        response = await self._call("/run-start", body, CALL_TIMEOUT_S)
+        try:
+            response = await self._call("/run-start", body, CALL_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return StartOutcome.UNKNOWN
         return StartOutcome.UNKNOWN if response is None else _decode_outcome(response)
 
     async def stop(self, key: RunKey, token: int) -> bool:
         """Request the stop of a run; False if it is refused or there is no answer."""
         body = {"task": key.task, "run_id": key.run, "fencing_token": token}
-        response = await self._call("/run-stop", body, CALL_TIMEOUT_S)
+        try:
+            response = await self._call("/run-stop", body, CALL_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return False
         return response is not None and response.status == 200
 
     async def renew_lease(
@@ -106,14 +113,17 @@
         """Renew the lease and return the running and finished runs; None without an answer.
 
         The worker may delay its response by up to `wait_s` until a run ends. Raises
-        `RenewalRefused` if it refuses.
+        `RenewalRefused` if it refuses, or its machine refuses the connection.
         """
         body: dict[str, object] = {"fencing_token": token, "ack_seq": acknowledged}
         if lease_until_ms is not None:
             body["deadline_ms"] = lease_until_ms
         if wait_s:
             body["wait_ms"] = int(wait_s * 1000)
-        response = await self._call("/hold", body, wait_s + CALL_TIMEOUT_S)
+        try:
+            response = await self._call("/hold", body, wait_s + CALL_TIMEOUT_S)
+        except ConnectionRefusedError:
+            raise RenewalRefused(StartOutcome.NOT_LISTENING) from None
         if response is None:
             return None
         if response.status != 200:
@@ -140,15 +150,25 @@
     async def _call(
         self, path: str, body: dict[str, object], timeout_s: float
     ) -> WorkerResponse | None:
+        """Return the response to a call, None without one; a refused connection is raised."""
         try:
-            return await self._connections.post(
+            response = await self._connections.post(
                 path, msgspec.json.encode(body), timeout_s=timeout_s
             )
         except OSError as error:
-            _log.info(
-                "worker {} did not answer {}: {}", self._worker_id, path, type(error).__name__
-            )
+            # Renewals are retried every few milliseconds; one line tells of all of them.
+            if self._is_answering:
+                self._is_answering = False
+                _log.info(
+                    "worker {} did not answer {}: {}", self._worker_id, path, type(error).__name__
+                )
+            if isinstance(error, ConnectionRefusedError):
+                raise
             return None
+        if not self._is_answering:
+            self._is_answering = True
+            _log.info("worker {} answers again", self._worker_id)
+        return response
 
 
 def _decode_outcome(response: WorkerResponse) -> StartOutcome:
