--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -29,6 +29,8 @@
 
 ONE_WAY_DELAY_S = 0.001
 ANSWER_TIMEOUT_S = 0.15
+# Time from a crash of a backend server until its next incarnation answers.
+DOWN_S = 3.3
 BACKEND_ROOM = Room(32_000, 131_072)
 TASK_ROOM = Room(14_000, 64)
 
@@ -101,7 +103,8 @@
     `start_delays_s` has the delays of the next starts that are also carried out, but later.
     With `unreachable` requests have no effect, with `drops_answers` renewals have one but get no
     answer. `is_other_incarnation` refuses renewals; with `fails` runs fail, with `stalls` they
-    make no progress.
+    make no progress. A start of a task in `deadly_tasks` crashes it: it refuses connections for
+    `DOWN_S`, then another incarnation answers.
     """
 
     def __init__(self, *, work_s: float = 0.2, speed: float = 1.0) -> None:
@@ -124,6 +127,10 @@
         self.last_run_by_task: dict[str, int] = {}
         self.starts: list[RunKey] = []
         self.renewals = 0
+        self.deadly_tasks: set[str] = set()
+        self.crashes: list[RunKey] = []
+        self.neighbours_lost: list[RunKey] = []
+        self.is_down = False
         self._end_count = 0
         self._run_ended = anyio.Event()
 
@@ -133,6 +140,11 @@
         if self.unreachable:
             await anyio.sleep(ANSWER_TIMEOUT_S)
             return StartOutcome.UNKNOWN
+        if self.is_down:
+            return StartOutcome.NOT_LISTENING
+        if request.key.task in self.deadly_tasks and request.token >= self.token:
+            self.crash(request.key)
+            return StartOutcome.UNKNOWN
         if self.start_delays_s:
             late_s = self.start_delays_s.pop()
             self.group.start_soon(self._start_later, request, late_s)
@@ -146,6 +158,23 @@
         await anyio.sleep(ONE_WAY_DELAY_S)
         return outcome
 
+    def crash(self, cause: RunKey) -> None:
+        """End the process, which loses all runs; another incarnation starts after `DOWN_S`."""
+        self.starts.append(cause)
+        self.crashes.append(cause)
+        self.neighbours_lost += self.active_run_by_key
+        self.active_run_by_key.clear()
+        self.ended.clear()
+        self.last_run_by_task.clear()
+        self.token, self.lease_until, self._end_count = 0, 0.0, 0
+        self.is_down = True
+        self._run_ended.set()
+        self.group.start_soon(self._restart)
+
+    async def _restart(self) -> None:
+        await anyio.sleep(DOWN_S)
+        self.is_down, self.is_other_incarnation = False, True
+
     def _cpu(self, key: RunKey) -> int:
         return self.cpu_by_task.get(key.task, TASK_ROOM.cpu)
 
@@ -198,7 +227,7 @@
     async def stop(self, key: RunKey, token: int) -> bool:
         """Stop a run; if its start arrives later, that is refused."""
         await anyio.sleep(ONE_WAY_DELAY_S)
-        if self.unreachable or token < self.token:
+        if self.unreachable or self.is_down or token < self.token:
             return False
         self.last_run_by_task[key.task] = max(key.run, self.last_run_by_task.get(key.task, 0))
         if key in self.active_run_by_key:
@@ -215,6 +244,8 @@
         if self.unreachable:
             await anyio.sleep(wait_s + ANSWER_TIMEOUT_S)
             return None
+        if self.is_down:
+            raise RenewalRefused(StartOutcome.NOT_LISTENING)
         self._advance()
         if self.is_other_incarnation:
             raise RenewalRefused(StartOutcome.OTHER_INCARNATION)
@@ -231,6 +262,8 @@
             self._run_ended = anyio.Event()
             with anyio.move_on_after(wait_s):
                 await self._run_ended.wait()
+        if self.is_down:
+            return None
         self._advance()
         now = anyio.current_time()
         await anyio.sleep(ONE_WAY_DELAY_S)
