Give up tasks that crash backend servers, and start suspects apart

Cause: a run that is lost with its backend server was put back without being counted, only ends reported as failed are, and it started again beside others, so that each crash made more sound runs look like its cause.

Lost runs are now recorded by task and incarnation with their evidence: silent, connection refused, or replaced by another incarnation. Only the last is a crash; an answer of the same incarnation clears the others. A suspected task starts alone, in few places at once, and waits while its last losses are open. It is given up after two crashes one of which met it alone, or after three. The conviction of one task clears the runs that were lost beside it.

--- /dev/null
+++ b/src/apricotpoint/_pool/crashes.py
@@ -0,0 +1,262 @@
+"""What is known of the tasks that ran on backend servers when these crashed.
+
+The load pattern behind it: one task ends the process of each backend server that starts it.
+Restarted without a limit it takes down one after the other, and each takes the runs of sound
+tasks along. A lost run alone shows nothing, as a partition or a pause of the VM looks the same at
+first, so each loss is recorded with its evidence, which grows or vanishes with what is heard of the
+backend server later.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Iterable
+
+import attrs
+import logbook
+
+from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolBackend
+
+# Crashes after which a task is given up if at least one of them happened while it ran alone, and
+# after which it is given up in any case.
+MAX_CRASHES_ALONE, MAX_CRASHES = 2, 3
+# A silent backend server that is not heard of for this long says no more about its tasks.
+LOSS_RETENTION_S = 10.0
+# Crashes are remembered for this long after the last change, for callers that submit again.
+CRASH_RETENTION_S = 120.0
+# Upper bound of the remembered tasks; the oldest are dropped first.
+MAX_TASKS = 20_000
+
+_log = logbook.Logger("crashes")
+
+
+class Evidence(enum.IntEnum):
+    """What shows that a backend server crashed; a higher value is stronger.
+
+    `SILENT`: it stopped to answer, which a partition explains as well. `REFUSED`: its VM also
+    refused connections, so that most likely its process has ended. `CRASHED`: another incarnation
+    has replaced it.
+    """
+
+    SILENT = 0
+    REFUSED = 1
+    CRASHED = 2
+
+
+class Verdict(enum.Enum):
+    """How a task may start, by the crashes under it.
+
+    `CLEAR`: like any other. `SUSPECT`: only on a backend server without other runs. `PENDING`: not
+    until more is known of the backend servers on which its last runs were lost. `GIVEN_UP`: never.
+    """
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    PENDING = "pending"
+    GIVEN_UP = "given_up"
+
+
+@attrs.define(eq=False)
+class _Loss:
+    """A run that was lost with its backend server, `alone` if no other run was there.
+
+    `changed_at` is monotonic seconds.
+    """
+
+    row: CrashRow
+    changed_at: float
+
+    @property
+    def evidence(self) -> Evidence:
+        return Evidence(self.row.evidence)
+
+
+def judge(evidence: Iterable[tuple[Evidence, bool]]) -> Verdict:
+    """Return the verdict on a task by the evidence of each loss and whether it was alone there."""
+    losses = list(evidence)
+    crashed = [alone for kind, alone in losses if kind is Evidence.CRASHED]
+    if len(crashed) >= MAX_CRASHES or (len(crashed) >= MAX_CRASHES_ALONE and any(crashed)):
+        return Verdict.GIVEN_UP
+    refused = sum(kind is Evidence.REFUSED for kind, _ in losses)
+    silent = sum(kind is Evidence.SILENT for kind, _ in losses)
+    # One silent backend server is more likely cut off; a series of them under one task is not.
+    likely = len(crashed) + refused
+    likely += silent if likely else max(silent - 1, 0)
+    if likely >= MAX_CRASHES_ALONE and refused + silent:
+        return Verdict.PENDING
+    return Verdict.SUSPECT if likely else Verdict.CLEAR
+
+
+class CrashHistory:
+    """The runs that were lost with their backend servers, by task, in all processes.
+
+    `on_change` gets each change made here, for the other processes; `on_given_up` is called when
+    tasks may have come to be given up. `now` returns monotonic seconds.
+    """
+
+    def __init__(self, *, now: Callable[[], float]) -> None:
+        self.on_change: Callable[[CrashesHeard], None] = lambda _: None
+        self.on_given_up: Callable[[], None] = lambda: None
+        self._now = now
+        # By the id and the start of the incarnation of the backend server.
+        self._losses_by_task: dict[str, dict[tuple[str, int], _Loss]] = {}
+        self._given_up_kinds: set[str] = set()
+
+    def verdict(self, task: str) -> Verdict:
+        """Return how a task may start."""
+        losses = self._losses_by_task.get(task)
+        if not losses:
+            return Verdict.CLEAR
+        return judge((loss.evidence, loss.row.alone) for loss in losses.values())
+
+    def crash_count(self, task: str) -> int:
+        """Return the number of backend servers that are known to have crashed under a task."""
+        losses = self._losses_by_task.get(task, {})
+        return sum(loss.evidence is Evidence.CRASHED for loss in losses.values())
+
+    def is_suspicious_kind(self, kind: str) -> bool:
+        """Return whether a job of this kind had a task that was given up lately."""
+        return kind in self._given_up_kinds
+
+    def record_given_up(self, kind: str) -> None:
+        """Record that a job of this kind had a task that was given up."""
+        self._given_up_kinds.add(kind)
+
+    def record(
+        self,
+        backend: PoolBackend,
+        born_ms: int,
+        tasks: Iterable[str],
+        evidence: Evidence,
+        *,
+        alone: bool,
+    ) -> None:
+        """Record that the runs of these tasks were lost together with their backend server.
+
+        `born_ms` is the start of its incarnation in unix milliseconds, 0 if it is not known;
+        `alone` tells that it had no other runs.
+        """
+        rows = [
+            CrashRow(task, backend.backend_id, born_ms, backend.address, int(evidence), alone)
+            for task in tasks
+        ]
+        if rows:
+            self._apply(CrashesHeard(rows))
+
+    def strengthen(self, backend_id: str, evidence: Evidence) -> None:
+        """Record stronger evidence that a backend server on which runs were lost has crashed."""
+        self._strengthen(evidence, lambda row: row.backend_id == backend_id)
+
+    def process_answer(self, backend_id: str, born_ms: int) -> None:
+        """Process an answer of a backend server: it did not crash if it is the same incarnation."""
+        if not self._losses_by_task:
+            return
+        self._strengthen(
+            Evidence.CRASHED,
+            lambda row: row.backend_id == backend_id and 0 < row.born_ms < born_ms,
+        )
+        if any(
+            row.backend_id == backend_id and row.evidence != Evidence.CRASHED for row in self.rows()
+        ):
+            self._apply(CrashesHeard([], [backend_id]))
+
+    def process_announcement(self, announcement: PoolBackend) -> None:
+        """Take a newer incarnation at the address of a backend server for the end of the latter.
+
+        An announcement that was delayed may be of an older incarnation, which shows nothing.
+        """
+        if not self._losses_by_task:
+            return
+
+        def is_replaced(row: CrashRow) -> bool:
+            if row.backend_id == announcement.backend_id:
+                return 0 < row.born_ms < announcement.born_ms
+            is_newer = not row.born_ms or row.born_ms < announcement.born_ms
+            return row.address == announcement.address and is_newer
+
+        self._strengthen(Evidence.CRASHED, is_replaced)
+
+    def merge(self, message: CrashesHeard) -> None:
+        """Process the changes that another process has made."""
+        now, given_up = self._now(), []
+        for backend_id in message.cleared:
+            self._forget(backend_id)
+        for row in message.rows:
+            losses = self._losses_by_task.setdefault(row.task, {})
+            incarnation = (row.backend_id, row.born_ms)
+            known = losses.get(incarnation)
+            if known is not None and known.row.evidence >= row.evidence:
+                continue
+            losses[incarnation] = _Loss(row, now)
+            if self.verdict(row.task) is Verdict.GIVEN_UP:
+                given_up.append(row.task)
+        for task in given_up:
+            self._exonerate_neighbours(task)
+        while len(self._losses_by_task) > MAX_TASKS:
+            del self._losses_by_task[next(iter(self._losses_by_task))]
+        if given_up:
+            self.on_given_up()
+
+    def rows(self) -> list[CrashRow]:
+        """Return all that is known, for a process that has just started."""
+        return [loss.row for losses in self._losses_by_task.values() for loss in losses.values()]
+
+    def expire(self) -> None:
+        """Forget what is too old to say anything about a task."""
+        now = self._now()
+
+        def is_current(loss: _Loss) -> bool:
+            is_crash = loss.evidence is Evidence.CRASHED
+            return now - loss.changed_at <= (CRASH_RETENTION_S if is_crash else LOSS_RETENTION_S)
+
+        self._retain(lambda _, loss: is_current(loss))
+        if not self._losses_by_task:
+            self._given_up_kinds.clear()
+
+    def _strengthen(self, evidence: Evidence, applies: Callable[[CrashRow], bool]) -> None:
+        rows = [
+            attrs.evolve(row, evidence=int(evidence))
+            for row in self.rows()
+            if row.evidence < evidence and applies(row)
+        ]
+        if rows:
+            self._apply(CrashesHeard(rows))
+
+    def _apply(self, message: CrashesHeard) -> None:
+        """Process changes made here and pass them on."""
+        if message.rows:
+            row = message.rows[0]
+            _log.notice(
+                "runs of {} lost with backend server {}: evidence of a crash {}",
+                ", ".join(item.task for item in message.rows),
+                row.backend_id,
+                Evidence(row.evidence).name.lower(),
+            )
+        else:
+            _log.notice("backend servers {} answer again: they did not crash", message.cleared)
+        self.merge(message)
+        self.on_change(message)
+
+    def _forget(self, backend_id: str) -> None:
+        self._retain(
+            lambda _, loss: loss.row.backend_id != backend_id or loss.evidence is Evidence.CRASHED
+        )
+
+    def _exonerate_neighbours(self, culprit: str) -> None:
+        """Clear the tasks whose loss is explained by the task that crashed the backend server."""
+        explained = self._losses_by_task[culprit].keys()
+        self._retain(
+            lambda task, loss: (
+                (loss.row.backend_id, loss.row.born_ms) not in explained
+                or task == culprit
+                or self.verdict(task) is Verdict.GIVEN_UP
+            )
+        )
+
+    def _retain(self, is_retained: Callable[[str, _Loss], bool]) -> None:
+        for task, losses in list(self._losses_by_task.items()):
+            for incarnation, loss in list(losses.items()):
+                if not is_retained(task, loss):
+                    del losses[incarnation]
+            if not losses:
+                del self._losses_by_task[task]
--- a/src/apricotpoint/_pool/dispatch.py
+++ b/src/apricotpoint/_pool/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from apricotpoint._pool import joborder, placement
 from apricotpoint._pool.heldbackend import HeldBackend
@@ -14,13 +14,19 @@
 
 
 def select_starts(
-    waiting: list[Job], eligible: Sequence[HeldBackend], now: float, *, fastest: float
+    waiting: list[Job],
+    eligible: Sequence[HeldBackend],
+    now: float,
+    *,
+    fastest: float,
+    may_start: Callable[[Task], bool],
 ) -> Iterator[tuple[Task, HeldBackend]]:
     """Yield each task to start now with its backend server.
 
     The caller has to start a task, and thereby reserve its resources, before it asks for the next
     one. `waiting` is sorted in place. `eligible` are the backend servers that may start tasks,
-    `fastest` is the speed that a task may expect to get by waiting.
+    `fastest` is the speed that a task may expect to get by waiting. Tasks for which `may_start` is
+    false are left out.
     """
     waiting.sort(key=lambda job: joborder.order_key(job, now, fastest))
     blocked = 0
@@ -31,7 +37,7 @@
             for held in eligible
             if held.can_start(request, now) and (job.started or not held.handing_over)
         ]
-        for task in job.waiting_tasks():
+        for task in filter(may_start, job.waiting_tasks()):
             if not fitting:
                 blocked += 1
                 break
--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -6,7 +6,7 @@
 
 from apricotpoint._pool.backendclient import BackendClient, LeaseReply, RunKey
 from apricotpoint._pool.health import Health
-from apricotpoint._pool.job import Run
+from apricotpoint._pool.job import Run, Task
 from apricotpoint._pool.learning import Speed
 from apricotpoint._wire.pool import PoolBackend, PoolJob, Room
 
@@ -33,8 +33,9 @@
     VM has refused a connection since the last answer. `full_until` is the end of the
     backoff after a start that was refused for lack of resources. `used` are the resources of the
     runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
-    server: only jobs that have started may start tasks there then. `released` is set when the
-    lease is no longer to be renewed.
+    server: only jobs that have started may start tasks there then. `trial` is a task that may
+    crash the backend server (`_pool.trials`): no other one starts there meanwhile. `released` is
+    set when the lease is no longer to be renewed.
     """
 
     announcement: PoolBackend
@@ -52,6 +53,7 @@
     lease_expires_at: float = 0.0
     full_until: float = 0.0
     handing_over: bool = False
+    trial: Task | None = None
     released: bool = False
     _clock_offset_ms: float | None = None
     _free: Room | None = None
@@ -79,7 +81,11 @@
         return self.free().covers(request.room)
 
     def is_eligible(self, now: float) -> bool:
-        """Return whether tasks may start here now, free resources aside."""
+        """Return whether any task may start here now, free resources aside."""
+        return self.trial is None and self.accepts_starts(now)
+
+    def accepts_starts(self, now: float) -> bool:
+        """Return whether the backend server can start tasks now, be it in a trial."""
         return (
             self.is_responsive
             and not self.announcement.leaving
@@ -100,6 +106,7 @@
         """
         return (
             self.is_responsive
+            and self.trial is None
             and not self.announcement.leaving
             and not self.handing_over
             and now >= self.health.backoff_until
@@ -115,6 +122,8 @@
         """Remove a run and free its resources; return False if it was removed before."""
         if self.run_by_key.pop(run.key, None) is None:
             return False
+        if self.trial is run.task:
+            self.trial = None
         self.used = self.used.minus(room)
         self._free = None
         return True
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -53,7 +53,12 @@
     best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free().cpu))
     if best.speed.value * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
-    return best if _meets_deadline(job, best.speed.value, now, OPTIMISTIC_SHARE) else None
+    return best if may_meet_deadline(job, best.speed.value, now) else None
+
+
+def may_meet_deadline(job: Job, speed: float, now: float) -> bool:
+    """Return whether a task that starts now meets the deadline with an optimistic run time."""
+    return _meets_deadline(job, speed, now, OPTIMISTIC_SHARE)
 
 
 def _is_in_time(job: Job, speed: float, now: float) -> bool:
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import anyio
@@ -16,6 +17,7 @@
     RunOutcome,
     StartOutcome,
 )
+from apricotpoint._pool.crashes import Evidence
 from apricotpoint._pool.heldbackend import HeldBackend
 from apricotpoint._pool.job import Run, RunState
 
@@ -49,6 +51,11 @@
     def run_terminated(self, run: Run, reason: str) -> None:
         """Handle a run that can no longer be active and whose outcome is unknown."""
 
+    def runs_lost(
+        self, held: HeldBackend, runs: Sequence[Run], evidence: Evidence, reason: str
+    ) -> None:
+        """Handle runs that can no longer be active, as their backend server may have crashed."""
+
     def run_stalled(self, run: Run) -> None:
         """Handle a run that reports no progress; repeated until the run is stopping."""
 
@@ -64,6 +71,9 @@
     def backend_changed(self, held: HeldBackend) -> None:
         """Handle a backend server that answers again, or on which runs have ended."""
 
+    def backend_refused_connection(self, held: HeldBackend) -> None:
+        """Handle a held backend server whose VM has begun to refuse connections."""
+
     def backend_ended(self, held: HeldBackend, reason: str) -> None:
         """Handle a held backend server whose incarnation has ended."""
 
@@ -154,6 +164,7 @@
             self._counters.add("pool.renewals_not_listening")
             if not held.refuses_connections:
                 held.refuses_connections = True
+                self._observer.backend_refused_connection(held)
                 _log.warning(
                     "the VM of backend server {} refuses connections; {} runs are active there",
                     held.backend_id,
@@ -235,22 +246,21 @@
             held.born_ms,
         )
         held.acknowledged = 0
-        for run in list(held.run_by_key.values()):
-            if run.key not in reply.progress_by_run:
-                self._observer.run_terminated(run, "the backend server has restarted")
+        runs = [run for run in held.run_by_key.values() if run.key not in reply.progress_by_run]
+        self._observer.runs_lost(held, runs, Evidence.CRASHED, "the backend server has restarted")
 
     def _check_lease_expiry(self) -> None:
         held = self._held
         if held.is_responsive or self._timers.now() < held.lease_expires_at:
             return
         runs = list(held.run_by_key.values())
-        silence = "refused connections" if held.refuses_connections else "did not answer"
-        for run in runs:
-            self._observer.run_terminated(
-                run,
-                f"the lease expired while the backend server {silence}; "
-                f"{len(runs) - 1} other runs were active there",
-            )
+        if held.refuses_connections:
+            evidence, silence = Evidence.REFUSED, "refused connections"
+        else:
+            evidence, silence = Evidence.SILENT, "did not answer"
+        self._observer.runs_lost(
+            held, runs, evidence, f"the lease expired while the backend server {silence}"
+        )
 
     async def _stop_untracked_runs(self) -> None:
         held = self._held
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random as random_module
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from types import TracebackType
 
 import anyio
@@ -13,8 +13,9 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._pool import admission, dispatch, placement
+from apricotpoint._pool import admission, dispatch, joborder, placement, trials
 from apricotpoint._pool.backendclient import BackendClient, RunOutcome, StartOutcome, StartRequest
+from apricotpoint._pool.crashes import CrashHistory, Evidence, Verdict
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.heldbackend import HeldBackend
 from apricotpoint._pool.job import Job, Run, RunState, Task
@@ -51,6 +52,8 @@
     ) -> None:
         self.held_by_id: dict[str, HeldBackend] = {}
         self.estimates = Estimates(self.held_by_id)
+        self.crashes = CrashHistory(now=timers.now)
+        self.crashes.on_given_up = self._end_given_up_jobs
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
         self.may_start: Callable[[], bool] = lambda: True
@@ -166,6 +169,7 @@
             self._subscription = self._timers.every(TICK_PERIOD_S, self._tick)
         self.estimates.record_resources(request)
         self._counters.add("pool.jobs")
+        self._end_if_given_up(job)
         self.request_dispatch()
         return job
 
@@ -299,6 +303,24 @@
         run.task.avoided_backends.add(run.backend.backend_id)
         self._after_run(run.task.job, run.task)
 
+    def runs_lost(
+        self, held: HeldBackend, runs: Sequence[Run], evidence: Evidence, reason: str
+    ) -> None:
+        """Remove runs that were lost with their backend server; their tasks start again, or not."""
+        alone = len(held.run_by_key) + len(held.untracked_runs) == 1
+        self._counters.add(f"pool.runs_lost_{evidence.name.lower()}", len(runs))
+        if not held.announcement.leaving:
+            # The runs of one that is leaving end with it, which is no crash.
+            self.crashes.record(
+                held.announcement,
+                held.born_ms,
+                [run.task.name for run in runs],
+                evidence,
+                alone=alone,
+            )
+        for run in runs:
+            self.run_terminated(run, reason)
+
     def run_stalled(self, run: Run) -> None:
         """Stop a run that reports no progress, so that its task starts elsewhere."""
         held = run.backend
@@ -361,12 +383,17 @@
 
     def backend_changed(self, held: HeldBackend) -> None:
         """Start waiting tasks, as the backend server may accept some now."""
+        self.crashes.process_answer(held.backend_id, held.born_ms)
         self.request_dispatch()
 
+    def backend_refused_connection(self, held: HeldBackend) -> None:
+        """Record that the process of a backend server has probably ended."""
+        self.crashes.strengthen(held.backend_id, Evidence.REFUSED)
+
     def backend_ended(self, held: HeldBackend, reason: str) -> None:
         """Release a backend server whose incarnation has ended, and restart the tasks it ran."""
-        for run in list(held.run_by_key.values()):
-            self.run_terminated(run, reason)
+        self.crashes.strengthen(held.backend_id, Evidence.CRASHED)
+        self.runs_lost(held, list(held.run_by_key.values()), Evidence.CRASHED, reason)
         if self.held_by_id.get(held.backend_id) is held:
             self.release(held.backend_id, reason)
             self.on_backend_ended(held.backend_id)
@@ -393,18 +420,44 @@
         if not self.may_start():
             return
         now = self._timers.now()
-        eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
-        if not eligible:
-            return
         waiting = [
             job
             for job in self.unanswered_jobs()
             if job.waiting_tasks() and (job.started or not self.draining)
         ]
         fastest = self.estimates.attainable_speed()
-        for task, held in dispatch.select_starts(waiting, eligible, now, fastest=fastest):
+        self._start_trials(waiting, now, fastest)
+        eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
+        if not eligible:
+            return
+        for task, held in dispatch.select_starts(
+            waiting, eligible, now, fastest=fastest, may_start=self._is_clear
+        ):
             self._start(task, held, now)
 
+    def _start_trials(self, waiting: list[Job], now: float, fastest: float) -> None:
+        """Start the tasks that may have crashed a backend server, apart from all others."""
+        backends = self.held_by_id.values()
+        trials.cancel_ended(backends, is_suspect=self._is_suspect)
+        # Kinds of jobs in which no such task was found are tried first.
+        suspects = sorted(
+            (task for job in waiting for task in job.waiting_tasks() if self._is_suspect(task)),
+            key=lambda task: (
+                self.crashes.is_suspicious_kind(task.job.request.kind),
+                joborder.order_key(task.job, now, fastest),
+            ),
+        )
+        if suspects:
+            for task, held in trials.select_trials(suspects, backends, now, fastest=fastest):
+                self._counters.add("pool.trials")
+                self._start(task, held, now)
+
+    def _is_clear(self, task: Task) -> bool:
+        return self.crashes.verdict(task.name) is Verdict.CLEAR
+
+    def _is_suspect(self, task: Task) -> bool:
+        return self.crashes.verdict(task.name) is Verdict.SUSPECT
+
     def _start(self, task: Task, held: HeldBackend, now: float) -> None:
         assert self._group is not None
         job = task.job
@@ -496,6 +549,24 @@
             self._jobs.close(job)
         self.request_dispatch()
 
+    def _end_given_up_jobs(self) -> None:
+        for job in self.unanswered_jobs():
+            self._end_if_given_up(job)
+
+    def _end_if_given_up(self, job: Job) -> None:
+        """End a job as failed if one of its tasks crashes the backend servers that start it."""
+        for task in job.tasks:
+            if self.crashes.verdict(task.name) is not Verdict.GIVEN_UP:
+                continue
+            self._counters.add("pool.tasks_given_up")
+            self.crashes.record_given_up(job.request.kind)
+            reason = (
+                f"{self.crashes.crash_count(task.name)} backend servers crashed under {task.name}"
+            )
+            _log.warning("job {} is given up: {}", job.request.job_id, reason)
+            self._finish_job(job, PoolAnswer(int(ResultCode.TASKS_FAILED), reason))
+            return
+
     def _finish_job(self, job: Job, answer: PoolAnswer) -> None:
         """Set the answer of a job and stop the runs that may still be active."""
         now = self._timers.now()
@@ -557,6 +628,7 @@
                 else:
                     self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
         self._jobs.expire()
+        self.crashes.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
             # Most processes schedule no jobs, and a timer that never rests costs each of them.
             self._subscription.cancel()
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -71,6 +71,36 @@
     repeated: list[str] = attrs.Factory(list)
 
 
+@attrs.frozen
+class CrashRow:
+    """A run that was lost with its backend server.
+
+    `born_ms` is the start of the incarnation of the backend server in unix milliseconds, 0 if it
+    is not known. `evidence` is a value of `_pool.crashes.Evidence`. `alone` tells that no other
+    run was there.
+    """
+
+    task: str
+    backend_id: str
+    born_ms: int
+    address: str
+    evidence: int
+    alone: bool
+
+
+@attrs.frozen
+class CrashesHeard:
+    """Changes of what is known of lost runs.
+
+    `cleared` has the ids of backend servers that answer again. A control process passes the
+    changes on to all entry processes if `forward` is set.
+    """
+
+    rows: list[CrashRow]
+    cleared: list[str] = attrs.Factory(list)
+    forward: bool = False
+
+
 @attrs.frozen
 class EntrySummary:
     """What an entry process makes known to all others through the control processes.
@@ -108,13 +138,15 @@
 class EntryWelcome:
     """The processes that a control process knows, and the backend servers announced recently.
 
-    `entries` is None if the list has the digest that the entry process has named.
+    `entries` is None if the list has the digest that the entry process has named. `crashes` are
+    the lost runs of the last time, for an entry process that was not known before.
     """
 
     control_ids: list[str]
     list_digest: int
     entries: list[EntrySummary] | None
     backends: list[PoolBackend]
+    crashes: list[CrashRow] = attrs.Factory(list)
 
 
 @attrs.frozen
