Share what is known of crashing tasks with the other processes

Callers that submit such a job again reach any process, and a job moves with a kill of its scheduler or a hand-over. Each process counted only the crashes that it had seen: in the new tests a task crashed four backend servers over two kills, and a job that was given up began anew elsewhere. Cause: the history ended with its process.

Each change now goes to the live holders and, through two control processes, to all others; the control processes keep the rows for processes that start later. Rows are sets by task and incarnation, so they may arrive twice or in any order. With it the task crashes three, one of them hidden by the kill before its lease had expired, and the job that was given up starts nowhere again.

--- a/src/apricotpoint/_pool/discovery.py
+++ b/src/apricotpoint/_pool/discovery.py
@@ -14,7 +14,13 @@
 from apricotpoint._pool.directory import EntryDirectory
 from apricotpoint._pool.roster import Roster
 from apricotpoint._pool.transport import DynamicTransport
-from apricotpoint._wire.pool import BackendsHeard, EntryHello, EntrySummary, EntryWelcome
+from apricotpoint._wire.pool import (
+    BackendsHeard,
+    CrashRow,
+    EntryHello,
+    EntrySummary,
+    EntryWelcome,
+)
 
 # Period and time-out of the `EntryHello` requests to the control processes. Holders send more of
 # them, so that a control process that was restarted soon names all holders.
@@ -33,7 +39,8 @@
     Use it as an async context manager. `seeds` returns the ids of the control processes to ask
     first; those that answer name the others. Replace `summary` when it changes. Repeated
     announcements from `watched_domains` arrive with little delay. `first_welcome_at` is the
-    monotonic time of the first answer, None before it. `on_welcome` is called after each answer.
+    monotonic time of the first answer, None before it. `on_welcome` is called after each answer,
+    `on_crashes` with the lost runs that one names.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         self.watched_domains: frozenset[str] = frozenset()
         self.first_welcome_at: float | None = None
         self.on_welcome: Callable[[], None] = lambda: None
+        self.on_crashes: Callable[[list[CrashRow]], None] = lambda _: None
         self._seeds = seeds
         self._transport = transport
         self._address_of = address_of
@@ -135,4 +143,6 @@
             self.first_welcome_at = self._timers.now()
         self.directory.update(control_id, welcome)
         self._roster.update(BackendsHeard(welcome.backends))
+        if welcome.crashes:
+            self.on_crashes(welcome.crashes)
         self.on_welcome()
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -11,9 +11,11 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
+from apricotpoint._pool.crashes import CrashHistory
 from apricotpoint._pool.roster import Roster
 from apricotpoint._wire.pool import (
     BackendsHeard,
+    CrashesHeard,
     EntryHello,
     EntrySummary,
     EntryWelcome,
@@ -29,6 +31,7 @@
 # The list of live entry processes is made anew after this time, or when one of them changes:
 # hundreds of processes ask for it.
 LIST_MAX_AGE_S = 0.5
+CRASH_EXPIRY_PERIOD_S = 1.0
 # An entry process that has not sent `EntryHello` for this long gets no announcements.
 ENTRY_TIMEOUT_S = 5.0
 
@@ -48,7 +51,8 @@
 
     Use it as an async context manager. It also answers `EntryHello`, by which entry processes
     make themselves known and learn of each other. New and changed announcements are shared with
-    the other control processes, so that none of them names a backend server that has left.
+    the other control processes, so that none of them names a backend server that has left. What is
+    known of tasks that crash backend servers is kept, and forwarded in the same way.
     `control_ids` returns the ids of all control processes known here, `own_id` is that of this
     one.
     """
@@ -73,14 +77,18 @@
         # The list of live entry processes with its digest, and the time at which it was made.
         self._list: tuple[list[EntrySummary], int] = ([], 0)
         self._list_made_at = float("-inf")
+        self._crashes = CrashHistory(now=timers.now)
+        self._crash_changes: list[CrashesHeard] = []
         self._subscriptions: list[PeriodicTimer] = []
 
     async def __aenter__(self) -> AnnouncementRelay:
         self._transport.request_handlers_by_type[EntryHello] = self._on_hello
         self._transport.handlers_by_type[BackendsHeard] = self._on_announcements
+        self._transport.handlers_by_type[CrashesHeard] = self._on_crashes
         self._subscriptions = [
             self._timers.every(RELAY_PERIOD_S, self._forward_changes),
             self._timers.every(WATCHED_RELAY_PERIOD_S, self._forward_repetitions),
+            self._timers.every(CRASH_EXPIRY_PERIOD_S, self._crashes.expire),
         ]
         return self
 
@@ -94,6 +102,7 @@
             subscription.cancel()
         self._transport.request_handlers_by_type.pop(EntryHello, None)
         self._transport.handlers_by_type.pop(BackendsHeard, None)
+        self._transport.handlers_by_type.pop(CrashesHeard, None)
 
     def announce(self, announcement: PoolBackend) -> None:
         """Accept an announcement; forward it within `RELAY_PERIOD_S` if it is new or changed."""
@@ -124,6 +133,7 @@
         }
 
     def _forward_changes(self) -> None:
+        self._forward_crashes()
         self._roster.remove_unreachable()
         if not self._changed_by_id and not self._unregistered:
             return
@@ -133,6 +143,14 @@
         for peer_id in [*self._live_entries(), *others]:
             self._transport.send(peer_id, message)
 
+    def _forward_crashes(self) -> None:
+        changes, self._crash_changes = self._crash_changes, []
+        if not changes:
+            return
+        for entry_id in self._live_entries():
+            for message in changes:
+                self._transport.send(entry_id, message)
+
     def _forward_repetitions(self) -> None:
         """Forward repeated announcements: at once if watched, else with those of a period."""
         now = self._timers.now()
@@ -159,6 +177,12 @@
         assert isinstance(message, BackendsHeard)
         self._roster.update(message)
 
+    def _on_crashes(self, _: Sender, message: object) -> None:
+        assert isinstance(message, CrashesHeard)
+        self._crashes.merge(message)
+        if message.forward:
+            self._crash_changes.append(attrs.evolve(message, forward=False))
+
     async def _on_hello(self, sender: Sender, message: object) -> object:
         assert isinstance(message, EntryHello)
         now = self._timers.now()
@@ -179,6 +203,7 @@
             list_digest=digest,
             entries=None if digest == message.list_digest else entries,
             backends=list(self._roster.announcement_by_id.values()) if needs_backends else [],
+            crashes=self._crashes.rows() if needs_backends else [],
         )
 
     def _current_list(self) -> tuple[list[EntrySummary], int]:
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -16,6 +16,7 @@
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
+from apricotpoint._pool.crashreports import CrashReports
 from apricotpoint._pool.discovery import Discovery
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.roster import Roster
@@ -129,6 +130,13 @@
             random=generator,
             make_status=self._make_status,
         )
+        self._crash_reports = CrashReports(
+            crashes=self._scheduler.crashes,
+            members=self._members,
+            roster=self._roster,
+            transport=self._mesh,
+            timers=self._timers,
+        )
         self._feed = ConfigurationFeed(
             transport=self._mesh,
             control_ids=self._discovery.control_ids,
@@ -160,6 +168,7 @@
             self._mesh,
             self._scheduler,
             self._members,
+            self._crash_reports,
             self._discovery,
             self._service,
         ):
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -18,6 +18,7 @@
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
+from apricotpoint._pool.crashreports import CrashReports
 from apricotpoint._pool.discovery import Discovery
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.relay import AnnouncementRelay
@@ -274,7 +275,21 @@
                     counters=self.counters,
                     random=random.Random(3),
                 )
-                for part in (timers, self.scheduler, self.members, discovery, self.service):
+                crash_reports = CrashReports(
+                    crashes=self.scheduler.crashes,
+                    members=self.members,
+                    roster=roster,
+                    transport=transport,
+                    timers=timers,
+                )
+                for part in (
+                    timers,
+                    self.scheduler,
+                    self.members,
+                    crash_reports,
+                    discovery,
+                    self.service,
+                ):
                     await stack.enter_async_context(part)
                 self.claimer.start_pause_detection()
                 timers.every(CLAIM_CHECK_PERIOD_S, lambda: self.claimer.check(self.members))
--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -48,7 +48,7 @@
     return PoolBackend(
         backend_id=backend_id,
         service="desk",
-        address="127.0.0.1:1",
+        address=f"{backend_id[:2]}.example:1",
         failure_domain="a",
         room=room,
         labels=[],
--- /dev/null
+++ b/testing/pool/test_crash_reports.py
@@ -0,0 +1,106 @@
+"""What the other processes know of tasks that crash backend servers."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+from pool_cluster import Cluster, run_cluster
+from pool_harness import make_job, run_on_virtual_time
+
+from apricotpoint._core.codes import ResultCode
+from apricotpoint._pool.shares import BACKENDS_PER_CORE
+from apricotpoint._wire.pool import PoolAnswer
+
+BACKEND_IDS = ("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
+DEADLY = make_job(1, deadline_s=30.0)
+DEADLY_TASK = f"{DEADLY.job_id}.0.0.0"
+
+
+def run_deadly_cluster():  # noqa: ANN201
+    """Run a cluster in which the process e1 holds all backend servers."""
+    return run_cluster(cores=len(BACKEND_IDS) / BACKENDS_PER_CORE, backend_ids=BACKEND_IDS)
+
+
+def prepare(cluster: Cluster) -> None:
+    for backend in cluster.backend_by_id.values():
+        backend.deadly_tasks = {DEADLY_TASK}
+
+
+def starts(cluster: Cluster) -> int:
+    return sum(len(backend.crashes) for backend in cluster.backend_by_id.values())
+
+
+async def submit(cluster: Cluster, entry_id: str) -> PoolAnswer:
+    """Submit the job again and again, as its caller does while its outcome is not known."""
+    while True:
+        answer = await cluster.entry_by_id[entry_id].service.submit(attrs.evolve(DEADLY))
+        if answer.code in (ResultCode.COMPLETE, ResultCode.TASKS_FAILED):
+            return answer
+        await anyio.sleep(1.3)
+
+
+def test_crashes_are_remembered_when_the_scheduling_process_is_killed():
+    """Guards against a task that crashes more backend servers after each kill of its scheduler."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            prepare(cluster)
+            answers: list[PoolAnswer] = []
+
+            async def call() -> None:
+                answers.append(await submit(cluster, "e3"))
+
+            cluster.network.group.start_soon(call)
+            for entry_id in ("e1", "e2"):
+                before = starts(cluster)
+                while starts(cluster) == before:  # noqa: ASYNC110  # No event marks a start.
+                    await anyio.sleep(0.01)
+                # The loss is known after the lease has expired.
+                await anyio.sleep(1.5)
+                cluster.entry_by_id[entry_id].kill()
+            await anyio.sleep(30.0)
+            assert [answer.code for answer in answers] == [ResultCode.TASKS_FAILED]
+            # Two crashes are enough; the first kill hides the one that was not known yet.
+            assert starts(cluster) <= 3
+
+    run_on_virtual_time(test)
+
+
+def test_a_job_that_was_given_up_does_not_start_at_another_process():
+    """Guards against a count that begins anew when the job moves to another process."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            prepare(cluster)
+            assert (await submit(cluster, "e3")).code == ResultCode.TASKS_FAILED
+            assert starts(cluster) == 2
+            cluster.entry_by_id["e1"].kill()
+            await anyio.sleep(3.0)
+            assert (await submit(cluster, "e3")).code == ResultCode.TASKS_FAILED
+            assert starts(cluster) == 2
+
+    run_on_virtual_time(test)
+
+
+def test_a_restarted_process_learns_of_earlier_crashes():
+    """Guards against a new holder that was down when the crashes were reported."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            prepare(cluster)
+            call = cluster.network.group.start_soon
+            call(submit, cluster, "e2")
+            while not starts(cluster):  # noqa: ASYNC110  # No event marks a start.
+                await anyio.sleep(0.01)
+            cluster.entry_by_id["e3"].kill()
+            assert (await submit(cluster, "e2")).code == ResultCode.TASKS_FAILED
+            # The control processes still know it, and get its hello with the same id.
+            await cluster.restart("e3")
+            await anyio.sleep(1.0)
+            for entry_id in ("e1", "e2"):
+                cluster.entry_by_id[entry_id].kill()
+            await anyio.sleep(5.0)
+            assert (await submit(cluster, "e3")).code == ResultCode.TASKS_FAILED
+            assert starts(cluster) == 2
+
+    run_on_virtual_time(test)
