Repeat a start at once that met a refused connection

A task whose start met a refused connection waited for the lease of that backend server, 1 s of the 1.5 s that callers wait, although nothing was sent. Cause: the client reported each connection error as an unknown outcome. A refused connection now is an outcome of its own, after which the task starts elsewhere and nothing starts there until a renewal is answered. Both tests fail without the change.

--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -521,6 +521,9 @@
         run.task.run = None
         if outcome is StartOutcome.NO_ROOM:
             held.full_until = now + FULL_BACKOFF_S
+        elif outcome is StartOutcome.NOT_LISTENING:
+            # No further starts there until a renewal of the lease is answered.
+            held.is_responsive, held.refuses_connections = False, True
         elif outcome is StartOutcome.UNHEALTHY:
             held.health.record_failure(now)
         elif outcome is StartOutcome.OTHER_INCARNATION:
--- a/src/apricotpoint/platform/workers.py
+++ b/src/apricotpoint/platform/workers.py
@@ -84,7 +84,7 @@
         )
 
     async def start(self, request: StartRequest) -> StartOutcome:
-        """Request the start of a run; `UNKNOWN` if there is no answer."""
+        """Request the start of a run; `UNKNOWN` if it may have been sent and got no answer."""
         body = {
             "task": request.key.task,
             "run_id": request.key.run,
@@ -95,7 +95,7 @@
         try:
             response = await self._call("/run-start", body, CALL_TIMEOUT_S)
         except ConnectionRefusedError:
-            return StartOutcome.UNKNOWN
+            return StartOutcome.NOT_LISTENING
         return StartOutcome.UNKNOWN if response is None else _decode_outcome(response)
 
     async def stop(self, key: RunKey, token: int) -> bool:
--- a/testing/platform/test_workers.py
+++ b/testing/platform/test_workers.py
@@ -78,6 +78,25 @@
     run_with_client(test)
 
 
+def test_a_refused_connection_is_told_from_silence():
+    """Guards against a start that counts as possibly carried out although it was never sent."""
+
+    async def test() -> None:
+        async with running_worker() as worker:
+            address = worker.address
+        client = WorkerClient(PoolBackend("w1", "desk", address, "a", Room(1, 1), [], False, 1))
+        with anyio.fail_after(5):
+            request = StartRequest(RunKey("t", 1), "", 5, 1)
+            assert await client.start(request) is StartOutcome.NOT_LISTENING
+            with pytest.raises(RenewalRefused) as caught:
+                await client.renew_lease(token=1, acknowledged=0, lease_until_ms=None, wait_s=0.0)
+            assert caught.value.outcome is StartOutcome.NOT_LISTENING
+            assert not await client.stop(RunKey("t", 1), 1)
+            await client.close()
+
+    anyio.run(test)
+
+
 def test_a_refused_renewal_names_its_reason():
     """Guards against a holder that keeps a backend server which another one has taken over."""
 
--- a/testing/pool/test_crashes.py
+++ b/testing/pool/test_crashes.py
@@ -136,6 +136,26 @@
     run_on_virtual_time(test)
 
 
+def test_a_start_that_was_not_sent_is_repeated_at_once():
+    """Guards against a task that waits for a lease although its start was never sent."""
+
+    async def test() -> None:
+        async with run_restarting(2) as (harness, backends):
+            down = backends[0]
+            down.is_down = True
+            job = harness.scheduler.submit(make_job(2, count=3, deadline_s=5.0), "")
+            began_at = anyio.current_time()
+            await job.answered.wait()
+            assert job.answer is not None
+            assert job.answer.code == ResultCode.COMPLETE
+            assert not down.starts
+            assert harness.counters.get("pool.refused_not_listening") <= 2
+            # Two of the tasks run at the same time: two run times and no lease.
+            assert anyio.current_time() - began_at < 0.6
+
+    run_on_virtual_time(test)
+
+
 def test_a_crash_behind_a_cut_is_counted():
     """Guards against crashes that stay unseen because the backend server was silent."""
 
