Take the room of a backend server from its latest incarnation

A backend server that starts again under its id may have less room, and starts would have exceeded it (LIMIT) or gone to one that is leaving: the scheduler compared announcements by their sequence alone, which begins anew, and so kept the one of the earlier incarnation until the sequence had caught up, 1.5 s for each announcement of its former life. It now compares the start of the incarnation first, as the roster does. A room that shrinks within one incarnation was honoured before: that test passes on the old code, too.

--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -122,7 +122,11 @@
     def announce(self, announcement: PoolBackend) -> None:
         """Process an announcement; ignored if it is outdated or its backend server is not held."""
         held = self.held_by_id.get(announcement.backend_id)
-        if held is None or announcement.sequence < held.announcement.sequence:
+        if held is None:
+            return
+        known = held.announcement
+        # Another incarnation under the same id counts its announcements anew.
+        if (announcement.born_ms, announcement.sequence) < (known.born_ms, known.sequence):
             return
         if announcement.leaving and not held.announcement.leaving:
             _log.info(
--- /dev/null
+++ b/testing/pool/test_capacity.py
@@ -0,0 +1,64 @@
+"""Starts on backend servers whose resources shrink and grow while they run."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+from pool_harness import (
+    BACKEND_ROOM,
+    TASK_ROOM,
+    FakeBackend,
+    make_announcement,
+    make_job,
+    run_on_virtual_time,
+    run_scheduler,
+)
+
+from apricotpoint._wire.pool import Room
+
+ONE_TASK_ROOM = Room(TASK_ROOM.cpu, BACKEND_ROOM.memory_mb)
+
+
+def used_cpu(backend: FakeBackend) -> int:
+    return TASK_ROOM.cpu * len(backend.active_run_by_key)
+
+
+def test_no_start_exceeds_a_room_that_has_shrunk():
+    """Guards against starts that count against the room of an earlier announcement."""
+
+    async def test() -> None:
+        backend = FakeBackend(work_s=0.3)
+        async with run_scheduler(backend) as harness:
+            first = harness.scheduler.submit(make_job(1, count=2, work_s=0.3), "")
+            await anyio.sleep(0.1)
+            shrunk = make_announcement("w1", room=ONE_TASK_ROOM)
+            harness.scheduler.announce(attrs.evolve(shrunk, sequence=2))
+            # A run that is being stopped still uses the room.
+            harness.scheduler.cancel(first.request.job_id, "cancelled")
+            harness.scheduler.submit(make_job(2, count=3, work_s=0.3, deadline_s=3.0), "")
+            for _ in range(150):
+                await anyio.sleep(0.01)
+                if len(backend.starts) > 2:
+                    assert used_cpu(backend) <= ONE_TASK_ROOM.cpu
+            assert len(backend.starts) == 5
+            assert harness.counters.get("pool.refused_no_room") == 0
+
+    run_on_virtual_time(test)
+
+
+def test_a_restart_under_the_same_id_brings_its_own_room():
+    """Guards against starts that count against the room of an earlier incarnation."""
+
+    async def test() -> None:
+        async with run_scheduler(FakeBackend()) as harness:
+            earlier = attrs.evolve(make_announcement("w1"), sequence=50, born_ms=1_000)
+            harness.scheduler.announce(earlier)
+            later = attrs.evolve(
+                make_announcement("w1", room=ONE_TASK_ROOM), sequence=1, born_ms=2_000
+            )
+            harness.scheduler.announce(later)
+            assert harness.scheduler.held_by_id["w1"].announcement == later
+            harness.scheduler.announce(attrs.evolve(earlier, sequence=51))
+            assert harness.scheduler.held_by_id["w1"].announcement == later
+
+    run_on_virtual_time(test)
