Learn from a refused start that the room of a backend server has shrunk

Callers waited behind starts that were refused for lack of room: a room that shrinks is announced up to one period later, and until then the scheduler sent a start each 0.1 s, and one more at each end of a run, to the same backend server. Now the resources in use at the refusal are the limit there for 1 s or until another room is announced. In the test the refused starts fall to one in 0.95 s; a room that has grown is used within 1 s. The test fails without the change.

--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -61,7 +61,7 @@
         typical_cpu = self._typical_cpu()
         return PoolLoad(
             backlog_s=self.backlog_s(jobs, now),
-            free=sum(held.free().cpu // typical_cpu for held in eligible),
+            free=sum(held.free(now).cpu // typical_cpu for held in eligible),
             capacity=sum(held.announcement.room.cpu // typical_cpu for held in eligible),
         )
 
--- a/src/apricotpoint/_pool/forecast.py
+++ b/src/apricotpoint/_pool/forecast.py
@@ -39,7 +39,7 @@
         for held in backends:
             speed_class = held.speed.speed_class
             free_at = self._free_at_by_class.setdefault(speed_class, [])
-            free_at += [now] * (max(held.free().cpu, 0) // max(typical_cpu, 1))
+            free_at += [now] * (max(held.free(now).cpu, 0) // max(typical_cpu, 1))
             free_at += [now + remaining_s(run, now) for run in held.run_by_key.values()]
             speeds_by_class.setdefault(speed_class, []).append(held.speed.value)
         self._speed_by_class = {
--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -15,6 +15,9 @@
 LEASE_S = 0.9
 # The clock of a backend server may be 2% slow; measured here, a lease may last that much longer.
 CLOCK_RATE = 0.98
+# A refused start limits the resources that are used for this long; by then a backend server
+# announces a room that has shrunk.
+FULL_ROOM_S = 1.0
 # Upper bound of the time from the expiry of a lease until its runs are terminated.
 LEASE_END_MARGIN_S = 0.06
 
@@ -30,8 +33,8 @@
     an earlier holder. `acknowledged` is the number of the last ended run that was processed.
     `born_ms` is the start of the incarnation in unix milliseconds, 0 if not reported.
     `is_responsive` tells whether the last renewal was answered, `refuses_connections` whether its
-    VM has refused a connection since the last answer. `full_until` is the end of the
-    backoff after a start that was refused for lack of resources. `used` are the resources of the
+    VM has refused a connection since the last answer. After a start that was refused for lack of
+    resources, no more than `full_room` is used until `full_until`. `used` are the resources of the
     runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
     server: only jobs that have started may start tasks there then. `trial` is a task that may
     crash the backend server (`_pool.trials`): no other one starts there meanwhile. `released` is
@@ -51,6 +54,7 @@
     is_responsive: bool = False
     refuses_connections: bool = False
     lease_expires_at: float = 0.0
+    full_room: Room = Room(0, 0)
     full_until: float = 0.0
     handing_over: bool = False
     trial: Task | None = None
@@ -64,8 +68,10 @@
         """Id of the backend server."""
         return self.announcement.backend_id
 
-    def free(self) -> Room:
-        """Return the resources that no run uses, by the last announcement."""
+    def free(self, now: float) -> Room:
+        """Return the resources that no run uses, by the last announcement and refused start."""
+        if now < self.full_until:
+            return self.announcement.room.limited_to(self.full_room).minus(self.used)
         if self._free is None or self._free_for is not self.announcement:
             self._free, self._free_for = self.announcement.room.minus(self.used), self.announcement
         return self._free
@@ -76,9 +82,16 @@
             request.room
         )
 
-    def has_free_resources(self, request: PoolJob) -> bool:
+    def has_free_resources(self, request: PoolJob, now: float) -> bool:
         """Return whether the free resources are enough for a task of the job."""
-        return self.free().covers(request.room)
+        return self.free(now).covers(request.room)
+
+    def record_full(self, now: float) -> None:
+        """Record that a start was refused although the announced room has enough resources.
+
+        The room has shrunk since the last announcement, so the refused start shows what it is.
+        """
+        self.full_room, self.full_until = self.used, now + FULL_ROOM_S
 
     def is_eligible(self, now: float) -> bool:
         """Return whether any task may start here now, free resources aside."""
@@ -91,13 +104,16 @@
             and not self.announcement.leaving
             and not self.released
             and not self.untracked_runs
-            and now >= self.full_until
             and self.health.allows_start(now, len(self.run_by_key))
         )
 
     def can_start(self, request: PoolJob, now: float) -> bool:
         """Return whether a task of the job may start here now."""
-        return self.has_free_resources(request) and self.can_run(request) and self.is_eligible(now)
+        return (
+            self.has_free_resources(request, now)
+            and self.can_run(request)
+            and self.is_eligible(now)
+        )
 
     def is_schedulable(self, now: float) -> bool:
         """Return whether a forecast may count on the resources here once they are free.
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/placement.py
@@ -47,10 +47,10 @@
     in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
     safe = [held for held in in_time if _meets_deadline(job, held.speed.value, now, SAFE_MARGIN)]
     if safe:
-        return min(safe, key=lambda held: (held.speed.speed_class, held.free().cpu))
+        return min(safe, key=lambda held: (held.speed.speed_class, held.free(now).cpu))
     if in_time:
-        return max(in_time, key=lambda held: (held.speed.speed_class, -held.free().cpu))
-    best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free().cpu))
+        return max(in_time, key=lambda held: (held.speed.speed_class, -held.free(now).cpu))
+    best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free(now).cpu))
     if best.speed.value * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
     return best if may_meet_deadline(job, best.speed.value, now) else None
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -25,9 +25,6 @@
 
 # Period in which deadlines are checked and unanswered stop requests are repeated.
 TICK_PERIOD_S = 0.02
-# Time for which a backend server gets no starts after it refused one for lack of resources,
-# unless a run ends there before.
-FULL_BACKOFF_S = 0.1
 
 _log = logbook.Logger("pool")
 
@@ -133,6 +130,8 @@
                 "backend server {} is shutting down; starting no more tasks there",
                 announcement.backend_id,
             )
+        if announcement.room != known.room:
+            held.full_until = 0.0
         held.announcement = announcement
         self.request_dispatch()
 
@@ -277,7 +276,6 @@
         if not held.remove(run, job.request.room):
             return
         task.run = None
-        held.full_until = 0.0
         self._counters.add(f"pool.ends_{outcome.value}")
         if outcome is RunOutcome.DONE:
             self._counters.record("pool.run_time", now - run.sent_at)
@@ -524,7 +522,7 @@
         held.remove(run, job.request.room)
         run.task.run = None
         if outcome is StartOutcome.NO_ROOM:
-            held.full_until = now + FULL_BACKOFF_S
+            held.record_full(now)
         elif outcome is StartOutcome.NOT_LISTENING:
             # No further starts there until a renewal of the lease is answered.
             held.is_responsive, held.refuses_connections = False, True
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -21,6 +21,14 @@
             and other.accelerators <= self.accelerators
         )
 
+    def limited_to(self, other: Room) -> Room:
+        """Return the smaller amount of each resource."""
+        return Room(
+            min(self.cpu, other.cpu),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def plus(self, other: Room) -> Room:
         """Return the sum of both resources."""
         return Room(
--- a/testing/pool/test_capacity.py
+++ b/testing/pool/test_capacity.py
@@ -62,3 +62,22 @@
             assert harness.scheduler.held_by_id["w1"].announcement == later
 
     run_on_virtual_time(test)
+
+
+def test_refused_starts_show_that_a_room_has_shrunk():
+    """Guards against starts that are refused again and again until the next announcement."""
+
+    async def test() -> None:
+        backend = FakeBackend(work_s=0.1)
+        async with run_scheduler(backend) as harness:
+            backend.room = ONE_TASK_ROOM
+            harness.scheduler.submit(make_job(1, count=9, work_s=0.1, deadline_s=5.0), "")
+            await anyio.sleep(0.95)
+            assert harness.counters.get("pool.refused_no_room") == 1
+            # The room is used again soon after it has grown.
+            backend.room = BACKEND_ROOM
+            harness.scheduler.submit(make_job(2, count=30, work_s=0.1, deadline_s=9.0), "")
+            await anyio.sleep(1.0)
+            assert len(backend.active_run_by_key) == 2
+
+    run_on_virtual_time(test)
