Notice a change of an announcement whose message was lost

A holder could start tasks against a room that had long shrunk (LIMIT), or on a backend server that was leaving (DRAIN). Cause: a change is sent once, without acknowledgement; all later announcements are repeated as ids, which say only that the backend server is there. If the message was lost, in a partition between one control process and the holder, nothing brought the change again. Repetitions now carry a digest of 32 bits; a holder whose announcement differs asks for all with its next hello. Same cause in one place for room, state, address and labels. The test, in which the holder kept the old room for good, fails without the change.

--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -170,7 +170,9 @@
                 due = {key for key, domain in domain_by_id.items() if domain in watched}
             if due:
                 entry.repeated_ids = entry.repeated_ids - due
-                self._transport.send(entry_id, BackendsHeard([], [], sorted(due)))
+                ids = sorted(due & self._roster.announcement_by_id.keys())
+                digests = self._roster.digests(ids)
+                self._transport.send(entry_id, BackendsHeard([], [], ids, digests))
 
     def _on_announcements(self, _: Sender, message: object) -> None:
         """Process what another control process forwards."""
--- a/src/apricotpoint/_pool/roster.py
+++ b/src/apricotpoint/_pool/roster.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import logbook
+import msgspec
+import xxhash
 
 from apricotpoint._wire.pool import BackendsHeard, PoolBackend
 
@@ -36,6 +39,11 @@
         return not self.final and bool(self.born_ms) and announcement.sequence > self.sequence
 
 
+def digest(announcement: PoolBackend) -> int:
+    """Return a digest of 32 bits of all fields of an announcement but its sequence number."""
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(attrs.evolve(announcement, sequence=0)))
+
+
 class Roster:
     """The last announcement of each backend server.
 
@@ -48,6 +56,7 @@
 
     def __init__(self, *, now: Callable[[], float]) -> None:
         self.announcement_by_id: dict[str, PoolBackend] = {}
+        self._digest_by_id: dict[str, int] = {}
         self._last_contact_at_by_id: dict[str, float] = {}
         self.revision = 0
         self._removal_by_id: dict[str, _Removal] = {}
@@ -66,23 +75,31 @@
             self._remove(backend_id, "it has left", final=True)
         for announcement in message.heard:
             self._update_announcement(announcement)
-        for backend_id in message.repeated:
-            self._record_repetition(backend_id)
+        # A process of an earlier release sends no digests.
+        for backend_id, value in itertools.zip_longest(message.repeated, message.repeated_digests):
+            self._record_repetition(backend_id, value)
 
     def count_by_domain(self) -> dict[str, int]:
         """Return the number of announced backend servers by failure domain."""
         return dict(Counter(item.failure_domain for item in self.announcement_by_id.values()))
 
+    def digests(self, backend_ids: Iterable[str]) -> list[int]:
+        """Return the digests of the announcements of backend servers that are known."""
+        return [self._digest_by_id[backend_id] for backend_id in backend_ids]
+
     def take_missing(self) -> bool:
-        """Return whether a repeated announcement was not known, and forget about it."""
+        """Return whether a repeated announcement was not known as it is, and forget about it."""
         missing, self._is_missing = self._is_missing, False
         return missing
 
-    def _record_repetition(self, backend_id: str) -> None:
+    def _record_repetition(self, backend_id: str, repeated_digest: int | None) -> None:
         known = self.announcement_by_id.get(backend_id)
         if known is None:
             self._is_missing = self._is_missing or backend_id not in self._removal_by_id
             return
+        if repeated_digest is not None and repeated_digest != self._digest_by_id[backend_id]:
+            _log.info("a change of the announcement of backend server {} was missed", backend_id)
+            self._is_missing = True
         self._last_contact_at_by_id[backend_id] = self._now()
         self._last_contact_at_by_domain[known.failure_domain] = self._now()
 
@@ -133,6 +150,7 @@
             )
             self.revision += 1
         self.announcement_by_id[announcement.backend_id] = announcement
+        self._digest_by_id[announcement.backend_id] = digest(announcement)
         self._last_contact_at_by_id[announcement.backend_id] = self._now()
         self._last_contact_at_by_domain[announcement.failure_domain] = self._now()
         for callback in self._callbacks:
@@ -140,6 +158,7 @@
 
     def _remove(self, backend_id: str, reason: str, *, final: bool) -> None:
         known = self.announcement_by_id.pop(backend_id, None)
+        self._digest_by_id.pop(backend_id, None)
         if known is not None:
             _log.info("removed backend server {}: {}", backend_id, reason)
             self.revision += 1
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -72,11 +72,14 @@
 
     `heard` are new or changed ones, `repeated` the ids of backend servers that have
     announced themselves again without a change, and `gone` those that have left.
+    `repeated_digests` has the digest (`_pool.roster.digest`) of each repeated announcement, so
+    that a receiver notices that it has missed a change.
     """
 
     heard: list[PoolBackend]
     gone: list[str] = attrs.Factory(list)
     repeated: list[str] = attrs.Factory(list)
+    repeated_digests: list[int] = attrs.Factory(list)
 
 
 @attrs.frozen
--- a/testing/pool/test_capacity.py
+++ b/testing/pool/test_capacity.py
@@ -4,6 +4,7 @@
 
 import anyio
 import attrs
+from pool_cluster import run_cluster
 from pool_harness import (
     BACKEND_ROOM,
     TASK_ROOM,
@@ -81,3 +82,27 @@
             assert len(backend.active_run_by_key) == 2
 
     run_on_virtual_time(test)
+
+
+def test_a_change_whose_message_was_lost_arrives_with_the_next_repetition():
+    """Guards against a holder that counts with a room, or a state, that has long changed."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            holder_id = next(key for key, held in cluster.holders().items() if "a1" in held)
+            cluster.network.dropped_pairs.add(("control-a", holder_id))
+            cluster.unannounced.add("a1")
+            changed = attrs.evolve(
+                make_announcement("a1", room=ONE_TASK_ROOM), failure_domain="a", sequence=5_000
+            )
+            cluster.relay_by_id["control-a"].announce(changed)
+            await anyio.sleep(0.2)
+            cluster.heal()
+            for sequence in range(5_001, 5_004):
+                repeated = attrs.evolve(changed, sequence=sequence)
+                cluster.relay_by_id["control-b"].announce(repeated)
+                await anyio.sleep(1.5)
+            held = cluster.entry_by_id[holder_id].scheduler.held_by_id["a1"]
+            assert held.announcement.room == ONE_TASK_ROOM
+
+    run_on_virtual_time(test)
