Count only startable tasks as waiting ahead of other jobs

Cause: the forecast and the reported backlog counted all waiting tasks, also those held back because they may crash the next backend server, and which use nothing meanwhile. They now count only tasks that may start. The test fails without the change (a backlog of 2.5 s instead of 0).

--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from apricotpoint._pool import admission, forecast, joborder
 from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Run
+from apricotpoint._pool.job import Job, Run, Task
 from apricotpoint._pool.learning import KindRunTimes, mean_speed_log
 from apricotpoint._wire.pool import PoolJob, PoolLoad
 
@@ -25,12 +25,16 @@
 class Estimates:
     """Learned run times by kind of job and speeds of the held backend servers.
 
+    Tasks for which `may_start` is false wait for something else than resources, and so delay none.
     Times passed as `now` are monotonic seconds. Work is run time at speed 1.
     """
 
-    def __init__(self, held_by_id: Mapping[str, HeldBackend]) -> None:
+    def __init__(
+        self, held_by_id: Mapping[str, HeldBackend], may_start: Callable[[Task], bool]
+    ) -> None:
         self.run_times = KindRunTimes()
         self._held_by_id = held_by_id
+        self._may_start = may_start
         self._mean_cpu = 0.0
 
     def run_time_s(self, request: PoolJob) -> float:
@@ -73,7 +77,7 @@
             for held in self._held_by_id.values()
             if held.is_schedulable(now)
         )
-        work_s = sum(len(job.waiting_tasks()) * job.mean_task_s for job in jobs)
+        work_s = sum(self._startable_count(job) * job.mean_task_s for job in jobs)
         return work_s / max(rate, 1.0)
 
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
@@ -90,9 +94,10 @@
             return ACQUISITION_WAIT_S, run_s
         key = joborder.order_key(job, now, fastest)
         ahead = [
-            other
+            (count, other.mean_task_s)
             for other in jobs
-            if other.waiting_tasks() and joborder.order_key(other, now, fastest) <= key
+            if (count := self._startable_count(other))
+            and joborder.order_key(other, now, fastest) <= key
         ]
         slots = forecast.SlotForecast(schedulable, self._typical_cpu(), now)
         if not ahead and slots.free_count() >= job.request.count:
@@ -100,6 +105,9 @@
         wait_s = slots.predict_end(job, ahead) - now - run_s
         return max(wait_s, 0.0), run_s
 
+    def _startable_count(self, job: Job) -> int:
+        return sum(map(self._may_start, job.waiting_tasks()))
+
     def can_meet_deadline(self, job: Job, now: float) -> bool:
         """Return whether the waiting tasks of a job can still end before its deadline."""
         share = admission.STARTED_OPTIMISTIC_SHARE if job.started else admission.OPTIMISTIC_SHARE
--- a/src/apricotpoint/_pool/forecast.py
+++ b/src/apricotpoint/_pool/forecast.py
@@ -58,16 +58,17 @@
             for free_at in self._free_at_by_class[speed_class]
         )
 
-    def predict_end(self, job: Job, ahead: Iterable[Job]) -> float:
-        """Return when a job ends if the jobs `ahead` of it get slots first, infinity without slots.
+    def predict_end(self, job: Job, ahead: Iterable[tuple[int, float]]) -> float:
+        """Return when a job ends if those ahead of it get slots first, infinity without slots.
 
-        Each task gets the slot in which it ends first. The slots stay taken afterwards.
+        `ahead` has the number of their tasks and the work of each in seconds at speed 1. Each task
+        gets the slot in which it ends first. The slots stay taken afterwards.
         """
         if not self._speed_by_class:
             return float("inf")
-        for other in ahead:
-            for _ in other.waiting_tasks():
-                self._reserve_earliest(other.mean_task_s)
+        for count, work_s in ahead:
+            for _ in range(count):
+                self._reserve_earliest(work_s)
         return max(self._reserve_earliest(job.longest_task_s) for _ in job.waiting_tasks())
 
     def _reserve_earliest(self, work_s: float) -> float:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -48,8 +48,8 @@
         make_client: Callable[[PoolBackend], BackendClient],
     ) -> None:
         self.held_by_id: dict[str, HeldBackend] = {}
-        self.estimates = Estimates(self.held_by_id)
         self.crashes = CrashHistory(now=timers.now)
+        self.estimates = Estimates(self.held_by_id, self._is_clear)
         self.crashes.on_given_up = self._end_given_up_jobs
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
--- a/testing/pool/test_crashes.py
+++ b/testing/pool/test_crashes.py
@@ -16,6 +16,7 @@
 )
 
 from apricotpoint._core.codes import ResultCode
+from apricotpoint._pool.crashes import Evidence
 
 DEADLY_JOB = 1
 DEADLY_TASK = f"{DEADLY_JOB:016x}.0.0.0"
@@ -136,6 +137,29 @@
     run_on_virtual_time(test)
 
 
+def test_tasks_that_are_held_back_delay_no_other_job():
+    """Guards against refusals for lack of room that tasks would use which do not start."""
+
+    async def test() -> None:
+        async with run_restarting() as (harness, _):
+            scheduler = harness.scheduler
+            held_back = make_job(2, count=40, work_s=0.5, deadline_s=30.0)
+            for backend_id in ("lost1", "lost2"):
+                scheduler.crashes.record(
+                    make_announcement(backend_id),
+                    0,
+                    [f"{held_back.job_id}.0.0.{index}" for index in range(held_back.count)],
+                    Evidence.REFUSED,
+                    alone=False,
+                )
+            scheduler.submit(held_back, "")
+            await anyio.sleep(0.1)
+            assert scheduler.refusal(make_job(3, count=4)) is None
+            assert scheduler.load().backlog_s == 0
+
+    run_on_virtual_time(test)
+
+
 def test_a_start_that_was_not_sent_is_repeated_at_once():
     """Guards against a task that waits for a lease although its start was never sent."""
 
