Count backend servers that do not come back as crashed

A task under which backend servers are lost for good, or come back at another address, was started again and again: evidence of a crash was forgotten after 10 s unless another incarnation showed it at the same address. In the new test, which loses each backend server for good, the job ended only at its deadline of 100 s (code 3103). A backend server that neither announces itself nor answers for 10 s now counts as crashed, in each process by its own table; an answer of the same incarnation takes that back, as the second test shows. Losses are also found by backend server, as each answer of one looked at all of them before.

--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Iterable
+import itertools
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import logbook
@@ -20,8 +21,9 @@
 # Crashes after which a task is given up if at least one of them happened while it ran alone, and
 # after which it is given up in any case.
 MAX_CRASHES_ALONE, MAX_CRASHES = 2, 3
-# A silent backend server that is not heard of for this long says no more about its tasks.
-LOSS_RETENTION_S = 10.0
+# A loss is forgotten after this long without stronger evidence; by then a backend server that is
+# not heard of has been reported as gone.
+LOSS_RETENTION_S = 15.0
 # Crashes are remembered for this long after the last change, for callers that submit again.
 CRASH_RETENTION_S = 120.0
 # Upper bound of the remembered tasks; the oldest are dropped first.
@@ -34,13 +36,15 @@
     """What shows that a backend server crashed; a higher value is stronger.
 
     `SILENT`: it stopped to answer, which a partition explains as well. `REFUSED`: its VM also
-    refused connections, so that most likely its process has ended. `CRASHED`: another incarnation
-    has replaced it.
+    refused connections, so that most likely its process has ended. `GONE`: nothing was heard of it
+    for longer than a partition usually lasts; it counts as crashed unless it answers again.
+    `CRASHED`: another incarnation has replaced it.
     """
 
     SILENT = 0
     REFUSED = 1
-    CRASHED = 2
+    GONE = 2
+    CRASHED = 3
 
 
 class Verdict(enum.Enum):
@@ -74,7 +78,7 @@
 def judge(evidence: Iterable[tuple[Evidence, bool]]) -> Verdict:
     """Return the verdict on a task by the evidence of each loss and whether it was alone there."""
     losses = list(evidence)
-    crashed = [alone for kind, alone in losses if kind is Evidence.CRASHED]
+    crashed = [alone for kind, alone in losses if kind >= Evidence.GONE]
     if len(crashed) >= MAX_CRASHES or (len(crashed) >= MAX_CRASHES_ALONE and any(crashed)):
         return Verdict.GIVEN_UP
     refused = sum(kind is Evidence.REFUSED for kind, _ in losses)
@@ -100,6 +104,7 @@
         self._now = now
         # By the id and the start of the incarnation of the backend server.
         self._losses_by_task: dict[str, dict[tuple[str, int], _Loss]] = {}
+        self._tasks_by_backend: dict[str, set[str]] = {}
         self._given_up_kinds: set[str] = set()
 
     def verdict(self, task: str) -> Verdict:
@@ -112,7 +117,7 @@
     def crash_count(self, task: str) -> int:
         """Return the number of backend servers that are known to have crashed under a task."""
         losses = self._losses_by_task.get(task, {})
-        return sum(loss.evidence is Evidence.CRASHED for loss in losses.values())
+        return sum(loss.evidence >= Evidence.GONE for loss in losses.values())
 
     def is_suspicious_kind(self, kind: str) -> bool:
         """Return whether a job of this kind had a task that was given up lately."""
@@ -147,17 +152,26 @@
         """Record stronger evidence that a backend server on which runs were lost has crashed."""
         self._strengthen(evidence, lambda row: row.backend_id == backend_id)
 
+    def record_gone(self, backend_id: str) -> None:
+        """Record that a backend server is not heard of any more; each process notices it itself."""
+        rows = [
+            attrs.evolve(loss.row, evidence=int(Evidence.GONE))
+            for loss in self._losses_on(backend_id)
+            if loss.evidence < Evidence.GONE
+        ]
+        if rows:
+            _log.notice("backend server {} is gone; runs were lost there", backend_id)
+            self.merge(CrashesHeard(rows))
+
     def process_answer(self, backend_id: str, born_ms: int) -> None:
         """Process an answer of a backend server: it did not crash if it is the same incarnation."""
-        if not self._losses_by_task:
+        if backend_id not in self._tasks_by_backend:
             return
         self._strengthen(
             Evidence.CRASHED,
             lambda row: row.backend_id == backend_id and 0 < row.born_ms < born_ms,
         )
-        if any(
-            row.backend_id == backend_id and row.evidence != Evidence.CRASHED for row in self.rows()
-        ):
+        if any(loss.evidence != Evidence.CRASHED for loss in self._losses_on(backend_id)):
             self._apply(CrashesHeard([], [backend_id]))
 
     def process_announcement(self, announcement: PoolBackend) -> None:
@@ -182,31 +196,34 @@
         for backend_id in message.cleared:
             self._forget(backend_id)
         for row in message.rows:
-            losses = self._losses_by_task.setdefault(row.task, {})
             incarnation = (row.backend_id, row.born_ms)
+            losses = self._losses_by_task.setdefault(row.task, {})
             known = losses.get(incarnation)
             if known is not None and known.row.evidence >= row.evidence:
                 continue
             losses[incarnation] = _Loss(row, now)
+            self._tasks_by_backend.setdefault(row.backend_id, set()).add(row.task)
             if self.verdict(row.task) is Verdict.GIVEN_UP:
                 given_up.append(row.task)
         for task in given_up:
             self._exonerate_neighbours(task)
-        while len(self._losses_by_task) > MAX_TASKS:
-            del self._losses_by_task[next(iter(self._losses_by_task))]
+        excess = len(self._losses_by_task) - MAX_TASKS
+        for task in list(itertools.islice(self._losses_by_task, max(excess, 0))):
+            for incarnation in list(self._losses_by_task[task]):
+                self._remove(task, incarnation)
         if given_up:
             self.on_given_up()
 
     def rows(self) -> list[CrashRow]:
         """Return all that is known, for a process that has just started."""
-        return [loss.row for losses in self._losses_by_task.values() for loss in losses.values()]
+        return [loss.row for loss in self._losses()]
 
     def expire(self) -> None:
         """Forget what is too old to say anything about a task."""
         now = self._now()
 
         def is_current(loss: _Loss) -> bool:
-            is_crash = loss.evidence is Evidence.CRASHED
+            is_crash = loss.evidence >= Evidence.GONE
             return now - loss.changed_at <= (CRASH_RETENTION_S if is_crash else LOSS_RETENTION_S)
 
         self._retain(lambda _, loss: is_current(loss))
@@ -215,9 +232,9 @@
 
     def _strengthen(self, evidence: Evidence, applies: Callable[[CrashRow], bool]) -> None:
         rows = [
-            attrs.evolve(row, evidence=int(evidence))
-            for row in self.rows()
-            if row.evidence < evidence and applies(row)
+            attrs.evolve(loss.row, evidence=int(evidence))
+            for loss in self._losses()
+            if loss.evidence < evidence and applies(loss.row)
         ]
         if rows:
             self._apply(CrashesHeard(rows))
@@ -253,10 +270,30 @@
             )
         )
 
+    def _losses(self) -> Iterator[_Loss]:
+        for losses in self._losses_by_task.values():
+            yield from losses.values()
+
+    def _losses_on(self, backend_id: str) -> list[_Loss]:
+        return [
+            loss
+            for task in self._tasks_by_backend.get(backend_id, ())
+            for loss in self._losses_by_task[task].values()
+            if loss.row.backend_id == backend_id
+        ]
+
     def _retain(self, is_retained: Callable[[str, _Loss], bool]) -> None:
         for task, losses in list(self._losses_by_task.items()):
             for incarnation, loss in list(losses.items()):
                 if not is_retained(task, loss):
-                    del losses[incarnation]
-            if not losses:
-                del self._losses_by_task[task]
+                    self._remove(task, incarnation)
+
+    def _remove(self, task: str, incarnation: tuple[str, int]) -> None:
+        losses, backend_id = self._losses_by_task[task], incarnation[0]
+        del losses[incarnation]
+        if not losses:
+            del self._losses_by_task[task]
+        if not any(loss.row.backend_id == backend_id for loss in losses.values()):
+            self._tasks_by_backend[backend_id].discard(task)
+            if not self._tasks_by_backend[backend_id]:
+                del self._tasks_by_backend[backend_id]
--- a/src/apricotpoint/_pool/crashreports.py
+++ b/src/apricotpoint/_pool/crashreports.py
@@ -42,6 +42,7 @@
         self._timers = timers
         self._subscription: PeriodicTimer | None = None
         roster.subscribe(crashes.process_announcement)
+        roster.subscribe_unreachable(crashes.record_gone)
 
     async def __aenter__(self) -> CrashReports:
         self._transport.handlers_by_type[CrashesHeard] = self._on_changes
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -80,6 +80,7 @@
         self._crashes = CrashHistory(now=timers.now)
         self._crash_changes: list[CrashesHeard] = []
         self._subscriptions: list[PeriodicTimer] = []
+        self._roster.subscribe_unreachable(self._crashes.record_gone)
 
     async def __aenter__(self) -> AnnouncementRelay:
         self._transport.request_handlers_by_type[EntryHello] = self._on_hello
--- a/src/apricotpoint/_pool/roster.py
+++ b/src/apricotpoint/_pool/roster.py
@@ -64,11 +64,16 @@
         self._is_missing = False
         self._now = now
         self._callbacks: list[Callable[[PoolBackend], None]] = []
+        self._unreachable_callbacks: list[Callable[[str], None]] = []
 
     def subscribe(self, callback: Callable[[PoolBackend], None]) -> None:
         """Call `callback` with each announcement that replaces an older one or is the first."""
         self._callbacks.append(callback)
 
+    def subscribe_unreachable(self, callback: Callable[[str], None]) -> None:
+        """Call `callback` with the id of each backend server that is removed as unreachable."""
+        self._unreachable_callbacks.append(callback)
+
     def update(self, message: BackendsHeard) -> None:
         """Process the announcements and the ids of unregistered backend servers in a message."""
         for backend_id in message.gone:
@@ -127,6 +132,8 @@
         for backend_id in unreachable:
             reason = f"no contact for {UNREACHABLE_TIMEOUT_S:g} s"
             self._remove(backend_id, reason, final=False)
+            for callback in self._unreachable_callbacks:
+                callback(backend_id)
         for backend_id, removal in list(self._removal_by_id.items()):
             if now - removal.removed_at > REMOVED_RETENTION_S:
                 del self._removal_by_id[backend_id]
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -633,7 +633,6 @@
                 else:
                     self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
         self._jobs.expire()
-        self.crashes.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
             # Most processes schedule no jobs, and a timer that never rests costs each of them.
             self._subscription.cancel()
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -292,7 +292,12 @@
                 ):
                     await stack.enter_async_context(part)
                 self.claimer.start_pause_detection()
-                timers.every(CLAIM_CHECK_PERIOD_S, lambda: self.claimer.check(self.members))
+
+                def check() -> None:
+                    self.claimer.check(self.members)
+                    roster.remove_unreachable()
+
+                timers.every(CLAIM_CHECK_PERIOD_S, check)
                 task_status.started()
                 await anyio.sleep_forever()
 
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 import attrs
 from pool_cluster import Cluster, run_cluster
 from pool_harness import make_job, run_on_virtual_time
 
 from apricotpoint._core.codes import ResultCode
+from apricotpoint._pool.backendclient import RunKey
+from apricotpoint._pool.crashes import Verdict
 from apricotpoint._pool.shares import BACKENDS_PER_CORE
 from apricotpoint._wire.pool import PoolAnswer
 
@@ -104,3 +108,64 @@
             assert starts(cluster) == 2
 
     run_on_virtual_time(test)
+
+
+def test_backend_servers_that_do_not_come_back_count_as_crashed():
+    """Guards against crashes that are forgotten because no other incarnation shows them."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            prepare(cluster)
+            for backend_id, backend in cluster.backend_by_id.items():
+                backend.crash = lose_for_good(cluster, backend_id)  # type: ignore[method-assign]
+            job = attrs.evolve(DEADLY, deadline_s=100.0)
+            answer = await cluster.entry_by_id["e1"].service.submit(job)
+            assert answer.code == ResultCode.TASKS_FAILED
+            assert starts(cluster) == 2
+
+    run_on_virtual_time(test)
+
+
+def lose_for_good(cluster: Cluster, backend_id: str) -> Callable[[RunKey], None]:
+    """Return a crash after which nothing is heard of the backend server any more."""
+    backend = cluster.backend_by_id[backend_id]
+
+    def crash(cause: RunKey) -> None:
+        backend.crashes.append(cause)
+        backend.active_run_by_key.clear()
+        backend.is_down = True
+        cluster.unannounced.add(backend_id)
+
+    return crash
+
+
+def test_a_cut_backend_server_that_answers_again_did_not_crash():
+    """Guards against sound tasks that are given up after cuts longer than any time-out."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            for backend in cluster.backend_by_id.values():
+                backend.work_s = 1.0
+            crashes = cluster.entry_by_id["e1"].scheduler.crashes
+            job = make_job(2, work_s=1.0, deadline_s=100.0)
+            answers: list[PoolAnswer] = []
+
+            async def call() -> None:
+                answers.append(await cluster.entry_by_id["e1"].service.submit(job))
+
+            cluster.network.group.start_soon(call)
+            await anyio.sleep(0.3)
+            (backend_id,) = (
+                key for key, item in cluster.backend_by_id.items() if item.active_run_by_key
+            )
+            cluster.backend_by_id[backend_id].unreachable = True
+            cluster.unannounced.add(backend_id)
+            await anyio.sleep(13.0)
+            assert [answer.code for answer in answers] == [ResultCode.COMPLETE]
+            assert crashes.verdict(f"{job.job_id}.0.0.0") is Verdict.SUSPECT
+            cluster.backend_by_id[backend_id].unreachable = False
+            cluster.unannounced.clear()
+            await anyio.sleep(40.0)
+            assert not crashes.rows()
+
+    run_on_virtual_time(test)
