Exchange the crashes that a process has missed

Cause: each change is sent once, and a lost message, or a restarted control process, left a gap that nothing filled. Each hello now compares a digest of the crashes, and either side sends what the other has missed. Rows carry their age, so that an exchange does not prolong them, and a row that a convicted task explains is dropped also if it arrives late; before, it cast suspicion on a sound task for 120 s. The three tests fail without the change.

--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -15,6 +15,8 @@
 
 import attrs
 import logbook
+import msgspec
+import xxhash
 
 from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolBackend
 
@@ -105,6 +107,10 @@
         # By the id and the start of the incarnation of the backend server.
         self._losses_by_task: dict[str, dict[tuple[str, int], _Loss]] = {}
         self._tasks_by_backend: dict[str, set[str]] = {}
+        # Tasks that were given up, by the incarnations that they crashed.
+        self._culprit_by_incarnation: dict[tuple[str, int], str] = {}
+        # Digest of the crashes, None if it has to be made anew.
+        self._digest: int | None = 0
         self._given_up_kinds: set[str] = set()
 
     def verdict(self, task: str) -> Verdict:
@@ -197,12 +203,15 @@
             self._forget(backend_id)
         for row in message.rows:
             incarnation = (row.backend_id, row.born_ms)
+            if self._culprit_by_incarnation.get(incarnation, row.task) != row.task:
+                continue
             losses = self._losses_by_task.setdefault(row.task, {})
             known = losses.get(incarnation)
             if known is not None and known.row.evidence >= row.evidence:
                 continue
-            losses[incarnation] = _Loss(row, now)
+            losses[incarnation] = _Loss(row, now - row.age_s)
             self._tasks_by_backend.setdefault(row.backend_id, set()).add(row.task)
+            self._digest = None
             if self.verdict(row.task) is Verdict.GIVEN_UP:
                 given_up.append(row.task)
         for task in given_up:
@@ -214,9 +223,26 @@
         if given_up:
             self.on_given_up()
 
-    def rows(self) -> list[CrashRow]:
-        """Return all that is known, for a process that has just started."""
-        return [loss.row for loss in self._losses()]
+    def rows(self, least: Evidence = Evidence.SILENT) -> list[CrashRow]:
+        """Return the losses with this evidence or stronger one, with their ages."""
+        now = self._now()
+        return [
+            attrs.evolve(loss.row, age_s=now - loss.changed_at)
+            for loss in self._losses()
+            if loss.evidence >= least
+        ]
+
+    def digest(self) -> int:
+        """Return a digest of the crashes, 0 if none is known; equal ones need not be exchanged."""
+        if self._digest is None:
+            crashes = sorted(
+                (loss.row.task, loss.row.backend_id, loss.row.born_ms)
+                for loss in self._losses()
+                if loss.evidence is Evidence.CRASHED
+            )
+            encoded = msgspec.msgpack.encode(crashes)
+            self._digest = xxhash.xxh3_64_intdigest(encoded) if crashes else 0
+        return self._digest
 
     def expire(self) -> None:
         """Forget what is too old to say anything about a task."""
@@ -262,6 +288,7 @@
     def _exonerate_neighbours(self, culprit: str) -> None:
         """Clear the tasks whose loss is explained by the task that crashed the backend server."""
         explained = self._losses_by_task[culprit].keys()
+        self._culprit_by_incarnation.update(dict.fromkeys(explained, culprit))
         self._retain(
             lambda task, loss: (
                 (loss.row.backend_id, loss.row.born_ms) not in explained
@@ -291,6 +318,9 @@
     def _remove(self, task: str, incarnation: tuple[str, int]) -> None:
         losses, backend_id = self._losses_by_task[task], incarnation[0]
         del losses[incarnation]
+        if self._culprit_by_incarnation.get(incarnation) == task:
+            del self._culprit_by_incarnation[incarnation]
+        self._digest = None
         if not losses:
             del self._losses_by_task[task]
         if not any(loss.row.backend_id == backend_id for loss in losses.values()):
--- a/src/apricotpoint/_pool/crashreports.py
+++ b/src/apricotpoint/_pool/crashreports.py
@@ -8,7 +8,7 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
-from apricotpoint._pool.crashes import CrashHistory
+from apricotpoint._pool.crashes import CrashHistory, Evidence
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.roster import Roster
 from apricotpoint._wire.pool import CrashesHeard, CrashRow
@@ -25,6 +25,8 @@
     kill or a second submission, and its tasks must not start from zero there. So each change goes
     to the holders at once, and through the control processes to all others, which may become
     holders; a process that has just started gets all rows from the control process that it greets.
+    Messages may be lost in a partition, and control processes may restart: each hello compares the
+    digests of the crashes, and either side gets those that it has missed.
     """
 
     def __init__(
@@ -46,7 +48,8 @@
 
     async def __aenter__(self) -> CrashReports:
         self._transport.handlers_by_type[CrashesHeard] = self._on_changes
-        self._members.discovery.on_crashes = self._on_rows
+        self._members.discovery.on_crashes = self._on_welcome
+        self._members.discovery.crash_digest = self._crashes.digest
         self._crashes.on_change = self._send
         self._subscription = self._timers.every(EXPIRY_PERIOD_S, self._crashes.expire)
         return self
@@ -76,5 +79,17 @@
         assert isinstance(message, CrashesHeard)
         self._crashes.merge(message)
 
-    def _on_rows(self, rows: list[CrashRow]) -> None:
-        self._crashes.merge(CrashesHeard(rows))
+    def _on_welcome(self, control_id: str, rows: list[CrashRow], digest: int) -> None:
+        """Process the rows that a control process names, and send it the crashes it has missed."""
+        if rows:
+            self._crashes.merge(CrashesHeard(rows))
+        if digest == self._crashes.digest():
+            return
+        known = {(row.task, row.backend_id, row.born_ms) for row in rows}
+        missed = [
+            row
+            for row in self._crashes.rows(Evidence.CRASHED)
+            if (row.task, row.backend_id, row.born_ms) not in known
+        ]
+        if missed:
+            self._transport.send(control_id, CrashesHeard(missed))
--- a/src/apricotpoint/_pool/discovery.py
+++ b/src/apricotpoint/_pool/discovery.py
@@ -40,7 +40,8 @@
     first; those that answer name the others. Replace `summary` when it changes. Repeated
     announcements from `watched_domains` arrive with little delay. `first_welcome_at` is the
     monotonic time of the first answer, None before it. `on_welcome` is called after each answer,
-    `on_crashes` with the lost runs that one names.
+    `on_crashes` with the id of the control process, the lost runs that it names and the digest of
+    the crashes it knows; `crash_digest` returns that of the crashes known here.
     """
 
     def __init__(
@@ -58,7 +59,8 @@
         self.watched_domains: frozenset[str] = frozenset()
         self.first_welcome_at: float | None = None
         self.on_welcome: Callable[[], None] = lambda: None
-        self.on_crashes: Callable[[list[CrashRow]], None] = lambda _: None
+        self.on_crashes: Callable[[str, list[CrashRow], int], None] = lambda *_: None
+        self.crash_digest: Callable[[], int] = lambda: 0
         self._seeds = seeds
         self._transport = transport
         self._address_of = address_of
@@ -126,6 +128,7 @@
             list_digest=self.directory.digest(control_id),
             needs_backends=self._needs_backends,
             watched_domains=sorted(self.watched_domains),
+            crash_digest=self.crash_digest(),
         )
         self._needs_backends = False
         try:
@@ -143,6 +146,5 @@
             self.first_welcome_at = self._timers.now()
         self.directory.update(control_id, welcome)
         self._roster.update(BackendsHeard(welcome.backends))
-        if welcome.crashes:
-            self.on_crashes(welcome.crashes)
+        self.on_crashes(control_id, welcome.crashes, welcome.crash_digest)
         self.on_welcome()
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -11,11 +11,12 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
-from apricotpoint._pool.crashes import CrashHistory
+from apricotpoint._pool.crashes import CrashHistory, Evidence
 from apricotpoint._pool.roster import Roster
 from apricotpoint._wire.pool import (
     BackendsHeard,
     CrashesHeard,
+    CrashRow,
     EntryHello,
     EntrySummary,
     EntryWelcome,
@@ -206,9 +207,17 @@
             list_digest=digest,
             entries=None if digest == message.list_digest else entries,
             backends=list(self._roster.announcement_by_id.values()) if needs_backends else [],
-            crashes=self._crashes.rows() if needs_backends else [],
+            crashes=self._crashes_for(message, needs_all=needs_backends),
+            crash_digest=self._crashes.digest(),
         )
 
+    def _crashes_for(self, hello: EntryHello, *, needs_all: bool) -> list[CrashRow]:
+        """Return the lost runs that an entry process may have missed."""
+        if needs_all:
+            return self._crashes.rows()
+        is_known = hello.crash_digest == self._crashes.digest()
+        return [] if is_known else self._crashes.rows(Evidence.CRASHED)
+
     def _current_list(self) -> tuple[list[EntrySummary], int]:
         """Return the summaries of the live entry processes and their digest."""
         now = self._timers.now()
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -87,8 +87,8 @@
     """A run that was lost with its backend server.
 
     `born_ms` is the start of the incarnation of the backend server in unix milliseconds, 0 if it
-    is not known. `evidence` is a value of `_pool.crashes.Evidence`. `alone` tells that no other
-    run was there.
+    is not known. `evidence` is a value of `_pool.crashes.Evidence`, known for `age_s`. `alone`
+    tells that no other run was there.
     """
 
     task: str
@@ -97,6 +97,7 @@
     address: str
     evidence: int
     alone: bool
+    age_s: float = 0.0
 
 
 @attrs.frozen
@@ -137,12 +138,14 @@
     `list_digest` is that of the last list of entry processes received from this control
     process, 0 if there was none. `needs_backends` asks for all announcements. Repeated
     announcements of backend servers in `watched_domains` are relayed with little delay.
+    `crash_digest` is that of the crashes known to the entry process (`_pool.crashes`).
     """
 
     summary: EntrySummary
     list_digest: int = 0
     needs_backends: bool = True
     watched_domains: list[str] = attrs.Factory(list)
+    crash_digest: int = 0
 
 
 @attrs.frozen
@@ -150,7 +153,8 @@
     """The processes that a control process knows, and the backend servers announced recently.
 
     `entries` is None if the list has the digest that the entry process has named. `crashes` are
-    the lost runs of the last time, for an entry process that was not known before.
+    the lost runs of the last time, for an entry process that was not known before; for others only
+    crashes, if the digest that they have named is not `crash_digest`.
     """
 
     control_ids: list[str]
@@ -158,6 +162,7 @@
     entries: list[EntrySummary] | None
     backends: list[PoolBackend]
     crashes: list[CrashRow] = attrs.Factory(list)
+    crash_digest: int = 0
 
 
 @attrs.frozen
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -11,9 +11,9 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.backendclient import RunKey
-from apricotpoint._pool.crashes import Verdict
+from apricotpoint._pool.crashes import CrashHistory, Evidence, Verdict
 from apricotpoint._pool.shares import BACKENDS_PER_CORE
-from apricotpoint._wire.pool import PoolAnswer
+from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolAnswer
 
 BACKEND_IDS = ("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
 DEADLY = make_job(1, deadline_s=30.0)
@@ -169,3 +169,59 @@
             assert not crashes.rows()
 
     run_on_virtual_time(test)
+
+
+def test_reports_that_were_lost_in_a_partition_are_exchanged_afterwards():
+    """Guards against a job that was given up and starts again on the other side of a partition."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            prepare(cluster)
+            cluster.network.isolate("e3")
+            assert (await submit(cluster, "e2")).code == ResultCode.TASKS_FAILED
+            await anyio.sleep(1.0)
+            cluster.heal()
+            # The control processes do not know that e3 has missed anything.
+            for relay in cluster.relay_by_id.values():
+                relay._entry_by_id["e3"].last_contact_at = anyio.current_time()
+            await anyio.sleep(5.0)
+            for entry_id in ("e1", "e2"):
+                cluster.entry_by_id[entry_id].kill()
+            await anyio.sleep(5.0)
+            assert (await submit(cluster, "e3")).code == ResultCode.TASKS_FAILED
+            assert starts(cluster) == 2
+
+    run_on_virtual_time(test)
+
+
+def test_restarted_control_processes_learn_of_earlier_crashes():
+    """Guards against a control process that has forgotten the crashes and tells nobody of them."""
+
+    async def test() -> None:
+        async with run_deadly_cluster() as cluster:
+            prepare(cluster)
+            assert (await submit(cluster, "e2")).code == ResultCode.TASKS_FAILED
+            for relay in cluster.relay_by_id.values():
+                relay._crashes._retain(lambda *_: False)
+            await anyio.sleep(5.0)
+            for relay in cluster.relay_by_id.values():
+                rows = relay._crashes.rows(Evidence.CRASHED)
+                assert {row.task for row in rows} == {DEADLY_TASK}
+
+    run_on_virtual_time(test)
+
+
+def test_a_late_report_casts_no_suspicion_on_neighbours_of_a_convicted_task():
+    """Guards against a sound task that is held back for a crash which is already explained."""
+    crashes = CrashHistory(now=lambda: 0.0)
+    for backend_id in ("a1", "a2"):
+        crashes.merge(CrashesHeard([make_crash(DEADLY_TASK, backend_id, alone=True)]))
+    assert crashes.verdict(DEADLY_TASK) is Verdict.GIVEN_UP
+    crashes.merge(CrashesHeard([make_crash("neighbour", "a1", alone=False)]))
+    assert crashes.verdict("neighbour") is Verdict.CLEAR
+    crashes.merge(CrashesHeard([make_crash("neighbour", "a3", alone=False)]))
+    assert crashes.verdict("neighbour") is Verdict.SUSPECT
+
+
+def make_crash(task: str, backend_id: str, *, alone: bool) -> CrashRow:
+    return CrashRow(task, backend_id, 1, f"{backend_id}.example:1", int(Evidence.CRASHED), alone)
