Drop a message that cannot be encoded instead of ending the process

Cause: messages are encoded by the task that writes to the link, whose error ends the process with all its links. Such a message, also one that is too long, is now logged and replaced by an empty one, which keeps the reliable stream without gaps; a request or reply that cannot be sent fails at once instead of at its time-out. Both tests fail without the change, with the OverflowError that ended the process.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -41,6 +41,7 @@
     peer_id: str
     arrived: anyio.Event = attrs.Factory(anyio.Event)
     reply: object = None
+    failure: str = ""
 
 
 class Mesh:
@@ -149,8 +150,8 @@
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request once and return its reply.
 
-        Raises `PeerUnreachable` if the peer is unknown, its queue is full or no
-        reply arrives within `timeout_s`.
+        Raises `PeerUnreachable` if the peer is unknown, its queue is full, the request cannot be
+        encoded or is too long, or no reply arrives within `timeout_s`.
         """
         link = self._link_by_id.get(peer_id)
         if link is None:
@@ -174,6 +175,8 @@
             self._counters.add("link.request_timeouts")
             link.check_silence(sent_at)
             raise PeerUnreachable(f"no reply from peer {peer_id} within {timeout_s:g} s")
+        if pending.failure:
+            raise PeerUnreachable(f"the request to peer {peer_id} failed: {pending.failure}")
         return pending.reply
 
     def peers(self) -> list[str]:
@@ -225,9 +228,16 @@
             key=self._keys[0],
             timers=self._timers,
             counters=self._counters,
+            on_unsent_request=self._fail_request,
             idle_after_s=self._idle_after_s,
         )
 
+    def _fail_request(self, request_id: int, reason: str) -> None:
+        pending = self._pending_request_by_id.get(request_id)
+        if pending is not None:
+            pending.failure = reason
+            pending.arrived.set()
+
     def _start_link(self, link: PeerLink) -> None:
         assert self._group is not None
         scope = self._cancel_scope_by_id[link.peer_id] = anyio.CancelScope()
@@ -310,6 +320,9 @@
         if isinstance(envelope.message, codec.UnknownMessage):
             self._counters.add("link.unhandled")
             return
+        if isinstance(envelope.message, codec.Nothing):
+            self._fail_request(envelope.request_id, "its reply could not be sent")
+            return
         pending.reply = envelope.message
         pending.arrived.set()
 
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -4,9 +4,11 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 
 import anyio
 import attrs
+import logbook
 import pynng
 
 from apricotpoint._core.counters import Counters
@@ -32,6 +34,8 @@
 # unacknowledged messages of the sender do not reach their limit.
 _ACKNOWLEDGE_AFTER_MESSAGES = 256
 
+_log = logbook.Logger("link")
+
 
 @attrs.frozen
 class Redial:
@@ -75,7 +79,8 @@
     A link that has sent nothing for `idle_after_s` seconds closes its connection; the next
     message opens a new one. Such a link sends heartbeats, and expects them, only while a
     request is open in either direction. With infinity the connection stays open, and
-    heartbeats are always sent.
+    heartbeats are always sent. `on_unsent_request` is called with the id of a request that cannot
+    be sent, and the reason.
     """
 
     def __init__(
@@ -88,9 +93,11 @@
         key: bytes,
         timers: TimerService,
         counters: Counters,
+        on_unsent_request: Callable[[int, str], None],
         idle_after_s: float = math.inf,
     ) -> None:
         self.peer_id = peer_id
+        self._on_unsent_request = on_unsent_request
         self.peer_incarnation: int | None = None
         self.last_contact_at = -math.inf
         self._idle_after_s = idle_after_s
@@ -349,13 +356,7 @@
         return False
 
     def _write_message(self, item: _QueuedMessage, sequence: int, now: float) -> bool:
-        data = self._encode(item, sequence, now)
-        if len(data) > MAX_MESSAGE_BYTES:
-            self._counters.add("link.too_long")
-            # An empty message takes its place, because a gap in the sequence would block
-            # all later ones.
-            empty = attrs.evolve(item, message=codec.Nothing())
-            data = self._encode(empty, sequence, now)
+        data = self._encode_or_replace(item, sequence, now)
         try:
             self._current_socket().send(data, block=False)
         except pynng.TryAgain:
@@ -365,6 +366,31 @@
         self._counters.add("link.sent")
         return True
 
+    def _encode_or_replace(self, item: _QueuedMessage, sequence: int, now: float) -> bytes:
+        """Return an encoded message, or an empty one in place of a message that cannot be sent.
+
+        A gap in the sequence would block all later messages, and one message with a value that
+        cannot be encoded must not end the process.
+        """
+        try:
+            data = self._encode(item, sequence, now)
+            if len(data) <= MAX_MESSAGE_BYTES:
+                return data
+            self._counters.add("link.too_long")
+            reason = f"it has {len(data)} bytes, {MAX_MESSAGE_BYTES} are allowed"
+        except codec.CodecError as error:
+            self._counters.add("link.unencodable")
+            reason = str(error)
+        _log.error(
+            "message of type {} to peer {} is not sent: {}",
+            type(item.message).__name__,
+            self.peer_id,
+            reason,
+        )
+        if item.request_id and not item.is_reply:
+            self._on_unsent_request(item.request_id, reason)
+        return self._encode(attrs.evolve(item, message=codec.Nothing()), sequence, now)
+
     def _encode(self, item: _QueuedMessage, sequence: int, now: float) -> bytes:
         return codec.encode(
             codec.Envelope(
--- a/src/apricotpoint/_wire/codec.py
+++ b/src/apricotpoint/_wire/codec.py
@@ -25,8 +25,13 @@
 _MODULES = (announce, configuration, jobs, load, pool, rows, tasks)
 
 
+# What msgspec raises for integers beyond 64 bits, values of other types and deep nesting, which
+# JSON bodies of callers and backend servers may contain.
+ENCODE_ERRORS = (msgspec.MsgspecError, OverflowError, RecursionError, TypeError, ValueError)
+
+
 class CodecError(Exception):
-    """The data is malformed, or its MAC matches none of the keys."""
+    """A message cannot be encoded, or the data is malformed or its MAC matches none of the keys."""
 
 
 @attrs.frozen
@@ -72,7 +77,15 @@
 
 
 def encode(envelope: Envelope, key: bytes) -> bytes:
-    """Return the encoded envelope, preceded by its MAC under `key`."""
+    """Return the encoded envelope, preceded by its MAC under `key`.
+
+    Raises `CodecError` if a value in the message cannot be encoded.
+    """
+    try:
+        body = _ENCODER.encode(envelope.message)
+    except ENCODE_ERRORS as error:
+        type_name = type(envelope.message).__name__
+        raise CodecError(f"a message of type {type_name} cannot be encoded: {error}") from error
     frame = _Frame(
         version=WIRE_VERSION,
         type_name=type(envelope.message).__name__,
@@ -84,7 +97,7 @@
         acknowledged=envelope.acknowledged,
         peer_incarnation=envelope.peer_incarnation,
         age_s=envelope.age_s,
-        body=msgspec.Raw(_ENCODER.encode(envelope.message)),
+        body=msgspec.Raw(body),
     )
     payload = _ENCODER.encode(frame)
     return _mac(payload, key) + payload
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -345,7 +345,7 @@
             counters = Counters()
             link = PeerLink(
                 process_id="b", incarnation=5, peer_id="a", address="", key=KEYS[0],
-                timers=timers, counters=counters,
+                timers=timers, counters=counters, on_unsent_request=lambda *_: None,
             )  # fmt: skip
 
             def accept(incarnation: int, sequence: int, to: int = 5, **more: bool) -> bool:
@@ -385,3 +385,41 @@
                 b._check_incarnation("a", 8)
 
     run_with_pair(check)
+
+
+TOO_LARGE = 1 << 64
+
+
+def test_a_message_that_cannot_be_encoded_ends_neither_link_nor_process():
+    """Guards against a request that ends each process that passes it on to another one."""
+
+    async def check(pair: ProcessPair) -> None:
+        async with pair.process("a") as a, pair.process("b"):
+            a.send("b", CancelBatch([1]), reliable=True)
+            a.send("b", CancelBatch([TOO_LARGE]), reliable=True)
+            a.send("b", CancelBatch([TOO_LARGE]))
+            a.send("b", CancelBatch([2]), reliable=True)
+            await wait_until(lambda: len(pair.received) == 2)
+            assert pair.handled_batch_ids() == [1, 2]
+            assert pair.counters["a"].get("link.unencodable") == 2
+
+    run_with_pair(check)
+
+
+def test_a_request_that_cannot_be_encoded_fails_at_once():
+    """Guards against a caller that waits until its deadline for a request that was not sent."""
+
+    async def check(pair: ProcessPair) -> None:
+        async with pair.process("a") as a, pair.process("b") as b:
+            await wait_until(lambda: a.incarnation_of("b") == 1)
+            with anyio.fail_after(1.0), pytest.raises(PeerUnreachable, match="cannot be encoded"):
+                await a.request("b", CancelBatch([TOO_LARGE]), timeout_s=10.0)
+
+            async def reply(_: Sender, message: object) -> object:
+                return CancelBatch([TOO_LARGE])
+
+            b.request_handlers_by_type[CancelBatch] = reply
+            with anyio.fail_after(1.0), pytest.raises(PeerUnreachable, match="could not be sent"):
+                await a.request("b", CancelBatch([1]), timeout_s=10.0)
+
+    run_with_pair(check)
