Refuse numbers that messages cannot carry where they enter

A caller, a worker or the operator could send an integer beyond 64 bits, or beyond the range of a float, that passed every check: JSON and Python know no limit.

--- a/src/apricotpoint/_dispatch/results.py
+++ b/src/apricotpoint/_dispatch/results.py
@@ -9,6 +9,7 @@
 from apricotpoint._dispatch.exchange import RunStatus, StartResult
 from apricotpoint._dispatch.outcomes import OutcomeReporter
 from apricotpoint._dispatch.queue import HeldTask
+from apricotpoint._wire.codec import find_encode_error
 from apricotpoint._wire.tasks import OutcomeStatus, TaskOutcome
 
 _LOG = logbook.Logger(__name__)
@@ -45,6 +46,10 @@
                     view.backend_id,
                     batch.service,
                 )
+            encode_error = find_encode_error(result.value)
+            if encode_error is not None:
+                status = OutcomeStatus.FAILED
+                error = f"its result cannot be passed on: {encode_error}"
         elif result.status is RunStatus.FAILED:
             status = OutcomeStatus.FAILED
             self._record_failure(view, batch.service, now)
--- a/src/apricotpoint/_http/announcements.py
+++ b/src/apricotpoint/_http/announcements.py
@@ -25,6 +25,8 @@
 # number that a backend server may announce is bounded.
 MAX_SLOTS = 10_000
 MAX_FIELD_VALUE = 1 << 40
+# Messages carry integers of up to 64 bits.
+MAX_NUMBER = (1 << 63) - 1
 
 _DECODER = msgspec.json.Decoder(Announcement)
 
@@ -71,9 +73,11 @@
 
 
 def _check_ranges(announcement: Announcement) -> None:
-    """Raise `ApricotError` with code 2101 for sizes out of range and empty names."""
-    limits = {"slots": MAX_SLOTS}
-    for field in ("slots", "connections", "cores", "memory_mb", "accelerators", "running"):
+    """Raise `ApricotError` with code 2101 for numbers out of range and empty names."""
+    numbers = ("incarnation", "sequence", "holder_since")
+    limits = {"slots": MAX_SLOTS} | dict.fromkeys(numbers, MAX_NUMBER)
+    sizes = ("slots", "connections", "cores", "memory_mb", "accelerators", "running")
+    for field in (*sizes, *numbers):
         value, limit = getattr(announcement, field), limits.get(field, MAX_FIELD_VALUE)
         if not 0 <= value <= limit:
             raise ApricotError(
@@ -81,6 +85,13 @@
                 f"{field} is {value}, allowed are 0 to {limit}",
                 remedy=f"announce 0 to {limit}",
             )
+    if announcement.holder is not None and not 0 <= announcement.holder.incarnation <= MAX_NUMBER:
+        raise ApricotError(
+            ResultCode.MALFORMED,
+            f"holder.incarnation is {announcement.holder.incarnation}, "
+            f"allowed are 0 to {MAX_NUMBER}",
+            remedy="announce the incarnation that the last reply has named",
+        )
     for field in ("backend_id", "service", "failure_domain", "address"):
         if not getattr(announcement, field):
             raise ApricotError(
--- a/src/apricotpoint/_http/callers.py
+++ b/src/apricotpoint/_http/callers.py
@@ -20,6 +20,7 @@
 from apricotpoint._core.keys import MAX_KEY_LENGTH, IssuedKey, parse_key
 from apricotpoint._core.secrets import Secrets
 from apricotpoint._http.body import read_body
+from apricotpoint._wire.codec import find_encode_error
 from apricotpoint._wire.jobs import Answer, AnswerForward, JobRequest
 from apricotpoint._wire.tasks import MAX_TASKS, TaskSpec
 
@@ -110,6 +111,14 @@
                 "valid_until is missing; a key chosen by the caller needs it",
                 remedy="add valid_until in unix seconds, or use a key from POST /v1/keys",
             )
+        for index, task in enumerate(body.tasks):
+            error = find_encode_error(task.payload)
+            if error is not None:
+                raise ApricotError(
+                    ResultCode.MALFORMED,
+                    f"$.tasks[{index}].payload cannot be passed on: {error}",
+                    remedy="use integers of at most 64 bits and less nesting",
+                )
         job = JobRequest(
             key=body.key,
             team=team,
--- a/src/apricotpoint/_operator/submission.py
+++ b/src/apricotpoint/_operator/submission.py
@@ -13,6 +13,7 @@
 from apricotpoint._operator.conditions import Duration
 from apricotpoint._operator.errors import invalid_command
 from apricotpoint._operator.statements import Setting, TaskClause
+from apricotpoint._wire.codec import find_encode_error
 from apricotpoint._wire.tasks import MAX_TASKS, TaskSpec
 
 
@@ -64,6 +65,12 @@
             f"payload of task {clause.kind!r} is not JSON: {error}",
             'write JSON in a string, for example payload = "{\\"length_mm\\": 1200}"',
         ) from error
+    encode_error = find_encode_error(payload)
+    if encode_error is not None:
+        raise invalid_command(
+            f"payload of task {clause.kind!r} cannot be passed on: {encode_error}",
+            "use integers of at most 64 bits and less nesting",
+        )
     spec = TaskSpec(
         kind=clause.kind,
         payload=payload,
--- a/src/apricotpoint/_wire/codec.py
+++ b/src/apricotpoint/_wire/codec.py
@@ -76,6 +76,15 @@
         _DECODER_BY_NAME[message_type.__name__] = msgspec.msgpack.Decoder(message_type)
 
 
+def find_encode_error(value: object) -> str | None:
+    """Return why a value from a JSON document cannot be part of a message, None if it can."""
+    try:
+        _ENCODER.encode(value)
+    except ENCODE_ERRORS as error:
+        return str(error)
+    return None
+
+
 def encode(envelope: Envelope, key: bytes) -> bytes:
     """Return the encoded envelope, preceded by its MAC under `key`.
 
--- a/src/apricotpoint/platform/configuration.py
+++ b/src/apricotpoint/platform/configuration.py
@@ -9,9 +9,7 @@
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 from apricotpoint._pool.routing import Route, Routing
 from apricotpoint._wire.configuration import Document
-
-# The largest integer that every JSON implementation represents exactly.
-MAX_VERSION = (1 << 53) - 1
+from apricotpoint.platform.numbers import MAX_INTEGER, Integer, Natural, NonNegative
 
 
 @attrs.frozen
@@ -26,27 +24,27 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
-    target_latency_ms: float = 0.0
-    stretch_factor: float = 1.0
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: Integer
+    target_latency_ms: NonNegative = 0.0
+    stretch_factor: NonNegative = 1.0
+    priority: Integer = 0
+    max_attempts: Integer = 1
 
 
 @attrs.frozen
 class _Service:
     name: str
-    max_connections: int = 64
+    max_connections: Integer = 64
 
 
 @attrs.frozen
 class _Limits:
-    max_body_bytes: int = 262_144
+    max_body_bytes: Natural = 262_144
 
 
 @attrs.frozen
 class _Configuration:
-    version: int
+    version: Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -95,8 +93,8 @@
 
 
 def _validate(parsed: _Configuration) -> None:
-    if not 0 < parsed.version <= MAX_VERSION:
-        raise _invalid(f"version {parsed.version} is not between 1 and {MAX_VERSION}")
+    if parsed.version < 1:
+        raise _invalid(f"version {parsed.version} is not between 1 and {MAX_INTEGER}")
     service_names = {service.name for service in parsed.services}
     if len(service_names) < len(parsed.services):
         raise _invalid("two services have the same name")
--- a/src/apricotpoint/platform/heartbeats.py
+++ b/src/apricotpoint/platform/heartbeats.py
@@ -10,6 +10,7 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 from apricotpoint._wire.pool import PoolBackend, Room
+from apricotpoint.platform.numbers import Natural
 
 MAX_PORT = 65535
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -17,10 +18,10 @@
 
 @attrs.frozen
 class _Capacity:
-    cpu: int
+    cpu: Natural
     # Despite its name, the memory that the worker has.
-    requested_memory_mb: int
-    gpu: int = 0
+    requested_memory_mb: Natural
+    gpu: Natural = 0
 
 
 @attrs.frozen
@@ -31,10 +32,10 @@
     address: str
     zone: str
     state: str
-    sequence: int
+    sequence: Natural
     capacity: _Capacity
     labels: list[str] = attrs.Factory(list)
-    born: int = 0
+    born: Natural = 0
 
 
 _DECODER = msgspec.json.Decoder(_Heartbeat)
@@ -61,12 +62,6 @@
             f"the heartbeat of worker {worker_id} has address {heartbeat.address!r}; "
             "it must be an IP address and a port"
         )
-    if (
-        heartbeat.sequence < 0
-        or heartbeat.capacity.cpu < 0
-        or heartbeat.capacity.requested_memory_mb < 0
-    ):
-        raise _malformed(f"the heartbeat of worker {worker_id} has a negative sequence or capacity")
     return PoolBackend(
         backend_id=worker_id,
         service=heartbeat.service,
--- a/src/apricotpoint/platform/jobs.py
+++ b/src/apricotpoint/platform/jobs.py
@@ -11,6 +11,7 @@
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 from apricotpoint._pool.routing import Route
 from apricotpoint._wire.pool import PoolAnswer, PoolJob, Room
+from apricotpoint.platform.numbers import Natural, NonNegative
 
 MAX_SPEC_BYTES = 4_000
 MAX_TASKS = 10_000
@@ -24,12 +25,12 @@
 class _Step:
     """A step of a job; fields that are absent are zero, false or empty."""
 
-    count: int
-    cpu: int = 0
-    requested_memory_mb: int = 0
-    gpu: int = 0
+    count: Natural
+    cpu: Natural = 0
+    requested_memory_mb: Natural = 0
+    gpu: Natural = 0
     # Declared by the caller, and may be far from the real run time.
-    estimated_duration_ms: float = 0.0
+    estimated_duration_ms: NonNegative = 0.0
     dependencies: list[int] = attrs.Factory(list)
     requirements: str = ""
     anti_affinity: int = 0
@@ -135,10 +136,9 @@
     if not parsed.best_effort or parsed.repetitions or len(parsed.phases) > 1:
         raise _unsupported("jobs that are not best_effort, are repeated or have several phases")
     step = parsed.phases[0]
-    if not 0 < step.count <= MAX_TASKS or min(step.cpu, step.requested_memory_mb, step.gpu) < 0:
+    if not 0 < step.count <= MAX_TASKS:
         raise ApricotError(
-            ResultCode.MALFORMED,
-            f"count must be 1 to {MAX_TASKS}, and cpu, requested_memory_mb and gpu not negative",
+            ResultCode.MALFORMED, f"count is {step.count}; it must be 1 to {MAX_TASKS}"
         )
     for name in _UNSUPPORTED_FIELDS:
         if getattr(step, name):
--- a/src/apricotpoint/platform/workers.py
+++ b/src/apricotpoint/platform/workers.py
@@ -18,6 +18,7 @@
 )
 from apricotpoint._wire.pool import PoolBackend
 from apricotpoint.platform.connections import WorkerConnections, WorkerResponse
+from apricotpoint.platform.numbers import Integer, Natural
 
 # Time-out of a call, in addition to the time that it asks the worker to wait. A healthy
 # worker answers in a few milliseconds; the rest allows for delays in this process.
@@ -61,10 +62,10 @@
     done and cpu in use; those of `finished` are number, task, run and outcome.
     """
 
-    clock_ms: int
+    clock_ms: Integer
     running: list[list[str | int | float]]
     finished: list[list[str | int]]
-    born: int = 0
+    born: Natural = 0
 
 
 _REFUSAL_DECODER = msgspec.json.Decoder(_Refusal)
--- a/testing/http/test_callers.py
+++ b/testing/http/test_callers.py
@@ -103,6 +103,7 @@
             (JOB_BODY | {"tasks": [{"kind": "a"}, {"kind": 3}]}, 2101, "$.tasks[1].kind"),
             (JOB_BODY | {"tasks": []}, 2101, "$.tasks"),
             (JOB_BODY | {"tasks": [{"kind": "a", "idempotant": True}]}, 2101, "idempotant"),
+            (JOB_BODY | {"tasks": [{"kind": "a", "payload": [1 << 64]}]}, 2101, "tasks[0].payload"),
             (JOB_BODY | {"key": "a b"}, 2101, "'a b'"),
             (JOB_BODY | {"key": "order-1"}, 2101, "valid_until"),
             (JOB_BODY | {"tasks": JOB_BODY["tasks"] * 6}, 2101, "6 items, a job has 1 to 5"),
@@ -309,6 +310,9 @@
             assert (await post(TEAM_TOKEN, document)).status_code == 401
             refused = await post(INTERNAL_KEY, document | {"slots": "8"})
             assert (refused.status_code, "$.slots" in refused.text) == (400, True)
+            for change in ({"sequence": 1 << 64}, {"holder": {"entry_id": "", "incarnation": -1}}):
+                refused = await post(INTERNAL_KEY, document | change)
+                assert refused.json()["code"] == 2101
             assert received == []
             reply = await post(INTERNAL_KEY, document)
             assert reply.json() == {"holder": {"entry_id": "e1", "incarnation": 7}, "period_s": 0.5}
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -18,6 +18,10 @@
 from apricotpoint.platform.jobs import decode_job, encode_answer
 from apricotpoint.platform.settings import load_settings
 
+# Python reads such integers, but messages between processes cannot carry them.
+TOO_LARGE = 1 << 64
+# Not even a float can hold this one.
+FAR_TOO_LARGE = 10**400
 ROUTE = Route(
     name="r1",
     host="a.example",
@@ -96,6 +100,12 @@
         make_configuration_with_route(timeout_ms="1500"),
         make_configuration(version=0),
         make_configuration(version="7"),
+        make_configuration(version=TOO_LARGE),
+        make_configuration_with_route(timeout_ms=FAR_TOO_LARGE),
+        make_configuration_with_route(priority=-TOO_LARGE),
+        make_configuration_with_route(max_attempts=TOO_LARGE),
+        make_configuration_with_route(stretch_factor=-1.0),
+        make_configuration(limits={"max_body_bytes": TOO_LARGE}),
         make_configuration(routes={}),
         make_configuration(services=[{"name": "s1"}, {"name": "s1"}]),
         {"version": 7},
@@ -145,6 +155,9 @@
         make_heartbeat(sequence="4"),
         make_heartbeat(capacity={}),
         make_heartbeat(capacity={"cpu": -1, "requested_memory_mb": 1}),
+        make_heartbeat(capacity={"cpu": TOO_LARGE, "requested_memory_mb": 1}),
+        make_heartbeat(sequence=TOO_LARGE),
+        make_heartbeat(born=FAR_TOO_LARGE),
         json.dumps({"service": "s1"}).encode(),
     ],
 )
@@ -169,6 +182,11 @@
         (make_job(phases=[]), ResultCode.MALFORMED),
         (make_job(phases=[{"count": 0}]), ResultCode.MALFORMED),
         (make_job(phases=[{"count": 1, "cpu": -5}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "cpu": TOO_LARGE}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "requested_memory_mb": TOO_LARGE}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "gpu": FAR_TOO_LARGE}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "estimated_duration_ms": -1}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "estimated_duration_ms": 1e308}]), ResultCode.MALFORMED),
         (make_job(spec="x" * 4001), ResultCode.TOO_LARGE),
         (make_job(best_effort=False), ResultCode.CANNOT_RUN),
         (make_job(phases=[{"count": 1}, {"count": 1}]), ResultCode.CANNOT_RUN),
