--- a/testing/dispatch/holder_rig.py
+++ b/testing/dispatch/holder_rig.py
@@ -69,9 +69,9 @@
     """A simulated backend server.
 
     `mode` is the reaction to starts: ok, fail (each task), refuse, unreachable, lose
-    (the response), hang or reverse (the order of results). `result_reply` is the reaction
-    to a request for a result: result, running, unknown or lost. `silent` stops its
-    announcements, which contain `extra_fields`.
+    (the response), hang, reverse (the order of results) or huge (results beyond 64 bits).
+    `result_reply` is the reaction to a request for a result: result, running, unknown or lost.
+    `silent` stops its announcements, which contain `extra_fields`.
     """
 
     backend_id: str
@@ -212,7 +212,8 @@
                 )
                 status = RunStatus.FAILED if fails else RunStatus.OK
                 backend.busy -= 1
-                yield StartResult(start.start_id, status, value=start.start_id, run_s=run_s)
+                value = 1 << 64 if backend.mode == "huge" else start.start_id
+                yield StartResult(start.start_id, status, value=value, run_s=run_s)
         finally:
             if backend.mode in ("lose", "hang"):
                 backend.busy -= len(starts)
--- a/testing/dispatch/test_holder.py
+++ b/testing/dispatch/test_holder.py
@@ -12,7 +12,14 @@
 from apricotpoint._wire.announce import Announced, GuardState, HolderName
 from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
 from apricotpoint._wire.load import LoadReport
-from apricotpoint._wire.tasks import BatchResult, BatchTask, CancelBatch, RunBatch, TaskSpec
+from apricotpoint._wire.tasks import (
+    BatchResult,
+    BatchTask,
+    CancelBatch,
+    OutcomeStatus,
+    RunBatch,
+    TaskSpec,
+)
 
 OTHER_HOLDER = HolderName("e2", 1)
 RETRIES_ENABLED = Configuration(
@@ -491,6 +498,19 @@
     run_scenario(scenario, *(FakeBackend(f"b{n}", mode="fail") for n in range(5)))
 
 
+def test_a_result_that_no_message_can_carry_fails_its_task():
+    """Guards against a caller that waits for a result which cannot be passed on."""
+
+    async def scenario(rig: Rig) -> None:
+        rig.run(1)
+        await anyio.sleep(1)
+        (outcome,) = rig.outcomes.values()
+        assert (outcome.status, outcome.value) == (OutcomeStatus.FAILED, None)
+        assert "64" in outcome.error
+
+    run_scenario(scenario, FakeBackend("b1", mode="huge"))
+
+
 def test_a_team_far_over_its_quota_hardly_delays_another():
     """Guards against the backlog of one team that delays the tasks of another."""
 
