Tell two claims of the same second apart by their fencing tokens

Cause: a token was the term of the claim, which is the second of the clock, and candidates claim 0.3 s apart; with equal tokens neither is fenced off. The bits below the term now differ by incarnation of the claimant (12 bits; two claimants of one second are alike once in 4096 times), so one is fenced off at once. The test fails without the change. The ten bits left for renewals may run over into these after 1024 fenced starts under one claim, which keeps tokens rising.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -44,10 +44,6 @@
 UNSEEN_DELAY_S = 3.0
 # Time before a process that was fenced off makes a new claim.
 FENCED_BACKOFF_S = 1.0
-# The upper bits of a fencing token are the term of the claim. The lower bits are for the
-# increments by which a holder fences off its own earlier starts. Terms follow the wall clock
-# in seconds, so tokens stay below 2**53, up to which JSON numbers are exact.
-TERM_BITS = 22
 
 _log = logbook.Logger("claims")
 
@@ -366,4 +362,5 @@
             ):
                 continue
             speed = members.speed_by_backend.get(backend_id)
-            self._scheduler.acquire(announcement, term << TERM_BITS, speed=speed)
+            token = claims.fencing_token(term, members.discovery.summary)
+            self._scheduler.acquire(announcement, token, speed=speed)
--- a/src/apricotpoint/_pool/claims.py
+++ b/src/apricotpoint/_pool/claims.py
@@ -24,6 +24,11 @@
 CANDIDATE_DELAY_S = 0.3
 # Additional delay of holders of other failure domains, behind the candidates of the own one.
 FOREIGN_DELAY_S = 0.6
+# The upper bits of a fencing token are the term of the claim, the next ones tell claimants apart,
+# and the lower ones are for the increments by which a holder fences off its own earlier starts.
+# Terms follow the wall clock in seconds, so tokens stay below 2**53, up to which JSON numbers are
+# exact.
+DISTINCT_BITS, RENEWAL_BITS = 12, 10
 # Candidates of the own failure domain for which those of others wait.
 MAX_LOCAL_CANDIDATES = 3
 
@@ -94,6 +99,17 @@
     return claims
 
 
+def fencing_token(term: int, summary: EntrySummary) -> int:
+    """Return the first fencing token of an incarnation of a process that claims with a term.
+
+    Two processes that do not know of each other may claim in the same second, and so with the same
+    term. With equal tokens neither would be fenced off, and each would stop the runs of the other.
+    """
+    incarnation = f"{summary.entry_id} {summary.started_at}"
+    distinct = xxhash.xxh32_intdigest(incarnation.encode()) >> (32 - DISTINCT_BITS)
+    return ((term << DISTINCT_BITS) + distinct) << RENEWAL_BITS
+
+
 def next_term(part: str, statuses: Iterable[EntryStatus], min_term: int) -> int:
     """Return a term above all known claims on a part, and at least `min_term`."""
     return max([min_term, *(status.term_by_claim.get(part, 0) + 1 for status in statuses)])
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -399,3 +399,25 @@
             assert {"a1", "a2"} <= set(cluster.holders()["e2"])
 
     run_on_virtual_time(test)
+
+
+def test_two_claims_in_the_same_second_have_different_fencing_tokens():
+    """Guards against two holders of one backend server, neither of which is fenced off."""
+
+    async def test() -> None:
+        async with run_cluster(cores=ALL_DOMAINS_CORES) as cluster:
+            # The candidates hear control processes, but not each other. The virtual clock
+            # begins at a whole second, and both claim 1.0 s to 1.5 s after the kill.
+            cluster.network.dropped_pairs |= {("e2", "e3"), ("e3", "e2")}
+            await anyio.sleep(3.05 - anyio.current_time())
+            cluster.entry_by_id["e1"].kill()
+            shared = 0
+            for _ in range(500):
+                await anyio.sleep(0.01)
+                one, other = (cluster.entry_by_id[key].scheduler.held_by_id for key in ("e2", "e3"))
+                for backend_id in one.keys() & other.keys():
+                    shared += 1
+                    assert one[backend_id].token != other[backend_id].token
+            assert shared
+
+    run_on_virtual_time(test)
