Add a soak of kills, cuts, crashes and rooms that change

Several entry and control processes on virtual time, twelve backend servers, faults that overlap at random; checked all the time: a deadly task starts five times at most, no task runs twice at a time, no room is exceeded on backend servers that do not guard it, sound jobs are not given up, answers come in time and refusals are true.

--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -427,7 +427,7 @@
                 for control_id in CONTROL_IDS
             }
             unannounced: set[str] = set()
-            group.start_soon(_announce, relay_by_id, network, list(backend_by_id), unannounced)
+            group.start_soon(_announce, relay_by_id, network, backend_by_id, unannounced)
             entries = [
                 Entry(
                     key,
@@ -450,17 +450,24 @@
 async def _announce(
     relay_by_id: dict[str, AnnouncementRelay],
     network: FakeNetwork,
-    backend_ids: list[str],
+    backend_by_id: dict[str, FakeBackend],
     unannounced: set[str],
 ) -> None:
     for sequence in range(1, 1000):
-        for backend_id in backend_ids:
-            if backend_id in unannounced:
+        announced = [key for key in backend_by_id if key not in unannounced]
+        for backend_id in announced:
+            backend = backend_by_id[backend_id]
+            if backend_id in unannounced or backend.unreachable or backend.is_down:
+                await anyio.sleep(ANNOUNCE_S / len(announced))
                 continue
             domain = backend_id[0]
             reached = [key for key in relay_by_id if not network.separates(domain, key[-1])]
-            announcement: PoolBackend = make_announcement(backend_id)
+            announcement: PoolBackend = make_announcement(backend_id, room=backend.room)
             relay_by_id[reached[0]].announce(
-                attrs.evolve(announcement, failure_domain=domain, sequence=sequence)
+                attrs.evolve(
+                    announcement, failure_domain=domain, sequence=sequence, born_ms=backend.born_ms
+                )
             )
-            await anyio.sleep(ANNOUNCE_S / len(backend_ids))
+            await anyio.sleep(ANNOUNCE_S / len(announced))
+        if not announced:
+            await anyio.sleep(ANNOUNCE_S)
--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -103,8 +103,9 @@
     `start_delays_s` has the delays of the next starts that are also carried out, but later.
     With `unreachable` requests have no effect, with `drops_answers` renewals have one but get no
     answer. `is_other_incarnation` refuses renewals; with `fails` runs fail, with `stalls` they
-    make no progress. A start of a task in `deadly_tasks` crashes it: it refuses connections for
-    `DOWN_S`, then another incarnation answers.
+    make no progress. Without `guards_room` starts may exceed its room. A start of a task in
+    `deadly_tasks` crashes it: it refuses connections for `DOWN_S`, then another incarnation
+    answers.
     """
 
     def __init__(self, *, work_s: float = 0.2, speed: float = 1.0) -> None:
@@ -120,6 +121,7 @@
         self.token = 0
         self.lease_until = 0.0
         self.room = BACKEND_ROOM
+        self.guards_room = True
         self.active_run_by_key: dict[RunKey, ActiveRun] = {}
         self.work_s_by_task: dict[str, float] = {}
         self.cpu_by_task: dict[str, int] = {}
@@ -127,6 +129,7 @@
         self.last_run_by_task: dict[str, int] = {}
         self.starts: list[RunKey] = []
         self.renewals = 0
+        self.born_ms = 0
         self.deadly_tasks: set[str] = set()
         self.crashes: list[RunKey] = []
         self.neighbours_lost: list[RunKey] = []
@@ -197,7 +200,7 @@
         if request.key.run <= self.last_run_by_task.get(request.key.task, 0):
             return StartOutcome.OLD_RUN
         used = sum(self._cpu(key) for key in self.active_run_by_key)
-        if used + self._cpu(request.key) > self.room.cpu:
+        if self.guards_room and used + self._cpu(request.key) > self.room.cpu:
             return StartOutcome.NO_ROOM
         self.starts.append(request.key)
         work_s = self.work_s_by_task.get(request.key.task, self.work_s)
@@ -269,7 +272,7 @@
         await anyio.sleep(ONE_WAY_DELAY_S)
         return LeaseReply(
             clock_ms=int(now * 1000),
-            born_ms=0,
+            born_ms=self.born_ms,
             progress_by_run={
                 key: int(100 * (now - work.began_at) / work.duration_s)
                 for key, work in self.active_run_by_key.items()
