--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -362,5 +362,5 @@
             ):
                 continue
             speed = members.speed_by_backend.get(backend_id)
-            token = claims.fencing_token(term, members.discovery.summary)
+            token = claims.first_token(term, members.discovery.summary)
             self._scheduler.acquire(announcement, token, speed=speed)
--- a/src/apricotpoint/_pool/claims.py
+++ b/src/apricotpoint/_pool/claims.py
@@ -99,7 +99,7 @@
     return claims
 
 
-def fencing_token(term: int, summary: EntrySummary) -> int:
+def first_token(term: int, summary: EntrySummary) -> int:
     """Return the first fencing token of an incarnation of a process that claims with a term.
 
     Two processes that do not know of each other may claim in the same second, and so with the same
