Let the crash histories of all processes converge

Cause, found by reading and shown by the test: a row that a convicted task explains was dropped, so processes that got the same rows in another order kept other ones, their digests never agreed, and each hello carried all rows, for ever; also, digests differed during each burst of crashes, as changes were on their way. Rows are now a plain set, and what a conviction explains is left out of the verdict instead; digests are compared 1.5 s after the last change. The test fails without the change (two digests).

--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -25,6 +25,9 @@
 MAX_CRASHES_ALONE, MAX_CRASHES = 2, 3
 # Losses are remembered for this long after the last change, for callers that submit again.
 RETENTION_S = 120.0
+# Digests are compared this long after the last change. Changes that are still on their way would
+# make all differ, and have each hello of hundreds of processes answered with all rows.
+SETTLING_S = 1.5
 # Upper bound of the remembered tasks; the oldest are dropped first.
 MAX_TASKS = 20_000
 
@@ -108,6 +111,7 @@
         self._culprit_by_incarnation: dict[tuple[str, int], str] = {}
         # Digest of the crashes, None if it has to be made anew.
         self._digest: int | None = 0
+        self._changed_at = float("-inf")
         self._given_up_kinds: set[str] = set()
 
     def verdict(self, task: str) -> Verdict:
@@ -115,7 +119,12 @@
         losses = self._losses_by_task.get(task)
         if not losses:
             return Verdict.CLEAR
-        return judge((loss.evidence, loss.row.alone) for loss in losses.values())
+        explained_by = self._culprit_by_incarnation
+        return judge(
+            (loss.evidence, loss.row.alone)
+            for incarnation, loss in losses.items()
+            if explained_by.get(incarnation, task) == task
+        )
 
     def crash_count(self, task: str) -> int:
         """Return the number of backend servers that are known to have crashed under a task."""
@@ -203,19 +212,20 @@
             self._forget(backend_id)
         for row in message.rows:
             incarnation = (row.backend_id, row.born_ms)
-            if self._culprit_by_incarnation.get(incarnation, row.task) != row.task:
-                continue
             losses = self._losses_by_task.setdefault(row.task, {})
             known = losses.get(incarnation)
             if known is not None and known.row.evidence >= row.evidence:
                 continue
             losses[incarnation] = _Loss(row, now - row.age_s)
             self._tasks_by_backend.setdefault(row.backend_id, set()).add(row.task)
-            self._digest = None
+            self._digest, self._changed_at = None, now
             if self.verdict(row.task) is Verdict.GIVEN_UP:
                 given_up.append(row.task)
         for task in given_up:
-            self._exonerate_neighbours(task)
+            # The rows of its neighbours stay: processes that get the same rows in another order
+            # must end up with the same ones.
+            for incarnation in self._losses_by_task[task]:
+                self._culprit_by_incarnation.setdefault(incarnation, task)
         excess = len(self._losses_by_task) - MAX_TASKS
         for task in list(itertools.islice(self._losses_by_task, max(excess, 0))):
             for incarnation in list(self._losses_by_task[task]):
@@ -232,8 +242,13 @@
             if loss.evidence >= least
         ]
 
-    def digest(self) -> int:
-        """Return a digest of the crashes, 0 if none is known; equal ones need not be exchanged."""
+    def digest(self) -> int | None:
+        """Return a digest of the crashes, 0 if none is known; equal ones need not be exchanged.
+
+        None for `SETTLING_S` after a change.
+        """
+        if self._now() - self._changed_at < SETTLING_S:
+            return None
         if self._digest is None:
             crashes = sorted(
                 (loss.row.task, loss.row.backend_id, loss.row.born_ms)
@@ -281,18 +296,6 @@
             lambda _, loss: loss.row.backend_id != backend_id or loss.evidence is Evidence.CRASHED
         )
 
-    def _exonerate_neighbours(self, culprit: str) -> None:
-        """Clear the tasks whose loss is explained by the task that crashed the backend server."""
-        explained = self._losses_by_task[culprit].keys()
-        self._culprit_by_incarnation.update(dict.fromkeys(explained, culprit))
-        self._retain(
-            lambda task, loss: (
-                (loss.row.backend_id, loss.row.born_ms) not in explained
-                or task == culprit
-                or self.verdict(task) is Verdict.GIVEN_UP
-            )
-        )
-
     def _losses(self) -> Iterator[_Loss]:
         for losses in self._losses_by_task.values():
             yield from losses.values()
--- a/src/apricotpoint/_pool/crashreports.py
+++ b/src/apricotpoint/_pool/crashreports.py
@@ -79,11 +79,12 @@
         assert isinstance(message, CrashesHeard)
         self._crashes.merge(message)
 
-    def _on_welcome(self, control_id: str, rows: list[CrashRow], digest: int) -> None:
+    def _on_welcome(self, control_id: str, rows: list[CrashRow], digest: int | None) -> None:
         """Process the rows that a control process names, and send it the crashes it has missed."""
+        own_digest = self._crashes.digest()
         if rows:
             self._crashes.merge(CrashesHeard(rows))
-        if digest == self._crashes.digest():
+        if None in (digest, own_digest) or digest == own_digest:
             return
         known = {(row.task, row.backend_id, row.born_ms) for row in rows}
         missed = [
--- a/src/apricotpoint/_pool/discovery.py
+++ b/src/apricotpoint/_pool/discovery.py
@@ -59,8 +59,8 @@
         self.watched_domains: frozenset[str] = frozenset()
         self.first_welcome_at: float | None = None
         self.on_welcome: Callable[[], None] = lambda: None
-        self.on_crashes: Callable[[str, list[CrashRow], int], None] = lambda *_: None
-        self.crash_digest: Callable[[], int] = lambda: 0
+        self.on_crashes: Callable[[str, list[CrashRow], int | None], None] = lambda *_: None
+        self.crash_digest: Callable[[], int | None] = lambda: None
         self._seeds = seeds
         self._transport = transport
         self._address_of = address_of
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -215,8 +215,10 @@
         """Return the lost runs that an entry process may have missed."""
         if needs_all:
             return self._crashes.rows()
-        is_known = hello.crash_digest == self._crashes.digest()
-        return [] if is_known else self._crashes.rows(Evidence.CRASHED)
+        digest = self._crashes.digest()
+        if None in (digest, hello.crash_digest) or digest == hello.crash_digest:
+            return []
+        return self._crashes.rows(Evidence.CRASHED)
 
     def _current_list(self) -> tuple[list[EntrySummary], int]:
         """Return the summaries of the live entry processes and their digest."""
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -138,14 +138,15 @@
     `list_digest` is that of the last list of entry processes received from this control
     process, 0 if there was none. `needs_backends` asks for all announcements. Repeated
     announcements of backend servers in `watched_domains` are relayed with little delay.
-    `crash_digest` is that of the crashes known to the entry process (`_pool.crashes`).
+    `crash_digest` is that of the crashes known to the entry process (`_pool.crashes`), None while
+    they change.
     """
 
     summary: EntrySummary
     list_digest: int = 0
     needs_backends: bool = True
     watched_domains: list[str] = attrs.Factory(list)
-    crash_digest: int = 0
+    crash_digest: int | None = None
 
 
 @attrs.frozen
@@ -162,7 +163,7 @@
     entries: list[EntrySummary] | None
     backends: list[PoolBackend]
     crashes: list[CrashRow] = attrs.Factory(list)
-    crash_digest: int = 0
+    crash_digest: int | None = None
 
 
 @attrs.frozen
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 
 import anyio
@@ -11,7 +12,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.backendclient import RunKey
-from apricotpoint._pool.crashes import CrashHistory, Evidence, Verdict
+from apricotpoint._pool.crashes import SETTLING_S, CrashHistory, Evidence, Verdict
 from apricotpoint._pool.shares import BACKENDS_PER_CORE
 from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolAnswer
 
@@ -235,3 +236,21 @@
 
 def make_crash(task: str, backend_id: str, *, alone: bool) -> CrashRow:
     return CrashRow(task, backend_id, 1, f"{backend_id}.example:1", int(Evidence.CRASHED), alone)
+
+
+def test_the_same_reports_in_another_order_make_the_same_digest():
+    """Guards against processes that send each other all rows with each hello, for ever."""
+    rows = [
+        make_crash(task, backend_id, alone=backend_id != "a1")
+        for task, backend_id in [("t1", "a1"), ("t2", "a1"), ("t1", "a2"), ("t2", "a3")]
+    ]
+    digests = set()
+    for order in itertools.permutations(rows):
+        now = 0.0
+        crashes = CrashHistory(now=lambda: now)  # noqa: B023
+        for row in order:
+            crashes.merge(CrashesHeard([row]))
+        assert crashes.digest() is None
+        now = SETTLING_S
+        digests.add(crashes.digest())
+    assert len(digests) == 1
