--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -27,7 +27,7 @@
 RETENTION_S = 120.0
 # Digests are compared this long after the last change. Changes that are still on their way would
 # make all differ, and have each hello of hundreds of processes answered with all rows.
-SETTLING_S = 1.5
+SETTLING_S = 0.5
 # Upper bound of the remembered tasks; the oldest are dropped first.
 MAX_TASKS = 20_000
 
