Report nothing that an announcement has shown to everyone

Cause, found by reading: each entry process learns from the announcement of a new incarnation that the earlier one has crashed, and each reported it to all others through two control processes, 18,000 messages a crash with 97 of them. Each process now keeps it to itself, control processes learn it in the same way, and digests mend what is missed. The test fails without the change.

--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -192,7 +192,8 @@
     def process_announcement(self, announcement: PoolBackend) -> None:
         """Take a newer incarnation at the address of a backend server for the end of the latter.
 
-        An announcement that was delayed may be of an older incarnation, which shows nothing.
+        An announcement that was delayed may be of an older incarnation, which shows nothing. All
+        processes get the announcement, so none reports what it shows to the others.
         """
         if not self._losses_by_task:
             return
@@ -203,7 +204,9 @@
             is_newer = not row.born_ms or row.born_ms < announcement.born_ms
             return row.address == announcement.address and is_newer
 
-        self._strengthen(Evidence.CRASHED, is_replaced)
+        rows = self._strengthened_rows(Evidence.CRASHED, is_replaced)
+        if rows:
+            self.merge(CrashesHeard(rows))
 
     def merge(self, message: CrashesHeard) -> None:
         """Process the changes that another process has made."""
@@ -267,12 +270,17 @@
         if not self._losses_by_task:
             self._given_up_kinds.clear()
 
-    def _strengthen(self, evidence: Evidence, applies: Callable[[CrashRow], bool]) -> None:
-        rows = [
-            attrs.evolve(loss.row, evidence=int(evidence))
+    def _strengthened_rows(
+        self, evidence: Evidence, applies: Callable[[CrashRow], bool]
+    ) -> list[CrashRow]:
+        return [
+            attrs.evolve(loss.row, evidence=int(evidence), age_s=0.0)
             for loss in self._losses()
             if loss.evidence < evidence and applies(loss.row)
         ]
+
+    def _strengthen(self, evidence: Evidence, applies: Callable[[CrashRow], bool]) -> None:
+        rows = self._strengthened_rows(evidence, applies)
         if rows:
             self._apply(CrashesHeard(rows))
 
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -81,6 +81,7 @@
         self._crashes = CrashHistory(now=timers.now)
         self._crash_changes: list[CrashesHeard] = []
         self._subscriptions: list[PeriodicTimer] = []
+        self._roster.subscribe(self._crashes.process_announcement)
         self._roster.subscribe_unreachable(self._crashes.record_gone)
 
     async def __aenter__(self) -> AnnouncementRelay:
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 from pool_cluster import Cluster, run_cluster
-from pool_harness import make_job, run_on_virtual_time
+from pool_harness import make_announcement, make_job, run_on_virtual_time
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.backendclient import RunKey
@@ -254,3 +254,17 @@
         now = SETTLING_S
         digests.add(crashes.digest())
     assert len(digests) == 1
+
+
+def test_what_an_announcement_shows_is_reported_by_nobody():
+    """Guards against a report by each of hundreds of processes, to all others, for one crash."""
+    crashes, reports = CrashHistory(now=lambda: 0.0), []
+    crashes.on_change = reports.append
+    refused = attrs.evolve(
+        make_crash(DEADLY_TASK, "a1", alone=True), evidence=int(Evidence.REFUSED)
+    )
+    crashes.merge(CrashesHeard([refused]))
+    successor = attrs.evolve(make_announcement("a1.1"), address=refused.address, born_ms=2)
+    crashes.process_announcement(successor)
+    assert crashes.crash_count(DEADLY_TASK) == 1
+    assert reports == []
