Keep the process when a configuration cannot be applied

Callers would have lost every entry process: an error while a fetched configuration is applied ended the task group of the feed and with it the process, and the same configuration met each process, and each again at its start. The feed logs the error, counts it and goes on with the next callback; a second application at the start, outside the feed, is gone.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -9,6 +9,7 @@
 
 import anyio
 import anyio.abc
+import logbook
 import msgspec
 import xxhash
 
@@ -34,6 +35,8 @@
 _ASKED_PEERS = 4
 _DECODER = msgspec.msgpack.Decoder(Configuration)
 
+_log = logbook.Logger("configuration")
+
 
 class ConfigurationFeed:
     """Keeps the latest configuration by long polls; its version never decreases.
@@ -207,7 +210,20 @@
             self._configuration = configuration
             self._counters.set_gauge("configuration.version", configuration.version)
         for callback in self._callbacks:
+            self._notify(callback, configuration)
+
+    def _notify(
+        self, callback: Callable[[Configuration], None], configuration: Configuration
+    ) -> None:
+        """Call a callback; its error must not end one process after the other at each start."""
+        try:
             callback(configuration)
+        except Exception:
+            self._counters.add("configuration.callback_errors")
+            _log.exception(
+                "configuration version {} cannot be applied; the former one stays in force here",
+                configuration.version,
+            )
 
     def _read_cache(self) -> None:
         if self._cache_path is None or not self._cache_path.exists():
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -178,7 +178,6 @@
         # Started last, because it waits for the control processes, on which the claims of
         # failure domains do not depend.
         await self._stack.enter_async_context(self._feed)
-        self._apply_configuration(self._feed.configuration())
         return self
 
     async def __aexit__(self, *exc_info: object) -> bool | None:
--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -189,3 +189,25 @@
             assert feed.configuration().version == 1
 
     with_cluster(test, tmp_path)
+
+
+def test_a_configuration_that_cannot_be_applied_does_not_end_the_process(tmp_path: Path):
+    """Guards against a stored configuration that ends each process that fetches it."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        feed, applied = make_feed(cluster, "e1"), []
+
+        def fail(configuration: Configuration) -> None:
+            raise OverflowError(configuration.version)
+
+        feed.subscribe(fail)
+        feed.subscribe(lambda configuration: applied.append(configuration.version))
+        async with feed:
+            for version, name in enumerate("ab"):
+                await cluster.change(leader, name, version)
+                await anyio.sleep(5)
+            assert applied == [1, 2]
+            assert feed._counters.get("configuration.callback_errors") == 2
+
+    with_cluster(test, tmp_path)
