--- a/src/apricotpoint/_pool/trials.py
+++ b/src/apricotpoint/_pool/trials.py
@@ -57,6 +57,11 @@
                 in_trial[task.name] = held
         if held is None or held.run_by_key or not held.accepts_starts(now):
             continue
+        if held.handing_over and not task.job.started:
+            # Its successor waits; only jobs that have started may finish there.
+            held.trial = None
+            del in_trial[task.name]
+            continue
         if placement.may_meet_deadline(task.job, held.speed.value, now):
             yield task, held
         else:
@@ -69,7 +74,11 @@
 ) -> HeldBackend | None:
     """Return an idle backend server for a trial, or the one that is expected to be idle first."""
     suitable = [
-        held for held in backends if held.can_run(task.job.request) and held.is_eligible(now)
+        held
+        for held in backends
+        if held.can_run(task.job.request)
+        and held.is_eligible(now)
+        and (task.job.started or not held.handing_over)
     ]
     idle = [held for held in suitable if not held.run_by_key]
     if idle:
--- a/testing/pool/test_crashes.py
+++ b/testing/pool/test_crashes.py
@@ -195,3 +195,31 @@
             assert starts_of(DEADLY_TASK, backends) <= 5
 
     run_on_virtual_time(test)
+
+
+def test_no_trial_starts_on_a_backend_server_that_is_handed_over():
+    """Guards against a successor that waits for starts which came after its claim."""
+
+    async def test() -> None:
+        async with run_restarting(2) as (harness, backends):
+            scheduler = harness.scheduler
+            job = make_job(2, deadline_s=30.0)
+            scheduler.crashes.record(
+                make_announcement("lost"),
+                0,
+                [f"{job.job_id}.0.0.0"],
+                Evidence.CRASHED,
+                alone=False,
+            )
+            for held in scheduler.held_by_id.values():
+                held.handing_over = True
+            scheduler.submit(job, "")
+            await anyio.sleep(1.0)
+            assert not any(backend.starts for backend in backends)
+            assert not any(held.trial for held in scheduler.held_by_id.values())
+            for held in scheduler.held_by_id.values():
+                held.handing_over = False
+            await anyio.sleep(1.0)
+            assert sum(len(backend.starts) for backend in backends) == 1
+
+    run_on_virtual_time(test)
