Count the age of a loss from its last evidence

A crash was forgotten up to 120 s too early, and its task started again for a caller that came back: evidence that grew in one process kept the age with which the loss had arrived from another. Rows are now kept without an age, which is added when they are sent. In the same place the reason of a job that is given up counted crashes that another task explains; it uses the same losses as the verdict. The test, in which a crash known for 2 s was forgotten, fails without the change.

--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -116,20 +116,13 @@
 
     def verdict(self, task: str) -> Verdict:
         """Return how a task may start."""
-        losses = self._losses_by_task.get(task)
-        if not losses:
+        if task not in self._losses_by_task:
             return Verdict.CLEAR
-        explained_by = self._culprit_by_incarnation
-        return judge(
-            (loss.evidence, loss.row.alone)
-            for incarnation, loss in losses.items()
-            if explained_by.get(incarnation, task) == task
-        )
+        return judge((loss.evidence, loss.row.alone) for loss in self._unexplained_losses(task))
 
     def crash_count(self, task: str) -> int:
-        """Return the number of backend servers that are known to have crashed under a task."""
-        losses = self._losses_by_task.get(task, {})
-        return sum(loss.evidence >= Evidence.GONE for loss in losses.values())
+        """Return the number of crashes under a task that no other task explains."""
+        return sum(loss.evidence >= Evidence.GONE for loss in self._unexplained_losses(task))
 
     def is_suspicious_kind(self, kind: str) -> bool:
         """Return whether a job of this kind had a task that was given up lately."""
@@ -219,7 +212,7 @@
             known = losses.get(incarnation)
             if known is not None and known.row.evidence >= row.evidence:
                 continue
-            losses[incarnation] = _Loss(row, now - row.age_s)
+            losses[incarnation] = _Loss(attrs.evolve(row, age_s=0.0), now - row.age_s)
             self._tasks_by_backend.setdefault(row.backend_id, set()).add(row.task)
             self._digest, self._changed_at = None, now
             if self.verdict(row.task) is Verdict.GIVEN_UP:
@@ -265,7 +258,6 @@
     def expire(self) -> None:
         """Forget what is too old to say anything about a task."""
         now = self._now()
-
         self._retain(lambda _, loss: now - loss.changed_at <= RETENTION_S)
         if not self._losses_by_task:
             self._given_up_kinds.clear()
@@ -274,7 +266,7 @@
         self, evidence: Evidence, applies: Callable[[CrashRow], bool]
     ) -> list[CrashRow]:
         return [
-            attrs.evolve(loss.row, evidence=int(evidence), age_s=0.0)
+            attrs.evolve(loss.row, evidence=int(evidence))
             for loss in self._losses()
             if loss.evidence < evidence and applies(loss.row)
         ]
@@ -304,6 +296,12 @@
             lambda _, loss: loss.row.backend_id != backend_id or loss.evidence is Evidence.CRASHED
         )
 
+    def _unexplained_losses(self, task: str) -> Iterator[_Loss]:
+        """Return the losses of a task but those in crashes that a convicted task has caused."""
+        for incarnation, loss in self._losses_by_task.get(task, {}).items():
+            if self._culprit_by_incarnation.get(incarnation, task) == task:
+                yield loss
+
     def _losses(self) -> Iterator[_Loss]:
         for losses in self._losses_by_task.values():
             yield from losses.values()
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -12,7 +12,13 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.backendclient import RunKey
-from apricotpoint._pool.crashes import SETTLING_S, CrashHistory, Evidence, Verdict
+from apricotpoint._pool.crashes import (
+    RETENTION_S,
+    SETTLING_S,
+    CrashHistory,
+    Evidence,
+    Verdict,
+)
 from apricotpoint._pool.shares import BACKENDS_PER_CORE
 from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolAnswer
 
@@ -268,3 +274,19 @@
     crashes.process_announcement(successor)
     assert crashes.crash_count(DEADLY_TASK) == 1
     assert reports == []
+
+
+def test_evidence_that_grows_makes_a_report_young_again():
+    """Guards against a crash that is forgotten by the age of an earlier report of the loss."""
+    now = 0.0
+    crashes = CrashHistory(now=lambda: now)
+    old = attrs.evolve(
+        make_crash(DEADLY_TASK, "a1", alone=True),
+        evidence=int(Evidence.REFUSED),
+        age_s=RETENTION_S - 1,
+    )
+    crashes.merge(CrashesHeard([old]))
+    crashes.record_gone("a1")
+    now = 2.0
+    crashes.expire()
+    assert crashes.crash_count(DEADLY_TASK) == 1
