Part the verdict on tasks from the history of lost runs

A newcomer met one file with two jobs, and names that say crash for a run that may only have been cut off. The verdict, which names the load pattern it answers, is in `_pool/verdicts.py` without state; the history keeps `_pool/crashes.py`.

--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/crashes.py
@@ -1,15 +1,11 @@
-"""What is known of the tasks that ran on backend servers when these crashed.
+"""History of the runs that were lost with their backend servers, by task.
 
-The load pattern behind it: one task ends the process of each backend server that starts it.
-Restarted without a limit it takes down one after the other, and each takes the runs of sound
-tasks along. A lost run alone shows nothing, as a partition or a pause of the VM looks the same at
-first, so each loss is recorded with its evidence, which grows or vanishes with what is heard of the
-backend server later.
+Each loss is recorded with its evidence of a crash, which grows or vanishes with what is heard of
+the backend server later; `_pool.verdicts` judges a task by its losses.
 """
 
 from __future__ import annotations
 
-import enum
 import itertools
 from collections.abc import Callable, Iterable, Iterator
 
@@ -18,11 +14,9 @@
 import msgspec
 import xxhash
 
-from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolBackend
+from apricotpoint._pool.verdicts import Evidence, Verdict, judge
+from apricotpoint._wire.pool import LostRun, LostRunChanges, PoolBackend
 
-# Crashes after which a task is given up if at least one of them happened while it ran alone, and
-# after which it is given up in any case.
-MAX_CRASHES_ALONE, MAX_CRASHES = 2, 3
 # Losses are remembered for this long after the last change, for callers that submit again.
 RETENTION_S = 120.0
 # Digests are compared this long after the last change. Changes that are still on their way would
@@ -34,34 +28,6 @@
 _log = logbook.Logger("crashes")
 
 
-class Evidence(enum.IntEnum):
-    """What shows that a backend server crashed; a higher value is stronger.
-
-    `SILENT`: it stopped to answer, which a partition explains as well. `REFUSED`: its VM also
-    refused connections, so that most likely its process has ended. `GONE`: moreover, nothing was
-    heard of it for long; it counts as crashed unless it answers again.
-    `CRASHED`: another incarnation has replaced it.
-    """
-
-    SILENT = 0
-    REFUSED = 1
-    GONE = 2
-    CRASHED = 3
-
-
-class Verdict(enum.Enum):
-    """How a task may start, by the crashes under it.
-
-    `CLEAR`: like any other. `SUSPECT`: only on a backend server without other runs. `PENDING`: not
-    until more is known of the backend servers on which its last runs were lost. `GIVEN_UP`: never.
-    """
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    PENDING = "pending"
-    GIVEN_UP = "given_up"
-
-
 @attrs.define(eq=False)
 class _Loss:
     """A run that was lost with its backend server, `alone` if no other run was there.
@@ -69,7 +35,7 @@
     `changed_at` is monotonic seconds.
     """
 
-    row: CrashRow
+    row: LostRun
     changed_at: float
 
     @property
@@ -77,22 +43,6 @@
         return Evidence(self.row.evidence)
 
 
-def judge(evidence: Iterable[tuple[Evidence, bool]]) -> Verdict:
-    """Return the verdict on a task by the evidence of each loss and whether it was alone there."""
-    losses = list(evidence)
-    crashed = [alone for kind, alone in losses if kind >= Evidence.GONE]
-    if len(crashed) >= MAX_CRASHES or (len(crashed) >= MAX_CRASHES_ALONE and any(crashed)):
-        return Verdict.GIVEN_UP
-    refused = sum(kind is Evidence.REFUSED for kind, _ in losses)
-    silent = sum(kind is Evidence.SILENT for kind, _ in losses)
-    # One silent backend server is more likely cut off; a series of them under one task is not.
-    likely = len(crashed) + refused
-    likely += silent if likely else max(silent - 1, 0)
-    if likely >= MAX_CRASHES_ALONE and refused + silent:
-        return Verdict.PENDING
-    return Verdict.SUSPECT if likely else Verdict.CLEAR
-
-
 class CrashHistory:
     """The runs that were lost with their backend servers, by task, in all processes.
 
@@ -101,7 +51,7 @@
     """
 
     def __init__(self, *, now: Callable[[], float]) -> None:
-        self.on_change: Callable[[CrashesHeard], None] = lambda _: None
+        self.on_change: Callable[[LostRunChanges], None] = lambda _: None
         self.on_given_up: Callable[[], None] = lambda: None
         self._now = now
         # By the id and the start of the incarnation of the backend server.
@@ -147,11 +97,11 @@
         `alone` tells that it had no other runs.
         """
         rows = [
-            CrashRow(task, backend.backend_id, born_ms, backend.address, int(evidence), alone)
+            LostRun(task, backend.backend_id, born_ms, backend.address, int(evidence), alone)
             for task in tasks
         ]
         if rows:
-            self._apply(CrashesHeard(rows))
+            self._apply(LostRunChanges(rows))
 
     def strengthen(self, backend_id: str, evidence: Evidence) -> None:
         """Record stronger evidence that a backend server on which runs were lost has crashed."""
@@ -169,7 +119,7 @@
         ]
         if rows:
             _log.notice("backend server {} is gone; runs were lost there", backend_id)
-            self.merge(CrashesHeard(rows))
+            self.merge(LostRunChanges(rows))
 
     def process_answer(self, backend_id: str, born_ms: int) -> None:
         """Process an answer of a backend server: it did not crash if it is the same incarnation."""
@@ -180,7 +130,7 @@
             lambda row: row.backend_id == backend_id and 0 < row.born_ms < born_ms,
         )
         if any(loss.evidence != Evidence.CRASHED for loss in self._losses_on(backend_id)):
-            self._apply(CrashesHeard([], [backend_id]))
+            self._apply(LostRunChanges([], [backend_id]))
 
     def process_announcement(self, announcement: PoolBackend) -> None:
         """Take a newer incarnation at the address of a backend server for the end of the latter.
@@ -191,7 +141,7 @@
         if not self._losses_by_task:
             return
 
-        def is_replaced(row: CrashRow) -> bool:
+        def is_replaced(row: LostRun) -> bool:
             if row.backend_id == announcement.backend_id:
                 return 0 < row.born_ms < announcement.born_ms
             is_newer = not row.born_ms or row.born_ms < announcement.born_ms
@@ -199,9 +149,9 @@
 
         rows = self._strengthened_rows(Evidence.CRASHED, is_replaced)
         if rows:
-            self.merge(CrashesHeard(rows))
+            self.merge(LostRunChanges(rows))
 
-    def merge(self, message: CrashesHeard) -> None:
+    def merge(self, message: LostRunChanges) -> None:
         """Process the changes that another process has made."""
         now, given_up = self._now(), []
         for backend_id in message.cleared:
@@ -229,7 +179,7 @@
         if given_up:
             self.on_given_up()
 
-    def rows(self, least: Evidence = Evidence.SILENT) -> list[CrashRow]:
+    def rows(self, least: Evidence = Evidence.SILENT) -> list[LostRun]:
         """Return the losses with this evidence or stronger one, with their ages."""
         now = self._now()
         return [
@@ -263,20 +213,20 @@
             self._given_up_kinds.clear()
 
     def _strengthened_rows(
-        self, evidence: Evidence, applies: Callable[[CrashRow], bool]
-    ) -> list[CrashRow]:
+        self, evidence: Evidence, applies: Callable[[LostRun], bool]
+    ) -> list[LostRun]:
         return [
             attrs.evolve(loss.row, evidence=int(evidence))
             for loss in self._losses()
             if loss.evidence < evidence and applies(loss.row)
         ]
 
-    def _strengthen(self, evidence: Evidence, applies: Callable[[CrashRow], bool]) -> None:
+    def _strengthen(self, evidence: Evidence, applies: Callable[[LostRun], bool]) -> None:
         rows = self._strengthened_rows(evidence, applies)
         if rows:
-            self._apply(CrashesHeard(rows))
+            self._apply(LostRunChanges(rows))
 
-    def _apply(self, message: CrashesHeard) -> None:
+    def _apply(self, message: LostRunChanges) -> None:
         """Process changes made here and pass them on."""
         if message.rows:
             row = message.rows[0]
--- a/src/apricotpoint/_pool/crashreports.py
+++ b/src/apricotpoint/_pool/crashreports.py
@@ -8,10 +8,11 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
-from apricotpoint._pool.crashes import CrashHistory, Evidence
+from apricotpoint._pool.crashes import CrashHistory
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.roster import Roster
-from apricotpoint._wire.pool import CrashesHeard, CrashRow
+from apricotpoint._pool.verdicts import Evidence
+from apricotpoint._wire.pool import LostRun, LostRunChanges
 
 EXPIRY_PERIOD_S = 1.0
 # Number of control processes that pass changes on; more than one, as one may be down.
@@ -47,8 +48,8 @@
         roster.subscribe_unreachable(crashes.record_gone)
 
     async def __aenter__(self) -> CrashReports:
-        self._transport.handlers_by_type[CrashesHeard] = self._on_changes
-        self._members.discovery.on_crashes = self._on_welcome
+        self._transport.handlers_by_type[LostRunChanges] = self._on_changes
+        self._members.discovery.on_lost_runs = self._on_welcome
         self._members.discovery.crash_digest = self._crashes.digest
         self._crashes.on_change = self._send
         self._subscription = self._timers.every(EXPIRY_PERIOD_S, self._crashes.expire)
@@ -62,9 +63,9 @@
     ) -> None:
         if self._subscription:
             self._subscription.cancel()
-        self._transport.handlers_by_type.pop(CrashesHeard, None)
+        self._transport.handlers_by_type.pop(LostRunChanges, None)
 
-    def _send(self, message: CrashesHeard) -> None:
+    def _send(self, message: LostRunChanges) -> None:
         for entry_id in self._members.live_entries().keys() - {self._members.entry_id}:
             self._members.open_link(entry_id)
             self._transport.send(entry_id, message)
@@ -76,14 +77,14 @@
             self._transport.send(control_id, attrs.evolve(message, forward=forward))
 
     def _on_changes(self, _: Sender, message: object) -> None:
-        assert isinstance(message, CrashesHeard)
+        assert isinstance(message, LostRunChanges)
         self._crashes.merge(message)
 
-    def _on_welcome(self, control_id: str, rows: list[CrashRow], digest: int | None) -> None:
+    def _on_welcome(self, control_id: str, rows: list[LostRun], digest: int | None) -> None:
         """Process the rows that a control process names, and send it the crashes it has missed."""
         own_digest = self._crashes.digest()
         if rows:
-            self._crashes.merge(CrashesHeard(rows))
+            self._crashes.merge(LostRunChanges(rows))
         if None in (digest, own_digest) or digest == own_digest:
             return
         known = {(row.task, row.backend_id, row.born_ms) for row in rows}
@@ -93,4 +94,4 @@
             if (row.task, row.backend_id, row.born_ms) not in known
         ]
         if missed:
-            self._transport.send(control_id, CrashesHeard(missed))
+            self._transport.send(control_id, LostRunChanges(missed))
--- a/src/apricotpoint/_pool/discovery.py
+++ b/src/apricotpoint/_pool/discovery.py
@@ -16,10 +16,10 @@
 from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import (
     BackendsHeard,
-    CrashRow,
     EntryHello,
     EntrySummary,
     EntryWelcome,
+    LostRun,
 )
 
 # Period and time-out of the `EntryHello` requests to the control processes. Holders send more of
@@ -40,7 +40,7 @@
     first; those that answer name the others. Replace `summary` when it changes. Repeated
     announcements from `watched_domains` arrive with little delay. `first_welcome_at` is the
     monotonic time of the first answer, None before it. `on_welcome` is called after each answer,
-    `on_crashes` with the id of the control process, the lost runs that it names and the digest of
+    `on_lost_runs` with the id of the control process, the lost runs that it names and the digest of
     the crashes it knows; `crash_digest` returns that of the crashes known here.
     """
 
@@ -59,7 +59,7 @@
         self.watched_domains: frozenset[str] = frozenset()
         self.first_welcome_at: float | None = None
         self.on_welcome: Callable[[], None] = lambda: None
-        self.on_crashes: Callable[[str, list[CrashRow], int | None], None] = lambda *_: None
+        self.on_lost_runs: Callable[[str, list[LostRun], int | None], None] = lambda *_: None
         self.crash_digest: Callable[[], int | None] = lambda: None
         self._seeds = seeds
         self._transport = transport
@@ -146,5 +146,5 @@
             self.first_welcome_at = self._timers.now()
         self.directory.update(control_id, welcome)
         self._roster.update(BackendsHeard(welcome.backends))
-        self.on_crashes(control_id, welcome.crashes, welcome.crash_digest)
+        self.on_lost_runs(control_id, welcome.lost_runs, welcome.crash_digest)
         self.on_welcome()
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/relay.py
@@ -11,15 +11,16 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
-from apricotpoint._pool.crashes import CrashHistory, Evidence
+from apricotpoint._pool.crashes import CrashHistory
 from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.verdicts import Evidence
 from apricotpoint._wire.pool import (
     BackendsHeard,
-    CrashesHeard,
-    CrashRow,
     EntryHello,
     EntrySummary,
     EntryWelcome,
+    LostRun,
+    LostRunChanges,
     PoolBackend,
 )
 
@@ -72,14 +73,14 @@
         self._control_ids = control_ids
         self._roster = Roster(now=timers.now)
         self._changed_by_id: dict[str, PoolBackend] = {}
-        self._watched_ids: set[str] = set()
+        self._repeated_ids: set[str] = set()
         self._unregistered: set[str] = set()
         self._entry_by_id: dict[str, _Entry] = {}
         # The list of live entry processes with its digest, and the time at which it was made.
         self._list: tuple[list[EntrySummary], int] = ([], 0)
         self._list_made_at = float("-inf")
         self._crashes = CrashHistory(now=timers.now)
-        self._crash_changes: list[CrashesHeard] = []
+        self._lost_run_changes: list[LostRunChanges] = []
         self._subscriptions: list[PeriodicTimer] = []
         self._roster.subscribe(self._crashes.process_announcement)
         self._roster.subscribe_unreachable(self._crashes.record_gone)
@@ -87,7 +88,7 @@
     async def __aenter__(self) -> AnnouncementRelay:
         self._transport.request_handlers_by_type[EntryHello] = self._on_hello
         self._transport.handlers_by_type[BackendsHeard] = self._on_announcements
-        self._transport.handlers_by_type[CrashesHeard] = self._on_crashes
+        self._transport.handlers_by_type[LostRunChanges] = self._on_lost_runs
         self._subscriptions = [
             self._timers.every(RELAY_PERIOD_S, self._forward_changes),
             self._timers.every(WATCHED_RELAY_PERIOD_S, self._forward_repetitions),
@@ -105,7 +106,7 @@
             subscription.cancel()
         self._transport.request_handlers_by_type.pop(EntryHello, None)
         self._transport.handlers_by_type.pop(BackendsHeard, None)
-        self._transport.handlers_by_type.pop(CrashesHeard, None)
+        self._transport.handlers_by_type.pop(LostRunChanges, None)
 
     def announce(self, announcement: PoolBackend) -> None:
         """Accept an announcement; forward it within `RELAY_PERIOD_S` if it is new or changed."""
@@ -118,13 +119,13 @@
         if known is None or attrs.evolve(known, sequence=announcement.sequence) != announcement:
             self._changed_by_id[backend_id] = announcement
         elif backend_id not in self._changed_by_id:
-            self._watched_ids.add(backend_id)
+            self._repeated_ids.add(backend_id)
 
     def unregister(self, backend_id: str) -> None:
         """Remove a backend server that is shutting down, and tell the other processes."""
         self._roster.update(BackendsHeard([], [backend_id]))
         self._changed_by_id.pop(backend_id, None)
-        self._watched_ids.discard(backend_id)
+        self._repeated_ids.discard(backend_id)
         self._unregistered.add(backend_id)
 
     def _live_entries(self) -> dict[str, _Entry]:
@@ -136,7 +137,7 @@
         }
 
     def _forward_changes(self) -> None:
-        self._forward_crashes()
+        self._forward_lost_runs()
         self._roster.remove_unreachable()
         if not self._changed_by_id and not self._unregistered:
             return
@@ -146,8 +147,8 @@
         for peer_id in [*self._live_entries(), *others]:
             self._transport.send(peer_id, message)
 
-    def _forward_crashes(self) -> None:
-        changes, self._crash_changes = self._crash_changes, []
+    def _forward_lost_runs(self) -> None:
+        changes, self._lost_run_changes = self._lost_run_changes, []
         if not changes:
             return
         for entry_id in self._live_entries():
@@ -159,10 +160,10 @@
         now = self._timers.now()
         domain_by_id = {
             key: self._roster.announcement_by_id[key].failure_domain
-            for key in self._watched_ids
+            for key in self._repeated_ids
             if key in self._roster.announcement_by_id
         }
-        self._watched_ids = set()
+        self._repeated_ids = set()
         for entry_id, entry in self._live_entries().items():
             entry.repeated_ids |= domain_by_id.keys()
             if now >= entry.repeated_due_at:
@@ -182,11 +183,11 @@
         assert isinstance(message, BackendsHeard)
         self._roster.update(message)
 
-    def _on_crashes(self, _: Sender, message: object) -> None:
-        assert isinstance(message, CrashesHeard)
+    def _on_lost_runs(self, _: Sender, message: object) -> None:
+        assert isinstance(message, LostRunChanges)
         self._crashes.merge(message)
         if message.forward:
-            self._crash_changes.append(attrs.evolve(message, forward=False))
+            self._lost_run_changes.append(attrs.evolve(message, forward=False))
 
     async def _on_hello(self, sender: Sender, message: object) -> object:
         assert isinstance(message, EntryHello)
@@ -208,11 +209,11 @@
             list_digest=digest,
             entries=None if digest == message.list_digest else entries,
             backends=list(self._roster.announcement_by_id.values()) if needs_backends else [],
-            crashes=self._crashes_for(message, needs_all=needs_backends),
+            lost_runs=self._lost_runs_for(message, needs_all=needs_backends),
             crash_digest=self._crashes.digest(),
         )
 
-    def _crashes_for(self, hello: EntryHello, *, needs_all: bool) -> list[CrashRow]:
+    def _lost_runs_for(self, hello: EntryHello, *, needs_all: bool) -> list[LostRun]:
         """Return the lost runs that an entry process may have missed."""
         if needs_all:
             return self._crashes.rows()
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -17,9 +17,9 @@
     RunOutcome,
     StartOutcome,
 )
-from apricotpoint._pool.crashes import Evidence
 from apricotpoint._pool.heldbackend import HeldBackend
 from apricotpoint._pool.job import Run, RunState
+from apricotpoint._pool.verdicts import Evidence
 
 # Longest time that a renewal waits at the backend server for the end of a run. Two unanswered
 # renewals fit into a lease.
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -15,12 +15,13 @@
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._pool import admission, dispatch, joborder, placement, trials
 from apricotpoint._pool.backendclient import BackendClient, RunOutcome, StartOutcome, StartRequest
-from apricotpoint._pool.crashes import CrashHistory, Evidence, Verdict
+from apricotpoint._pool.crashes import CrashHistory
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.heldbackend import HeldBackend
 from apricotpoint._pool.job import Job, Run, RunState, Task
 from apricotpoint._pool.jobtable import JobTable
 from apricotpoint._pool.renewal import LeaseRenewer
+from apricotpoint._pool.verdicts import Evidence, Verdict
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
 # Period in which deadlines are checked and unanswered stop requests are repeated.
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -83,11 +83,11 @@
 
 
 @attrs.frozen
-class CrashRow:
+class LostRun:
     """A run that was lost with its backend server.
 
     `born_ms` is the start of the incarnation of the backend server in unix milliseconds, 0 if it
-    is not known. `evidence` is a value of `_pool.crashes.Evidence`, known for `age_s`. `alone`
+    is not known. `evidence` is a value of `_pool.verdicts.Evidence`, known for `age_s`. `alone`
     tells that no other run was there.
     """
 
@@ -101,14 +101,14 @@
 
 
 @attrs.frozen
-class CrashesHeard:
+class LostRunChanges:
     """Changes of what is known of lost runs.
 
     `cleared` has the ids of backend servers that answer again. A control process passes the
     changes on to all entry processes if `forward` is set.
     """
 
-    rows: list[CrashRow]
+    rows: list[LostRun]
     cleared: list[str] = attrs.Factory(list)
     forward: bool = False
 
@@ -153,7 +153,7 @@
 class EntryWelcome:
     """The processes that a control process knows, and the backend servers announced recently.
 
-    `entries` is None if the list has the digest that the entry process has named. `crashes` are
+    `entries` is None if the list has the digest that the entry process has named. `lost_runs` are
     the lost runs of the last time, for an entry process that was not known before; for others only
     crashes, if the digest that they have named is not `crash_digest`.
     """
@@ -162,7 +162,7 @@
     list_digest: int
     entries: list[EntrySummary] | None
     backends: list[PoolBackend]
-    crashes: list[CrashRow] = attrs.Factory(list)
+    lost_runs: list[LostRun] = attrs.Factory(list)
     crash_digest: int | None = None
 
 
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -12,15 +12,10 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.backendclient import RunKey
-from apricotpoint._pool.crashes import (
-    RETENTION_S,
-    SETTLING_S,
-    CrashHistory,
-    Evidence,
-    Verdict,
-)
+from apricotpoint._pool.crashes import RETENTION_S, SETTLING_S, CrashHistory
 from apricotpoint._pool.shares import BACKENDS_PER_CORE
-from apricotpoint._wire.pool import CrashesHeard, CrashRow, PoolAnswer
+from apricotpoint._pool.verdicts import Evidence, Verdict
+from apricotpoint._wire.pool import LostRun, LostRunChanges, PoolAnswer
 
 BACKEND_IDS = ("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
 DEADLY = make_job(1, deadline_s=30.0)
@@ -232,16 +227,16 @@
     """Guards against a sound task that is held back for a crash which is already explained."""
     crashes = CrashHistory(now=lambda: 0.0)
     for backend_id in ("a1", "a2"):
-        crashes.merge(CrashesHeard([make_crash(DEADLY_TASK, backend_id, alone=True)]))
+        crashes.merge(LostRunChanges([make_crash(DEADLY_TASK, backend_id, alone=True)]))
     assert crashes.verdict(DEADLY_TASK) is Verdict.GIVEN_UP
-    crashes.merge(CrashesHeard([make_crash("neighbour", "a1", alone=False)]))
+    crashes.merge(LostRunChanges([make_crash("neighbour", "a1", alone=False)]))
     assert crashes.verdict("neighbour") is Verdict.CLEAR
-    crashes.merge(CrashesHeard([make_crash("neighbour", "a3", alone=False)]))
+    crashes.merge(LostRunChanges([make_crash("neighbour", "a3", alone=False)]))
     assert crashes.verdict("neighbour") is Verdict.SUSPECT
 
 
-def make_crash(task: str, backend_id: str, *, alone: bool) -> CrashRow:
-    return CrashRow(task, backend_id, 1, f"{backend_id}.example:1", int(Evidence.CRASHED), alone)
+def make_crash(task: str, backend_id: str, *, alone: bool) -> LostRun:
+    return LostRun(task, backend_id, 1, f"{backend_id}.example:1", int(Evidence.CRASHED), alone)
 
 
 def test_the_same_reports_in_another_order_make_the_same_digest():
@@ -255,7 +250,7 @@
         now = 0.0
         crashes = CrashHistory(now=lambda: now)  # noqa: B023
         for row in order:
-            crashes.merge(CrashesHeard([row]))
+            crashes.merge(LostRunChanges([row]))
         assert crashes.digest() is None
         now = SETTLING_S
         digests.add(crashes.digest())
@@ -269,7 +264,7 @@
     refused = attrs.evolve(
         make_crash(DEADLY_TASK, "a1", alone=True), evidence=int(Evidence.REFUSED)
     )
-    crashes.merge(CrashesHeard([refused]))
+    crashes.merge(LostRunChanges([refused]))
     successor = attrs.evolve(make_announcement("a1.1"), address=refused.address, born_ms=2)
     crashes.process_announcement(successor)
     assert crashes.crash_count(DEADLY_TASK) == 1
@@ -285,7 +280,7 @@
         evidence=int(Evidence.REFUSED),
         age_s=RETENTION_S - 1,
     )
-    crashes.merge(CrashesHeard([old]))
+    crashes.merge(LostRunChanges([old]))
     crashes.record_gone("a1")
     now = 2.0
     crashes.expire()
