--- a/src/apricotpoint/_bench/slopeslink.py
+++ b/src/apricotpoint/_bench/slopeslink.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import logbook
 import msgspec
 
 from apricotpoint._bench.slopescodec import KEY, encode_in_envelope
@@ -26,6 +27,8 @@
 from apricotpoint._wire.load import LoadReport
 from apricotpoint._wire.tasks import CancelBatch
 
+_log = logbook.Logger("bench")
+
 # Messages or exchanges of one run, well below the length of the send queue of a link.
 _MESSAGES_PER_RUN = 100
 # A burst takes longer only after a fault.
@@ -245,6 +248,7 @@
         with socket.socket() as probe_socket:
             try:
                 probe_socket.bind(("127.0.0.1", port))
-            except OSError:
+            except OSError as error:
+                _log.debug("port {} cannot be used: {}; trying another one", port, error)
                 continue
         return f"127.0.0.1:{port}"
--- a/src/apricotpoint/_bench/stepsimulation.py
+++ b/src/apricotpoint/_bench/stepsimulation.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import anyio.lowlevel
 import attrs
+import logbook
 import trio
 
 from apricotpoint._bench.detachedbackend import DetachedBackend
@@ -23,6 +24,7 @@
 from apricotpoint._control.registry import KeyRegistry
 from apricotpoint._control.storage import Storage
 from apricotpoint._core.counters import Counters
+from apricotpoint._core.errors import ApricotError
 from apricotpoint._core.keys import home_domain
 from apricotpoint._core.timers import TimerService
 from apricotpoint._dispatch.exchange import (
@@ -41,6 +43,8 @@
 COORDINATOR, HOLDER, OTHER_ENTRY = "a-1", "b-1", "c-1"
 HOME_REGISTRY = "home-c"
 WALL_CLOCK_START = 1_800_000_000
+
+_log = logbook.Logger("bench")
 _STEP_BY_SEND = {
     "Claim": "claim_sent",
     "ClaimReply": "claim_answered",
@@ -271,8 +275,9 @@
             async def claim(_: object, message: Any) -> object:
                 try:
                     reply = await registry.claim(message)
-                except Exception:
+                except ApricotError as error:
                     # A control process that cannot store a claim exits without an answer.
+                    _log.notice("{} ends: a claim cannot be stored: {}", HOME_REGISTRY, error)
                     self.network.remove(HOME_REGISTRY)
                     await anyio.sleep_forever()
                 self.step_reached("claim_synced")
