Test that a crash costs each process a few messages

The replay has 24 processes that all hear the next incarnation announce itself. So the growth with the square of the processes is shown, not only suspected.

--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -8,11 +8,12 @@
 import anyio
 import attrs
 from pool_cluster import Cluster, run_cluster
-from pool_harness import make_announcement, make_job, run_on_virtual_time
+from pool_harness import DOWN_S, FakeBackend, make_announcement, make_job, run_on_virtual_time
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.backendclient import RunKey
 from apricotpoint._pool.crashes import RETENTION_S, SETTLING_S, CrashHistory
+from apricotpoint._pool.crashreports import FORWARDING_CONTROL_PROCESSES
 from apricotpoint._pool.shares import BACKENDS_PER_CORE
 from apricotpoint._pool.verdicts import Evidence, Verdict
 from apricotpoint._wire.pool import LostRun, LostRunChanges, PoolAnswer
@@ -285,3 +286,62 @@
     now = 2.0
     crashes.expire()
     assert crashes.crash_count(DEADLY_TASK) == 1
+
+
+def test_a_crash_costs_each_process_a_few_messages():
+    """Guards against reports that grow with the square of the number of processes.
+
+    Replays the load pattern of hundreds of processes that all hear the announcement of the next
+    incarnation: each change passes through two control processes to everyone, once.
+    """
+
+    async def test() -> None:
+        domains = [(f"e{number}", "a") for number in range(1, 25)]
+        cores = len(BACKEND_IDS) / BACKENDS_PER_CORE
+        async with run_cluster(cores=cores, domains=domains, backend_ids=BACKEND_IDS) as cluster:
+            prepare(cluster)
+            for backend_id, backend in list(cluster.backend_by_id.items()):
+                backend.crash = come_back_later(cluster, backend_id)  # type: ignore[method-assign]
+            sent: list[object] = []
+            count_messages(cluster, sent)
+            job = make_job(1, deadline_s=30.0)
+            answer = await cluster.entry_by_id["e1"].service.submit(job)
+            assert answer.code == ResultCode.TASKS_FAILED
+            await anyio.sleep(5.0)
+            # Each change goes to some control processes, and each of these passes it on to all.
+            # What the announcement shows is no change.
+            changes = 2 * starts(cluster)
+            assert len(sent) <= changes * FORWARDING_CONTROL_PROCESSES * (1 + len(domains))
+
+    run_on_virtual_time(test)
+
+
+def come_back_later(cluster: Cluster, backend_id: str) -> Callable[[RunKey], None]:
+    """Return a crash after which another incarnation announces itself at the same address."""
+    crash = lose_for_good(cluster, backend_id)
+
+    async def come_back() -> None:
+        await anyio.sleep(DOWN_S)
+        cluster.backend_by_id[f"{backend_id}.1"] = successor = FakeBackend()
+        successor.group, successor.born_ms = cluster.network.group, 1
+
+    def crash_and_come_back(cause: RunKey) -> None:
+        crash(cause)
+        cluster.network.group.start_soon(come_back)
+
+    return crash_and_come_back
+
+
+def count_messages(cluster: Cluster, sent: list[object]) -> None:
+    """Append each message about lost runs that a process sends."""
+    for transport in cluster.network.transport_by_id.values():
+        send = transport.send
+
+        def record(
+            peer_id: str, message: object, *, reliable: bool = False, send: object = send
+        ) -> bool:
+            if isinstance(message, LostRunChanges):
+                sent.append(message)
+            return send(peer_id, message, reliable=reliable)  # type: ignore[operator]
+
+        transport.send = record  # type: ignore[method-assign]
