--- a/review/4/case.py
+++ b/review/4/case.py
@@ -32,6 +32,19 @@
 SENT_AT_S = (0.05, 0.1, 0.15, 0.2)
 PREFIX = "/check/"
 WORKERS = {"alpha": 10, "beta": 10, "gamma": 10}
+# Ten fronts, so that the frozen one is a share of 0.1 of them.
+FRONTS = {
+    "front-a1": "alpha",
+    "front-a2": "alpha",
+    "front-b1": "beta",
+    "front-b2": "beta",
+    "front-b3": "beta",
+    "front-b4": "beta",
+    "front-c1": "gamma",
+    "front-c2": "gamma",
+    "front-c3": "gamma",
+    "front-c4": "gamma",
+}
 
 
 async def case(record: Record) -> list[str]:
@@ -40,12 +53,7 @@
         Deployment(
             record,
             zones=list(WORKERS),
-            fronts={
-                "front-a1": "alpha",
-                "front-a2": "alpha",
-                "front-b1": "beta",
-                "front-c1": "gamma",
-            },
+            fronts=FRONTS,
             cores={"core-1": "alpha", "core-2": "beta", "core-3": "gamma"},
             front_cores=0.387,
         ) as deployment,
