--- a/src/apricotpoint/_core/timers.py
+++ b/src/apricotpoint/_core/timers.py
@@ -38,13 +38,21 @@
 
     `now` follows the clock of the running event loop, so tests that run on
     trio's `MockClock` get virtual time. `wall_clock` can be replaced for the same
-    reason. Use the service as an async context manager: callbacks are called
-    only inside it. An `ApricotError` in one cancels the body of the context; any
-    other exception is logged, and the callback is called again after its period.
+    reason. `suspended_s` returns for how many seconds the machine was suspended, which
+    the monotonic clock does not count. Use the service as an async context manager:
+    callbacks are called only inside it. An `ApricotError` in one cancels the body of
+    the context; any other exception is logged, and the callback is called again after
+    its period.
     """
 
-    def __init__(self, *, wall_clock: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        *,
+        wall_clock: Callable[[], float] = time.time,
+        suspended_s: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._wall_clock = wall_clock
+        self._suspended_s = suspended_s
         self._timers: list[PeriodicTimer] = []
         self._timer_added = anyio.Event()
         self._task_group: anyio.abc.TaskGroup | None = None
@@ -53,6 +61,13 @@
         """Return the monotonic time in seconds; its zero point is arbitrary."""
         return anyio.current_time()
 
+    def boot_time(self) -> float:
+        """Return the seconds since the boot of the machine, including those it was suspended.
+
+        It is the clock for the age of what other machines have sent.
+        """
+        return self.now() + self._suspended_s()
+
     def wall_time(self) -> float:
         """Return the wall-clock time in seconds since the Unix epoch."""
         return self._wall_clock()
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -19,12 +19,21 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
 from apricotpoint._core.timers import TimerService
-from apricotpoint._link.peer import MAX_MESSAGE_BYTES, PEER_TIMEOUT_S, NewerIncarnation, PeerLink
+from apricotpoint._link.peer import (
+    MAX_MESSAGE_BYTES,
+    PEER_TIMEOUT_S,
+    ClockProbe,
+    NewerIncarnation,
+    PeerLink,
+)
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._wire import codec
 
 MAX_REQUESTS_IN_PROGRESS = 2000
 FLUSH_TIMEOUT_S = 0.5
+# A dated request that may be older than this has its age measured by a probe.
+DATED_WITHIN_S = 0.1
+CLOCK_PROBE_TIMEOUT_S = 0.3
 # Messages handled in a row before other tasks of the event loop get to run.
 _RECEIVE_BURST_MESSAGES = 64
 
@@ -60,6 +69,10 @@
     with the first key of `keys`; those received may use any of them. Links that are
     not used for `idle_after_s` seconds close their connections (see `PeerLink`). Open
     requests of `quiet_types` need no heartbeats there: such requests just time out.
+
+    The handlers of requests of `dated_types` learn how old a request is at most. If the messages
+    exchanged before do not tell that it is recent, its sender is probed first: what waited for a
+    process that was stopped, or for a partition to end, is not taken for new.
     """
 
     def __init__(
@@ -75,9 +88,10 @@
         address_of: Callable[[str], str | None] = accept_no_new_peers,
         idle_after_s: float = math.inf,
         quiet_types: Collection[type] = (),
+        dated_types: Collection[type] = (),
     ) -> None:
         self.handlers_by_type: dict[type, Handler] = {}
-        self.request_handlers_by_type: dict[type, RequestHandler] = {}
+        self.request_handlers_by_type: dict[type, RequestHandler] = {ClockProbe: _return_probe}
         self._process_id = process_id
         self._incarnation = incarnation
         self._listen = listen
@@ -90,7 +104,8 @@
         self._requests_in_progress = 0
         self._address_of = address_of
         self._idle_after_s = idle_after_s
-        self._quiet_types = frozenset(quiet_types)
+        self._quiet_types = frozenset({*quiet_types, ClockProbe})
+        self._dated_types = frozenset(dated_types)
         self._link_by_id = {
             peer_id: self._make_link(peer_id, address)
             for peer_id, address in address_by_peer.items()
@@ -291,11 +306,14 @@
             return
         if not link.accept(envelope):
             return
-        sender = Sender(envelope.sender, envelope.incarnation, max(0.0, envelope.age_s))
+        arrived_at = self._timers.boot_time()
+        age_s = link.age_s(envelope, arrived_at)
+        known_age_s = max(0.0, envelope.age_s) if age_s is None else age_s
+        sender = Sender(envelope.sender, envelope.incarnation, known_age_s)
         if envelope.is_reply:
             self._handle_reply(envelope)
         elif envelope.request_id:
-            self._handle_request(link, sender, envelope)
+            self._handle_request(link, sender, envelope, arrived_at)
         elif isinstance(envelope.message, NewerIncarnation):
             self._check_incarnation(envelope.sender, envelope.message.incarnation)
         elif not isinstance(envelope.message, codec.Nothing):
@@ -339,7 +357,9 @@
                 "handler of {} from peer {} failed", type(message).__name__, sender.peer_id
             )
 
-    def _handle_request(self, link: PeerLink, sender: Sender, envelope: codec.Envelope) -> None:
+    def _handle_request(
+        self, link: PeerLink, sender: Sender, envelope: codec.Envelope, arrived_at: float
+    ) -> None:
         handler = self.request_handlers_by_type.get(type(envelope.message))
         if handler is None:
             self._counters.add("link.unhandled")
@@ -349,15 +369,22 @@
             return
         assert self._group is not None
         self._requests_in_progress += 1
-        self._group.start_soon(self._answer, handler, link, sender, envelope)
+        self._group.start_soon(self._answer, handler, link, sender, envelope, arrived_at)
 
     async def _answer(
-        self, handler: RequestHandler, link: PeerLink, sender: Sender, envelope: codec.Envelope
+        self,
+        handler: RequestHandler,
+        link: PeerLink,
+        sender: Sender,
+        envelope: codec.Envelope,
+        arrived_at: float,
     ) -> None:
         needs_heartbeats = type(envelope.message) not in self._quiet_types
         if needs_heartbeats:
             link.begin_request()
         try:
+            if type(envelope.message) in self._dated_types:
+                sender = await self._date(link, sender, envelope, arrived_at)
             reply = await handler(sender, envelope.message)
             link.send(reply, request_id=envelope.request_id, is_reply=True)
         except Exception:
@@ -371,3 +398,33 @@
             if needs_heartbeats:
                 link.end_request()
             self._requests_in_progress -= 1
+
+    async def _date(
+        self, link: PeerLink, sender: Sender, envelope: codec.Envelope, arrived_at: float
+    ) -> Sender:
+        """Return the sender with the age of a request on arrival, after a probe if necessary."""
+        age_s = link.age_s(envelope, arrived_at)
+        if age_s is None or age_s > DATED_WITHIN_S:
+            await self._probe_clock(link, arrived_at)
+            age_s = link.age_s(envelope, arrived_at)
+        if age_s is None:
+            self._counters.add("link.undated")
+            return attrs.evolve(sender, age_s=math.inf)
+        # The probe has taken time, too.
+        return attrs.evolve(sender, age_s=age_s + self._timers.boot_time() - arrived_at)
+
+    async def _probe_clock(self, link: PeerLink, arrived_at: float) -> None:
+        """Exchange a message with a peer, unless that was tried since `arrived_at`."""
+        async with link.clock_lock:
+            if link.clock_probed_at >= arrived_at:
+                return
+            link.clock_probed_at = self._timers.boot_time()
+            self._counters.add("link.clock_probes")
+            try:
+                await self.request(link.peer_id, ClockProbe(), timeout_s=CLOCK_PROBE_TIMEOUT_S)
+            except PeerUnreachable as error:
+                _log.info("the age of a request of {} is not known: {}", link.peer_id, error)
+
+
+async def _return_probe(_: Sender, message: object) -> object:
+    return message
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -13,6 +13,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
+from apricotpoint._link.clock import PeerClock
 from apricotpoint._wire import codec
 
 HEARTBEAT_PERIOD_S = 0.4
@@ -56,7 +57,12 @@
     incarnation: int
 
 
-codec.register(Redial, NewerIncarnation)
+@attrs.frozen
+class ClockProbe:
+    """A request that is answered by itself at once, to learn how old another message is."""
+
+
+codec.register(Redial, NewerIncarnation, ClockProbe)
 
 
 @attrs.frozen
@@ -100,6 +106,9 @@
         self._on_unsent_request = on_unsent_request
         self.peer_incarnation: int | None = None
         self.last_contact_at = -math.inf
+        # One probe serves all requests that arrived before it.
+        self.clock_lock = anyio.Lock()
+        self.clock_probed_at = -math.inf
         self._idle_after_s = idle_after_s
         self._open_requests = 0
         # Since when the peer is expected to send at least heartbeats.
@@ -119,6 +128,7 @@
         self._retransmit_at = math.inf
         self._received_sequence = 0
         self._acknowledgements_due = 0
+        self._clock = PeerClock()
         self._last_sent_at = -math.inf
         self._dialled_at = -math.inf
         self._redial_requested = False
@@ -188,9 +198,13 @@
             self._send_newer_incarnation()
             return False
         self.last_contact_at = self._timers.now()
+        if envelope.sent_at is not None:
+            self._clock.record_arrival(envelope.sent_at, self._timers.boot_time())
         is_for_this_incarnation = envelope.peer_incarnation == self._incarnation
         if is_for_this_incarnation:
             self._acknowledge(envelope.acknowledged)
+            if envelope.least_offset_s is not None:
+                self._clock.record_peer_offset(envelope.least_offset_s)
         if isinstance(envelope.message, Redial):
             self._redial_requested = True
             self._wakeup.set()
@@ -200,6 +214,18 @@
         # The request id of a reply to an earlier incarnation could match a request of this one.
         return is_for_this_incarnation or not envelope.is_reply
 
+    def age_s(self, envelope: codec.Envelope, arrived_at: float) -> float | None:
+        """Return the most seconds since a message was queued by the peer; None if not known.
+
+        `arrived_at` is the time of its arrival by `TimerService.boot_time`. For a peer of an
+        older release, which does not send its clock, only the time in its queue is known.
+        """
+        queued_s = max(0.0, envelope.age_s)
+        if envelope.sent_at is None:
+            return queued_s
+        transit_s = self._clock.age_s(envelope.sent_at, arrived_at)
+        return None if transit_s is None else queued_s + transit_s
+
     async def run(self) -> None:
         """Send queued messages, heartbeats and acknowledgements until cancelled."""
         try:
@@ -229,6 +255,8 @@
             self._counters.add("link.dropped_for_old_incarnation", len(self._unacknowledged))
             self._unacknowledged.clear()
         self.peer_incarnation = incarnation
+        # Its machine may have been started again, too, and with it the clock.
+        self._clock = PeerClock()
         self._acknowledged_sequence = 0
         self._transmitted_count = 0
         self._received_sequence = 0
@@ -403,6 +431,8 @@
                 acknowledged=self._received_sequence,
                 peer_incarnation=self.peer_incarnation or 0,
                 age_s=now - item.queued_at,
+                sent_at=self._timers.boot_time(),
+                least_offset_s=self._clock.least_offset_s(self._timers.boot_time()),
             ),
             self._key,
         )
--- a/src/apricotpoint/_link/transport.py
+++ b/src/apricotpoint/_link/transport.py
@@ -10,7 +10,12 @@
 
 @attrs.frozen
 class Sender:
-    """Origin of a message; `age_s` is the seconds that it was queued at the sender."""
+    """Origin of a message, which is at most `age_s` seconds old.
+
+    `age_s` counts the time in queues, on the way and in sockets. For messages of types that are
+    not dated (see `Mesh`) it may leave out what is not known yet. It is infinite for a dated
+    request whose age could not be found out.
+    """
 
     peer_id: str
     incarnation: int
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -70,6 +70,14 @@
         return RunKey(self.task.name, self.number)
 
 
+@attrs.frozen
+class Origin:
+    """The incarnation of an entry process that waits for the answer to a job."""
+
+    entry_id: str
+    incarnation: int
+
+
 @attrs.define(eq=False)
 class Task:
     """One task of a job.
@@ -94,15 +102,15 @@
     """A submitted job at the process that schedules it.
 
     `estimate_s` is the run time of a task at speed 1 as estimated on arrival, `refined_s` the one
-    learned from its runs, None before any run gave a prediction. `origin` is the id of the entry
-    process that waits for the answer, empty for this one. `started` is set when the first start
+    learned from its runs, None before any run gave a prediction. `origin` is the entry process that
+    waits for the answer, None for this one. `started` is set when the first start
     of a task is sent: from then on the job can no longer be refused as not run. `cancelled` is set
     when the job is answered, after which its runs are stopped. `completed_runs` has the runs that
     ended as done, with the seconds that each took. `answered` is set together with `answer`.
     """
 
     request: PoolJob
-    origin: str
+    origin: Origin | None
     arrived_at: float
     estimate_s: float
     tasks: list[Task] = attrs.field(init=False)
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -18,7 +18,7 @@
 from apricotpoint._pool.crashes import CrashHistory
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Run, RunState, Task
+from apricotpoint._pool.job import Job, Origin, Run, RunState, Task
 from apricotpoint._pool.jobtable import JobTable
 from apricotpoint._pool.renewal import LeaseRenewer
 from apricotpoint._pool.verdicts import Evidence, Verdict
@@ -162,10 +162,10 @@
         """Return a job that is open or ended within the last `ANSWER_RETENTION_S`, else None."""
         return self._jobs.find(job_id)
 
-    def submit(self, request: PoolJob, origin: str) -> Job:
+    def submit(self, request: PoolJob, origin: Origin | None = None) -> Job:
         """Accept a job; call `refusal` first, as this does not check whether it is feasible.
 
-        `origin` is the id of the entry process that waits for the answer, empty for this one.
+        `origin` is the entry process that waits for the answer, None for this one.
         """
         job = self._make_job(request, origin)
         self._jobs.add(job)
@@ -191,7 +191,7 @@
                 ResultCode.CANNOT_RUN,
                 "no backend server of its service has the resources that a task of the job needs",
             )
-        job = self._make_job(request, "")
+        job = self._make_job(request, None)
         wait_s, run_s = self.estimates.forecast(job, self.unanswered_jobs(), job.arrived_at)
         if not admission.is_infeasible(
             wait_s=wait_s,
@@ -208,7 +208,7 @@
         )
         return self._make_refusal(ResultCode.OVERLOADED, reason)
 
-    def _make_job(self, request: PoolJob, origin: str) -> Job:
+    def _make_job(self, request: PoolJob, origin: Origin | None) -> Job:
         return Job(
             request=request,
             origin=origin,
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -15,7 +15,8 @@
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
 from apricotpoint._pool import claims
-from apricotpoint._pool.job import Job
+from apricotpoint._pool.attempts import Attempts, PassedOnJob
+from apricotpoint._pool.job import Job, Origin
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob, PoolLoad
@@ -42,6 +43,8 @@
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
 
+_CANCELLED = PoolAnswer(int(ResultCode.CANCELLED_BEFORE_START), "cancelled before its start")
+
 _log = logbook.Logger("jobs")
 
 
@@ -90,8 +93,9 @@
         self._transport = transport
         self._timers = timers
         self._counters = counters
-        self._target_by_job: dict[str, str] = {}
-        self._ids_awaiting_holder: set[str] = set()
+        self._attempts = Attempts(now=timers.now)
+        # Attempts of the callers of this process that have no answer yet, with their jobs.
+        self._job_id_by_attempt: dict[int, str] = {}
         self._subscription: PeriodicTimer | None = None
 
     async def __aenter__(self) -> PoolService:
@@ -111,12 +115,26 @@
         self._transport.request_handlers_by_type.pop(PoolJob, None)
         self._transport.handlers_by_type.pop(PoolCancel, None)
 
+    def new_attempt(self) -> int:
+        """Return a number for one request by which a caller submits a job."""
+        return self._random.getrandbits(62) + 1
+
     async def submit(self, request: PoolJob) -> PoolAnswer:
         """Run a job and return its answer when it has ended.
 
         Returns by the deadline of the job, plus `REPLY_MARGIN_S` if another process schedules it.
         If the scheduling process is unreachable, the answer has code `COORDINATOR_UNREACHABLE`.
+        A request without an attempt is given a new one.
         """
+        if not request.attempt:
+            request = attrs.evolve(request, attempt=self.new_attempt())
+        self._job_id_by_attempt[request.attempt] = request.job_id
+        try:
+            return await self._submit(request)
+        finally:
+            del self._job_id_by_attempt[request.attempt]
+
+    async def _submit(self, request: PoolJob) -> PoolAnswer:
         began_at = self._timers.now()
         wait_until = began_at + min(HOLDER_TIMEOUT_S, request.deadline_s - request.elapsed_s)
         answer = PoolAnswer(
@@ -135,34 +153,39 @@
             if answer.code not in NO_HOLDER_CODES or self._timers.now() >= wait_until:
                 break
             draining_ids.clear()
-            if not await self._wait_for_holder(request.job_id):
-                answer = PoolAnswer(
-                    int(ResultCode.CANCELLED_BEFORE_START), "cancelled by its caller"
-                )
+            await self._timers.sleep(HOLDER_POLL_S)
+            if self._attempts.is_cancelled(request.attempt):
+                answer = _CANCELLED
                 break
         self._log_answer(request, answer, self._timers.now() - began_at)
         return answer
 
-    async def _wait_for_holder(self, job_id: str) -> bool:
-        """Wait before a job is routed again; return False if it was cancelled meanwhile."""
-        self._ids_awaiting_holder.add(job_id)
-        await self._timers.sleep(HOLDER_POLL_S)
-        if job_id not in self._ids_awaiting_holder:
-            return False
-        self._ids_awaiting_holder.discard(job_id)
-        return True
+    def cancel(
+        self, job_id: str, attempt: int = 0, reason: str = "cancelled by its caller"
+    ) -> None:
+        """Cancel a job, here and at the process that schedules it; unknown jobs are ignored.
 
-    def cancel(self, job_id: str) -> None:
-        """Cancel a job, here and at the process that schedules it; unknown jobs are ignored."""
-        self._ids_awaiting_holder.discard(job_id)
-        target = self._target_by_job.get(job_id)
-        if target is not None:
-            self._transport.send(target, PoolCancel(job_id))
-        self._scheduler.cancel(job_id, "cancelled by its caller")
+        With an `attempt` only that one ends, so that an earlier attempt, whose caller has left,
+        does not end a later one.
+        """
+        own = [key for key, value in self._job_id_by_attempt.items() if value == job_id]
+        for cancelled in [attempt] if attempt else own:
+            self._attempts.record_cancellation(cancelled)
+        for job in self._attempts.find(job_id, attempt):
+            self._cancel_passed_on(job)
+        scheduled = self._scheduler.find(job_id)
+        if scheduled is not None and attempt in (0, scheduled.request.attempt):
+            self._scheduler.cancel(job_id, reason)
+
+    def _cancel_passed_on(self, job: PassedOnJob) -> None:
+        # Reliable, as nothing else ends the job while its target hears from this process.
+        request = job.request
+        message = PoolCancel(request.job_id, request.attempt)
+        self._transport.send(job.target, message, reliable=True)
 
     def is_running(self, job_id: str) -> bool:
         """Return whether a job is open that this process schedules or has passed on to another."""
-        return job_id in self._target_by_job or any(
+        return bool(self._attempts.find(job_id)) or any(
             job.request.job_id == job_id for job in self._scheduler.unanswered_jobs()
         )
 
@@ -198,12 +221,15 @@
         ]
         return self._random.choice(distant_ids) if distant_ids else None
 
-    async def _submit_to(self, target: str, request: PoolJob) -> PoolAnswer:
+    async def _submit_to(
+        self, target: str, request: PoolJob, origin: Origin | None = None
+    ) -> PoolAnswer:
         if target == self._members.entry_id:
-            return await self._run_locally(request, "")
+            return await self._run_locally(request, None)
         self._counters.add("jobs.passed_on")
         self._members.open_link(target)
-        self._target_by_job[request.job_id] = target
+        passed_on = PassedOnJob(request, target, origin)
+        self._attempts.add(passed_on)
         timeout_s = max(request.deadline_s - request.elapsed_s, 0.0) + REPLY_MARGIN_S
         answer: PoolAnswer | None = None
         try:
@@ -221,9 +247,10 @@
                 unreachable.exceptions[0],
             )
         finally:
-            self._target_by_job.pop(request.job_id, None)
+            self._attempts.remove(passed_on)
         if answer is None:
             self._counters.add("jobs.scheduler_lost")
+            self._cancel_passed_on(passed_on)
             return PoolAnswer(
                 int(ResultCode.COORDINATOR_UNREACHABLE),
                 f"scheduling process {target} is unreachable",
@@ -231,19 +258,25 @@
         return answer
 
     async def _cancel_when_unreachable(self, target: str, scope: anyio.CancelScope) -> None:
-        """Cancel a scope when the process that got a job is silent; it sends at least heartbeats.
+        """Cancel a scope when the process that got a job is silent, or was started again.
 
-        The time before the job was sent does not count: an idle link carries no heartbeats.
+        It sends at least heartbeats. The time before the job was sent does not count: an idle link
+        carries no heartbeats.
         """
-        began_at = self._timers.now()
+        began_at, incarnation = self._timers.now(), self._transport.incarnation_of(target)
         while (
             min(self._transport.seconds_since_contact(target), self._timers.now() - began_at)
             <= PEER_TIMEOUT_S
         ):
             await self._timers.sleep(PEER_CHECK_PERIOD_S)
+            current = self._transport.incarnation_of(target)
+            if incarnation is not None and current != incarnation:
+                break
+            incarnation = current
         scope.cancel()
 
-    async def _run_locally(self, request: PoolJob, origin: str) -> PoolAnswer:
+    async def _run_locally(self, request: PoolJob, origin: Origin | None) -> PoolAnswer:
+        arrived_at = self._timers.now()
         earlier_job = self._scheduler.find(request.job_id)
         if earlier_job is not None:
             await earlier_job.answered.wait()
@@ -253,20 +286,28 @@
                 return earlier_job.answer
             if not await self._wait_for_earlier_runs(earlier_job, request):
                 return earlier_job.answer
-        if self._scheduler.draining:
-            return PoolAnswer(int(ResultCode.DRAINING), "this process is shutting down")
-        refusal = self._scheduler.refusal(request)
+            waited_s = self._timers.now() - arrived_at
+            request = attrs.evolve(request, elapsed_s=request.elapsed_s + waited_s)
+        if self._attempts.is_cancelled(request.attempt) or self._is_lost(origin):
+            self._counters.add("jobs.cancelled_unstarted")
+            return _CANCELLED
+        refusal = self._refusal(request)
         if refusal is not None:
-            other = None if request.forwarded else self._less_loaded_process(request)
+            other = self._less_loaded_process(request)
             if other is None:
                 return refusal
             self._counters.add("jobs.forwarded")
-            return await self._submit_to(other, attrs.evolve(request, forwarded=True))
+            return await self._submit_to(other, attrs.evolve(request, forwarded=True), origin)
         job = self._scheduler.submit(request, origin)
         await job.answered.wait()
         assert job.answer is not None
         return job.answer
 
+    def _refusal(self, request: PoolJob) -> PoolAnswer | None:
+        if self._scheduler.draining:
+            return PoolAnswer(int(ResultCode.DRAINING), "this process is shutting down")
+        return self._scheduler.refusal(request)
+
     async def _wait_for_earlier_runs(self, job: Job, request: PoolJob) -> bool:
         """Wait until no run of an earlier submission is left; False if the deadline comes first."""
         with anyio.move_on_after(max(request.deadline_s - request.elapsed_s, 0.0)):
@@ -277,7 +318,13 @@
         return False
 
     def _less_loaded_process(self, request: PoolJob) -> str | None:
-        """Return another holder that can run the job now or much sooner, None if there is none."""
+        """Return another holder that can run the job now or much sooner, None if there is none.
+
+        A job that has been forwarded already stays here, and one that a process which is shutting
+        down refuses is routed anew by its origin.
+        """
+        if request.forwarded or self._scheduler.draining:
+            return None
         own_s = expected_wait_s(self._scheduler.load(), request)
         waits = [
             (expected_wait_s(status.load, request), entry_id)
@@ -289,21 +336,56 @@
 
     async def _on_job(self, sender: Sender, message: object) -> object:
         assert isinstance(message, PoolJob)
-        request = attrs.evolve(message, elapsed_s=message.elapsed_s + sender.age_s)
-        return await self._run_locally(request, sender.peer_id)
+        if sender.age_s > PEER_TIMEOUT_S:
+            # Its origin may have given it up, and its caller may have sent it again elsewhere.
+            self._counters.add("jobs.outdated")
+            _log.notice(
+                "job {} from entry process {} is refused: it may have been sent {:.3f} s ago",
+                message.job_id,
+                sender.peer_id,
+                sender.age_s,
+            )
+            return PoolAnswer(
+                int(ResultCode.NO_BACKEND), "the request took too long to reach its scheduler"
+            )
+        request = attrs.evolve(
+            message,
+            elapsed_s=message.elapsed_s + sender.age_s,
+            attempt=message.attempt or self.new_attempt(),
+        )
+        return await self._run_locally(request, Origin(sender.peer_id, sender.incarnation))
 
-    def _on_cancel(self, sender: Sender, message: object) -> None:
+    def _on_cancel(self, _: Sender, message: object) -> None:
         assert isinstance(message, PoolCancel)
-        self.cancel(message.job_id)
+        self.cancel(message.job_id, message.attempt)
+
+    def _is_lost(self, origin: Origin | None) -> bool:
+        """Return whether the process that waits for an answer has ended or is unreachable.
+
+        It has answered its callers by now, or their connections are broken: they submit their
+        jobs again.
+        """
+        if origin is None:
+            return False
+        if self._transport.seconds_since_contact(origin.entry_id) > PEER_TIMEOUT_S:
+            return True
+        return self._transport.incarnation_of(origin.entry_id) != origin.incarnation
 
     def _cancel_orphaned_jobs(self) -> None:
-        """Cancel jobs whose entry process is unreachable: it has answered their callers by now."""
-        for job in self._scheduler.unanswered_jobs():
-            if job.origin and self._transport.seconds_since_contact(job.origin) > PEER_TIMEOUT_S:
-                self._counters.add("jobs.orphaned")
-                self._scheduler.cancel(
-                    job.request.job_id, f"entry process {job.origin} is unreachable"
-                )
+        """Cancel jobs that are scheduled here or were passed on, and for which nobody waits."""
+        open_jobs: list[Job | PassedOnJob] = [
+            *self._scheduler.unanswered_jobs(),
+            *self._attempts.passed_on(),
+        ]
+        for job in open_jobs:
+            request, origin = job.request, job.origin
+            if origin is None or not self._is_lost(origin):
+                continue
+            if self._attempts.is_cancelled(request.attempt):
+                continue
+            self._counters.add("jobs.orphaned")
+            reason = f"entry process {origin.entry_id} is unreachable or was started again"
+            self.cancel(request.job_id, request.attempt, reason)
 
     def _log_answer(self, request: PoolJob, answer: PoolAnswer, seconds: float) -> None:
         self._counters.add(f"jobs.answers_{answer.code}")
--- a/src/apricotpoint/_wire/codec.py
+++ b/src/apricotpoint/_wire/codec.py
@@ -42,6 +42,8 @@
     a message of the reliable stream; `acknowledged` is the highest sequence up
     to which all messages from incarnation `peer_incarnation` of the receiver
     have arrived. `age_s` is how long the message was queued at the sender.
+    `sent_at` is when it was written to the connection, by the clock of the sender, and
+    `least_offset_s` what its `PeerClock` knows of the receiver; both are None if not known.
     """
 
     sender: str
@@ -53,6 +55,8 @@
     acknowledged: int = 0
     peer_incarnation: int = 0
     age_s: float = 0.0
+    sent_at: float | None = None
+    least_offset_s: float | None = None
 
 
 @attrs.frozen
@@ -68,6 +72,8 @@
     peer_incarnation: int
     age_s: float
     body: msgspec.Raw
+    sent_at: float | None = None
+    least_offset_s: float | None = None
 
 
 def register(*message_types: type) -> None:
@@ -107,6 +113,8 @@
         peer_incarnation=envelope.peer_incarnation,
         age_s=envelope.age_s,
         body=msgspec.Raw(body),
+        sent_at=envelope.sent_at,
+        least_offset_s=envelope.least_offset_s,
     )
     payload = _ENCODER.encode(frame)
     return _mac(payload, key) + payload
@@ -146,6 +154,8 @@
         acknowledged=frame.acknowledged,
         peer_incarnation=frame.peer_incarnation,
         age_s=frame.age_s,
+        sent_at=frame.sent_at,
+        least_offset_s=frame.least_offset_s,
     )
 
 
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -219,6 +219,8 @@
     the caller sent the job. The deadline `deadline_s` counts from the same moment,
     and so does the latency objective, which is `base_latency_s` plus `stretch` times
     the run time of the longest task. `forwarded` jobs are not forwarded again.
+    `attempt` differs between the requests by which a caller submits the same job
+    again; 0 is not known.
     """
 
     job_id: str
@@ -235,6 +237,7 @@
     elapsed_s: float
     deadline_s: float
     forwarded: bool = False
+    attempt: int = 0
 
 
 @attrs.frozen
@@ -248,6 +251,10 @@
 
 @attrs.frozen
 class PoolCancel:
-    """Cancels a forwarded job: its caller has disconnected or cancelled it."""
+    """Cancels a job that was passed on: nobody waits for its answer, or it was cancelled.
+
+    `attempt` is the one of its `PoolJob` that ends; with 0 all of them do.
+    """
 
     job_id: str
+    attempt: int = 0
--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 import anyio
+import anyio.lowlevel
+import attrs
 import logbook
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -26,6 +28,9 @@
 CONFIGURATION_WAIT_S, CONFIGURATION_POLL_S = 1.0, 0.02
 # Sent to callers as retry-after by a process without a configuration.
 NO_CONFIGURATION_RETRY_AFTER_S = 1.0
+# Passes of the event loop from the last bytes of a request to the end of its connection, if both
+# have arrived together: the caller has left while its request was on the way.
+DISCONNECT_PASSES = 6
 
 _log = logbook.Logger("callers")
 
@@ -33,7 +38,8 @@
 class CallerInterface:
     """Serves the requests of callers; `open_requests` counts those not answered yet.
 
-    `pending` returns the number of jobs of a route of which no task has started.
+    `pending` returns the number of jobs of a route of which no task has started, `unread_s` for
+    how many seconds a request that is read now may have waited for this process.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
         pending: Callable[[str], int],
         counters: Counters,
         stopping: Callable[[], bool],
+        unread_s: Callable[[], float],
     ) -> None:
         self.open_requests = 0
         self._service = service
@@ -51,6 +58,7 @@
         self._pending = pending
         self._counters = counters
         self._stopping = stopping
+        self._unread_s = unread_s
 
     def make_app(self) -> Starlette:
         """Return the ASGI app that serves callers."""
@@ -69,6 +77,7 @@
         return response
 
     async def _respond(self, request: Request) -> Response:
+        unread_s = self._unread_s()
         routing = await self._wait_for_routing()
         if not routing.version:
             body = await read_body(request, max_bytes=routing.max_body_bytes)
@@ -93,6 +102,7 @@
             job_id = request.url.path[len(route.prefix) :]
             if request.method == "POST":
                 job = decode_job(job_id, body, route=route, deadline_s=_parse_deadline_s(request))
+                job = attrs.evolve(job, elapsed_s=job.elapsed_s + unread_s)
                 return _encode_response(await self._submit(request, job))
         except ApricotError as error:
             self._counters.add("callers.malformed")
@@ -119,17 +129,29 @@
 
     async def _submit(self, request: Request, job: PoolJob) -> PoolAnswer:
         """Run a job, and cancel it if its caller disconnects before it has ended."""
-        answer = PoolAnswer(int(ResultCode.CANCELLED_AFTER_START), "the caller has disconnected")
+        if job.elapsed_s >= job.deadline_s:
+            self._counters.add("callers.outdated")
+            return PoolAnswer(
+                int(ResultCode.DEADLINE_BEFORE_START),
+                f"the request may have waited for {job.elapsed_s:.3f} s before it was read",
+            )
+        job = attrs.evolve(job, attempt=self._service.new_attempt())
+        answer = PoolAnswer(int(ResultCode.CANCELLED_BEFORE_START), "the caller has disconnected")
         async with anyio.create_task_group() as group:
+            left = anyio.Event()
 
             async def cancel_on_disconnect() -> None:
                 while (await request.receive())["type"] != "http.disconnect":
                     pass
                 self._counters.add("callers.left")
-                self._service.cancel(job.job_id)
+                left.set()
+                self._service.cancel(job.job_id, job.attempt)
 
             group.start_soon(cancel_on_disconnect)
-            answer = await self._service.submit(job)
+            for _ in range(DISCONNECT_PASSES):
+                await anyio.lowlevel.checkpoint()
+            if not left.is_set():
+                answer = await self._service.submit(job)
             group.cancel_scope.cancel()
         return answer
 
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -34,6 +34,7 @@
     PEER_KEY,
     SettingsFile,
     run_program,
+    suspended_s,
     wait_for_stop_signal,
 )
 from apricotpoint.platform.settings import PlatformSettings
@@ -60,7 +61,8 @@
             remedy="run the control program on a VM with a data disk",
         )
     await _initialise_data_folder(folder, settings)
-    timers, counters, incarnation = TimerService(), Counters(), new_incarnation()
+    timers, counters = TimerService(suspended_s=suspended_s), Counters()
+    incarnation = new_incarnation()
     mesh = Mesh(
         process_id=settings.address,
         incarnation=incarnation,
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -12,6 +12,7 @@
 
 from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._core.counters import Counters
+from apricotpoint._core.pauses import PauseMonitor
 from apricotpoint._core.timers import TimerService
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
@@ -25,7 +26,7 @@
 from apricotpoint._pool.service import PoolService
 from apricotpoint._programs.incarnation import new_incarnation
 from apricotpoint._wire.configuration import ConfigPoll, Configuration
-from apricotpoint._wire.pool import EntryStatus, EntrySummary
+from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolJob
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
 from apricotpoint.platform.configuration import decode_routing
 from apricotpoint.platform.process import (
@@ -78,7 +79,7 @@
         incarnation = new_incarnation()
         counters = Counters()
         generator = random.Random(incarnation)
-        self._timers = TimerService()
+        self._timers = TimerService(suspended_s=suspended_s)
         self._started_at = self._timers.wall_time()
         self._mesh = Mesh(
             process_id=settings.address,
@@ -91,6 +92,7 @@
             address_of=settings.peer_address,
             idle_after_s=PEER_IDLE_S,
             quiet_types=[ConfigPoll],
+            dated_types=[PoolJob],
         )
         self._roster = Roster(now=self._timers.now)
         self._scheduler = Scheduler(
@@ -153,18 +155,21 @@
             counters=counters,
             random=generator,
         )
+        self._pauses = PauseMonitor(timers=self._timers)
         self._callers = CallerInterface(
             self._service,
             routing=lambda: self._routing,
             pending=self._scheduler.unstarted_jobs,
             counters=counters,
             stopping=lambda: self._stopping,
+            unread_s=self._pauses.unread_s,
         )
 
     async def __aenter__(self) -> EntryProcess:
         await self._stack.__aenter__()
         for component in (
             self._timers,
+            self._pauses,
             self._mesh,
             self._scheduler,
             self._members,
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
 import anyio
@@ -34,11 +34,21 @@
         self.closed = False
         self.connections = 0
         self._blackholed_up_to = 0
+        self._flowing = anyio.Event()
+        self._flowing.set()
 
     def blackhole(self) -> None:
         """Drop all further data on the open connections, but keep them open."""
         self._blackholed_up_to = self.connections
 
+    def hold(self) -> None:
+        """Hold up all further data until `release`."""
+        self._flowing = anyio.Event()
+
+    def release(self) -> None:
+        """Forward the data held up."""
+        self._flowing.set()
+
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Accept and forward connections until cancelled."""
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -55,6 +65,7 @@
                 async def copy(source: anyio.abc.ByteStream, to: anyio.abc.ByteStream) -> None:
                     with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
                         async for data in source:
+                            await self._flowing.wait()
                             if number > self._blackholed_up_to and not self.closed:
                                 await to.send(data)
                     group.cancel_scope.cancel()
@@ -84,6 +95,7 @@
         incarnation: int = 1,
         keys: list[bytes] = KEYS,
         idle_after_s: float = math.inf,
+        dated_types: Collection[type] = (),
     ):
         """Run one incarnation of a process on a new port."""
         other = "b" if name == "a" else "a"
@@ -98,6 +110,7 @@
             timers=self.timers,
             counters=self.counters[name],
             idle_after_s=idle_after_s,
+            dated_types=dated_types,
         )
         mesh.handlers_by_type[CancelBatch] = lambda sender, message: self.received.append(
             (sender, message)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -46,6 +46,8 @@
         self.peer_id = peer_id
         self._network = network
         self._last_contact_at_by_peer: dict[str, float] = {}
+        network.incarnation_by_id[peer_id] += 1
+        self._incarnation = network.incarnation_by_id[peer_id]
         network.transport_by_id[peer_id] = self
 
     def add_peer(self, peer_id: str, address: str) -> None:
@@ -66,8 +68,8 @@
         return anyio.current_time() - self._last_contact_at_by_peer.get(peer_id, -math.inf)
 
     def incarnation_of(self, peer_id: str) -> int | None:
-        """Return 1, the only incarnation of each process."""
-        return 1
+        """Return the incarnation of a process, which rises with each start."""
+        return self._network.incarnation_by_id[peer_id]
 
     def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
         """Send a message; it is dropped if the peer cannot be reached."""
@@ -86,9 +88,10 @@
                 self._network.sent_by_id[peer_id] += 1
                 replies: list[object] = []
                 done = anyio.Event()
+                sender = self._as_sender(peer_id)
 
                 async def answer() -> None:
-                    replies.append(await handler(Sender(self.peer_id, 1), message))
+                    replies.append(await handler(sender, message))
                     done.set()
 
                 # As over a network, the handler goes on after the requester has timed out.
@@ -116,7 +119,12 @@
         target.record_contact(self.peer_id)
         handler = target.handlers_by_type.get(type(message))
         if handler is not None:
-            handler(Sender(self.peer_id, 1), message)
+            handler(self._as_sender(peer_id), message)
+
+    def _as_sender(self, peer_id: str) -> Sender:
+        network = self._network
+        age_s = network.delay_by_pair.get((self.peer_id, peer_id), 0.0)
+        return Sender(self.peer_id, self._incarnation, age_s)
 
 
 class PartitionedClient:
@@ -166,6 +174,7 @@
 class FakeNetwork:
     """The network: `dropped_pairs` has the pairs (sender, receiver) whose messages are dropped.
 
+    `delay_by_pair` has the delays of messages that take longer than usual, in seconds.
     `sent_by_id` counts the messages and replies that each process has sent.
     """
 
@@ -175,6 +184,8 @@
         self.group_by_id: dict[str, anyio.abc.TaskGroup] = {}
         self.dropped_pairs: set[tuple[str, str]] = set()
         self.partitioned_domain: str | None = None
+        self.delay_by_pair: dict[tuple[str, str], float] = {}
+        self.incarnation_by_id: Counter[str] = Counter()
         self.sent_by_id: Counter[str] = Counter()
 
     def isolate(self, peer_id: str) -> None:
@@ -188,7 +199,7 @@
 
     async def reaches(self, sender: str, receiver: str) -> bool:
         """Return after the delay of a message whether it arrives."""
-        await anyio.sleep(ONE_WAY_DELAY_S)
+        await anyio.sleep(self.delay_by_pair.get((sender, receiver), ONE_WAY_DELAY_S))
         return (sender, receiver) not in self.dropped_pairs and receiver in self.transport_by_id
 
     def start(self, peer_id: str, function: object) -> None:
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -167,7 +167,7 @@
     if harness.scheduler.refusal(request) is not None:
         counts.refused += 1
         return
-    job = harness.scheduler.submit(request, "")
+    job = harness.scheduler.submit(request)
     await job.answered.wait()
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
--- a/testing/pool/test_capacity.py
+++ b/testing/pool/test_capacity.py
@@ -30,13 +30,13 @@
     async def test() -> None:
         backend = FakeBackend(work_s=0.3)
         async with run_scheduler(backend) as harness:
-            first = harness.scheduler.submit(make_job(1, count=2, work_s=0.3), "")
+            first = harness.scheduler.submit(make_job(1, count=2, work_s=0.3))
             await anyio.sleep(0.1)
             shrunk = make_announcement("w1", room=ONE_TASK_ROOM)
             harness.scheduler.announce(attrs.evolve(shrunk, sequence=2))
             # A run that is being stopped still uses the room.
             harness.scheduler.cancel(first.request.job_id, "cancelled")
-            harness.scheduler.submit(make_job(2, count=3, work_s=0.3, deadline_s=3.0), "")
+            harness.scheduler.submit(make_job(2, count=3, work_s=0.3, deadline_s=3.0))
             for _ in range(150):
                 await anyio.sleep(0.01)
                 if len(backend.starts) > 2:
@@ -72,12 +72,12 @@
         backend = FakeBackend(work_s=0.1)
         async with run_scheduler(backend) as harness:
             backend.room = ONE_TASK_ROOM
-            harness.scheduler.submit(make_job(1, count=9, work_s=0.1, deadline_s=5.0), "")
+            harness.scheduler.submit(make_job(1, count=9, work_s=0.1, deadline_s=5.0))
             await anyio.sleep(0.95)
             assert harness.counters.get("pool.refused_no_room") == 1
             # The room is used again soon after it has grown.
             backend.room = BACKEND_ROOM
-            harness.scheduler.submit(make_job(2, count=30, work_s=0.1, deadline_s=9.0), "")
+            harness.scheduler.submit(make_job(2, count=30, work_s=0.1, deadline_s=9.0))
             await anyio.sleep(1.0)
             assert len(backend.active_run_by_key) == 2
 
--- a/testing/pool/test_crashes.py
+++ b/testing/pool/test_crashes.py
@@ -51,7 +51,7 @@
 
     async def test() -> None:
         async with run_restarting() as (harness, backends):
-            job = harness.scheduler.submit(make_job(DEADLY_JOB, count=2, deadline_s=30.0), "")
+            job = harness.scheduler.submit(make_job(DEADLY_JOB, count=2, deadline_s=30.0))
             await job.answered.wait()
             assert job.answer is not None
             assert job.answer.code == ResultCode.TASKS_FAILED
@@ -66,7 +66,7 @@
     async def test() -> None:
         async with run_restarting() as (harness, backends):
             for _ in range(3):
-                job = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=30.0), "")
+                job = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=30.0))
                 await job.answered.wait()
                 assert job.answer is not None
                 assert job.answer.code == ResultCode.TASKS_FAILED
@@ -82,7 +82,7 @@
     async def test() -> None:
         async with run_restarting() as (harness, backends):
             for _ in range(8):
-                job = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=1.5), "")
+                job = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=1.5))
                 await job.answered.wait()
                 await anyio.sleep(1.3)
             assert starts_of(DEADLY_TASK, backends) == 2
@@ -96,13 +96,11 @@
     async def test() -> None:
         async with run_restarting(work_s=0.6) as (harness, backends):
             sound = [make_job(i, count=2, work_s=0.6, deadline_s=60.0) for i in range(2, 5)]
-            jobs = [harness.scheduler.submit(request, "") for request in sound]
-            deadly = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=60.0), "")
+            jobs = [harness.scheduler.submit(request) for request in sound]
+            deadly = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=60.0))
             for number in range(5, 40):
                 await anyio.sleep(0.25)
-                jobs.append(
-                    harness.scheduler.submit(make_job(number, work_s=0.6, deadline_s=60.0), "")
-                )
+                jobs.append(harness.scheduler.submit(make_job(number, work_s=0.6, deadline_s=60.0)))
             for job in [*jobs, deadly]:
                 await job.answered.wait()
             assert {job.answer.code for job in jobs if job.answer} == {ResultCode.COMPLETE}
@@ -120,7 +118,7 @@
 
     async def test() -> None:
         async with run_restarting(work_s=1.0) as (harness, backends):
-            job = harness.scheduler.submit(make_job(2, work_s=1.0, deadline_s=60.0), "")
+            job = harness.scheduler.submit(make_job(2, work_s=1.0, deadline_s=60.0))
             for cuts in range(4):
                 while sum(len(backend.starts) for backend in backends) == cuts:  # noqa: ASYNC110
                     await anyio.sleep(0.01)
@@ -152,7 +150,7 @@
                     Evidence.REFUSED,
                     alone=False,
                 )
-            scheduler.submit(held_back, "")
+            scheduler.submit(held_back)
             await anyio.sleep(0.1)
             assert scheduler.refusal(make_job(3, count=4)) is None
             assert scheduler.load().backlog_s == 0
@@ -167,7 +165,7 @@
         async with run_restarting(2) as (harness, backends):
             down = backends[0]
             down.is_down = True
-            job = harness.scheduler.submit(make_job(2, count=3, deadline_s=5.0), "")
+            job = harness.scheduler.submit(make_job(2, count=3, deadline_s=5.0))
             began_at = anyio.current_time()
             await job.answered.wait()
             assert job.answer is not None
@@ -185,7 +183,7 @@
 
     async def test() -> None:
         async with run_restarting() as (harness, backends):
-            job = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=60.0), "")
+            job = harness.scheduler.submit(make_job(DEADLY_JOB, deadline_s=60.0))
             while not job.answer:  # noqa: ASYNC110  # The fake backend has no event for it.
                 for backend in backends:
                     backend.unreachable = backend.is_down
@@ -213,7 +211,7 @@
             )
             for held in scheduler.held_by_id.values():
                 held.handing_over = True
-            scheduler.submit(job, "")
+            scheduler.submit(job)
             await anyio.sleep(1.0)
             assert not any(backend.starts for backend in backends)
             assert not any(held.trial for held in scheduler.held_by_id.values())
--- a/testing/pool/test_learning.py
+++ b/testing/pool/test_learning.py
@@ -31,7 +31,7 @@
             for number in range(1, 60):
                 for backend in backends:
                     backend.work_s = 0.06 * noise.uniform(0.7, 1.3)
-                job = harness.scheduler.submit(make_job(number, count=8, work_s=0.06), "")
+                job = harness.scheduler.submit(make_job(number, count=8, work_s=0.06))
                 await job.answered.wait()
                 await anyio.sleep(0.01)
             speeds = [held.speed.value for held in harness.scheduler.held_by_id.values()]
@@ -48,7 +48,7 @@
         slow, *fast = [FakeBackend(speed=0.5), FakeBackend(), FakeBackend(), FakeBackend()]
         async with run_scheduler(slow, *fast) as harness:
             for number in range(1, 30):
-                job = harness.scheduler.submit(make_job(number, count=8), "")
+                job = harness.scheduler.submit(make_job(number, count=8))
                 await job.answered.wait()
             speed_by_id = {
                 key: held.speed.value for key, held in harness.scheduler.held_by_id.items()
@@ -65,7 +65,7 @@
         slow, fast = FakeBackend(work_s=1.0, speed=0.3), FakeBackend(work_s=1.0)
         async with run_scheduler(slow, fast) as harness:
             for number in range(1, 12):
-                job = harness.scheduler.submit(make_job(number, count=4, work_s=1.0), "")
+                job = harness.scheduler.submit(make_job(number, count=4, work_s=1.0))
                 await job.answered.wait()
                 await anyio.sleep(0.3)
             speed_by_id = harness.scheduler.estimates.speeds()
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -21,7 +21,7 @@
     async def test() -> None:
         backends = [FakeBackend(), FakeBackend()]
         async with run_scheduler(*backends) as harness:
-            job = harness.scheduler.submit(make_job(count=3), "")
+            job = harness.scheduler.submit(make_job(count=3))
             await job.answered.wait()
             assert job.answer is not None
             assert job.answer.code == ResultCode.COMPLETE
@@ -37,7 +37,7 @@
     async def test() -> None:
         backend = FakeBackend()
         async with run_scheduler(backend) as harness:
-            job = harness.scheduler.submit(make_job(count=5), "")
+            job = harness.scheduler.submit(make_job(count=5))
             await job.answered.wait()
             assert len(backend.starts) == 5
             assert harness.counters.get("pool.refused_no_room") == 0
@@ -52,7 +52,7 @@
         backend = FakeBackend(work_s=0.5)
         backend.lose_start_answers = 1
         async with run_scheduler(backend) as harness:
-            job = harness.scheduler.submit(make_job(work_s=0.5), "")
+            job = harness.scheduler.submit(make_job(work_s=0.5))
             await job.answered.wait()
             assert job.answer is not None
             assert job.answer.code == ResultCode.COMPLETE
@@ -69,7 +69,7 @@
         late.start_delays_s = [2.0]
         other.start_delays_s = [3.0]
         async with run_scheduler(late, other) as harness:
-            job = harness.scheduler.submit(make_job(deadline_s=5.0), "")
+            job = harness.scheduler.submit(make_job(deadline_s=5.0))
             await job.answered.wait()
             assert job.answer is not None
             assert job.answer.code == ResultCode.COMPLETE
@@ -85,7 +85,7 @@
     async def test() -> None:
         backends = [FakeBackend(work_s=1.5), FakeBackend(work_s=1.5)]
         async with run_scheduler(*backends) as harness:
-            job = harness.scheduler.submit(make_job(work_s=0.5, deadline_s=6.0), "")
+            job = harness.scheduler.submit(make_job(work_s=0.5, deadline_s=6.0))
             await anyio.sleep(0.1)
             first = next(backend for backend in backends if backend.starts)
             second = next(backend for backend in backends if not backend.starts)
@@ -109,7 +109,7 @@
         bad, good = FakeBackend(speed=1.0), FakeBackend(speed=1.0)
         bad.fails = True
         async with run_scheduler(bad, good) as harness:
-            jobs = [harness.scheduler.submit(make_job(i), "") for i in range(1, 9)]
+            jobs = [harness.scheduler.submit(make_job(i)) for i in range(1, 9)]
             for job in jobs:
                 await job.answered.wait()
             codes = [job.answer.code for job in jobs if job.answer]
@@ -126,7 +126,7 @@
         bad = FakeBackend()
         bad.fails = True
         async with run_scheduler(bad) as harness:
-            job = harness.scheduler.submit(make_job(max_attempts=3, deadline_s=10.0), "")
+            job = harness.scheduler.submit(make_job(max_attempts=3, deadline_s=10.0))
             await job.answered.wait()
             assert job.answer is not None
             assert job.answer.code == ResultCode.TASKS_FAILED
@@ -142,7 +142,7 @@
         stalled, healthy = FakeBackend(), FakeBackend()
         stalled.stalls = True
         async with run_scheduler(stalled, healthy) as harness:
-            jobs = [harness.scheduler.submit(make_job(i, deadline_s=3.0), "") for i in (1, 2, 3, 4)]
+            jobs = [harness.scheduler.submit(make_job(i, deadline_s=3.0)) for i in (1, 2, 3, 4)]
             for job in jobs:
                 await job.answered.wait()
                 assert job.answer is not None
@@ -158,7 +158,7 @@
     async def test() -> None:
         backend = FakeBackend(work_s=5.0)
         async with run_scheduler(backend) as harness:
-            harness.scheduler.submit(make_job(work_s=0.5, deadline_s=9.0), "")
+            harness.scheduler.submit(make_job(work_s=0.5, deadline_s=9.0))
             await anyio.sleep(0.1)
             harness.scheduler.release("w1", "test")
             assert backend.active_run_by_key
@@ -223,7 +223,7 @@
                 )
             )
             for number in range(1, 5):
-                job = harness.scheduler.submit(make_job(number, count=2), "")
+                job = harness.scheduler.submit(make_job(number, count=2))
                 await job.answered.wait()
             assert leaving.starts == []
             assert len(staying.starts) == 8
@@ -237,10 +237,10 @@
     async def test() -> None:
         backend = FakeBackend(work_s=1.0)
         async with run_scheduler(backend) as harness:
-            harness.scheduler.submit(make_job(1, count=2, work_s=1.0), "")
+            harness.scheduler.submit(make_job(1, count=2, work_s=1.0))
             await anyio.sleep(0.1)
             harness.scheduler.cancel(f"{1:016x}", "left")
-            second = harness.scheduler.submit(make_job(2, count=2, work_s=0.1), "")
+            second = harness.scheduler.submit(make_job(2, count=2, work_s=0.1))
             backend.work_s = 0.1
             with anyio.fail_after(0.5):
                 await second.answered.wait()
@@ -256,7 +256,7 @@
     async def test() -> None:
         backend = FakeBackend(work_s=9.0)
         async with run_scheduler(backend) as harness:
-            job = harness.scheduler.submit(make_job(deadline_s=0.5), "")
+            job = harness.scheduler.submit(make_job(deadline_s=0.5))
             await job.answered.wait()
             assert job.answer is not None
             assert job.answer.code == ResultCode.DEADLINE_AFTER_START
@@ -271,7 +271,7 @@
         backend = FakeBackend(work_s=1.0)
         async with run_scheduler(backend) as harness:
             for number in range(1, 9):
-                harness.scheduler.submit(make_job(number, count=2, work_s=1.0, deadline_s=60.0), "")
+                harness.scheduler.submit(make_job(number, count=2, work_s=1.0, deadline_s=60.0))
             await anyio.sleep(0.01)
             refusal = harness.scheduler.refusal(make_job(99, work_s=0.2))
             assert refusal is not None
@@ -287,9 +287,9 @@
     async def test() -> None:
         backend = FakeBackend(work_s=0.4)
         async with run_scheduler(backend) as harness:
-            started = harness.scheduler.submit(make_job(1, count=2, work_s=0.4), "")
+            started = harness.scheduler.submit(make_job(1, count=2, work_s=0.4))
             await anyio.sleep(0.01)
-            queued = harness.scheduler.submit(make_job(2, work_s=0.4, deadline_s=9.0), "")
+            queued = harness.scheduler.submit(make_job(2, work_s=0.4, deadline_s=9.0))
             await anyio.sleep(0.05)
             harness.scheduler.start_draining()
             assert queued.answer is not None
@@ -307,7 +307,7 @@
     async def test() -> None:
         backend = FakeBackend(work_s=1.0)
         async with run_scheduler(backend) as harness:
-            job = harness.scheduler.submit(make_job(count=4, work_s=1.0, deadline_s=1.5), "")
+            job = harness.scheduler.submit(make_job(count=4, work_s=1.0, deadline_s=1.5))
             began_at = anyio.current_time()
             await job.answered.wait()
             assert job.answer is not None
@@ -324,7 +324,7 @@
         backend = FakeBackend(work_s=5.0)
         backend.lose_start_answers = 1
         async with run_scheduler(backend) as harness:
-            harness.scheduler.submit(make_job(work_s=0.5, deadline_s=9.0), "")
+            harness.scheduler.submit(make_job(work_s=0.5, deadline_s=9.0))
             await anyio.sleep(0.05)
             assert backend.active_run_by_key
             harness.scheduler.cancel(f"{1:016x}", "left")
@@ -362,12 +362,12 @@
             await anyio.sleep(0.5)
             current = True
             harness.scheduler.may_start = lambda: current
-            harness.scheduler.submit(make_job(1), "")
+            harness.scheduler.submit(make_job(1))
             # The pause comes between the dispatch and the requests that it makes.
             harness.scheduler._dispatch()
             current = False
             await anyio.sleep(0.2)
-            harness.scheduler.submit(make_job(2), "")
+            harness.scheduler.submit(make_job(2))
             await anyio.sleep(0.2)
             assert not backend.starts
             harness.scheduler.release_all("the process was paused")
@@ -385,8 +385,8 @@
             await anyio.sleep(0.5)
             scheduler = harness.scheduler
             # More tasks than fit at once, so that some start during the hand-over.
-            begun = scheduler.submit(attrs.evolve(make_job(1), count=5), "")
-            waiting = scheduler.submit(attrs.evolve(make_job(2), count=5), "")
+            begun = scheduler.submit(attrs.evolve(make_job(1), count=5))
+            waiting = scheduler.submit(attrs.evolve(make_job(2), count=5))
             await anyio.sleep(0.05)
             assert begun.started
             assert not waiting.started
