Replace a connection that has gone silent in one direction only

Cause: a process sends on one connection and receives on another, and took any message received for a sign that what it sends arrives. A holder sends its status five times a second, so requests that timed out never had the connection replaced.

Change: each message names the last one that has arrived. Requests that time out replace the own connection if they were not confirmed, although the peer sends on its own.

--- a/src/apricotpoint/_link/clock.py
+++ b/src/apricotpoint/_link/clock.py
@@ -21,6 +21,8 @@
     """
 
     def __init__(self) -> None:
+        # The latest time at which the peer sent a message that has arrived, by its own clock.
+        self.heard_at: float | None = None
         self._least_offset_s = self._former_least_offset_s = math.inf
         self._window_ends_at = -math.inf
         self._peer_least_offset_s: float | None = None
@@ -28,6 +30,7 @@
     def record_arrival(self, sent_at: float, now: float) -> None:
         """Record a message that was sent at `sent_at` by the clock of the peer, in seconds."""
         self._advance(now)
+        self.heard_at = sent_at if self.heard_at is None else max(self.heard_at, sent_at)
         self._least_offset_s = min(self._least_offset_s, now - sent_at)
 
     def record_peer_offset(self, least_offset_s: float) -> None:
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -14,11 +14,16 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.clock import PeerClock
+from apricotpoint._link.confirmation import UnconfirmedMessages
 from apricotpoint._wire import codec
 
 HEARTBEAT_PERIOD_S = 0.4
 PEER_TIMEOUT_S = 1.5
 RETRANSMIT_TIMEOUT_S = 1.0
+# What a message whose age is not known may have taken.
+UNKNOWN_AGE_S = 1.0
+# Requests that have arrived are told from repeated ones as long as no more others follow.
+_MAX_REMEMBERED_REQUESTS = 1000
 # Shortest time between two connections that replace a silent one.
 MIN_REDIAL_INTERVAL_S = 0.5
 # Unreliable messages that were queued for longer are dropped: load reports are
@@ -71,6 +76,7 @@
     queued_at: float
     request_id: int = 0
     is_reply: bool = False
+    repeated: bool = False
 
 
 class PeerLink:
@@ -82,6 +88,11 @@
     writes to the connection. `last_contact_at` is the time of the last message
     received from the peer, minus infinity if there was none.
 
+    Each process receives on another connection than the one on which it sends, so messages of the
+    peer do not show that its own arrive. Therefore each message names the last one that has
+    arrived. A connection that has lost messages is replaced, and requests and replies whose
+    arrival was not confirmed are sent again; the receiver handles each request once.
+
     A link that has sent nothing for `idle_after_s` seconds closes its connection; the next
     message opens a new one. Such a link sends heartbeats, and expects them, only while a
     request is open in either direction. With infinity the connection stays open, and
@@ -129,6 +140,8 @@
         self._received_sequence = 0
         self._acknowledgements_due = 0
         self._clock = PeerClock()
+        self._unconfirmed = UnconfirmedMessages[_QueuedMessage]()
+        self._request_ids: deque[int] = deque(maxlen=_MAX_REMEMBERED_REQUESTS)
         self._last_sent_at = -math.inf
         self._dialled_at = -math.inf
         self._redial_requested = False
@@ -172,15 +185,20 @@
         self.send(Redial())
 
     def check_silence(self, since: float) -> None:
-        """Replace the connections after a request without a reply if nothing arrived meanwhile.
+        """Replace connections after a request without a reply if they may have lost messages.
 
         On a link without permanent heartbeats, requests shorter than `PEER_TIMEOUT_S` would
         otherwise be sent for ever on a connection that no longer carries data. `since` is the
         time of the request.
         """
-        is_recent = self._timers.now() - self._dialled_at < MIN_REDIAL_INTERVAL_S
-        if self._idle_after_s < math.inf and self.last_contact_at < since and not is_recent:
+        now = self._timers.now()
+        is_recent = now - self._dialled_at < MIN_REDIAL_INTERVAL_S
+        if self._idle_after_s == math.inf or is_recent:
+            return
+        if self.last_contact_at < since:
             self.replace_connections()
+        elif self._unconfirmed.includes(since + self._timers.boot_time() - now):
+            self._request_redial("a request without a reply did not arrive")
 
     async def wait_until_flushed(self) -> None:
         """Return when no message waits for transmission or acknowledgement."""
@@ -205,12 +223,16 @@
             self._acknowledge(envelope.acknowledged)
             if envelope.least_offset_s is not None:
                 self._clock.record_peer_offset(envelope.least_offset_s)
+        if envelope.sent_at is not None:
+            self._check_confirmation(envelope, is_for_this_incarnation=is_for_this_incarnation)
         if isinstance(envelope.message, Redial):
             self._redial_requested = True
             self._wakeup.set()
             return False
         if envelope.sequence:
             return is_for_this_incarnation and self._accept_sequence(envelope.sequence)
+        if envelope.request_id and not envelope.is_reply:
+            return self._accept_request(envelope, is_for_this_incarnation=is_for_this_incarnation)
         # The request id of a reply to an earlier incarnation could match a request of this one.
         return is_for_this_incarnation or not envelope.is_reply
 
@@ -243,6 +265,42 @@
         finally:
             self._close_socket()
 
+    def _check_confirmation(
+        self, envelope: codec.Envelope, *, is_for_this_incarnation: bool
+    ) -> None:
+        """Note what has arrived at the peer, and replace a connection that has lost messages."""
+        assert envelope.sent_at is not None
+        if is_for_this_incarnation and envelope.heard_at is not None:
+            self._unconfirmed.confirm(envelope.heard_at)
+        now = self._timers.boot_time()
+        age_s = self._clock.age_s(envelope.sent_at, now)
+        if self._unconfirmed.is_lost(now - (UNKNOWN_AGE_S if age_s is None else age_s)):
+            self._request_redial("the peer sends messages, but has not received the own ones")
+
+    def _request_redial(self, reason: str) -> None:
+        if self._redial_requested:
+            return
+        _log.notice("the connection to {} is replaced: {}", self.peer_id, reason)
+        self._counters.add("link.silent_connections")
+        self._redial_requested = True
+        self._wakeup.set()
+
+    def _accept_request(self, envelope: codec.Envelope, *, is_for_this_incarnation: bool) -> bool:
+        if envelope.repeated:
+            is_forgotten = (
+                len(self._request_ids) == _MAX_REMEMBERED_REQUESTS
+                and envelope.request_id < self._request_ids[0]
+            )
+            if (
+                not is_for_this_incarnation
+                or is_forgotten
+                or envelope.request_id in self._request_ids
+            ):
+                self._counters.add("link.repeated_requests")
+                return False
+        self._request_ids.append(envelope.request_id)
+        return True
+
     def _send_newer_incarnation(self) -> None:
         """Send `NewerIncarnation`, at most once in `PEER_TIMEOUT_S`."""
         now = self._timers.now()
@@ -257,6 +315,9 @@
         self.peer_incarnation = incarnation
         # Its machine may have been started again, too, and with it the clock.
         self._clock = PeerClock()
+        # Requests to the former incarnation must not reach this one.
+        self._unconfirmed = UnconfirmedMessages[_QueuedMessage]()
+        self._request_ids.clear()
         self._acknowledged_sequence = 0
         self._transmitted_count = 0
         self._received_sequence = 0
@@ -303,6 +364,7 @@
     def _maintain(self, now: float) -> None:
         if self._is_idle(now):
             self._close_socket()
+            self._unconfirmed.clear()
             return
         is_timed_out = self._expects_contact() and now - self._silent_since() >= PEER_TIMEOUT_S
         if self._socket is None or self._redial_requested or is_timed_out:
@@ -351,6 +413,7 @@
         if self._socket is not None:
             self._counters.add("link.redials")
             self._socket.close()
+            self._repeat_unconfirmed()
         self._socket = pynng.Push0(
             send_buffer_size=_SOCKET_BUFFER_MESSAGES,
             reconnect_time_min=round(MIN_RECONNECT_S * 1000),
@@ -362,6 +425,15 @@
         # is sent again.
         self._transmitted_count = 0
 
+    def _repeat_unconfirmed(self) -> None:
+        repeated = [
+            attrs.evolve(item, repeated=True)
+            for item in self._unconfirmed.take()
+            if item.request_id
+        ]
+        self._counters.add("link.repeated", len(repeated))
+        self._queue.extendleft(reversed(repeated))
+
     def _current_socket(self) -> pynng.Push0:
         assert self._socket is not None
         return self._socket
@@ -384,11 +456,13 @@
         return False
 
     def _write_message(self, item: _QueuedMessage, sequence: int, now: float) -> bool:
+        written_at = self._timers.boot_time()
         data = self._encode_or_replace(item, sequence, now)
         try:
             self._current_socket().send(data, block=False)
         except pynng.TryAgain:
             return False
+        self._unconfirmed.add(item, len(data), written_at)
         self._last_sent_at = now
         self._acknowledgements_due = 0
         self._counters.add("link.sent")
@@ -433,6 +507,8 @@
                 age_s=now - item.queued_at,
                 sent_at=self._timers.boot_time(),
                 least_offset_s=self._clock.least_offset_s(self._timers.boot_time()),
+                heard_at=self._clock.heard_at,
+                repeated=item.repeated,
             ),
             self._key,
         )
--- a/src/apricotpoint/_wire/codec.py
+++ b/src/apricotpoint/_wire/codec.py
@@ -44,6 +44,8 @@
     have arrived. `age_s` is how long the message was queued at the sender.
     `sent_at` is when it was written to the connection, by the clock of the sender, and
     `least_offset_s` what its `PeerClock` knows of the receiver; both are None if not known.
+    `heard_at` is the latest `sent_at` of a message of the receiver that has arrived. A
+    `repeated` message may have arrived before.
     """
 
     sender: str
@@ -57,6 +59,8 @@
     age_s: float = 0.0
     sent_at: float | None = None
     least_offset_s: float | None = None
+    heard_at: float | None = None
+    repeated: bool = False
 
 
 @attrs.frozen
@@ -74,6 +78,8 @@
     body: msgspec.Raw
     sent_at: float | None = None
     least_offset_s: float | None = None
+    heard_at: float | None = None
+    repeated: bool = False
 
 
 def register(*message_types: type) -> None:
@@ -115,6 +121,8 @@
         body=msgspec.Raw(body),
         sent_at=envelope.sent_at,
         least_offset_s=envelope.least_offset_s,
+        heard_at=envelope.heard_at,
+        repeated=envelope.repeated,
     )
     payload = _ENCODER.encode(frame)
     return _mac(payload, key) + payload
@@ -156,6 +164,8 @@
         age_s=frame.age_s,
         sent_at=frame.sent_at,
         least_offset_s=frame.least_offset_s,
+        heard_at=frame.heard_at,
+        repeated=frame.repeated,
     )
 
 
