Fetch long configurations in chunks, from one process at a time

Cause: each answer to a poll had the whole document, and up to eight processes were asked at once. The copies filled the link, all requests timed out, what came later was dropped, and each further version began anew behind the rest.

Change: a long document is offered by the digests of its chunks. What a change costs on a link is bounded by what it has changed.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -13,13 +13,21 @@
 import msgspec
 import xxhash
 
+from apricotpoint._control.documents import DocumentChunks
+from apricotpoint._control.download import DocumentDownload
 from apricotpoint._control.storage import Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
-from apricotpoint._wire.configuration import ConfigPoll, ConfigUpdate, Configuration
+from apricotpoint._wire.configuration import (
+    ChunkRequest,
+    ConfigPoll,
+    ConfigUpdate,
+    Configuration,
+    Document,
+)
 
 _POLL_WAIT_S = 1.0
 _REPLY_TIMEOUT_S = 1.0
@@ -45,7 +53,8 @@
     there before it becomes active, so a restart never returns to an older
     one. Other processes without a disk may ask this one at their start.
     `control_ids` are the control processes, or a function that returns those
-    known at the time. `storage` is for tests.
+    known at the time. `storage` is for tests. Long documents are fetched in chunks
+    (`DocumentDownload`), so that several answers with the same version cost little.
     """
 
     def __init__(
@@ -74,6 +83,12 @@
         self._newer_version_known = anyio.Event()
         self._lock = anyio.Lock()
         self._callbacks: list[Callable[[Configuration], None]] = []
+        self._document_chunks = DocumentChunks()
+        self._download = DocumentDownload(
+            transport=transport,
+            counters=counters,
+            other_sources=lambda: [*self._control_ids(), *self._other_peer_ids()],
+        )
         self._group: anyio.abc.TaskGroup | None = None
 
     def configuration(self) -> Configuration:
@@ -100,6 +115,8 @@
     async def __aenter__(self) -> ConfigurationFeed:
         self._read_cache()
         self._transport.request_handlers_by_type.setdefault(ConfigPoll, self._on_config_poll)
+        self._transport.request_handlers_by_type.setdefault(ChunkRequest, self._on_chunk_request)
+        self._download.accept_late_replies()
         await self._fetch_first()
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
@@ -125,15 +142,15 @@
 
     async def _on_config_poll(self, _: Sender, message: object) -> object:
         assert isinstance(message, ConfigPoll)
-        configuration = self._configuration
-        newer = configuration.version > message.version
         # Only control processes can know whether a version is the latest, hence current=False.
-        return ConfigUpdate(
-            version=configuration.version,
-            current=False,
-            configuration=configuration if newer else None,
+        return self._document_chunks.make_update(
+            self._configuration, message.version, current=False, chunked=message.chunked
         )
 
+    async def _on_chunk_request(self, _: Sender, message: object) -> object:
+        assert isinstance(message, ChunkRequest)
+        return self._document_chunks.answer(message)
+
     async def _run_polls(self) -> None:
         position = 0
         while True:
@@ -180,7 +197,7 @@
 
     async def _poll_peer(self, peer_id: str, wait_s: float = 0.0) -> bool:
         """Ask for a newer version; return whether the peer confirms that it has the latest."""
-        poll = ConfigPoll(version=self._configuration.version, wait_s=wait_s)
+        poll = ConfigPoll(version=self._configuration.version, wait_s=wait_s, chunked=True)
         try:
             reply = await self._transport.request(
                 peer_id, poll, timeout_s=wait_s + _REPLY_TIMEOUT_S
@@ -189,12 +206,25 @@
             return False
         if not isinstance(reply, ConfigUpdate):
             return False
-        if reply.configuration is not None:
-            await self._accept(reply.configuration)
+        if reply.configuration is not None and not await self._take(peer_id, reply):
+            return False
         if reply.current:
             self._confirmed_at = self._timers.now()
         return reply.current
 
+    async def _take(self, peer_id: str, update: ConfigUpdate) -> bool:
+        """Accept the configuration of an update; False if its document cannot be fetched now."""
+        configuration, manifest = update.configuration, update.manifest
+        assert configuration is not None
+        if manifest is not None and configuration.version > self._configuration.version:
+            held = self._configuration.document
+            text = await self._download.fetch(manifest, peer_id, held.text)
+            if text is None:
+                return False
+            configuration = configuration.with_document(Document(manifest.version, text))
+        await self._accept(configuration)
+        return True
+
     async def _accept(self, configuration: Configuration) -> None:
         async with self._lock:
             if configuration.version <= self._configuration.version:
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from apricotpoint._control import election, replication
+from apricotpoint._control.documents import DocumentChunks
 from apricotpoint._control.identity import Identity, record_start
 from apricotpoint._control.log import Log
 from apricotpoint._control.membership import maintain_members
@@ -44,8 +45,8 @@
     Change,
     ChangeReply,
     ChangeRequest,
+    ChunkRequest,
     ConfigPoll,
-    ConfigUpdate,
     Document,
     DocumentReply,
     DocumentRequest,
@@ -107,6 +108,7 @@
         )
         self._starts = NewestStarts(self._storage)
         self._configuration_changed = anyio.Event()
+        self._document_chunks = DocumentChunks()
         self._start_checked = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._identity: Identity
@@ -225,6 +227,7 @@
         self._register_handler(Vote, self._on_vote)
         self._register_handler(Claim, self._on_claim)
         self._register_handler(ConfigPoll, self._on_config_poll)
+        self._register_handler(ChunkRequest, self._on_chunk_request)
         self._register_handler(ChangeRequest, self._on_change)
         self._register_handler(ChangeForward, self._on_change_forward)
         self._register_handler(DocumentRequest, self._on_document_request)
@@ -357,13 +360,16 @@
         with anyio.move_on_after(wait_s):
             while replica.state.configuration.version <= message.version:
                 await self._configuration_changed.wait()
-        configuration = replica.state.configuration
-        return ConfigUpdate(
-            version=configuration.version,
+        return self._document_chunks.make_update(
+            replica.state.configuration,
+            message.version,
             current=replica.has_majority(),
-            configuration=configuration if configuration.version > message.version else None,
+            chunked=message.chunked,
         )
 
+    async def _on_chunk_request(self, _: Sender, message: ChunkRequest) -> object:
+        return self._document_chunks.answer(message)
+
     async def _on_change(self, _: Sender, message: ChangeRequest) -> object:
         return await self.change(message.change)
 
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -334,6 +334,11 @@
         pending = self._pending_request_by_id.get(envelope.request_id)
         if pending is None or pending.peer_id != envelope.sender:
             self._counters.add("link.late_replies")
+            if type(envelope.message) in self.handlers_by_type:
+                # Registered for replies that are of use later, too.
+                self._handle_message(
+                    Sender(envelope.sender, envelope.incarnation), envelope.message
+                )
             return
         if isinstance(envelope.message, codec.UnknownMessage):
             self._counters.add("link.unhandled")
--- a/src/apricotpoint/_link/transport.py
+++ b/src/apricotpoint/_link/transport.py
@@ -31,7 +31,11 @@
 
 
 class Transport(Protocol):
-    """Messages to and from the other processes of the system."""
+    """Messages to and from the other processes of the system.
+
+    A reply that arrives after its request has timed out is passed to the handler of its type in
+    `handlers_by_type`, if there is one.
+    """
 
     handlers_by_type: dict[type, Handler]
     request_handlers_by_type: dict[type, RequestHandler]
--- a/src/apricotpoint/_wire/configuration.py
+++ b/src/apricotpoint/_wire/configuration.py
@@ -64,6 +64,10 @@
     stopped_backends: list[str] = attrs.Factory(list)
     document: Document = Document()
 
+    def with_document(self, document: Document) -> Configuration:
+        """Return this configuration with another document."""
+        return attrs.evolve(self, document=document)
+
 
 @attrs.frozen
 class Change:
@@ -118,19 +122,48 @@
 
 @attrs.frozen
 class ConfigPoll:
-    """Long poll for a configuration newer than `version`; answered within `wait_s` seconds."""
+    """Long poll for a configuration newer than `version`; answered within `wait_s` seconds.
+
+    With `chunked` the answer may have the manifest of a long document in place of its text.
+    """
 
     version: int
     wait_s: float = 1.0
+    chunked: bool = False
+
+
+@attrs.frozen
+class DocumentManifest:
+    """The chunks of a document, in order, by their digests; `digest` is that of its text."""
+
+    version: int
+    digest: bytes
+    chunk_digests: list[bytes]
+
+
+@attrs.frozen
+class ChunkRequest:
+    """Asks a process that has offered a document for chunks of it."""
+
+    digests: list[bytes]
+
+
+@attrs.frozen
+class ChunkReply:
+    """Answer to `ChunkRequest`: some of the chunks, as many as one message may carry."""
+
+    chunks: list[str]
 
 
 @attrs.frozen
 class ConfigUpdate:
     """Answer to `ConfigPoll`; `configuration` is None if there is no newer one.
 
-    `current` is False if the replica is not in contact with a majority.
+    `current` is False if the replica is not in contact with a majority. The document of the
+    configuration has no text if there is a `manifest` of it.
     """
 
     version: int
     current: bool
     configuration: Configuration | None = None
+    manifest: DocumentManifest | None = None
