Keep one odd heartbeat from hiding the sound ones

Seen here by a table of odd values in each field: a port of thousands of digits was answered with 500, and a start or a sequence number in the far future was accepted, after which every sound announcement of that worker counted as older, for good. An unexpected error with one announcement hid those behind it in the same message, and at each check of the claims those behind it in the list.

Change: such heartbeats are refused with 400; ids, names and addresses have limits, as ids stand in headers and names are relayed to all; each announcement is processed, and each backend server acquired, by itself. Rows of a worker's own list of runs are left as they were: to leave out one that cannot be read could start its task again.

--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -363,4 +363,8 @@
                 continue
             speed = members.speed_by_backend.get(backend_id)
             token = claims.first_token(term, members.discovery.summary)
-            self._scheduler.acquire(announcement, token, speed=speed)
+            try:
+                self._scheduler.acquire(announcement, token, speed=speed)
+            except Exception:
+                self._counters.add("claims.acquire_errors")
+                _log.exception("backend server {} cannot be acquired; the others are", backend_id)
--- a/src/apricotpoint/_pool/roster.py
+++ b/src/apricotpoint/_pool/roster.py
@@ -79,7 +79,14 @@
         for backend_id in message.gone:
             self._remove(backend_id, "it has left", final=True)
         for announcement in message.heard:
-            self._update_announcement(announcement)
+            try:
+                self._update_announcement(announcement)
+            except Exception:
+                # The others in the message hold.
+                _log.exception(
+                    "the announcement of backend server {} cannot be processed",
+                    announcement.backend_id,
+                )
         # A process of an earlier release sends no digests.
         for backend_id, value in itertools.zip_longest(message.repeated, message.repeated_digests):
             self._record_repetition(backend_id, value)
--- a/src/apricotpoint/platform/controlapi.py
+++ b/src/apricotpoint/platform/controlapi.py
@@ -18,7 +18,7 @@
 from apricotpoint._pool.relay import AnnouncementRelay
 from apricotpoint._wire.configuration import Change, ChangeReply, Document
 from apricotpoint.platform.configuration import decode_document
-from apricotpoint.platform.heartbeats import decode_heartbeat
+from apricotpoint.platform.heartbeats import check_plausible, decode_heartbeat
 
 MAX_HEARTBEAT_BYTES = 1 << 18
 MAX_DOCUMENT_BYTES = 1 << 26
@@ -32,11 +32,12 @@
     change: Callable[[Change], Awaitable[ChangeReply]],
     document: Callable[[], Awaitable[Document | None]],
     counters: Counters,
+    wall_time: Callable[[], float],
 ) -> Starlette:
     """Return the ASGI app for workers and operators.
 
     `change` commits a change of the configuration; `document` returns the latest
-    document, None if it cannot be determined.
+    document, None if it cannot be determined; `wall_time` returns the wall-clock time in seconds.
     """
 
     async def heartbeat(request: Request) -> Response:
@@ -44,6 +45,7 @@
         try:
             body = await read_body(request, max_bytes=MAX_HEARTBEAT_BYTES)
             announcement = decode_heartbeat(worker_id, body)
+            check_plausible(announcement, wall_time())
         except ApricotError as error:
             counters.add("control.heartbeats_refused")
             _log.notice("heartbeat refused: {}", error)
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -95,7 +95,11 @@
         own_id=settings.address, transport=mesh, timers=timers, control_ids=control_ids
     )
     app = make_control_app(
-        relay=relay, change=node.change, document=node.document, counters=counters
+        relay=relay,
+        change=node.change,
+        document=node.document,
+        counters=counters,
+        wall_time=timers.wall_time,
     )
     close_server = anyio.Event()
 
--- a/src/apricotpoint/platform/heartbeats.py
+++ b/src/apricotpoint/platform/heartbeats.py
@@ -3,16 +3,27 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 
 import attrs
 import msgspec
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
+from apricotpoint._pool.shares import PART_SEPARATOR
 from apricotpoint._wire.pool import PoolBackend, Room
 from apricotpoint.platform.numbers import Natural
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+# Ids stand in the headers of calls to workers.
+_WORKER_ID = re.compile(r"[!-~]{1,200}")
+MAX_NAME_LENGTH, MAX_LABELS = 200, 64
+# How far the clock of a worker may be ahead. The start of an incarnation decides which of two
+# announcements is newer, so one in the far future would hide all later ones.
+MAX_AHEAD_S = 86_400.0
+# Announcements of one incarnation: this many at its start, and for each second of its life.
+MAX_FIRST_SEQUENCE, MAX_SEQUENCE_PER_S = 10_000, 100
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -46,6 +57,11 @@
 
     Raises `ApricotError` with code 2101 for a malformed heartbeat.
     """
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise _malformed(
+            f"the worker id {worker_id[:MAX_NAME_LENGTH]!r} must have 1 to 200 printable ASCII "
+            "characters without spaces"
+        )
     try:
         heartbeat = _DECODER.decode(body)
     except DECODE_ERRORS as error:
@@ -62,6 +78,17 @@
             f"the heartbeat of worker {worker_id} has address {heartbeat.address!r}; "
             "it must be an IP address and a port"
         )
+    for name in (heartbeat.service, heartbeat.zone, *heartbeat.labels):
+        if not _is_name(name):
+            raise _malformed(
+                f"the heartbeat of worker {worker_id} has the name {name[:MAX_NAME_LENGTH]!r}; "
+                f"names must have 1 to {MAX_NAME_LENGTH} printable characters and no '#'"
+            )
+    if len(heartbeat.labels) > MAX_LABELS:
+        raise _malformed(
+            f"the heartbeat of worker {worker_id} has {len(heartbeat.labels)} labels; "
+            f"{MAX_LABELS} are allowed"
+        )
     return PoolBackend(
         backend_id=worker_id,
         service=heartbeat.service,
@@ -77,6 +104,32 @@
     )
 
 
+def check_plausible(announcement: PoolBackend, now_s: float) -> None:
+    """Raise `ApricotError` with code 2101 for numbers that would hide later announcements.
+
+    `now_s` is the wall-clock time in seconds. The announcement with the latest start of an
+    incarnation, and of that the one with the highest sequence number, replaces all others.
+    """
+    if not announcement.born_ms:
+        return
+    life_s = now_s - announcement.born_ms / 1000
+    if life_s < -MAX_AHEAD_S:
+        raise _malformed(
+            f"the heartbeat of worker {announcement.backend_id} has born {announcement.born_ms}, "
+            f"more than {MAX_AHEAD_S:g} s in the future"
+        )
+    highest = MAX_FIRST_SEQUENCE + MAX_SEQUENCE_PER_S * (life_s + MAX_AHEAD_S)
+    if announcement.sequence > highest:
+        raise _malformed(
+            f"the heartbeat of worker {announcement.backend_id} has sequence "
+            f"{announcement.sequence}, which it cannot have reached since its start"
+        )
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable() and PART_SEPARATOR not in text
+
+
 def _is_address(text: str) -> bool:
     """Return whether a text is "IP:port"; a call to any other address raises no `OSError`."""
     host, _, port = text.rpartition(":")
@@ -84,7 +137,9 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT
+    if "%" in host or not (port.isascii() and port.isdecimal()) or len(port) > MAX_PORT_DIGITS:
+        return False
+    return 0 < int(port) <= MAX_PORT
 
 
 def _malformed(message: str) -> ApricotError:
