Bound messages and logs of control processes by size

Cause: the replica that starts empty is sent 100 entries in one message, each with a whole document of 0.6 MB, again every 0.5 s; the log is compacted after 1,000 entries, whatever their size.

--- a/src/apricotpoint/_control/log.py
+++ b/src/apricotpoint/_control/log.py
@@ -11,9 +11,14 @@
 
 # A snapshot replaces older entries after this many committed entries.
 COMPACT_AFTER_ENTRIES = 1_000
+# The same for their size, as each entry that replaces a document holds all of it.
+COMPACT_AFTER_BYTES = 8 << 20
 # Entries older than the snapshot that are kept, so that a replica slightly behind can be sent
 # entries instead of the whole snapshot.
 _ENTRIES_KEPT_BEFORE_SNAPSHOT = 200
+_BYTES_KEPT_BEFORE_SNAPSHOT = 2 << 20
+# Size of an entry without the texts of its change.
+_ENTRY_OVERHEAD_BYTES = 100
 
 FILE_NAME = "log"
 
@@ -45,6 +50,13 @@
 _DECODER = msgspec.msgpack.Decoder(_Record)
 
 
+def entry_bytes(entry: Entry) -> int:
+    """Return the approximate size of an entry in a message or on disk."""
+    arguments = entry.change.arguments if entry.change is not None else {}
+    texts = sum(len(value) for value in arguments.values() if isinstance(value, str))
+    return _ENTRY_OVERHEAD_BYTES + texts
+
+
 class Log:
     """Entries, term and vote in one file, so that one sync covers all of them.
 
@@ -130,10 +142,29 @@
         """Return the entry at `index`, which must be in the log."""
         return self._entries[index - self.base_index - 1]
 
-    def entries(self, first: int, limit: int) -> list[Entry]:
-        """Return up to `limit` entries from `first` on."""
+    def entries(self, first: int, limit: int, max_bytes: int | None = None) -> list[Entry]:
+        """Return up to `limit` entries from `first` on.
+
+        With `max_bytes` they end with the one that exceeds it, so there is at least one.
+        """
         start = first - self.base_index - 1
-        return self._entries[start : start + limit]
+        entries = self._entries[start : start + limit]
+        if max_bytes is None:
+            return entries
+        size = 0
+        for count, entry in enumerate(entries, 1):
+            size += entry_bytes(entry)
+            if size > max_bytes:
+                return entries[:count]
+        return entries
+
+    def needs_compaction(self, commit_index: int) -> bool:
+        """Return whether a snapshot should replace the entries up to `commit_index`."""
+        count = commit_index - self.snapshot_index
+        if count >= COMPACT_AFTER_ENTRIES:
+            return True
+        covered = self.entries(self.snapshot_index + 1, max(count, 0))
+        return sum(map(entry_bytes, covered)) >= COMPACT_AFTER_BYTES
 
     def set_term_and_vote(self, term: int, voted_for: str) -> None:
         """Set the term and the vote given in it, empty for none; durable after `sync`."""
@@ -155,7 +186,13 @@
 
         Some entries before the snapshot are kept for replicas slightly behind.
         """
-        base_index = max(self.base_index, snapshot.index - _ENTRIES_KEPT_BEFORE_SNAPSHOT)
+        base_index = snapshot.index
+        kept_bytes = 0
+        while base_index > max(self.base_index, snapshot.index - _ENTRIES_KEPT_BEFORE_SNAPSHOT):
+            kept_bytes += entry_bytes(self.entry(base_index))
+            if kept_bytes > _BYTES_KEPT_BEFORE_SNAPSHOT:
+                break
+            base_index -= 1
         base_term = self.term_at(base_index)
         assert base_term is not None
         entries = self.entries(base_index + 1, self.last_index)
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -12,7 +12,7 @@
 import attrs
 
 from apricotpoint._control.identity import Identity
-from apricotpoint._control.log import COMPACT_AFTER_ENTRIES, Log
+from apricotpoint._control.log import Log
 from apricotpoint._control.messages import AppendReply, Entry, Snapshot, VoteReply
 from apricotpoint._control.state import MEMBER_ACTIONS, ReplicatedState
 from apricotpoint._core.codes import ResultCode
@@ -31,7 +31,9 @@
 REQUEST_TIMEOUT_S = 0.5
 SNAPSHOT_TIMEOUT_S = 2.0
 CHANGE_TIMEOUT_S = 3.0
-MAX_ENTRIES_PER_APPEND = 100
+MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND = 100, 1 << 20
+# Added to the time-out of a message between control processes for its size.
+MIN_BYTES_PER_S = 2_500_000
 # A learner (a replica that receives entries but does not vote) may become a member when
 # it lacks at most this many entries.
 MAX_LEARNER_LAG_ENTRIES = 50
@@ -265,7 +267,7 @@
 
     def commit_to(self, index: int) -> None:
         """Commit and apply all entries up to `index`, and answer the changes among them."""
-        version = self.state.configuration.version
+        version, former_index = self.state.configuration.version, self.commit_index
         while self.commit_index < min(index, self.log.last_index):
             self.commit_index += 1
             entry = self.log.entry(self.commit_index)
@@ -275,8 +277,8 @@
                 overwritten = ChangeReply(ResultCode.NO_MAJORITY, version, NOT_ACCEPTED_MESSAGE)
                 waiter.answer = answer if entry.term == waiter.term else overwritten
                 waiter.done.set()
-            if self.commit_index - self.log.snapshot_index >= COMPACT_AFTER_ENTRIES:
-                self._start_compaction()
+        if self.commit_index > former_index and self.log.needs_compaction(self.commit_index):
+            self._start_compaction()
         if self.state.configuration.version != version:
             self.on_configuration_change()
         self.notify()
--- a/src/apricotpoint/_control/replication.py
+++ b/src/apricotpoint/_control/replication.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from apricotpoint._control.log import entry_bytes
 from apricotpoint._control.messages import Append, AppendReply, InstallSnapshot
 from apricotpoint._control.replica import (
     HEARTBEAT_INTERVAL_S,
+    MAX_BYTES_PER_APPEND,
     MAX_ENTRIES_PER_APPEND,
+    MIN_BYTES_PER_S,
     REQUEST_TIMEOUT_S,
     SNAPSHOT_TIMEOUT_S,
     Progress,
@@ -125,10 +128,11 @@
             term=term,
             previous_index=progress.next_index - 1,
             previous_term=previous_term,
-            entries=log.entries(progress.next_index, MAX_ENTRIES_PER_APPEND),
+            entries=log.entries(progress.next_index, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND),
             commit_index=replica.commit_index,
         )
-        timeout_s = REQUEST_TIMEOUT_S
+        size = sum(map(entry_bytes, message.entries))
+        timeout_s = REQUEST_TIMEOUT_S + size / MIN_BYTES_PER_S
     try:
         reply = await replica.transport.request(peer_id, message, timeout_s=timeout_s)
     except PeerUnreachable:
