Receive signals until the process has ended

Cause: the receiver of signals was closed after the first SIGTERM, which restores the default action of SIGHUP and of a further SIGTERM. Before the receiver was opened, at the start, SIGHUP ended the process as well.

--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -33,9 +33,9 @@
     PEER_IDLE_S,
     PEER_KEY,
     SettingsFile,
+    Signals,
     run_program,
     suspended_s,
-    wait_for_stop_signal,
 )
 from apricotpoint.platform.settings import PlatformSettings
 
@@ -51,7 +51,7 @@
     return run_program("control", _run)
 
 
-async def _run(settings_file: SettingsFile) -> None:
+async def _run(settings_file: SettingsFile, signals: Signals) -> None:
     settings = settings_file.current
     folder = settings.data_folder
     if folder is None:
@@ -124,7 +124,7 @@
         async with anyio.create_task_group() as group:
             await group.start(serve_app)
             _log.info("listening for workers and operators on {}", settings.control_bind)
-            await wait_for_stop_signal(settings_file)
+            await signals.stop_requested.wait()
             close_server.set()
 
 
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -33,9 +33,9 @@
     PEER_IDLE_S,
     PEER_KEY,
     SettingsFile,
+    Signals,
     run_program,
     suspended_s,
-    wait_for_stop_signal,
 )
 from apricotpoint.platform.settings import PlatformSettings
 from apricotpoint.platform.workers import WorkerClient
@@ -57,9 +57,9 @@
     return run_program("entry", _run)
 
 
-async def _run(settings_file: SettingsFile) -> None:
+async def _run(settings_file: SettingsFile, signals: Signals) -> None:
     async with EntryProcess(settings_file) as process:
-        await process.serve_until_stopped()
+        await process.serve_until(signals.stop_requested)
 
 
 class EntryProcess:
@@ -188,7 +188,7 @@
     async def __aexit__(self, *exc_info: object) -> bool | None:
         return await self._stack.__aexit__(*exc_info)  # type: ignore[arg-type]
 
-    async def serve_until_stopped(self) -> None:
+    async def serve_until(self, stop_requested: anyio.Event) -> None:
         """Serve callers until the platform stops the process, then finish the open requests."""
         settings = self._settings
         async with anyio.create_task_group() as group:
@@ -197,7 +197,7 @@
                 self._serve, make_readiness_app(self._is_ready), settings.readiness_bind
             )
             _log.info("listening for callers on {}", settings.caller_bind)
-            await wait_for_stop_signal(self._settings_file)
+            await stop_requested.wait()
             await self._drain()
             self._close_servers.set()
 
--- a/src/apricotpoint/platform/process.py
+++ b/src/apricotpoint/platform/process.py
@@ -8,8 +8,10 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from types import TracebackType
 
 import anyio
+import anyio.abc
 import logbook
 
 from apricotpoint._core.errors import ApricotError, find_error
@@ -63,13 +65,46 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
 
 
-async def wait_for_stop_signal(settings: SettingsFile) -> None:
-    """Return after the first SIGTERM or SIGINT; reload settings on SIGHUP."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for signal_number in signals:
-            if signal_number is not signal.SIGHUP:
-                return
-            settings.reload()
+class Signals:
+    """Receives the signals of the platform; use as an async context manager.
+
+    SIGHUP reloads the settings. `stop_requested` is set by the first SIGTERM or SIGINT. Signals
+    are received until the context is left, as any of them would end a process that shuts down.
+    """
+
+    def __init__(self, settings: SettingsFile) -> None:
+        self.stop_requested = anyio.Event()
+        self._settings = settings
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def __aenter__(self) -> Signals:
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        await self._group.start(self._receive)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(exc_type, exc, traceback)
+
+    async def _receive(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            task_status.started()
+            async for number in signals:
+                if number is signal.SIGHUP:
+                    self._settings.reload()
+                elif self.stop_requested.is_set():
+                    _log.info("{} is ignored: the process is stopping already", number.name)
+                else:
+                    self.stop_requested.set()
 
 
 def _tune_garbage_collector() -> None:
@@ -79,8 +114,13 @@
     gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
 
 
-def run_program(name: str, run: Callable[[SettingsFile], Awaitable[None]]) -> int:
+def run_program(name: str, run: Callable[[SettingsFile, Signals], Awaitable[None]]) -> int:
     """Run a program with the settings of the platform and return its exit status."""
+
+    async def run_with_signals(settings: SettingsFile) -> None:
+        async with Signals(settings) as signals:
+            await run(settings, signals)
+
     with make_handler(LogSettings(format=LogFormat.JSON), sys.stdout).applicationbound():
         try:
             settings = SettingsFile(settings_path())
@@ -92,7 +132,7 @@
                 current.failure_domain,
             )
             _tune_garbage_collector()
-            anyio.run(run, settings)
+            anyio.run(run_with_signals, settings)
         except BaseException as error:
             failure = find_error(error)
             if failure is None:
--- /dev/null
+++ b/testing/platform/test_signals.py
@@ -0,0 +1,65 @@
+"""Signals of the platform at each time of the life of a process."""
+
+from __future__ import annotations
+
+import importlib
+import os
+import signal
+import sys
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from apricotpoint.platform import start
+from apricotpoint.platform.process import Signals
+
+
+class FakeSettings:
+    """Counts reloads in place of `SettingsFile`."""
+
+    def __init__(self) -> None:
+        self.reloads = 0
+
+    def reload(self) -> None:
+        """Count a reload."""
+        self.reloads += 1
+
+
+@pytest.mark.parametrize("after_stop", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_a_process_that_shuts_down_goes_on_after_another_signal(after_stop: signal.Signals):
+    """Guards against open requests that break off as a second signal ends the process."""
+    settings = FakeSettings()
+
+    async def test() -> None:
+        async with Signals(settings) as signals:  # type: ignore[arg-type]
+            os.kill(os.getpid(), signal.SIGHUP)
+            await anyio.sleep(0.05)
+            assert settings.reloads == 1
+            assert not signals.stop_requested.is_set()
+            os.kill(os.getpid(), signal.SIGTERM)
+            with anyio.fail_after(5):
+                await signals.stop_requested.wait()
+            # The requests that are open are finished now.
+            os.kill(os.getpid(), after_stop)
+            await anyio.sleep(0.05)
+        assert settings.reloads == 1 + (after_stop is signal.SIGHUP)
+
+    anyio.run(test)
+
+
+def test_a_program_is_not_ended_by_sighup_while_it_is_imported(monkeypatch: pytest.MonkeyPatch):
+    """Guards against a process that ends as its settings file changes at its start."""
+
+    def import_slowly(name: str) -> SimpleNamespace:
+        assert name == "apricotpoint.platform.entry"
+        os.kill(os.getpid(), signal.SIGHUP)
+        return SimpleNamespace(main=lambda: 7)
+
+    monkeypatch.setattr(importlib, "import_module", import_slowly)
+    monkeypatch.setattr(sys, "argv", ["start", "entry"])
+    former = signal.getsignal(signal.SIGHUP)
+    try:
+        assert start.main() == 7
+    finally:
+        signal.signal(signal.SIGHUP, former)
