--- a/testing/pool/test_capacity.py
+++ b/testing/pool/test_capacity.py
@@ -15,6 +15,7 @@
     run_scheduler,
 )
 
+from apricotpoint._core.codes import ResultCode
 from apricotpoint._wire.pool import Room
 
 ONE_TASK_ROOM = Room(TASK_ROOM.cpu, BACKEND_ROOM.memory_mb)
@@ -106,3 +107,40 @@
             assert held.announcement.room == ONE_TASK_ROOM
 
     run_on_virtual_time(test)
+
+
+def test_a_burst_on_rooms_that_have_shrunk_is_answered_in_time_or_refused_at_once():
+    """Guards against a burst whose jobs wait for room that a quarter of the servers has lost.
+
+    The day `deploy/days/shrunk.toml` plays this.
+    """
+
+    async def test() -> None:
+        backends = [FakeBackend(work_s=0.2) for _ in range(4)]
+        async with run_scheduler(*backends) as harness:
+            backends[0].room = ONE_TASK_ROOM
+            answers: list[tuple[float, int]] = []
+
+            async def submit(number: int) -> None:
+                request = make_job(number, count=2, work_s=0.2, base_latency_s=0.2)
+                began_at = anyio.current_time()
+                answer = harness.scheduler.refusal(request)
+                if answer is None:
+                    job = harness.scheduler.submit(request)
+                    await job.answered.wait()
+                    answer = job.answer
+                assert answer is not None
+                answers.append((anyio.current_time() - began_at, answer.code))
+
+            async with anyio.create_task_group() as group:
+                # Twice what the four can carry.
+                for number in range(1, 71):
+                    group.start_soon(submit, number)
+                    await anyio.sleep(0.03)
+            codes = [code for _, code in answers]
+            assert codes.count(ResultCode.COMPLETE) >= 25
+            assert set(codes) <= {ResultCode.COMPLETE, ResultCode.OVERLOADED}
+            assert all(seconds < 0.8 for seconds, _ in answers)
+            assert harness.counters.get("pool.refused_no_room") <= 4
+
+    run_on_virtual_time(test)
