Read the clock once for each message, and repeat only requests that are awaited

Each message read the clock of the machine up to six times, and a replaced connection sent requests again that had timed out, with their documents, which were kept without a limit of their size.

Change: one reading for each message written or received; requests without a waiting caller are not repeated; at most 4 MB of unconfirmed messages are kept for each peer. A pause is checked for ten times a second in place of twenty.

--- a/src/apricotpoint/_core/pauses.py
+++ b/src/apricotpoint/_core/pauses.py
@@ -6,7 +6,7 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 
-TICK_PERIOD_S = 0.05
+TICK_PERIOD_S = 0.1
 # Delays below this are usual under load.
 SHORTEST_PAUSE_S = 0.25
 # What arrived during a pause is read within this time after it.
--- a/src/apricotpoint/_link/confirmation.py
+++ b/src/apricotpoint/_link/confirmation.py
@@ -15,7 +15,7 @@
 # Slowest link for which a long message counts as being under way.
 MIN_BYTES_PER_S = 250_000
 # Older messages are no longer kept for a repetition.
-MAX_UNCONFIRMED_MESSAGES = 1000
+MAX_UNCONFIRMED_MESSAGES, MAX_UNCONFIRMED_BYTES = 1000, 4 << 20
 
 ItemT = TypeVar("ItemT")
 
@@ -43,7 +43,9 @@
         """Add a message of `size` bytes that is written now."""
         self._written.append(_Written(item, size, written_at))
         self._size += size
-        if len(self._written) > MAX_UNCONFIRMED_MESSAGES:
+        while len(self._written) > MAX_UNCONFIRMED_MESSAGES or (
+            self._size > MAX_UNCONFIRMED_BYTES and len(self._written) > 1
+        ):
             self._size -= self._written.popleft().size
 
     def confirm(self, heard_at: float) -> None:
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -244,6 +244,7 @@
             timers=self._timers,
             counters=self._counters,
             on_unsent_request=self._fail_request,
+            is_awaited=self._pending_request_by_id.__contains__,
             idle_after_s=self._idle_after_s,
         )
 
@@ -304,9 +305,9 @@
         if link is None:
             self._counters.add("link.unknown_sender")
             return
-        if not link.accept(envelope):
-            return
         arrived_at = self._timers.boot_time()
+        if not link.accept(envelope, arrived_at):
+            return
         age_s = link.age_s(envelope, arrived_at)
         known_age_s = max(0.0, envelope.age_s) if age_s is None else age_s
         sender = Sender(envelope.sender, envelope.incarnation, known_age_s)
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -97,7 +97,8 @@
     message opens a new one. Such a link sends heartbeats, and expects them, only while a
     request is open in either direction. With infinity the connection stays open, and
     heartbeats are always sent. `on_unsent_request` is called with the id of a request that cannot
-    be sent, and the reason.
+    be sent, and the reason; `is_awaited` tells whether a request of this process still waits for
+    its reply.
     """
 
     def __init__(
@@ -111,10 +112,12 @@
         timers: TimerService,
         counters: Counters,
         on_unsent_request: Callable[[int, str], None],
+        is_awaited: Callable[[int], bool],
         idle_after_s: float = math.inf,
     ) -> None:
         self.peer_id = peer_id
         self._on_unsent_request = on_unsent_request
+        self._is_awaited = is_awaited
         self.peer_incarnation: int | None = None
         self.last_contact_at = -math.inf
         # One probe serves all requests that arrived before it.
@@ -205,8 +208,11 @@
         while self._queue or self._unacknowledged:  # noqa: ASYNC110  # Used only at shutdown.
             await anyio.sleep(0.02)
 
-    def accept(self, envelope: codec.Envelope) -> bool:
-        """Update the link from a received envelope; False if the caller must drop its message."""
+    def accept(self, envelope: codec.Envelope, arrived_at: float) -> bool:
+        """Update the link from a received envelope; False if the caller must drop its message.
+
+        `arrived_at` is the time of its arrival by `TimerService.boot_time`.
+        """
         if self.peer_incarnation is None or envelope.incarnation > self.peer_incarnation:
             self._start_peer_incarnation(envelope.incarnation)
         elif envelope.incarnation < self.peer_incarnation:
@@ -217,14 +223,16 @@
             return False
         self.last_contact_at = self._timers.now()
         if envelope.sent_at is not None:
-            self._clock.record_arrival(envelope.sent_at, self._timers.boot_time())
+            self._clock.record_arrival(envelope.sent_at, arrived_at)
         is_for_this_incarnation = envelope.peer_incarnation == self._incarnation
         if is_for_this_incarnation:
             self._acknowledge(envelope.acknowledged)
             if envelope.least_offset_s is not None:
                 self._clock.record_peer_offset(envelope.least_offset_s)
         if envelope.sent_at is not None:
-            self._check_confirmation(envelope, is_for_this_incarnation=is_for_this_incarnation)
+            if is_for_this_incarnation and envelope.heard_at is not None:
+                self._unconfirmed.confirm(envelope.heard_at)
+            self._check_for_lost_messages(envelope.sent_at, arrived_at)
         if isinstance(envelope.message, Redial):
             self._redial_requested = True
             self._wakeup.set()
@@ -239,8 +247,8 @@
     def age_s(self, envelope: codec.Envelope, arrived_at: float) -> float | None:
         """Return the most seconds since a message was queued by the peer; None if not known.
 
-        `arrived_at` is the time of its arrival by `TimerService.boot_time`. For a peer of an
-        older release, which does not send its clock, only the time in its queue is known.
+        `arrived_at` is as for `accept`. For a peer of an older release, which does not send its
+        clock, only the time in its queue is known.
         """
         queued_s = max(0.0, envelope.age_s)
         if envelope.sent_at is None:
@@ -265,16 +273,13 @@
         finally:
             self._close_socket()
 
-    def _check_confirmation(
-        self, envelope: codec.Envelope, *, is_for_this_incarnation: bool
-    ) -> None:
-        """Note what has arrived at the peer, and replace a connection that has lost messages."""
-        assert envelope.sent_at is not None
-        if is_for_this_incarnation and envelope.heard_at is not None:
-            self._unconfirmed.confirm(envelope.heard_at)
-        now = self._timers.boot_time()
-        age_s = self._clock.age_s(envelope.sent_at, now)
-        if self._unconfirmed.is_lost(now - (UNKNOWN_AGE_S if age_s is None else age_s)):
+    def _check_for_lost_messages(self, sent_at: float, arrived_at: float) -> None:
+        """Replace the connection if the peer sent a message without having received earlier ones.
+
+        `sent_at` is by the clock of the peer.
+        """
+        age_s = self._clock.age_s(sent_at, arrived_at)
+        if self._unconfirmed.is_lost(arrived_at - (UNKNOWN_AGE_S if age_s is None else age_s)):
             self._request_redial("the peer sends messages, but has not received the own ones")
 
     def _request_redial(self, reason: str) -> None:
@@ -429,7 +434,7 @@
         repeated = [
             attrs.evolve(item, repeated=True)
             for item in self._unconfirmed.take()
-            if item.request_id
+            if item.is_reply or (item.request_id and self._is_awaited(item.request_id))
         ]
         self._counters.add("link.repeated", len(repeated))
         self._queue.extendleft(reversed(repeated))
@@ -457,7 +462,7 @@
 
     def _write_message(self, item: _QueuedMessage, sequence: int, now: float) -> bool:
         written_at = self._timers.boot_time()
-        data = self._encode_or_replace(item, sequence, now)
+        data = self._encode_or_replace(item, sequence, now, written_at)
         try:
             self._current_socket().send(data, block=False)
         except pynng.TryAgain:
@@ -468,14 +473,16 @@
         self._counters.add("link.sent")
         return True
 
-    def _encode_or_replace(self, item: _QueuedMessage, sequence: int, now: float) -> bytes:
+    def _encode_or_replace(
+        self, item: _QueuedMessage, sequence: int, now: float, written_at: float
+    ) -> bytes:
         """Return an encoded message, or an empty one in place of a message that cannot be sent.
 
         A gap in the sequence would block all later messages, and one message with a value that
         cannot be encoded must not end the process.
         """
         try:
-            data = self._encode(item, sequence, now)
+            data = self._encode(item, sequence, now, written_at)
             if len(data) <= MAX_MESSAGE_BYTES:
                 return data
             self._counters.add("link.too_long")
@@ -491,9 +498,9 @@
         )
         if item.request_id and not item.is_reply:
             self._on_unsent_request(item.request_id, reason)
-        return self._encode(attrs.evolve(item, message=codec.Nothing()), sequence, now)
+        return self._encode(attrs.evolve(item, message=codec.Nothing()), sequence, now, written_at)
 
-    def _encode(self, item: _QueuedMessage, sequence: int, now: float) -> bytes:
+    def _encode(self, item: _QueuedMessage, sequence: int, now: float, written_at: float) -> bytes:
         return codec.encode(
             codec.Envelope(
                 sender=self._process_id,
@@ -505,8 +512,8 @@
                 acknowledged=self._received_sequence,
                 peer_incarnation=self.peer_incarnation or 0,
                 age_s=now - item.queued_at,
-                sent_at=self._timers.boot_time(),
-                least_offset_s=self._clock.least_offset_s(self._timers.boot_time()),
+                sent_at=written_at,
+                least_offset_s=self._clock.least_offset_s(written_at),
                 heard_at=self._clock.heard_at,
                 repeated=item.repeated,
             ),
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -359,6 +359,7 @@
             link = PeerLink(
                 process_id="b", incarnation=5, peer_id="a", address="", key=KEYS[0],
                 timers=timers, counters=counters, on_unsent_request=lambda *_: None,
+                is_awaited=lambda _: False,
             )  # fmt: skip
 
             def accept(incarnation: int, sequence: int, to: int = 5, **more: bool) -> bool:
@@ -366,7 +367,8 @@
                     codec.Envelope(
                         "a", incarnation, codec.UnknownMessage("New"), sequence=sequence,
                         peer_incarnation=to, **more,
-                    )
+                    ),
+                    timers.boot_time(),
                 )  # fmt: skip
 
             assert [accept(2, 1), accept(2, 1), accept(2, 3), accept(2, 2)] == [1, 0, 0, 1]
