--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -15,6 +15,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
+from apricotpoint._link.peer import HEARTBEAT_PERIOD_S
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
@@ -96,7 +97,11 @@
 
                 # As over a network, the handler goes on after the requester has timed out.
                 self._network.start(target.peer_id, answer)
-                await done.wait()
+                async with anyio.create_task_group() as group:
+                    if self._network.sends_heartbeats:
+                        group.start_soon(self._exchange_heartbeats, peer_id)
+                    await done.wait()
+                    group.cancel_scope.cancel()
                 if await self._network.reaches(peer_id, self.peer_id):
                     self.record_contact(peer_id)
                     return replies[0]
@@ -107,6 +112,13 @@
         """Record a contact with a peer."""
         self._last_contact_at_by_peer[peer_id] = anyio.current_time()
 
+    async def _exchange_heartbeats(self, peer_id: str) -> None:
+        """Record contacts in both directions, as the mesh does while a request is open."""
+        while True:
+            for sender, receiver in ((self.peer_id, peer_id), (peer_id, self.peer_id)):
+                self._network.group.start_soon(self._network.deliver_heartbeat, sender, receiver)
+            await anyio.sleep(HEARTBEAT_PERIOD_S)
+
     async def _reach(self, peer_id: str) -> FakeTransport | None:
         if not await self._network.reaches(self.peer_id, peer_id):
             return None
@@ -175,6 +187,7 @@
     """The network: `dropped_pairs` has the pairs (sender, receiver) whose messages are dropped.
 
     `delay_by_pair` has the delays of messages that take longer than usual, in seconds.
+    With `sends_heartbeats` both sides of an open request hear from each other.
     `sent_by_id` counts the messages and replies that each process has sent.
     """
 
@@ -187,6 +200,12 @@
         self.delay_by_pair: dict[tuple[str, str], float] = {}
         self.incarnation_by_id: Counter[str] = Counter()
         self.sent_by_id: Counter[str] = Counter()
+        self.sends_heartbeats = False
+
+    async def deliver_heartbeat(self, sender: str, receiver: str) -> None:
+        """Record a contact at the receiver, if the sender lives and reaches it."""
+        if sender in self.transport_by_id and await self.reaches(sender, receiver):
+            self.transport_by_id[receiver].record_contact(sender)
 
     def isolate(self, peer_id: str) -> None:
         """Cut a process off from all other processes."""
