Log why an election was lost

An operator who reads that a change was answered with 4102 could not tell whether too few members answered, too few disks were left, or a member refused its vote. Each lost pre-vote and vote now names these, and the counter control.elections_lost counts them.

--- a/src/apricotpoint/_control/election.py
+++ b/src/apricotpoint/_control/election.py
@@ -3,11 +3,25 @@
 from __future__ import annotations
 
 import anyio
+import attrs
+import logbook
 
 from apricotpoint._control.messages import PreVote, Vote, VoteReply
 from apricotpoint._control.replica import ELECTION_TIMEOUT_S, REQUEST_TIMEOUT_S, Replica, Role
 from apricotpoint._link.transport import PeerUnreachable
 
+_log = logbook.Logger("control")
+
+
+@attrs.define(eq=False)
+class _Ballot:
+    """The replies to one request for votes, by the reason for which they count or not."""
+
+    granted: set[str]
+    refused: set[str] = attrs.Factory(set)
+    other_disk: set[str] = attrs.Factory(set)
+    silent: set[str] = attrs.Factory(set)
+
 
 async def campaign(replica: Replica) -> None:
     """Start an election whenever there was no contact with a leader for a random time-out."""
@@ -99,7 +113,7 @@
 async def _collect_votes(replica: Replica, message: PreVote | Vote) -> bool:
     """Ask all members; return whether a majority granted the vote, including this replica."""
     members = replica.log.disk_by_member()
-    granted = {replica.node_id}
+    ballot = _Ballot(granted={replica.node_id}, silent=set(members) - {replica.node_id})
 
     async def ask(member_id: str) -> None:
         try:
@@ -107,11 +121,17 @@
         except PeerUnreachable:
             return
         assert isinstance(reply, VoteReply)
+        ballot.silent.discard(member_id)
         if reply.term > replica.log.term:
             replica.become_follower(reply.term, None)
-        elif reply.granted and replica.disk_is_member(member_id, reply.disk_id, first=reply.first):
-            granted.add(member_id)
-        if len(granted) > len(members) // 2:
+            ballot.refused.add(member_id)
+        elif not replica.disk_is_member(member_id, reply.disk_id, first=reply.first):
+            ballot.other_disk.add(member_id)
+        elif not reply.granted:
+            ballot.refused.add(member_id)
+        else:
+            ballot.granted.add(member_id)
+        if len(ballot.granted) > len(members) // 2:
             group.cancel_scope.cancel()
 
     if len(members) == 1:
@@ -120,4 +140,25 @@
         for member_id in members:
             if member_id != replica.node_id:
                 group.start_soon(ask, member_id)
-    return len(granted) > len(members) // 2
+    has_won = len(ballot.granted) > len(members) // 2
+    if not has_won:
+        _record_defeat(replica, message, len(members), ballot)
+    return has_won
+
+
+def _record_defeat(
+    replica: Replica, message: PreVote | Vote, member_count: int, ballot: _Ballot
+) -> None:
+    # The reason why there is no leader: too few members answer, or too few disks are left.
+    replica.counters.add("control.elections_lost")
+    _log.notice(
+        "{} for term {} lost: granted by {} of {} members, refused by {}, "
+        "other disk than recorded on {}, no answer from {}",
+        "pre-vote" if isinstance(message, PreVote) else "vote",
+        message.term,
+        len(ballot.granted),
+        member_count,
+        sorted(ballot.refused),
+        sorted(ballot.other_disk),
+        sorted(ballot.silent),
+    )
