Keep as many control members as the tolerated losses need

Seen by operators: no change is accepted after all control processes are back. Two of six were dark for 8 s and kept their disks; 4.5 s into it two others lost theirs.

Cause: the leader removed silent members down to three, whatever number of disks may be lost. With four members two lost disks leave no majority, and the disk of a removed member no longer counts when it is back. The same holds for three members, of which one was removed before its replacement was added.

--- a/src/apricotpoint/_control/messages.py
+++ b/src/apricotpoint/_control/messages.py
@@ -46,6 +46,16 @@
     state: StateImage
 
 
+@attrs.frozen
+class ReplicaTraits:
+    """What decides whether a replica becomes a member.
+
+    `failure_domain` is empty if it is not known.
+    """
+
+    failure_domain: str = ""
+
+
 @attrs.frozen
 class PreVote:
     """Asks whether the receiver would vote for the sender in `term`; changes nothing there.
@@ -109,6 +119,7 @@
     next_index: int
     disk_id: str
     first: bool
+    traits: ReplicaTraits = ReplicaTraits()
 
 
 @attrs.frozen
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -15,12 +15,13 @@
 from apricotpoint._control.documents import DocumentChunks
 from apricotpoint._control.identity import Identity, record_start
 from apricotpoint._control.log import Log
-from apricotpoint._control.membership import maintain_members
+from apricotpoint._control.membership import DEFAULT_TOLERANCE, FaultTolerance, maintain_members
 from apricotpoint._control.messages import (
     Append,
     ChangeForward,
     InstallSnapshot,
     PreVote,
+    ReplicaTraits,
     StartCheck,
     StartCheckReply,
     Vote,
@@ -75,8 +76,8 @@
     `members` are the other control processes known at the start. With
     `initial_members`, the members of a new deployment are exactly these, and
     the leader replaces unreachable members by control processes that report
-    to it. Otherwise the initial members are `members` and this process, and
-    only operators change them.
+    to it, so that `tolerance` is kept. Otherwise the initial
+    members are `members` and this process, and only operators change them.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         random: random.Random,
         storage: Storage | None = None,
         initial_members: Sequence[str] | None = None,
+        tolerance: FaultTolerance = DEFAULT_TOLERANCE,
     ) -> None:
         self.node_id = node_id
         self.failure_domain = failure_domain
@@ -102,6 +104,8 @@
         self._random = random
         self._storage = storage or Storage(data_folder)
         self._manages_members = initial_members is not None
+        self._tolerance = tolerance
+        self._traits = ReplicaTraits(failure_domain=failure_domain)
         self._log = Log(
             self._storage,
             initial_members=list(initial_members or [*self._configured_peer_ids, node_id]),
@@ -130,6 +134,7 @@
         self.replica = Replica(
             node_id=self.node_id,
             identity=identity,
+            traits=self._traits,
             log=self._log,
             transport=self._transport,
             timers=self._timers,
@@ -234,7 +239,7 @@
         self._start_checked.set()
         async with anyio.create_task_group() as group:
             if self._manages_members:
-                group.start_soon(maintain_members, self.replica)
+                group.start_soon(maintain_members, self.replica, self._tolerance)
             group.start_soon(self._compact_claims)
             group.start_soon(self._report_as_learner)
             await self.replica.run(campaign=election.campaign, replicate=replication.replicate)
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -13,7 +13,13 @@
 
 from apricotpoint._control.identity import Identity
 from apricotpoint._control.log import Log
-from apricotpoint._control.messages import AppendReply, Entry, Snapshot, VoteReply
+from apricotpoint._control.messages import (
+    AppendReply,
+    Entry,
+    ReplicaTraits,
+    Snapshot,
+    VoteReply,
+)
 from apricotpoint._control.state import MEMBER_ACTIONS, ReplicatedState
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
@@ -72,6 +78,7 @@
     round: int = 0
     disk_id: str = ""
     first: bool = False
+    traits: ReplicaTraits = ReplicaTraits()
 
 
 @attrs.define(eq=False)
@@ -95,6 +102,7 @@
         *,
         node_id: str,
         identity: Identity,
+        traits: ReplicaTraits,
         log: Log,
         transport: Transport,
         timers: TimerService,
@@ -103,6 +111,7 @@
     ) -> None:
         self.node_id = node_id
         self.identity = identity
+        self.traits = traits
         self.log = log
         self.transport = transport
         self.timers = timers
@@ -235,6 +244,7 @@
             next_index=next_index,
             disk_id=self.identity.disk_id,
             first=self.identity.first,
+            traits=self.traits,
         )
 
     # Entries
--- a/src/apricotpoint/_control/replication.py
+++ b/src/apricotpoint/_control/replication.py
@@ -151,7 +151,7 @@
     if progress.disk_id != reply.disk_id:
         # The peer has another disk now; what the previous one stored does not count for it.
         progress.match_index = 0
-    progress.disk_id, progress.first = reply.disk_id, reply.first
+    progress.disk_id, progress.first, progress.traits = reply.disk_id, reply.first, reply.traits
     progress.acked_at, progress.round = sent_at, max(progress.round, round_)
     if reply.matched:
         progress.match_index = max(progress.match_index, reply.match_index)
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -17,6 +17,7 @@
     initialise,
     is_initialised,
 )
+from apricotpoint._control.membership import FaultTolerance
 from apricotpoint._control.node import ControlNode
 from apricotpoint._control.storage import Storage
 from apricotpoint._core.codes import ResultCode
@@ -80,6 +81,9 @@
         failure_domain=settings.failure_domain,
         members=settings.seeds,
         initial_members=sorted(settings.seeds),
+        tolerance=FaultTolerance(
+            members=settings.tolerated_vms, domains=settings.tolerated_domains
+        ),
         data_folder=folder,
         transport=mesh,
         timers=timers,
--- a/src/apricotpoint/platform/settings.py
+++ b/src/apricotpoint/platform/settings.py
@@ -24,7 +24,9 @@
     peers, because the platform names seeds by address only. `cores` is the processor
     of the VM, in cores of the usual speed. `seeds` are the ids
     of control processes. `first_start` is True only when the whole deployment
-    starts for the first time. The `_bind` addresses are "host:port".
+    starts for the first time. `tolerated_vms` or `tolerated_domains` may be lost at the same
+    time.
+    The `_bind` addresses are "host:port".
     """
 
     name: str
@@ -35,6 +37,8 @@
     peer_port: int
     seeds: list[str]
     first_start: bool
+    tolerated_vms: int
+    tolerated_domains: int
     data_folder: Path | None
     caller_bind: str
     readiness_bind: str
@@ -89,6 +93,7 @@
     listen = raw.get("listen_addresses") or {}
     bounds = raw.get("bounds") or {}
     limits = raw.get("limits") or {}
+    tolerance = raw.get("fault_tolerance") or {}
     folder = raw.get("data_directory")
     return PlatformSettings(
         name=str(raw["node_name"]),
@@ -101,6 +106,8 @@
         # The platform gives the address of their control API; its port is not used.
         seeds=[str(seed).rpartition(":")[0] for seed in raw["seed_nodes"]],
         first_start=bool(raw["bootstrap"]),
+        tolerated_vms=int(tolerance.get("machines", 1)),
+        tolerated_domains=int(tolerance.get("zones", 0)),
         data_folder=Path(folder) if folder else None,
         caller_bind=str(listen.get("frontend", "")),
         readiness_bind=str(listen.get("ready", "")),
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -17,6 +17,7 @@
 import trio.testing
 
 from apricotpoint._control.identity import initialise
+from apricotpoint._control.membership import FaultTolerance
 from apricotpoint._control.node import ControlNode
 from apricotpoint._control.replica import Role
 from apricotpoint._control.storage import Storage
@@ -250,7 +251,9 @@
 class Cluster:
     """Control nodes on one network, with a client.
 
-    `exit_code_by_id` has the result code of each node that ended by itself.
+    `exit_code_by_id` has the result code of each node that ended by itself. With a `tolerance`,
+    the leader manages the members; the failure domain of a node is the part of its id before
+    a dash.
     """
 
     def __init__(self, group: anyio.abc.TaskGroup, folder: Path, seed: int = 1) -> None:
@@ -262,6 +265,7 @@
         self.disk_by_id: dict[str, Disk] = {}
         self.exit_code_by_id: dict[str, ResultCode] = {}
         self.counters_by_id: dict[str, Counters] = {}
+        self.tolerance: FaultTolerance | None = None
         self.client = Endpoint(self.network, "client")
         self._process_by_id: dict[str, _Process] = {}
         self._folder = folder
@@ -302,11 +306,17 @@
     async def _serve(self, node_id: str, process: _Process) -> None:
         counters = self.counters_by_id[node_id] = Counters()
         disk = self.disk_by_id[node_id]
+        management: dict[str, Any] = {}
+        if self.tolerance is not None:
+            management = {
+                "initial_members": IDS,
+                "tolerance": self.tolerance,
+            }
         with process.scope:
             try:
                 async with ControlNode(
                     node_id=node_id,
-                    failure_domain=f"domain-{node_id}",
+                    failure_domain=node_id.partition("-")[0],
                     members=IDS,
                     data_folder=disk.folder,
                     transport=process.endpoint,
@@ -314,6 +324,7 @@
                     counters=counters,
                     random=random.Random(f"{self._seed}{node_id}{disk.incarnation}"),
                     storage=disk.storage(),
+                    **management,
                 ) as node:
                     process.node = node
                     await anyio.sleep_forever()
--- /dev/null
+++ b/testing/control/test_lost_members.py
@@ -0,0 +1,87 @@
+"""Losses of control processes, with and without their disks, up to what is tolerated."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import pytest
+from control_network import IDS, Cluster, run
+
+from apricotpoint._control.membership import FaultTolerance
+from apricotpoint._core.codes import ResultCode
+
+# Two processes in each of three failure domains; the first three are those of a new deployment.
+COUNTED = [*IDS, "c1-b", "c2-b", "c3-b"]
+SETTLE_S = 8.0
+
+
+async def started(cluster: Cluster) -> None:
+    cluster.tolerance = FaultTolerance(members=2, domains=1)
+    await cluster.start_new_deployment()
+    await add(cluster, *COUNTED[3:])
+
+
+def running_ids(cluster: Cluster) -> list[str]:
+    return [node_id for node_id in cluster.disk_by_id if cluster.is_running(node_id)]
+
+
+async def add(cluster: Cluster, *node_ids: str) -> None:
+    for node_id in node_ids:
+        await cluster.initialise(node_id, first=False)
+    await cluster.start(*node_ids)
+    await anyio.sleep(SETTLE_S)
+
+
+async def check_change(cluster: Cluster, command_id: str) -> None:
+    """Send a change again until it is accepted, at most for the time of a recovery."""
+    with anyio.fail_after(15.0):
+        while True:
+            leader_id = await cluster.leader()
+            version = cluster.node(leader_id).replica.state.configuration.version
+            reply = await cluster.change(leader_id, command_id, version)
+            if reply.code == ResultCode.ACCEPTED:
+                return
+            await anyio.sleep(0.2)
+
+
+def drained_vms(cluster: Cluster, leader_id: str) -> list[str]:
+    return cluster.node(leader_id).replica.state.configuration.drained_vms
+
+
+def run_with_cluster(test: Callable[[Cluster], Awaitable[None]], folder: Path) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            cluster = Cluster(group, folder)
+            await started(cluster)
+            await test(cluster)
+            group.cancel_scope.cancel()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("dark", "lost"),
+    [(["c1", "c1-b"], ["c2", "c3"]), (["c2-b", "c3-b"], ["c1", "c1-b"]), (["c3"], ["c1", "c2"])],
+)
+def test_two_disks_are_lost_while_members_are_dark_that_keep_theirs(
+    tmp_path: Path, dark: list[str], lost: list[str]
+):
+    """Guards against a dark member whose disk no longer counts when it is back."""
+
+    async def test(cluster: Cluster) -> None:
+        await cluster.kill(*dark)
+        await anyio.sleep(4.5)
+        await check_change(cluster, "one")
+        await cluster.kill(*lost)
+        for node_id in lost:
+            await cluster.replace_disk(node_id)
+        await anyio.sleep(1.3)
+        await cluster.start(*lost)
+        await anyio.sleep(2.0)
+        await cluster.start(*dark)
+        await check_change(cluster, "two")
+        assert drained_vms(cluster, await cluster.leader()) == ["one", "two"]
+
+    run_with_cluster(test, tmp_path)
