Let control processes that may be lost in any number not vote

Seen by operators: the configuration can be neither read nor changed after three control processes that do not count were lost for good while all others lost power and two of the counted six their disks.

Cause: the setting fault_counted was not read. The leader made every control process a member, so the majority rose from 4 of 6 to 5 of 9, and four were left.

Change: each replica reports whether it may vote and in which failure domain it is. Others stay learners, which get all entries; members of an earlier release that may not vote leave as soon as there are enough others.

Evidence: the three cases in test_lost_members.py failed on the policy before (no leader within 20 s) and pass now.

--- a/src/apricotpoint/_control/membership.py
+++ b/src/apricotpoint/_control/membership.py
@@ -60,12 +60,13 @@
     """The state of another replica as the leader knows it.
 
     `silent_s` is the time since its last answer, `caught_up` whether it lacks
-    few enough entries to become a member.
+    few enough entries to become a member, `may_vote` whether it may be one.
     """
 
     disk_id: str
     silent_s: float
     caught_up: bool
+    may_vote: bool = True
     failure_domain: str = ""
 
     @property
@@ -146,11 +147,14 @@
 def _leaving_member(situation: _Situation) -> str | None:
     """Return the member that is to be removed next, None if there is none.
 
-    First the one that has been silent for the longest time, then one too many in its failure
-    domain.
+    First those that may not vote, this replica as the last of them, then the one that has been
+    silent for the longest time, then one too many in its failure domain.
     """
     own_id, status_by_id = situation.own_id, situation.status_by_id
     known = [key for key in sorted(situation.members) if key in status_by_id]
+    ineligible = [key for key in known if not status_by_id[key].may_vote]
+    if ineligible:
+        return min(ineligible, key=lambda key: key == own_id)
     silent = [key for key in known if not situation.is_live(key)]
     if silent:
         return max(silent, key=lambda key: status_by_id[key].silent_s)
@@ -191,7 +195,7 @@
             peer_id,
         )
         for peer_id, status in status_by_id.items()
-        if peer_id not in members and _is_ready(status)
+        if peer_id not in members and status.may_vote and _is_ready(status)
     ]
     if not ranks:
         return None
@@ -235,6 +239,7 @@
             silent_s=now - progress.acked_at,
             caught_up=progress.match_index + MAX_LEARNER_LAG_ENTRIES >= replica.log.last_index
             and progress.match_index > 0,
+            may_vote=progress.traits.may_vote,
             failure_domain=progress.traits.failure_domain,
         )
         for peer_id, progress in replica.progress_by_id.items()
@@ -243,6 +248,7 @@
         disk_id=replica.identity.disk_id,
         silent_s=0.0,
         caught_up=True,
+        may_vote=replica.traits.may_vote,
         failure_domain=replica.traits.failure_domain,
     )
     return status_by_id
--- a/src/apricotpoint/_control/messages.py
+++ b/src/apricotpoint/_control/messages.py
@@ -50,9 +50,12 @@
 class ReplicaTraits:
     """What decides whether a replica becomes a member.
 
-    `failure_domain` is empty if it is not known.
+    One that `may_vote` counts among the losses that the deployment tolerates. Any number of the
+    others may be lost at the same time, so they only follow the log. `failure_domain` is empty
+    if it is not known.
     """
 
+    may_vote: bool = True
     failure_domain: str = ""
 
 
@@ -149,6 +152,7 @@
     initialised_at: float
     start_counter: int
     start_nonce: int
+    may_vote: bool = True
 
 
 @attrs.frozen
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -59,7 +59,8 @@
 _MAX_LEADER_WAIT_S = 2.0
 _MAX_POLL_WAIT_S = 10.0
 _CLAIM_COMPACTION_INTERVAL_S = 10.0
-_MAX_LEARNERS = 8
+# Replicas that never vote must leave room for those that may replace a member.
+_MAX_LEARNERS, _MAX_VOTING_LEARNERS = 8, 16
 # Half of it is for the leader to contact a majority, the rest for the request to the leader.
 _DOCUMENT_READ_TIMEOUT_S = 1.0
 
@@ -76,8 +77,10 @@
     `members` are the other control processes known at the start. With
     `initial_members`, the members of a new deployment are exactly these, and
     the leader replaces unreachable members by control processes that report
-    to it, so that `tolerance` is kept. Otherwise the initial
+    to it and that may vote, so that `tolerance` is kept. Otherwise the initial
     members are `members` and this process, and only operators change them.
+    A process that may not vote only follows the log; unlike the others it may
+    be lost at any time, beside the tolerated losses.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         storage: Storage | None = None,
         initial_members: Sequence[str] | None = None,
         tolerance: FaultTolerance = DEFAULT_TOLERANCE,
+        may_vote: bool = True,
     ) -> None:
         self.node_id = node_id
         self.failure_domain = failure_domain
@@ -105,7 +109,7 @@
         self._storage = storage or Storage(data_folder)
         self._manages_members = initial_members is not None
         self._tolerance = tolerance
-        self._traits = ReplicaTraits(failure_domain=failure_domain)
+        self._traits = ReplicaTraits(may_vote=may_vote, failure_domain=failure_domain)
         self._log = Log(
             self._storage,
             initial_members=list(initial_members or [*self._configured_peer_ids, node_id]),
@@ -273,6 +277,7 @@
             initialised_at=identity.initialised_at,
             start_counter=identity.start_counter,
             start_nonce=identity.start_nonce,
+            may_vote=self._traits.may_vote,
         )
 
     async def _wait_for_start_check(self) -> None:
@@ -319,7 +324,8 @@
         reply = await self._starts.report(sender.peer_id, message)
         replica = self.replica
         is_member = sender.peer_id in self._log.disk_by_member()
-        if not reply.newer and not is_member and len(replica.learner_ids) < _MAX_LEARNERS:
+        max_learners = _MAX_VOTING_LEARNERS if message.may_vote else _MAX_LEARNERS
+        if not reply.newer and not is_member and len(replica.learner_ids) < max_learners:
             replica.learner_ids.add(sender.peer_id)
             replica.notify()
         return reply
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -84,6 +84,7 @@
         tolerance=FaultTolerance(
             members=settings.tolerated_vms, domains=settings.tolerated_domains
         ),
+        may_vote=settings.may_vote,
         data_folder=folder,
         transport=mesh,
         timers=timers,
--- a/src/apricotpoint/platform/settings.py
+++ b/src/apricotpoint/platform/settings.py
@@ -25,7 +25,7 @@
     of the VM, in cores of the usual speed. `seeds` are the ids
     of control processes. `first_start` is True only when the whole deployment
     starts for the first time. `tolerated_vms` or `tolerated_domains` may be lost at the same
-    time.
+    time; VMs that do not count, for which `may_vote` is False, may be lost beside them.
     The `_bind` addresses are "host:port".
     """
 
@@ -37,6 +37,7 @@
     peer_port: int
     seeds: list[str]
     first_start: bool
+    may_vote: bool
     tolerated_vms: int
     tolerated_domains: int
     data_folder: Path | None
@@ -106,6 +107,7 @@
         # The platform gives the address of their control API; its port is not used.
         seeds=[str(seed).rpartition(":")[0] for seed in raw["seed_nodes"]],
         first_start=bool(raw["bootstrap"]),
+        may_vote=bool(raw.get("fault_counted", True)),
         tolerated_vms=int(tolerance.get("machines", 1)),
         tolerated_domains=int(tolerance.get("zones", 0)),
         data_folder=Path(folder) if folder else None,
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -253,7 +253,7 @@
 
     `exit_code_by_id` has the result code of each node that ended by itself. With a `tolerance`,
     the leader manages the members; the failure domain of a node is the part of its id before
-    a dash.
+    a dash. Nodes in `ids_without_vote` may not vote.
     """
 
     def __init__(self, group: anyio.abc.TaskGroup, folder: Path, seed: int = 1) -> None:
@@ -266,6 +266,7 @@
         self.exit_code_by_id: dict[str, ResultCode] = {}
         self.counters_by_id: dict[str, Counters] = {}
         self.tolerance: FaultTolerance | None = None
+        self.ids_without_vote: set[str] = set()
         self.client = Endpoint(self.network, "client")
         self._process_by_id: dict[str, _Process] = {}
         self._folder = folder
@@ -311,6 +312,7 @@
             management = {
                 "initial_members": IDS,
                 "tolerance": self.tolerance,
+                "may_vote": node_id not in self.ids_without_vote,
             }
         with process.scope:
             try:
--- a/testing/control/test_lost_members.py
+++ b/testing/control/test_lost_members.py
@@ -14,11 +14,13 @@
 
 # Two processes in each of three failure domains; the first three are those of a new deployment.
 COUNTED = [*IDS, "c1-b", "c2-b", "c3-b"]
+UNCOUNTED = ["c1-x", "c2-x", "c3-x"]
 SETTLE_S = 8.0
 
 
 async def started(cluster: Cluster) -> None:
     cluster.tolerance = FaultTolerance(members=2, domains=1)
+    cluster.ids_without_vote = set(UNCOUNTED)
     await cluster.start_new_deployment()
     await add(cluster, *COUNTED[3:])
 
@@ -34,6 +36,14 @@
     await anyio.sleep(SETTLE_S)
 
 
+async def lose_power_and_disks(cluster: Cluster, lost: list[str], *, back: list[str]) -> None:
+    """Kill all processes; those in `back` start again, those in `lost` with empty disks."""
+    await cluster.kill(*running_ids(cluster))
+    for node_id in lost:
+        await cluster.replace_disk(node_id)
+    await cluster.start(*back)
+
+
 async def check_change(cluster: Cluster, command_id: str) -> None:
     """Send a change again until it is accepted, at most for the time of a recovery."""
     with anyio.fail_after(15.0):
@@ -61,6 +71,22 @@
     run(main)
 
 
+@pytest.mark.parametrize("lost", [COUNTED[:2], COUNTED[4:], ["c3", "c1-b"]])
+def test_uncounted_processes_are_lost_for_good_together_with_two_disks(
+    tmp_path: Path, lost: list[str]
+):
+    """Guards against a majority that needs processes of which any number may be lost."""
+
+    async def test(cluster: Cluster) -> None:
+        await add(cluster, *UNCOUNTED)
+        await check_change(cluster, "one")
+        await lose_power_and_disks(cluster, lost, back=COUNTED)
+        await check_change(cluster, "two")
+        assert drained_vms(cluster, await cluster.leader()) == ["one", "two"]
+
+    run_with_cluster(test, tmp_path)
+
+
 @pytest.mark.parametrize(
     ("dark", "lost"),
     [(["c1", "c1-b"], ["c2", "c3"]), (["c2-b", "c3-b"], ["c1", "c1-b"]), (["c3"], ["c1", "c2"])],
--- a/testing/control/test_membership.py
+++ b/testing/control/test_membership.py
@@ -10,8 +10,8 @@
 ONE, TWO = FaultTolerance(members=1, domains=1), FaultTolerance(members=2, domains=1)
 
 
-def live(disk: str, domain: str = "") -> PeerStatus:
-    return PeerStatus(disk, 0.1, caught_up=True, failure_domain=domain)
+def live(disk: str, domain: str = "", *, may_vote: bool = True) -> PeerStatus:
+    return PeerStatus(disk, 0.1, caught_up=True, may_vote=may_vote, failure_domain=domain)
 
 
 def silent(disk: str, seconds: float, domain: str = "") -> PeerStatus:
@@ -89,6 +89,27 @@
     assert next_members("1", FIVE, statuses, TWO) is None
 
 
+def test_a_replica_that_does_not_count_becomes_no_member():
+    """Guards against majorities that need processes of which any number may be lost."""
+    statuses = {"2": live("b"), "3": live("c"), "4": live("d", may_vote=False)}
+    assert next_members("1", MEMBERS, statuses) is None
+    statuses["3"] = silent("c", 60.0)
+    assert next_members("1", MEMBERS, statuses) is None
+
+
+def test_members_that_do_not_count_leave_once_there_are_enough_others():
+    """Guards against members of an earlier release that may be lost in any number."""
+    members = {**MEMBERS, "4": "d"}
+    statuses = {key: live(disk) for key, disk in members.items()}
+    statuses["4"] = live("d", may_vote=False)
+    assert next_members("1", members, statuses) == MEMBERS
+    assert next_members("4", members, statuses) == MEMBERS
+    del members["3"], statuses["3"]
+    assert next_members("1", members, statuses) is None
+    statuses["5"] = live("e")
+    assert next_members("1", members, statuses) == {**members, "5": "e"}
+
+
 def test_a_learner_that_would_give_its_failure_domain_half_of_the_members_waits():
     """Guards against the loss of a failure domain that takes the majority with it."""
     domains = {"1": "x", "2": "y", "3": "z", "4": "x"}
