Find the leader through any other control process

Seen by operators: a control process that replaces another answers changes and reads with 4102 and 503 for good, and after several replacements there are too few members for a majority.

Cause: a new process reports to the processes in its settings only, and the leader alone can add it. With six control processes and three of them in the settings, the leader often is none of these. In the same way a process waited at its start for those of its settings, although its log names others, and had no links to members that joined while it was running.

Change: the reply to a report names the members that the receiver knows; the new process reports to these, too. A process that starts also asks the members in its log. A replica opens a link to each member that it learns of.

--- a/src/apricotpoint/_control/messages.py
+++ b/src/apricotpoint/_control/messages.py
@@ -159,11 +159,14 @@
 class StartCheckReply:
     """Reply to `StartCheck`: the newest known start of the sender.
 
-    `newer` is True if that is a newer start than the one reported.
+    `newer` is True if that is a newer start than the one reported. `control_ids` are the members
+    that the receiver knows: the leader, which alone can add the sender, need not be among the
+    processes that the sender was told of.
     """
 
     newest: StartCheck
     newer: bool
+    control_ids: list[str] = attrs.Factory(list)
 
 
 codec.register(
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
 
 import anyio
 import anyio.abc
+import attrs
 
 from apricotpoint._control import election, replication
 from apricotpoint._control.documents import DocumentChunks
@@ -80,7 +81,8 @@
     to it and that may vote, so that `tolerance` is kept. Otherwise the initial
     members are `members` and this process, and only operators change them.
     A process that may not vote only follows the log; unlike the others it may
-    be lost at any time, beside the tolerated losses.
+    be lost at any time, beside the tolerated losses. `connect` is called with
+    the id of each control process that becomes known.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         initial_members: Sequence[str] | None = None,
         tolerance: FaultTolerance = DEFAULT_TOLERANCE,
         may_vote: bool = True,
+        connect: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.node_id = node_id
         self.failure_domain = failure_domain
@@ -109,6 +112,8 @@
         self._storage = storage or Storage(data_folder)
         self._manages_members = initial_members is not None
         self._tolerance = tolerance
+        self._connect = connect
+        self._reported_ids: set[str] = set()
         self._traits = ReplicaTraits(may_vote=may_vote, failure_domain=failure_domain)
         self._log = Log(
             self._storage,
@@ -144,6 +149,7 @@
             timers=self._timers,
             counters=self._counters,
             random=self._random,
+            connect=self._connect,
         )
         self.replica.on_configuration_change = self._notify_configuration_changed
         self._register_handler(StartCheck, self._on_start_check)
@@ -287,11 +293,15 @@
         claims based on it would be wrong. The remaining processes are asked in
         the background.
         """
-        if not self._configured_peer_ids:
+        # The processes in the settings may all be gone; the log names those that followed them.
+        other_ids = {*self._configured_peer_ids, *self._log.disk_by_member()} - {self.node_id}
+        if not other_ids:
             return
         assert self._group is not None
         answered = anyio.Event()
-        for other_id in self._configured_peer_ids:
+        for other_id in sorted(other_ids):
+            self._connect(other_id)
+            self._reported_ids.add(other_id)
             self._group.start_soon(self._check_start_with, other_id, answered)
         await answered.wait()
         # The other processes get a short time to report a newer start.
@@ -310,6 +320,7 @@
         except PeerUnreachable:
             return False
         assert isinstance(reply, StartCheckReply)
+        self._report_to_others(reply.control_ids)
         if reply.newer:
             raise ApricotError(
                 ResultCode.OLD_DISK,
@@ -320,6 +331,13 @@
             )
         return True
 
+    def _report_to_others(self, control_ids: Iterable[str]) -> None:
+        assert self._group is not None
+        for other_id in sorted({*control_ids} - self._reported_ids - {self.node_id}):
+            self._reported_ids.add(other_id)
+            self._connect(other_id)
+            self._group.start_soon(self._report_start, other_id)
+
     async def _on_start_check(self, sender: Sender, message: StartCheck) -> object:
         reply = await self._starts.report(sender.peer_id, message)
         replica = self.replica
@@ -328,7 +346,7 @@
         if not reply.newer and not is_member and len(replica.learner_ids) < max_learners:
             replica.learner_ids.add(sender.peer_id)
             replica.notify()
-        return reply
+        return attrs.evolve(reply, control_ids=sorted(self._log.disk_by_member()))
 
     async def _report_as_learner(self) -> None:
         while True:
@@ -338,7 +356,8 @@
             if replica.has_majority() or (replica.is_voter() and not self._manages_members):
                 continue
             async with anyio.create_task_group() as group:
-                for other_id in sorted({*replica.peer_ids(), *self._configured_peer_ids}):
+                known_ids = {*replica.peer_ids(), *self._configured_peer_ids, *self._reported_ids}
+                for other_id in sorted(known_ids):
                     group.start_soon(self._report_start, other_id)
 
     # Replica
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -108,6 +108,7 @@
         timers: TimerService,
         counters: Counters,
         random: random.Random,
+        connect: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.node_id = node_id
         self.identity = identity
@@ -117,6 +118,7 @@
         self.timers = timers
         self.counters = counters
         self.random = random
+        self._connect = connect
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
         self.leader_contact_at = self.voted_at = timers.now() - FIRST_ELECTION_ADVANCE_S
@@ -466,6 +468,7 @@
             while True:
                 for peer_id in sorted(set(self.peer_ids()) - running):
                     running.add(peer_id)
+                    self._connect(peer_id)
                     group.start_soon(replicate_to, peer_id)
                 await self._notified.wait()
 
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -85,6 +85,7 @@
             members=settings.tolerated_vms, domains=settings.tolerated_domains
         ),
         may_vote=settings.may_vote,
+        connect=lambda peer_id: mesh.add_peer(peer_id, settings.peer_address(peer_id)),
         data_folder=folder,
         transport=mesh,
         timers=timers,
@@ -124,8 +125,6 @@
     async with AsyncExitStack() as stack:
         for component in (timers, mesh, node, relay):
             await stack.enter_async_context(component)
-        for member_id in node.replica.log.disk_by_member():
-            mesh.add_peer(member_id, settings.peer_address(member_id))
         async with anyio.create_task_group() as group:
             await group.start(serve_app)
             _log.info("listening for workers and operators on {}", settings.control_bind)
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -104,6 +104,8 @@
         self._network = network
         self._scopes: list[anyio.CancelScope] = []
         self._closed = False
+        # The peers to which there are links; None if all processes are known.
+        self.linked_ids: set[str] | None = None
         self._last_request = 0
         self._reply_by_request: dict[int, tuple[anyio.Event, list[object]]] = {}
         self._incarnation = random.Random(f"{peer_id}{anyio.current_time()}").getrandbits(32)
@@ -124,6 +126,8 @@
 
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request and return its reply; raise `PeerUnreachable` after `timeout_s`."""
+        if self.linked_ids is not None and peer_id not in self.linked_ids:
+            raise PeerUnreachable(f"peer {peer_id!r} is not known")
         self._last_request += 1
         request_id = self._last_request
         done: anyio.Event = anyio.Event()
@@ -140,6 +144,7 @@
 
     async def receive(self, envelope: codec.Envelope) -> None:
         """Pass a reply to its request, or a request to its handler, and send the reply."""
+        self.connect(envelope.sender)
         if envelope.is_reply:
             # As in the mesh, a reply to an earlier incarnation answers no request of this one.
             if (
@@ -172,6 +177,11 @@
             ),
         )
 
+    def connect(self, peer_id: str) -> None:
+        """Open a link to a peer that has become known."""
+        if self.linked_ids is not None:
+            self.linked_ids.add(peer_id)
+
     def peers(self) -> list[str]:
         """Return the ids of all other processes that are running."""
         return [peer for peer in self._network.endpoint_by_id if peer != self.peer_id]
@@ -253,7 +263,7 @@
 
     `exit_code_by_id` has the result code of each node that ended by itself. With a `tolerance`,
     the leader manages the members; the failure domain of a node is the part of its id before
-    a dash. Nodes in `ids_without_vote` may not vote.
+    a dash. Nodes in `ids_without_vote` may not vote. Nodes that start contact the `seeds` first.
     """
 
     def __init__(self, group: anyio.abc.TaskGroup, folder: Path, seed: int = 1) -> None:
@@ -265,6 +275,7 @@
         self.disk_by_id: dict[str, Disk] = {}
         self.exit_code_by_id: dict[str, ResultCode] = {}
         self.counters_by_id: dict[str, Counters] = {}
+        self.seeds = IDS
         self.tolerance: FaultTolerance | None = None
         self.ids_without_vote: set[str] = set()
         self.client = Endpoint(self.network, "client")
@@ -309,7 +320,9 @@
         disk = self.disk_by_id[node_id]
         management: dict[str, Any] = {}
         if self.tolerance is not None:
+            process.endpoint.linked_ids = set()
             management = {
+                "connect": process.endpoint.connect,
                 "initial_members": IDS,
                 "tolerance": self.tolerance,
                 "may_vote": node_id not in self.ids_without_vote,
@@ -319,7 +332,7 @@
                 async with ControlNode(
                     node_id=node_id,
                     failure_domain=node_id.partition("-")[0],
-                    members=IDS,
+                    members=self.seeds,
                     data_folder=disk.folder,
                     transport=process.endpoint,
                     timers=self.timers,
--- a/testing/control/test_lost_members.py
+++ b/testing/control/test_lost_members.py
@@ -111,3 +111,35 @@
         assert drained_vms(cluster, await cluster.leader()) == ["one", "two"]
 
     run_with_cluster(test, tmp_path)
+
+
+def test_members_replaced_one_by_one_keep_the_tolerated_losses(tmp_path: Path):
+    """Guards against a replacement that leaves fewer members than two lost disks allow."""
+
+    async def test(cluster: Cluster) -> None:
+        for index, node_id in enumerate(COUNTED):
+            await cluster.kill(node_id)
+            cluster.seeds = running_ids(cluster)[-3:]
+            await add(cluster, f"{node_id[:2]}-new{index}")
+            await check_change(cluster, f"change-{index}")
+        running = running_ids(cluster)
+        members = cluster.node(await cluster.leader()).replica.log.disk_by_member()
+        assert sorted(members) == sorted(running)
+        await lose_power_and_disks(cluster, running[:2], back=running)
+        await check_change(cluster, "last")
+        assert len(drained_vms(cluster, await cluster.leader())) == len(COUNTED) + 1
+
+    run_with_cluster(test, tmp_path)
+
+
+def test_members_start_although_all_processes_in_their_settings_are_gone(tmp_path: Path):
+    """Guards against a start that waits for processes that were replaced long ago."""
+
+    async def test(cluster: Cluster) -> None:
+        await check_change(cluster, "one")
+        cluster.seeds = ["c1-gone", "c2-gone", "c3-gone"]
+        await lose_power_and_disks(cluster, [], back=COUNTED)
+        await check_change(cluster, "two")
+        assert drained_vms(cluster, await cluster.leader()) == ["one", "two"]
+
+    run_with_cluster(test, tmp_path)
