Admit control processes although many others have come and gone

Seen by operators: a control process that starts after a change of the leader answers changes with 4102 and reads with 503 for 7 to 12 s, longer than the time it may take to catch up.

Cause: a replica keeps each process that has reported to it as a learner, up to 8, or 16 that may vote. Only the leader removes those that are silent, and only after 10 s. A follower therefore kept processes that were gone for good, and members, and when it became the leader it refused others until then.

Change: members do not count as learners, and a learner that has not been heard of for 1 s makes room for one that reports.

--- a/src/apricotpoint/_control/membership.py
+++ b/src/apricotpoint/_control/membership.py
@@ -9,11 +9,14 @@
 import logbook
 
 from apricotpoint._control.messages import Entry
-from apricotpoint._control.replica import MAX_LEARNER_LAG_ENTRIES, Replica, Role
+from apricotpoint._control.replica import (
+    LIVE_TIMEOUT_S,
+    MAX_LEARNER_LAG_ENTRIES,
+    Replica,
+    Role,
+)
 
 CHECK_INTERVAL_S = 0.25
-# A replica is live if it has answered within this time.
-LIVE_TIMEOUT_S = 1.0
 # A member that has not answered for this long is replaced if a learner is ready. A second
 # member may be lost 4 s after a replacement has started, and the replacement must have been
 # added by then.
@@ -262,5 +265,4 @@
         if peer_id in members:
             replica.learner_ids.discard(peer_id)
         elif progress is not None and now - progress.acked_at > LEARNER_TIMEOUT_S:
-            replica.learner_ids.discard(peer_id)
-            replica.progress_by_id.pop(peer_id, None)
+            replica.drop_learner(peer_id)
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -343,9 +343,8 @@
         replica = self.replica
         is_member = sender.peer_id in self._log.disk_by_member()
         max_learners = _MAX_VOTING_LEARNERS if message.may_vote else _MAX_LEARNERS
-        if not reply.newer and not is_member and len(replica.learner_ids) < max_learners:
-            replica.learner_ids.add(sender.peer_id)
-            replica.notify()
+        if not reply.newer and not is_member:
+            replica.admit_learner(sender.peer_id, max_learners)
         return attrs.evolve(reply, control_ids=sorted(self._log.disk_by_member()))
 
     async def _report_as_learner(self) -> None:
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -43,6 +44,8 @@
 # A learner (a replica that receives entries but does not vote) may become a member when
 # it lacks at most this many entries.
 MAX_LEARNER_LAG_ENTRIES = 50
+# A replica is live if it has answered or reported within this time.
+LIVE_TIMEOUT_S = 1.0
 
 # Holds for this request only: an earlier request with the same command id may have been
 # accepted.
@@ -130,6 +133,7 @@
         self.synced_index = 0
         self.progress_by_id: dict[str, Progress] = {}
         self.learner_ids: set[str] = set()
+        self._reported_at_by_learner: dict[str, float] = {}
         self.round = 0
         self.on_configuration_change: Callable[[], None] = lambda: None
         self._waiter_by_index: dict[int, _Waiter] = {}
@@ -175,6 +179,36 @@
         """Return the ids of the other members and of the learners, which get entries too."""
         return sorted((set(self.log.disk_by_member()) | self.learner_ids) - {self.node_id})
 
+    def admit_learner(self, peer_id: str, max_learners: int) -> bool:
+        """Send entries to a replica that has reported; False if there are too many learners.
+
+        A learner that has not been heard of for `LIVE_TIMEOUT_S` makes room for it: only the
+        leader notices that a learner is gone, and any replica may become the leader.
+        """
+        now = self.timers.now()
+        self.learner_ids -= set(self.log.disk_by_member())
+        if peer_id not in self.learner_ids and len(self.learner_ids) >= max_learners:
+            stalest_id = min(sorted(self.learner_ids), key=self._learner_contact_at)
+            if now - self._learner_contact_at(stalest_id) <= LIVE_TIMEOUT_S:
+                return False
+            self.drop_learner(stalest_id)
+        self.learner_ids.add(peer_id)
+        self._reported_at_by_learner[peer_id] = now
+        self.notify()
+        return True
+
+    def drop_learner(self, peer_id: str) -> None:
+        """Send no more entries to a learner."""
+        self.learner_ids.discard(peer_id)
+        self._reported_at_by_learner.pop(peer_id, None)
+        self.progress_by_id.pop(peer_id, None)
+
+    def _learner_contact_at(self, peer_id: str) -> float:
+        progress = self.progress_by_id.get(peer_id)
+        # Without an answer `acked_at` is the time at which this replica became the leader.
+        acked_at = progress.acked_at if progress is not None and progress.disk_id else -math.inf
+        return max(acked_at, self._reported_at_by_learner.get(peer_id, -math.inf))
+
     def holds_for_majority(
         self, condition: Callable[[Progress], bool], *, own: bool = True
     ) -> bool:
--- a/testing/control/test_lost_members.py
+++ b/testing/control/test_lost_members.py
@@ -16,6 +16,8 @@
 COUNTED = [*IDS, "c1-b", "c2-b", "c3-b"]
 UNCOUNTED = ["c1-x", "c2-x", "c3-x"]
 SETTLE_S = 8.0
+# A new process must answer within this time.
+CATCH_UP_S = 6.0
 
 
 async def started(cluster: Cluster) -> None:
@@ -143,3 +145,37 @@
         assert drained_vms(cluster, await cluster.leader()) == ["one", "two"]
 
     run_with_cluster(test, tmp_path)
+
+
+async def read_s(cluster: Cluster, node_id: str) -> float:
+    """Return the seconds until a process answers a read, at most 20."""
+    began_at = anyio.current_time()
+    with anyio.fail_after(20.0):
+        while True:
+            if await cluster.node(node_id).document() is not None:
+                return anyio.current_time() - began_at
+            await anyio.sleep(0.1)
+
+
+def test_a_process_follows_a_new_leader_although_many_others_have_come_and_gone(tmp_path: Path):
+    """Guards against processes that are gone for good and fill the list of those that follow."""
+
+    async def test(cluster: Cluster) -> None:
+        for index in range(20):
+            node_id = f"c{index % 3 + 1}-gone{index}"
+            cluster.ids_without_vote.add(node_id)
+            cluster.seeds = COUNTED[:3] if index % 2 else COUNTED[3:]
+            await cluster.initialise(node_id, first=False)
+            await cluster.start(node_id)
+            await anyio.sleep(2.0)
+            await cluster.kill(node_id)
+        former_leader_id = await cluster.leader()
+        await cluster.kill(former_leader_id)
+        cluster.seeds = [key for key in COUNTED if key != former_leader_id][:3]
+        await cluster.leader()
+        cluster.ids_without_vote.add("c1-new")
+        await cluster.initialise("c1-new", first=False)
+        await cluster.start("c1-new")
+        assert await read_s(cluster, "c1-new") < CATCH_UP_S
+
+    run_with_cluster(test, tmp_path)
