Let control processes start although all in their settings are gone

Seen by operators: a control process that was started again with an empty disk answers reads with 503 for good (not read back within 30 s) while all others do; a new process stays so after its settings file was written anew.

Cause: until the start check is answered, a process asked only those that its settings named when it started, and those in its log. With an empty disk the log is empty, and all of these may have been replaced.

Change: a process that is being checked contacts each control process that sends a request to it; members still send to the address of one that has lost its disk. The settings file is read again as long as no leader is known.

The two new tests fail without the change.

--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping, Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -82,7 +82,8 @@
     members are `members` and this process, and only operators change them.
     A process that may not vote only follows the log; unlike the others it may
     be lost at any time, beside the tolerated losses. `connect` is called with
-    the id of each control process that becomes known.
+    the id of each control process that becomes known. `seeds` returns the control
+    processes in the current settings, which may change; the default is `members`.
     """
 
     def __init__(
@@ -101,10 +102,11 @@
         tolerance: FaultTolerance = DEFAULT_TOLERANCE,
         may_vote: bool = True,
         connect: Callable[[str], None] = lambda _: None,
+        seeds: Callable[[], Collection[str]] | None = None,
     ) -> None:
         self.node_id = node_id
         self.failure_domain = failure_domain
-        self._configured_peer_ids = sorted(set(members) - {node_id})
+        self._seeds = seeds or (lambda: members)
         self._transport = transport
         self._timers = timers
         self._counters = counters
@@ -117,12 +119,12 @@
         self._traits = ReplicaTraits(may_vote=may_vote, failure_domain=failure_domain)
         self._log = Log(
             self._storage,
-            initial_members=list(initial_members or [*self._configured_peer_ids, node_id]),
+            initial_members=list(initial_members or sorted({*members, node_id})),
         )
         self._starts = NewestStarts(self._storage)
         self._configuration_changed = anyio.Event()
         self._document_chunks = DocumentChunks()
-        self._start_checked = anyio.Event()
+        self._start_known, self._start_checked = anyio.Event(), anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._identity: Identity
         self.replica: Replica
@@ -293,24 +295,42 @@
         claims based on it would be wrong. The remaining processes are asked in
         the background.
         """
-        # The processes in the settings may all be gone; the log names those that followed them.
-        other_ids = {*self._configured_peer_ids, *self._log.disk_by_member()} - {self.node_id}
-        if not other_ids:
-            return
-        assert self._group is not None
-        answered = anyio.Event()
-        for other_id in sorted(other_ids):
-            self._connect(other_id)
-            self._reported_ids.add(other_id)
-            self._group.start_soon(self._check_start_with, other_id, answered)
-        await answered.wait()
+        for message_type in (Append, InstallSnapshot, PreVote, Vote):
+            self._register_handler(message_type, self._on_early_request)
+        while not self._start_known.is_set():
+            # The processes in the settings may all be gone; the log names those that followed them.
+            other_ids = {*self._seeds(), *self._log.disk_by_member()} - {self.node_id}
+            if not other_ids:
+                return
+            for other_id in sorted(other_ids):
+                self._check_start_with(other_id)
+            with anyio.move_on_after(_START_CHECK_TIMEOUT_S):
+                await self._start_known.wait()
         # The other processes get a short time to report a newer start.
         await self._timers.sleep(_START_CHECK_TIMEOUT_S / 2)
 
-    async def _check_start_with(self, other_id: str, answered: anyio.Event) -> None:
+    async def _on_early_request(self, sender: Sender, message: object) -> object:
+        """Handle a request of a control process that came before the start check.
+
+        The process that restarts with an empty disk may know none of those that run, but
+        they still send to its address.
+        """
+        self._check_start_with(sender.peer_id)
+        await self._start_checked.wait()
+        return await self._transport.request_handlers_by_type[type(message)](sender, message)
+
+    def _check_start_with(self, other_id: str) -> None:
+        if other_id in self._reported_ids:
+            return
+        assert self._group is not None
+        self._reported_ids.add(other_id)
+        self._connect(other_id)
+        self._group.start_soon(self._check_start_until_answered, other_id)
+
+    async def _check_start_until_answered(self, other_id: str) -> None:
         while not await self._report_start(other_id):
             await self._timers.sleep(_START_CHECK_TIMEOUT_S / 4)
-        answered.set()
+        self._start_known.set()
 
     async def _report_start(self, other_id: str) -> bool:
         try:
@@ -355,8 +375,9 @@
             if replica.has_majority() or (replica.is_voter() and not self._manages_members):
                 continue
             async with anyio.create_task_group() as group:
-                known_ids = {*replica.peer_ids(), *self._configured_peer_ids, *self._reported_ids}
-                for other_id in sorted(known_ids):
+                known_ids = {*replica.peer_ids(), *self._seeds(), *self._reported_ids}
+                for other_id in sorted(known_ids - {self.node_id}):
+                    self._connect(other_id)
                     group.start_soon(self._report_start, other_id)
 
     # Replica
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -86,6 +86,7 @@
         ),
         may_vote=settings.may_vote,
         connect=lambda peer_id: mesh.add_peer(peer_id, settings.peer_address(peer_id)),
+        seeds=settings_file.seeds,
         data_folder=folder,
         transport=mesh,
         timers=timers,
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -263,7 +263,8 @@
 
     `exit_code_by_id` has the result code of each node that ended by itself. With a `tolerance`,
     the leader manages the members; the failure domain of a node is the part of its id before
-    a dash. Nodes in `ids_without_vote` may not vote. Nodes that start contact the `seeds` first.
+    a dash. Nodes in `ids_without_vote` may not vote. Nodes that start contact their own seeds
+    in `seeds_by_id` first, without an entry there `seeds`.
     """
 
     def __init__(self, group: anyio.abc.TaskGroup, folder: Path, seed: int = 1) -> None:
@@ -276,6 +277,7 @@
         self.exit_code_by_id: dict[str, ResultCode] = {}
         self.counters_by_id: dict[str, Counters] = {}
         self.seeds = IDS
+        self.seeds_by_id: dict[str, list[str]] = {}
         self.tolerance: FaultTolerance | None = None
         self.ids_without_vote: set[str] = set()
         self.client = Endpoint(self.network, "client")
@@ -323,7 +325,8 @@
             process.endpoint.linked_ids = set()
             management = {
                 "connect": process.endpoint.connect,
-                "initial_members": IDS,
+                "seeds": lambda: self.seeds_by_id.get(node_id, self.seeds),
+                "initial_members": self.seeds_by_id.get(node_id, self.seeds),
                 "tolerance": self.tolerance,
                 "may_vote": node_id not in self.ids_without_vote,
             }
@@ -332,7 +335,7 @@
                 async with ControlNode(
                     node_id=node_id,
                     failure_domain=node_id.partition("-")[0],
-                    members=self.seeds,
+                    members=self.seeds_by_id.get(node_id, self.seeds),
                     data_folder=disk.folder,
                     transport=process.endpoint,
                     timers=self.timers,
--- a/testing/control/test_lost_members.py
+++ b/testing/control/test_lost_members.py
@@ -179,3 +179,30 @@
         assert await read_s(cluster, "c1-new") < CATCH_UP_S
 
     run_with_cluster(test, tmp_path)
+
+
+def test_a_process_without_disk_is_found_by_those_that_its_settings_do_not_name(tmp_path: Path):
+    """Guards against a process that waits for ever for processes that were replaced."""
+
+    async def test(cluster: Cluster) -> None:
+        await cluster.kill("c1")
+        await cluster.replace_disk("c1")
+        cluster.seeds = ["c1-gone", "c2-gone", "c3-gone"]
+        await cluster.start("c1")
+        assert await read_s(cluster, "c1") < CATCH_UP_S
+
+    run_with_cluster(test, tmp_path)
+
+
+def test_a_new_process_takes_notice_of_changed_settings(tmp_path: Path):
+    """Guards against a process that only contacts those that its settings named at the start."""
+
+    async def test(cluster: Cluster) -> None:
+        cluster.seeds = ["c1-gone", "c2-gone", "c3-gone"]
+        await cluster.initialise("c1-new", first=False)
+        await cluster.start("c1-new")
+        await anyio.sleep(5.0)
+        cluster.seeds = IDS
+        assert await read_s(cluster, "c1-new") < CATCH_UP_S
+
+    run_with_cluster(test, tmp_path)
