Schedule attempts that wait for the same earlier one in turn

Seen by callers: possible are two runs of a task at the same time, and a submission that is answered only at its deadline. Found by reading; no run of processes has shown it.

Cause: an attempt at a job that the process has already waits for the answer and the runs of that one, and is submitted then. Two attempts that wait do not see each other; the second replaces the first in the table of jobs, and both start. The class of fault is a check whose result is outdated after a wait.

Change: after the wait the attempt looks for the job again, and waits for another attempt that was submitted meanwhile, whose answer it shares.

Evidence: the new test sees two runs at the same time on the code before.

--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -276,9 +276,9 @@
         scope.cancel()
 
     async def _run_locally(self, request: PoolJob, origin: Origin | None) -> PoolAnswer:
-        arrived_at = self._timers.now()
-        earlier_job = self._scheduler.find(request.job_id)
-        if earlier_job is not None:
+        arrived_at, asked = self._timers.now(), request
+        # Another attempt may have waited for the same job, and may have been submitted first.
+        while (earlier_job := self._scheduler.find(request.job_id)) is not None:
             await earlier_job.answered.wait()
             assert earlier_job.answer is not None
             if earlier_job.answer.code in (ResultCode.COMPLETE, ResultCode.TASKS_FAILED):
@@ -287,7 +287,9 @@
             if not await self._wait_for_earlier_runs(earlier_job, request):
                 return earlier_job.answer
             waited_s = self._timers.now() - arrived_at
-            request = attrs.evolve(request, elapsed_s=request.elapsed_s + waited_s)
+            request = attrs.evolve(asked, elapsed_s=asked.elapsed_s + waited_s)
+            if self._scheduler.find(request.job_id) is earlier_job:
+                break
         if self._attempts.is_cancelled(request.attempt) or self._is_lost(origin):
             self._counters.add("jobs.cancelled_unstarted")
             return _CANCELLED
--- a/testing/pool/test_attempts.py
+++ b/testing/pool/test_attempts.py
@@ -195,3 +195,32 @@
             assert answers[0].code == ResultCode.COMPLETE
 
     run_on_virtual_time(test)
+
+
+def test_attempts_that_wait_for_an_earlier_one_follow_each_other():
+    """Guards against two runs when a third attempt joins the second in waiting for the first."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            e1 = cluster.entry_by_id["e1"]
+            request = make_job(1, work_s=1.0, deadline_s=8.0, base_latency_s=9.0)
+            for backend in cluster.backend_by_id.values():
+                backend.work_s = 1.0
+            answers: list[PoolAnswer] = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(submit, e1, attrs.evolve(request, attempt=1), [])
+                await anyio.sleep(0.1)
+                for backend in cluster.backend_by_id.values():
+                    # The run of the first attempt can't be stopped, and ends with its lease.
+                    backend.unreachable = bool(backend.active_run_by_key)
+                e1.service.cancel(request.job_id, 1)
+                for attempt in (2, 3):
+                    await anyio.sleep(0.005)
+                    group.start_soon(submit, e1, attrs.evolve(request, attempt=attempt), answers)
+                for _ in range(300):
+                    await anyio.sleep(0.01)
+                    assert len(running_tasks(cluster)) <= 1
+            assert [answer.code for answer in answers] == [ResultCode.COMPLETE] * 2
+            assert start_counts(cluster) == {f"{request.job_id}.0.0.0": 2}
+
+    run_on_virtual_time(test)
