Count the wait for a configuration in the age of a request

Seen by callers: possible is a run that goes on for up to 1 s after the caller, counted from its request, has given up, and longer after a pause of the process in that wait. Found by reading; no run of processes has shown two runs by it.

Cause: the age of a job was taken when its request was read, before the wait for the first configuration and for the body.

Change: the age is taken when the job is submitted, by the clock that counts suspensions.

--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -39,7 +39,8 @@
     """Serves the requests of callers; `open_requests` counts those not answered yet.
 
     `pending` returns the number of jobs of a route of which no task has started, `unread_s` for
-    how many seconds a request that is read now may have waited for this process.
+    how many seconds a request that is read now may have waited for this process. `clock` returns
+    seconds that include those in which the machine was suspended.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         counters: Counters,
         stopping: Callable[[], bool],
         unread_s: Callable[[], float],
+        clock: Callable[[], float],
     ) -> None:
         self.open_requests = 0
         self._service = service
@@ -59,6 +61,7 @@
         self._counters = counters
         self._stopping = stopping
         self._unread_s = unread_s
+        self._clock = clock
 
     def make_app(self) -> Starlette:
         """Return the ASGI app that serves callers."""
@@ -77,7 +80,7 @@
         return response
 
     async def _respond(self, request: Request) -> Response:
-        unread_s = self._unread_s()
+        sent_at = self._clock() - self._unread_s()
         routing = await self._wait_for_routing()
         if not routing.version:
             body = await read_body(request, max_bytes=routing.max_body_bytes)
@@ -102,7 +105,8 @@
             job_id = request.url.path[len(route.prefix) :]
             if request.method == "POST":
                 job = decode_job(job_id, body, route=route, deadline_s=_parse_deadline_s(request))
-                job = attrs.evolve(job, elapsed_s=job.elapsed_s + unread_s)
+                elapsed_s = job.elapsed_s + self._clock() - sent_at
+                job = attrs.evolve(job, elapsed_s=elapsed_s)
                 return _encode_response(await self._submit(request, job))
         except ApricotError as error:
             self._counters.add("callers.malformed")
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -163,6 +163,7 @@
             counters=counters,
             stopping=lambda: self._stopping,
             unread_s=self._pauses.unread_s,
+            clock=self._timers.boot_time,
         )
 
     async def __aenter__(self) -> EntryProcess:
--- a/testing/platform/test_caller_requests.py
+++ b/testing/platform/test_caller_requests.py
@@ -19,6 +19,8 @@
     "best_effort": True,
     "phases": [{"count": 1, "cpu": 500, "requested_memory_mb": 64, "estimated_duration_ms": 200}],
 }
+# Time that passes with each look for a configuration.
+POLL_S = 0.1
 
 
 class FakeService:
@@ -42,14 +44,24 @@
         self.cancelled.append((job_id, attempt))
 
 
-async def post_job(service: FakeService, *, unread_s: float, leaves: bool) -> list[dict[str, Any]]:
+async def post_job(
+    service: FakeService, *, unread_s: float, leaves: bool, polls_without_configuration: int = 0
+) -> list[dict[str, Any]]:
+    polls = 0
+
+    def routing() -> Routing:
+        nonlocal polls
+        polls += 1
+        return Routing(1, [ROUTE]) if polls > polls_without_configuration else Routing()
+
     callers = CallerInterface(
         service,  # type: ignore[arg-type]
-        routing=lambda: Routing(1, [ROUTE]),
+        routing=routing,
         pending=lambda _: 0,
         counters=Counters(),
         stopping=lambda: False,
         unread_s=lambda: unread_s,
+        clock=lambda: min(polls, polls_without_configuration) * POLL_S,
     )
     sent: list[dict[str, Any]] = []
     received = [{"type": "http.request", "body": json.dumps(JOB).encode(), "more_body": False}]
@@ -104,6 +116,18 @@
     run(test)
 
 
+def test_the_wait_for_the_first_configuration_counts():
+    """Guards against a job that goes on after its caller, counted from its request, has left."""
+
+    async def test() -> None:
+        service = FakeService()
+        sent = await post_job(service, unread_s=0.3, leaves=False, polls_without_configuration=4)
+        assert sent[0]["status"] == 200
+        assert 0.7 <= service.submitted[0].elapsed_s < 0.75
+
+    run(test)
+
+
 def test_a_job_whose_caller_has_left_is_not_submitted():
     """Guards against a job that starts although the end of its connection came along with it."""
 
