--- a/testing/pool/attempt_soak.py
+++ b/testing/pool/attempt_soak.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 import attrs
@@ -14,7 +15,6 @@
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 
 DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "b"))
-ENTRY_IDS = [entry_id for entry_id, _ in DOMAINS]
 BACKEND_IDS = tuple(f"{domain}{number}" for domain in "ab" for number in range(1, 5))
 TRAFFIC_S, SETTLE_S = 30.0, 6.0
 JOBS_PER_S = 8.0
@@ -39,9 +39,12 @@
     faults: Counter[str] = attrs.Factory(Counter)
     _running_since: dict[str, float] = attrs.Factory(dict)
 
-    async def cause_faults(self) -> None:
+    def entry_ids(self) -> list[str]:
+        """Return the ids of all entry processes, in the order in which they joined."""
+        return list(self.cluster.entry_by_id)
+
+    async def cause_faults(self, faults: Sequence[Callable[[], Awaitable[None]]]) -> None:
         """Cause a random fault each second on average; several overlap."""
-        faults = [self.hold_up_messages, self.hold_up_process, self.kill_entry]
         while anyio.current_time() < TRAFFIC_S:
             await anyio.sleep(self.random.expovariate(1.0))
             fault = self.random.choice(faults)
@@ -50,12 +53,12 @@
 
     async def hold_up_messages(self) -> None:
         """Hold up what one process sends to another for a while, without losing it."""
-        await self._hold_up([tuple(self.random.sample(ENTRY_IDS, 2))])
+        await self._hold_up([tuple(self.random.sample(self.entry_ids(), 2))])
 
     async def hold_up_process(self) -> None:
         """Hold up all that one process is sent, as if it read nothing."""
-        receiver = self.random.choice(ENTRY_IDS)
-        others = [*ENTRY_IDS, *self.cluster.relay_by_id]
+        receiver = self.random.choice(self.entry_ids())
+        others = [*self.entry_ids(), *self.cluster.relay_by_id]
         await self._hold_up([(sender, receiver) for sender in others if sender != receiver])
 
     async def _hold_up(self, pairs: list[tuple[str, ...]]) -> None:
@@ -71,12 +74,13 @@
 
     async def kill_entry(self) -> None:
         """Kill an entry process; it is back after a moment or some seconds."""
-        entry_id = self.random.choice(ENTRY_IDS)
+        entry_id = self.random.choice(self.entry_ids())
         if self.cluster.entry_by_id[entry_id].scope.cancel_called:
             return
         self.cluster.entry_by_id[entry_id].kill()
         await anyio.sleep(self.random.choice([0.05, 0.3, 2.0]))
-        await self.cluster.restart(entry_id)
+        if entry_id in self.cluster.entry_by_id:
+            await self.cluster.restart(entry_id)
 
     # Callers
 
@@ -110,7 +114,7 @@
 
     async def call(self, job: PoolJob) -> PoolAnswer | None:
         """Send one attempt; None without an answer by the deadline, or if the process is killed."""
-        entry = self.cluster.entry_by_id[self.random.choice(ENTRY_IDS)]
+        entry = self.cluster.entry_by_id[self.random.choice(self.entry_ids())]
         if entry.scope.cancel_called:
             return None
         answers: list[PoolAnswer] = []
@@ -133,18 +137,18 @@
         """Check all the time that no task runs twice for longer than a stop takes."""
         while True:
             now = anyio.current_time()
-            running = Counter(
-                key.task
-                for backend in self.cluster.backend_by_id.values()
-                if now < backend.lease_until
-                for key in backend.active_run_by_key
-            )
-            twice = {task for task, count in running.items() if count > 1}
+            backends_by_task: dict[str, list[str]] = {}
+            for backend_id, backend in self.cluster.backend_by_id.items():
+                if now < backend.lease_until:
+                    for key in backend.active_run_by_key:
+                        backends_by_task.setdefault(key.task, []).append(backend_id)
+            twice = {task for task, backend_ids in backends_by_task.items() if len(backend_ids) > 1}
             self._running_since = {task: self._running_since.get(task, now) for task in twice}
             for task, since in self._running_since.items():
                 if now - since > STOP_S:
                     self.violations.append(
-                        f"seed {self.seed}, {now:.3f} s: two runs of task {task} at the same time"
+                        f"seed {self.seed}, {now:.3f} s: two runs of task {task} at the same time, "
+                        f"on {backends_by_task[task]}"
                     )
             await anyio.sleep(CHECK_PERIOD_S)
 
@@ -155,7 +159,9 @@
     async with run_cluster(cores=cores, domains=DOMAINS, backend_ids=BACKEND_IDS) as cluster:
         cluster.network.sends_heartbeats = True
         soak = AttemptSoak(seed, cluster, random.Random(seed))
-        for part in (soak.check_runs, soak.cause_faults, soak.send_jobs):
+        faults = [soak.hold_up_messages, soak.hold_up_process, soak.kill_entry]
+        cluster.network.group.start_soon(soak.cause_faults, faults)
+        for part in (soak.check_runs, soak.send_jobs):
             cluster.network.group.start_soon(part)
         await anyio.sleep(TRAFFIC_S + SETTLE_S)
     return soak
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -15,7 +15,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
-from apricotpoint._link.peer import HEARTBEAT_PERIOD_S
+from apricotpoint._link.peer import HEARTBEAT_PERIOD_S, RETRANSMIT_TIMEOUT_S
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
@@ -73,9 +73,10 @@
         return self._network.incarnation_by_id[peer_id]
 
     def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
-        """Send a message; it is dropped if the peer cannot be reached."""
+        """Send a message; it is dropped if the peer cannot be reached, or repeated if reliable."""
         self._network.sent_by_id[self.peer_id] += 1
-        self._network.group.start_soon(self._deliver, peer_id, message)
+        deliver = self._deliver_reliably if reliable else self._deliver
+        self._network.group.start_soon(deliver, peer_id, message)
         return True
 
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
@@ -124,14 +125,29 @@
             return None
         return self._network.transport_by_id.get(peer_id)
 
-    async def _deliver(self, peer_id: str, message: object) -> None:
+    async def _deliver(self, peer_id: str, message: object) -> bool:
         target = await self._reach(peer_id)
         if target is None:
-            return
+            return False
         target.record_contact(self.peer_id)
         handler = target.handlers_by_type.get(type(message))
         if handler is not None:
             handler(self._as_sender(peer_id), message)
+        return True
+
+    async def _deliver_reliably(self, peer_id: str, message: object) -> None:
+        """Repeat a message until it arrives or one of both processes has ended, as the mesh does.
+
+        Unlike there, messages that are repeated may overtake each other.
+        """
+        transport_by_id = self._network.transport_by_id
+        target = transport_by_id.get(peer_id)
+        while transport_by_id.get(peer_id) is target and target is not None:
+            if await self._deliver(peer_id, message):
+                return
+            await anyio.sleep(RETRANSMIT_TIMEOUT_S)
+            if transport_by_id.get(self.peer_id) is not self:
+                return
 
     def _as_sender(self, peer_id: str) -> Sender:
         network = self._network
@@ -237,6 +253,7 @@
     backend_by_id: dict[str, FakeBackend]
     cores: float
     started_at: float
+    all_domains: Sequence[str] = ("a", "b")
     counters: Counters = attrs.Factory(Counters)
     draining: bool = False
     scheduler: Scheduler = attrs.field(init=False)
@@ -266,7 +283,7 @@
                     ),
                 )
                 self.claimer = Claimer(
-                    domains=lambda: ["a", "b"],
+                    domains=lambda: self.all_domains,
                     scheduler=self.scheduler,
                     roster=roster,
                     timers=timers,
@@ -375,15 +392,17 @@
 
     async def restart(self, entry_id: str) -> None:
         """Start a new incarnation of a killed entry process."""
-        await self.join(entry_id, self.entry_by_id[entry_id].domain)
+        former = self.entry_by_id[entry_id]
+        await self.join(entry_id, former.domain, cores=former.cores)
 
-    async def join(self, entry_id: str, domain: str) -> None:
-        """Start an entry process, the youngest of all."""
+    async def join(self, entry_id: str, domain: str, *, cores: float | None = None) -> None:
+        """Start an entry process, the youngest of all; `cores` are those of e1 unless given."""
         template = self.entry_by_id["e1"]
         entry = attrs.evolve(
             template,
             entry_id=entry_id,
             domain=domain,
+            cores=template.cores if cores is None else cores,
             started_at=template.started_at + 1 + anyio.current_time(),
             counters=Counters(),
             draining=False,
@@ -466,6 +485,7 @@
                     backend_by_id,
                     cores,
                     key == leader,
+                    sorted({domain for _, domain in domains}),
                 )
                 for key, key_domain in domains
             ]
@@ -487,11 +507,12 @@
         announced = [key for key in backend_by_id if key not in unannounced]
         for backend_id in announced:
             backend = backend_by_id[backend_id]
-            if backend_id in unannounced or backend.unreachable or backend.is_down:
-                await anyio.sleep(ANNOUNCE_S / len(announced))
-                continue
             domain = backend_id[0]
             reached = [key for key in relay_by_id if not network.separates(domain, key[-1])]
+            is_silent = backend_id in unannounced or backend.unreachable or backend.is_down
+            if is_silent or not reached:
+                await anyio.sleep(ANNOUNCE_S / len(announced))
+                continue
             announcement: PoolBackend = make_announcement(backend_id, room=backend.room)
             relay_by_id[reached[0]].announce(
                 attrs.evolve(
