Count contact with an origin from the sending of its messages

Callers saw a task run twice: a front was killed while its messages were held up for up to half a second, its callers sent their jobs again 1.3 s later to another front, and the holder of the first attempt still ran it.

The holder ends the jobs of an origin 0.9 s after the last contact, and contact counted from the arrival of a message. Heartbeats that were on the way when the origin was killed arrived later and showed it as alive by the time that they took.

The mesh now also keeps the time at which a peer has sent a message that has arrived, by the age that its clocks give; the check for lost origins uses it. The process that waits for an answer still counts arrivals, as its own slowness is no reason to give a job up.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -229,6 +229,15 @@
         link = self._link_by_id.get(peer_id)
         return math.inf if link is None else self._timers.now() - link.last_contact_at
 
+    def seconds_since_alive(self, peer_id: str) -> float:
+        """Return at most how many seconds ago the peer has sent a message that has arrived.
+
+        Unlike `seconds_since_contact`, it counts the time that the message took, if that is known:
+        a peer may have ended while its messages were held up. Infinity if there was none.
+        """
+        link = self._link_by_id.get(peer_id)
+        return math.inf if link is None else self._timers.now() - link.last_alive_at
+
     def incarnation_of(self, peer_id: str) -> int | None:
         """Return the highest incarnation that has sent a message; None if none has."""
         link = self._link_by_id.get(peer_id)
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -86,7 +86,8 @@
     numbered from 1. The receiver accepts them in order and without gaps; all
     that are not acknowledged in time are sent again. `run` is the only task that
     writes to the connection. `last_contact_at` is the time of the last message
-    received from the peer, minus infinity if there was none.
+    received from the peer, `last_alive_at` a time after which it has sent one of those
+    received; both are minus infinity if there was none.
 
     Each process receives on another connection than the one on which it sends, so messages of the
     peer do not show that its own arrive. Therefore each message names the last one that has
@@ -119,7 +120,7 @@
         self._on_unsent_request = on_unsent_request
         self._is_awaited = is_awaited
         self.peer_incarnation: int | None = None
-        self.last_contact_at = -math.inf
+        self.last_contact_at = self.last_alive_at = -math.inf
         # One probe serves all requests that arrived before it.
         self.clock_lock = anyio.Lock()
         self.clock_probed_at = -math.inf
@@ -229,6 +230,7 @@
             self._acknowledge(envelope.acknowledged)
             if envelope.least_offset_s is not None:
                 self._clock.record_peer_offset(envelope.least_offset_s)
+        self._record_alive(envelope, arrived_at)
         if envelope.sent_at is not None:
             if is_for_this_incarnation and envelope.heard_at is not None:
                 self._unconfirmed.confirm(envelope.heard_at)
@@ -256,6 +258,12 @@
         transit_s = self._clock.age_s(envelope.sent_at, arrived_at)
         return None if transit_s is None else queued_s + transit_s
 
+    def _record_alive(self, envelope: codec.Envelope, arrived_at: float) -> None:
+        transit_s = None
+        if envelope.sent_at is not None:
+            transit_s = self._clock.age_s(envelope.sent_at, arrived_at)
+        self.last_alive_at = max(self.last_alive_at, self.last_contact_at - (transit_s or 0.0))
+
     async def run(self) -> None:
         """Send queued messages, heartbeats and acknowledgements until cancelled."""
         try:
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -13,12 +13,13 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._link.transport import PeerUnreachable, Sender, Transport
+from apricotpoint._link.transport import PeerUnreachable, Sender
 from apricotpoint._pool import claims
 from apricotpoint._pool.attempts import Attempts, PassedOnJob
 from apricotpoint._pool.job import Job, Origin
 from apricotpoint._pool.members import EntryMembers
 from apricotpoint._pool.scheduler import Scheduler
+from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob, PoolLoad
 
 # Time without contact after which a process counts as unreachable. The process that waits for a
@@ -81,7 +82,7 @@
         own_domain: str,
         members: EntryMembers,
         scheduler: Scheduler,
-        transport: Transport,
+        transport: DynamicTransport,
         timers: TimerService,
         counters: Counters,
         random: random_module.Random,
@@ -367,7 +368,8 @@
         """
         if origin is None:
             return False
-        if self._transport.seconds_since_contact(origin.entry_id) > PEER_TIMEOUT_S:
+        # Messages that were held up may have been sent by a process that has ended since.
+        if self._transport.seconds_since_alive(origin.entry_id) > PEER_TIMEOUT_S:
             return True
         return self._transport.incarnation_of(origin.entry_id) != origin.incarnation
 
--- a/src/apricotpoint/_pool/transport.py
+++ b/src/apricotpoint/_pool/transport.py
@@ -8,7 +8,7 @@
 
 
 class DynamicTransport(Transport, Protocol):
-    """A transport to which peers can be added and removed."""
+    """A transport to which peers can be added and removed, and that dates their messages."""
 
     def add_peer(self, peer_id: str, address: str) -> None:
         """Open a link to a peer; does nothing if there is one already."""
@@ -18,3 +18,6 @@
 
     def replace_connections(self, peer_id: str) -> None:
         """Open the connections to and from a peer anew."""
+
+    def seconds_since_alive(self, peer_id: str) -> float:
+        """Return at most how many seconds ago the peer has sent a message that has arrived."""
--- a/testing/link/test_message_age.py
+++ b/testing/link/test_message_age.py
@@ -53,6 +53,28 @@
     run_with_pair(check)
 
 
+def test_a_message_that_was_held_up_shows_a_peer_of_the_time_of_its_sending():
+    """Guards against a process that looks alive by what it sent before it ended."""
+
+    async def check(pair: ProcessPair) -> None:
+        async with (
+            pair.process("a", idle_after_s=30.0) as a,
+            pair.process("b", idle_after_s=30.0) as b,
+        ):
+            record_requests(b, [])
+            await exchange(a, "b")
+            await exchange(a, "b")
+            pair.proxy_to["b"].hold()
+            a.send("b", CancelBatch([1]))
+            await anyio.sleep(HELD_UP_S)
+            pair.proxy_to["b"].release()
+            await wait_until(lambda: pair.handled_batch_ids() == [1])
+            assert b.seconds_since_contact("a") < 0.3
+            assert b.seconds_since_alive("a") >= HELD_UP_S
+
+    run_with_pair(check)
+
+
 def test_the_first_request_of_a_process_is_dated_by_a_probe():
     """Guards against a job that is refused, or taken for new, as nothing was exchanged before."""
 
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -47,6 +47,7 @@
         self.peer_id = peer_id
         self._network = network
         self._last_contact_at_by_peer: dict[str, float] = {}
+        self._last_alive_at_by_peer: dict[str, float] = {}
         network.incarnation_by_id[peer_id] += 1
         self._incarnation = network.incarnation_by_id[peer_id]
         network.transport_by_id[peer_id] = self
@@ -68,6 +69,10 @@
         """Return the seconds since the last contact with a peer."""
         return anyio.current_time() - self._last_contact_at_by_peer.get(peer_id, -math.inf)
 
+    def seconds_since_alive(self, peer_id: str) -> float:
+        """Return the seconds since a peer sent the last message that has arrived."""
+        return anyio.current_time() - self._last_alive_at_by_peer.get(peer_id, -math.inf)
+
     def incarnation_of(self, peer_id: str) -> int | None:
         """Return the incarnation of a process, which rises with each start."""
         return self._network.incarnation_by_id[peer_id]
@@ -82,11 +87,12 @@
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request and wait for its reply."""
         self._network.sent_by_id[self.peer_id] += 1
+        sent_at = anyio.current_time()
         with anyio.move_on_after(timeout_s):
             target = await self._reach(peer_id)
             handler = target and target.request_handlers_by_type.get(type(message))
             if target is not None and handler is not None:
-                target.record_contact(self.peer_id)
+                target.record_contact(self.peer_id, sent_at)
                 self._network.sent_by_id[peer_id] += 1
                 replies: list[object] = []
                 done = anyio.Event()
@@ -103,15 +109,23 @@
                         group.start_soon(self._exchange_heartbeats, peer_id)
                     await done.wait()
                     group.cancel_scope.cancel()
+                replied_at = anyio.current_time()
                 if await self._network.reaches(peer_id, self.peer_id):
-                    self.record_contact(peer_id)
+                    self.record_contact(peer_id, replied_at)
                     return replies[0]
             await anyio.sleep_forever()
         raise PeerUnreachable(peer_id)
 
-    def record_contact(self, peer_id: str) -> None:
-        """Record a contact with a peer."""
-        self._last_contact_at_by_peer[peer_id] = anyio.current_time()
+    def record_contact(self, peer_id: str, sent_at: float | None = None) -> None:
+        """Record a message of a peer that arrives now, and was sent now unless `sent_at` is given.
+
+        The mesh knows the time of sending from the clocks in the messages.
+        """
+        now = anyio.current_time()
+        self._last_contact_at_by_peer[peer_id] = now
+        alive_at = now if sent_at is None else sent_at
+        known_at = self._last_alive_at_by_peer.get(peer_id, -math.inf)
+        self._last_alive_at_by_peer[peer_id] = max(known_at, alive_at)
 
     async def _exchange_heartbeats(self, peer_id: str) -> None:
         """Record contacts in both directions, as the mesh does while a request is open."""
@@ -126,10 +140,11 @@
         return self._network.transport_by_id.get(peer_id)
 
     async def _deliver(self, peer_id: str, message: object) -> bool:
+        sent_at = anyio.current_time()
         target = await self._reach(peer_id)
         if target is None:
             return False
-        target.record_contact(self.peer_id)
+        target.record_contact(self.peer_id, sent_at)
         handler = target.handlers_by_type.get(type(message))
         if handler is not None:
             handler(self._as_sender(peer_id), message)
@@ -220,8 +235,9 @@
 
     async def deliver_heartbeat(self, sender: str, receiver: str) -> None:
         """Record a contact at the receiver, if the sender lives and reaches it."""
+        sent_at = anyio.current_time()
         if sender in self.transport_by_id and await self.reaches(sender, receiver):
-            self.transport_by_id[receiver].record_contact(sender)
+            self.transport_by_id[receiver].record_contact(sender, sent_at)
 
     def isolate(self, peer_id: str) -> None:
         """Cut a process off from all other processes."""
--- /dev/null
+++ b/testing/pool/test_run_ends.py
@@ -0,0 +1,59 @@
+"""Runs that are over when the callers of a lost process send their jobs again."""
+
+from __future__ import annotations
+
+import anyio
+from pool_cluster import Cluster, Entry, run_cluster
+from pool_harness import make_job, run_on_virtual_time
+
+from apricotpoint._wire.pool import PoolAnswer, PoolJob
+
+# Callers whose connection breaks send their job again after this time.
+RESEND_S = 1.3
+
+
+async def submit(entry: Entry, request: PoolJob, answers: list[PoolAnswer]) -> None:
+    answers.append(await entry.service.submit(request))
+
+
+def start_job(cluster: Cluster, entry_id: str, request: PoolJob) -> None:
+    """Submit a job that runs for long at a process, in its task group, so that it ends with it."""
+    for backend in cluster.backend_by_id.values():
+        backend.work_s = 9.0
+    entry = cluster.entry_by_id[entry_id]
+
+    async def run() -> None:
+        await submit(entry, request, [])
+
+    cluster.network.start(entry_id, run)
+
+
+def running_tasks(cluster: Cluster) -> list[str]:
+    """Return the tasks of the runs that have not ended; those whose lease has lapsed have."""
+    return [
+        key.task
+        for backend in cluster.backend_by_id.values()
+        if anyio.current_time() < backend.lease_until
+        for key in backend.active_run_by_key
+    ]
+
+
+def test_messages_that_were_held_up_do_not_make_a_killed_origin_look_alive():
+    """Guards against a contact that counts from the arrival of a message, not from its sending."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            cluster.network.sends_heartbeats = True
+            start_job(cluster, "e2", make_job(1, work_s=9.0, deadline_s=60.0))
+            await anyio.sleep(1.0)
+            assert running_tasks(cluster)
+            for delay_s in (0.15, 0.3, 0.45):
+                cluster.network.delay_by_pair["e2", "e1"] = delay_s
+                await anyio.sleep(0.45)
+            await anyio.sleep(0.07)  # A heartbeat is sent just before the kill.
+            assert running_tasks(cluster)
+            cluster.entry_by_id["e2"].kill()
+            await anyio.sleep(RESEND_S)
+            assert not running_tasks(cluster)
+
+    run_on_virtual_time(test)
