--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -15,7 +15,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
-from apricotpoint._link.peer import HEARTBEAT_PERIOD_S
+from apricotpoint._link.peer import HEARTBEAT_PERIOD_S, RETRANSMIT_TIMEOUT_S
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
@@ -47,6 +47,7 @@
         self.peer_id = peer_id
         self._network = network
         self._last_contact_at_by_peer: dict[str, float] = {}
+        self._last_alive_at_by_peer: dict[str, float] = {}
         network.incarnation_by_id[peer_id] += 1
         self._incarnation = network.incarnation_by_id[peer_id]
         network.transport_by_id[peer_id] = self
@@ -68,24 +69,30 @@
         """Return the seconds since the last contact with a peer."""
         return anyio.current_time() - self._last_contact_at_by_peer.get(peer_id, -math.inf)
 
+    def seconds_since_alive(self, peer_id: str) -> float:
+        """Return the seconds since a peer sent the last message that has arrived."""
+        return anyio.current_time() - self._last_alive_at_by_peer.get(peer_id, -math.inf)
+
     def incarnation_of(self, peer_id: str) -> int | None:
         """Return the incarnation of a process, which rises with each start."""
         return self._network.incarnation_by_id[peer_id]
 
     def send(self, peer_id: str, message: object, *, reliable: bool = False) -> bool:
-        """Send a message; it is dropped if the peer cannot be reached."""
+        """Send a message; it is dropped if the peer cannot be reached, or repeated if reliable."""
         self._network.sent_by_id[self.peer_id] += 1
-        self._network.group.start_soon(self._deliver, peer_id, message)
+        deliver = self._deliver_reliably if reliable else self._deliver
+        self._network.group.start_soon(deliver, peer_id, message)
         return True
 
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request and wait for its reply."""
         self._network.sent_by_id[self.peer_id] += 1
+        sent_at = anyio.current_time()
         with anyio.move_on_after(timeout_s):
             target = await self._reach(peer_id)
             handler = target and target.request_handlers_by_type.get(type(message))
             if target is not None and handler is not None:
-                target.record_contact(self.peer_id)
+                target.record_contact(self.peer_id, sent_at)
                 self._network.sent_by_id[peer_id] += 1
                 replies: list[object] = []
                 done = anyio.Event()
@@ -102,15 +109,23 @@
                         group.start_soon(self._exchange_heartbeats, peer_id)
                     await done.wait()
                     group.cancel_scope.cancel()
+                replied_at = anyio.current_time()
                 if await self._network.reaches(peer_id, self.peer_id):
-                    self.record_contact(peer_id)
+                    self.record_contact(peer_id, replied_at)
                     return replies[0]
             await anyio.sleep_forever()
         raise PeerUnreachable(peer_id)
 
-    def record_contact(self, peer_id: str) -> None:
-        """Record a contact with a peer."""
-        self._last_contact_at_by_peer[peer_id] = anyio.current_time()
+    def record_contact(self, peer_id: str, sent_at: float | None = None) -> None:
+        """Record a message of a peer that arrives now, and was sent now unless `sent_at` is given.
+
+        The mesh knows the time of sending from the clocks in the messages.
+        """
+        now = anyio.current_time()
+        self._last_contact_at_by_peer[peer_id] = now
+        alive_at = now if sent_at is None else sent_at
+        known_at = self._last_alive_at_by_peer.get(peer_id, -math.inf)
+        self._last_alive_at_by_peer[peer_id] = max(known_at, alive_at)
 
     async def _exchange_heartbeats(self, peer_id: str) -> None:
         """Record contacts in both directions, as the mesh does while a request is open."""
@@ -124,14 +139,30 @@
             return None
         return self._network.transport_by_id.get(peer_id)
 
-    async def _deliver(self, peer_id: str, message: object) -> None:
+    async def _deliver(self, peer_id: str, message: object) -> bool:
+        sent_at = anyio.current_time()
         target = await self._reach(peer_id)
         if target is None:
-            return
-        target.record_contact(self.peer_id)
+            return False
+        target.record_contact(self.peer_id, sent_at)
         handler = target.handlers_by_type.get(type(message))
         if handler is not None:
             handler(self._as_sender(peer_id), message)
+        return True
+
+    async def _deliver_reliably(self, peer_id: str, message: object) -> None:
+        """Repeat a message until it arrives or one of both processes has ended, as the mesh does.
+
+        Unlike there, messages that are repeated may overtake each other.
+        """
+        transport_by_id = self._network.transport_by_id
+        target = transport_by_id.get(peer_id)
+        while transport_by_id.get(peer_id) is target and target is not None:
+            if await self._deliver(peer_id, message):
+                return
+            await anyio.sleep(RETRANSMIT_TIMEOUT_S)
+            if transport_by_id.get(self.peer_id) is not self:
+                return
 
     def _as_sender(self, peer_id: str) -> Sender:
         network = self._network
@@ -204,8 +235,9 @@
 
     async def deliver_heartbeat(self, sender: str, receiver: str) -> None:
         """Record a contact at the receiver, if the sender lives and reaches it."""
+        sent_at = anyio.current_time()
         if sender in self.transport_by_id and await self.reaches(sender, receiver):
-            self.transport_by_id[receiver].record_contact(sender)
+            self.transport_by_id[receiver].record_contact(sender, sent_at)
 
     def isolate(self, peer_id: str) -> None:
         """Cut a process off from all other processes."""
@@ -237,6 +269,7 @@
     backend_by_id: dict[str, FakeBackend]
     cores: float
     started_at: float
+    all_domains: Sequence[str] = ("a", "b")
     counters: Counters = attrs.Factory(Counters)
     draining: bool = False
     scheduler: Scheduler = attrs.field(init=False)
@@ -266,7 +299,7 @@
                     ),
                 )
                 self.claimer = Claimer(
-                    domains=lambda: ["a", "b"],
+                    domains=lambda: self.all_domains,
                     scheduler=self.scheduler,
                     roster=roster,
                     timers=timers,
@@ -375,15 +408,17 @@
 
     async def restart(self, entry_id: str) -> None:
         """Start a new incarnation of a killed entry process."""
-        await self.join(entry_id, self.entry_by_id[entry_id].domain)
+        former = self.entry_by_id[entry_id]
+        await self.join(entry_id, former.domain, cores=former.cores)
 
-    async def join(self, entry_id: str, domain: str) -> None:
-        """Start an entry process, the youngest of all."""
+    async def join(self, entry_id: str, domain: str, *, cores: float | None = None) -> None:
+        """Start an entry process, the youngest of all; `cores` are those of e1 unless given."""
         template = self.entry_by_id["e1"]
         entry = attrs.evolve(
             template,
             entry_id=entry_id,
             domain=domain,
+            cores=template.cores if cores is None else cores,
             started_at=template.started_at + 1 + anyio.current_time(),
             counters=Counters(),
             draining=False,
@@ -466,6 +501,7 @@
                     backend_by_id,
                     cores,
                     key == leader,
+                    sorted({domain for _, domain in domains}),
                 )
                 for key, key_domain in domains
             ]
@@ -487,11 +523,12 @@
         announced = [key for key in backend_by_id if key not in unannounced]
         for backend_id in announced:
             backend = backend_by_id[backend_id]
-            if backend_id in unannounced or backend.unreachable or backend.is_down:
-                await anyio.sleep(ANNOUNCE_S / len(announced))
-                continue
             domain = backend_id[0]
             reached = [key for key in relay_by_id if not network.separates(domain, key[-1])]
+            is_silent = backend_id in unannounced or backend.unreachable or backend.is_down
+            if is_silent or not reached:
+                await anyio.sleep(ANNOUNCE_S / len(announced))
+                continue
             announcement: PoolBackend = make_announcement(backend_id, room=backend.room)
             relay_by_id[reached[0]].announce(
                 attrs.evolve(
