Answer all requests before an entry process ends

Callers of a process that had got SIGTERM saw answers 500 without content: hypercorn sends one for each request that it cancels 0.5 s after the end of the drain. The process had accepted such requests up to that end, with the full deadline of the caller, started their tasks and stopped them; a run that was open at the end was cut off in the same way.

A process that stops now refuses at once, with 2110 and Retry-After, a job whose estimate does not fit into the time that remains, and limits the deadlines of all others to it, so that the scheduler answers them in time. What is open at the end of the drain is cancelled and answered within 0.3 s: with the code of the process that runs the job, otherwise with 3101 (502) if tasks may have started and 2110 (503) if none has. The servers close after that, with 0.3 s in place of 0.5 s for the last bytes.

--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -31,15 +32,30 @@
 # Passes of the event loop from the last bytes of a request to the end of its connection, if both
 # have arrived together: the caller has left while its request was on the way.
 DISCONNECT_PASSES = 6
+# Time for the answers to the jobs that are cancelled as the process ends; other processes may run
+# them.
+END_TIMEOUT_S, END_POLL_S = 0.3, 0.01
+# Sent to callers as retry-after by a process that stops; the least that the header can say, as
+# other processes serve callers.
+STOPPING_RETRY_AFTER_S = 1.0
 
 _log = logbook.Logger("callers")
 
 
+@attrs.define(eq=False)
+class _OpenRequest:
+    """A request without an answer; `job` is set as soon as tasks of its job may start."""
+
+    scope: anyio.CancelScope = attrs.Factory(anyio.CancelScope)
+    job: PoolJob | None = None
+
+
 class CallerInterface:
-    """Serves the requests of callers; `open_requests` counts those not answered yet.
+    """Serves the requests of callers.
 
-    `pending` returns the number of jobs of a route of which no task has started, `unread_s` for
-    how many seconds a request that is read now may have waited for this process.
+    `pending` returns the number of jobs of a route of which no task has started, `remaining_s` for
+    how many seconds this process still runs jobs, infinity before it is stopped, and `unread_s`
+    for how many seconds a request that is read now may have waited for this process.
     """
 
     def __init__(
@@ -49,34 +65,72 @@
         routing: Callable[[], Routing],
         pending: Callable[[str], int],
         counters: Counters,
-        stopping: Callable[[], bool],
+        remaining_s: Callable[[], float],
         unread_s: Callable[[], float],
     ) -> None:
-        self.open_requests = 0
         self._service = service
         self._routing = routing
         self._pending = pending
         self._counters = counters
-        self._stopping = stopping
+        self._remaining_s = remaining_s
         self._unread_s = unread_s
+        self._open_requests: set[_OpenRequest] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """Number of the requests that have no answer yet."""
+        return len(self._open_requests)
 
     def make_app(self) -> Starlette:
         """Return the ASGI app that serves callers."""
         methods = ["GET", "POST", "DELETE"]
         return Starlette(routes=[HttpRoute("/{path:path}", self._handle, methods=methods)])
 
+    async def end_open_requests(self) -> None:
+        """Answer all open requests before the process ends; takes up to `END_TIMEOUT_S`.
+
+        Their jobs are cancelled. Without a final answer of the process that runs a job, the answer
+        is that the job may have run. Later requests are refused, as no time remains for them.
+        """
+        if self._open_requests:
+            _log.notice("{} open requests are ended", self.open_requests)
+        for open_request in list(self._open_requests):
+            job = open_request.job
+            if job is None:
+                open_request.scope.cancel()
+            else:
+                self._service.cancel(job.job_id, job.attempt, "this process is shutting down")
+        with anyio.move_on_after(END_TIMEOUT_S):
+            while self._open_requests:  # noqa: ASYNC110 - at most 0.3 s, at the end of a process
+                await anyio.sleep(END_POLL_S)
+        for open_request in list(self._open_requests):
+            open_request.scope.cancel()
+
     async def _handle(self, request: Request) -> Response:
-        self.open_requests += 1
+        open_request = _OpenRequest()
+        self._open_requests.add(open_request)
         try:
-            response = await self._respond(request)
+            with open_request.scope:
+                response = await self._respond(request, open_request)
+            if open_request.scope.cancelled_caught:
+                response = _encode_response(self._ended_answer(open_request))
         finally:
-            self.open_requests -= 1
-        if self._stopping():
+            self._open_requests.discard(open_request)
+        if self._remaining_s() < math.inf:
             # Makes the load balancer open its next connection to another process.
             response.headers["connection"] = "close"
         return response
 
-    async def _respond(self, request: Request) -> Response:
+    def _ended_answer(self, open_request: _OpenRequest) -> PoolAnswer:
+        self._counters.add("callers.ended")
+        if open_request.job is None:
+            return _make_stopping_answer()
+        return PoolAnswer(
+            int(ResultCode.COORDINATOR_UNREACHABLE),
+            "this process ends before its job, of which tasks may have started",
+        )
+
+    async def _respond(self, request: Request, open_request: _OpenRequest) -> Response:
         unread_s = self._unread_s()
         routing = await self._wait_for_routing()
         if not routing.version:
@@ -103,7 +157,7 @@
             if request.method == "POST":
                 job = decode_job(job_id, body, route=route, deadline_s=_parse_deadline_s(request))
                 job = attrs.evolve(job, elapsed_s=job.elapsed_s + unread_s)
-                return _encode_response(await self._submit(request, job))
+                return _encode_response(await self._submit(request, job, open_request))
         except ApricotError as error:
             self._counters.add("callers.malformed")
             _log.notice("request for {} refused: {}", request.url.path, error)
@@ -127,7 +181,9 @@
             return JSONResponse({"state": "cancelled"})
         return JSONResponse({"state": "running"})
 
-    async def _submit(self, request: Request, job: PoolJob) -> PoolAnswer:
+    async def _submit(
+        self, request: Request, job: PoolJob, open_request: _OpenRequest
+    ) -> PoolAnswer:
         """Run a job, and cancel it if its caller disconnects before it has ended."""
         if job.elapsed_s >= job.deadline_s:
             self._counters.add("callers.outdated")
@@ -135,7 +191,16 @@
                 int(ResultCode.DEADLINE_BEFORE_START),
                 f"the request may have waited for {job.elapsed_s:.3f} s before it was read",
             )
-        job = attrs.evolve(job, attempt=self._service.new_attempt())
+        remaining_s = self._remaining_s()
+        if remaining_s <= job.estimate_s:
+            self._counters.add("callers.refused_stopping")
+            return _make_stopping_answer()
+        job = attrs.evolve(
+            job,
+            attempt=self._service.new_attempt(),
+            # Answers the job before the process ends, if it runs longer than estimated.
+            deadline_s=min(job.deadline_s, job.elapsed_s + remaining_s),
+        )
         answer = PoolAnswer(int(ResultCode.CANCELLED_BEFORE_START), "the caller has disconnected")
         async with anyio.create_task_group() as group:
             left = anyio.Event()
@@ -151,6 +216,7 @@
             for _ in range(DISCONNECT_PASSES):
                 await anyio.lowlevel.checkpoint()
             if not left.is_set():
+                open_request.job = job
                 answer = await self._service.submit(job)
             group.cancel_scope.cancel()
         return answer
@@ -165,6 +231,12 @@
     return Starlette(routes=[HttpRoute("/readiness", readiness, methods=["GET"])])
 
 
+def _make_stopping_answer() -> PoolAnswer:
+    return PoolAnswer(
+        int(ResultCode.DRAINING), "this process is shutting down", STOPPING_RETRY_AFTER_S
+    )
+
+
 def _parse_deadline_s(request: Request) -> float | None:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import sys
 from contextlib import AsyncExitStack
@@ -46,6 +47,9 @@
 DRAIN_POLL_S = 0.02
 # The process stops this long before the end of its grace period, when the platform kills it.
 SHUTDOWN_MARGIN_S = 1.0
+# Within that margin, open requests are ended first (`END_TIMEOUT_S`); then the last answers are
+# sent within this time.
+SERVER_CLOSE_S = 0.3
 # Longer than the idle time-out of the platform for its own connections.
 CONNECTION_IDLE_TIMEOUT_S = 30.0
 
@@ -73,6 +77,8 @@
         self._settings_file = settings_file
         self._settings: PlatformSettings = settings
         self._stopping = False
+        # Monotonic time from which no open job remains; infinity until the process is stopped.
+        self._drained_by = math.inf
         self._routing = Routing()
         self._stack = AsyncExitStack()
         self._close_servers = anyio.Event()
@@ -161,7 +167,7 @@
             routing=lambda: self._routing,
             pending=self._scheduler.unstarted_jobs,
             counters=counters,
-            stopping=lambda: self._stopping,
+            remaining_s=self._remaining_s,
             unread_s=self._pauses.unread_s,
         )
 
@@ -199,6 +205,7 @@
             _log.info("listening for callers on {}", settings.caller_bind)
             await stop_requested.wait()
             await self._drain()
+            await self._callers.end_open_requests()
             self._close_servers.set()
 
     async def _drain(self) -> None:
@@ -210,10 +217,11 @@
         _log.info("draining: {} requests are open", self._callers.open_requests)
         drain_began_at = self._timers.now()
         self._stopping = True
+        max_drain_s = self._settings.grace_s - SHUTDOWN_MARGIN_S
+        self._drained_by = drain_began_at + max_drain_s
         self._claimer.draining = True
         self._members.send_status()
         handed_over = False
-        max_drain_s = self._settings.grace_s - SHUTDOWN_MARGIN_S
         while (drained_for_s := self._timers.now() - drain_began_at) < max_drain_s:
             if not handed_over and self._has_successor():
                 self._scheduler.start_draining()
@@ -224,6 +232,9 @@
             await self._timers.sleep(DRAIN_POLL_S)
         _log.info("drained: {} requests are still open", self._callers.open_requests)
 
+    def _remaining_s(self) -> float:
+        return self._drained_by - self._timers.now()
+
     def _has_successor(self) -> bool:
         own_parts = set(self._claimer.term_by_claim())
         other_parts = {
@@ -274,7 +285,7 @@
             bind,
             None,
             self._close_servers.wait,
-            grace_s=SHUTDOWN_MARGIN_S / 2,
+            grace_s=SERVER_CLOSE_S,
             idle_s=CONNECTION_IDLE_TIMEOUT_S,
             task_status=task_status,
         )
--- a/testing/platform/test_caller_requests.py
+++ b/testing/platform/test_caller_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -48,7 +49,7 @@
         routing=lambda: Routing(1, [ROUTE]),
         pending=lambda _: 0,
         counters=Counters(),
-        stopping=lambda: False,
+        remaining_s=lambda: math.inf,
         unread_s=lambda: unread_s,
     )
     sent: list[dict[str, Any]] = []
