Answer unexpected errors with a code with which callers send again

After an unexpected error in the handling of a request, callers got Starlette's 500 with plain text. A 500 is none of the answers after which callers send a job again, and it says nothing about execution, while tasks of the job could go on. The interface now logs the error, cancels the job and answers 502 with code 3101. Methods that the API does not have are answered 405 with a code and a reason in place of plain text. Bodies that cannot be decoded were refused with a code already; the tests now cover deep nesting, lone surrogates and numbers out of range.

test_an_unexpected_error_has_a_code_with_which_callers_send_their_jobs_again and the two cases of 405 in test_shutdown.py fail without the handlers.

--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -10,6 +10,7 @@
 import attrs
 import logbook
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route as HttpRoute
@@ -51,7 +52,7 @@
 
 
 class CallerInterface:
-    """Serves the requests of callers.
+    """Serves the requests of callers, each of which gets an answer with a code or a reason.
 
     `pending` returns the number of jobs of a route of which no task has started, `remaining_s` for
     how many seconds this process still runs jobs, infinity before it is stopped, and `unread_s`
@@ -84,7 +85,10 @@
     def make_app(self) -> Starlette:
         """Return the ASGI app that serves callers."""
         methods = ["GET", "POST", "DELETE"]
-        return Starlette(routes=[HttpRoute("/{path:path}", self._handle, methods=methods)])
+        return Starlette(
+            routes=[HttpRoute("/{path:path}", self._handle, methods=methods)],
+            exception_handlers={HTTPException: _respond_to_http_error},
+        )
 
     async def end_open_requests(self) -> None:
         """Answer all open requests before the process ends; takes up to `END_TIMEOUT_S`.
@@ -114,6 +118,12 @@
                 response = await self._respond(request, open_request)
             if open_request.scope.cancelled_caught:
                 response = _encode_response(self._ended_answer(open_request))
+        except Exception:
+            self._counters.add("callers.internal_errors")
+            _log.exception(
+                "unexpected error while {} {} is handled", request.method, request.url.path
+            )
+            response = _encode_response(self._failed_answer(open_request))
         finally:
             self._open_requests.discard(open_request)
         if self._remaining_s() < math.inf:
@@ -130,6 +140,18 @@
             "this process ends before its job, of which tasks may have started",
         )
 
+    def _failed_answer(self, open_request: _OpenRequest) -> PoolAnswer:
+        """Return the answer after an unexpected error, and cancel the job that may have started.
+
+        It has a status with which callers send the job again, beside which no task may be left.
+        """
+        job = open_request.job
+        if job is not None:
+            self._service.cancel(job.job_id, job.attempt, "unexpected error")
+        return PoolAnswer(
+            int(ResultCode.COORDINATOR_UNREACHABLE), "internal error of the entry process"
+        )
+
     async def _respond(self, request: Request, open_request: _OpenRequest) -> Response:
         unread_s = self._unread_s()
         routing = await self._wait_for_routing()
@@ -237,6 +259,13 @@
     )
 
 
+async def _respond_to_http_error(request: Request, error: Exception) -> Response:
+    assert isinstance(error, HTTPException)
+    reason = f"{request.method} {request.url.path}: {error.detail}"
+    content = {"code": int(ResultCode.MALFORMED), "reason": reason}
+    return JSONResponse(content, status_code=error.status_code, headers=error.headers)
+
+
 def _parse_deadline_s(request: Request) -> float | None:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -1,4 +1,4 @@
-"""Answers to callers of an entry process that is stopped."""
+"""Answers to callers of an entry process that is stopped, and after errors."""
 
 from __future__ import annotations
 
@@ -74,6 +74,15 @@
             self._cancelled.set()
 
 
+class BrokenService(StartedJobs):
+    """Stands in for a `PoolService` with a fault."""
+
+    async def submit(self, job: PoolJob) -> PoolAnswer:
+        """Fail after the start of a job."""
+        self.submitted.append(job)
+        raise KeyError("fault")
+
+
 def make_callers(service: StartedJobs, *, remaining_s: float = math.inf) -> CallerInterface:
     return CallerInterface(
         service,  # type: ignore[arg-type]
@@ -155,6 +164,45 @@
     run(test)
 
 
+def test_an_unexpected_error_has_a_code_with_which_callers_send_their_jobs_again():
+    """Guards against an answer 500, after which callers give up, and tasks that go on."""
+
+    async def test() -> None:
+        service = BrokenService()
+        response = await request(make_callers(service))
+        assert response.status_code == 502
+        assert response.json()["code"] == 3101
+        assert service.cancelled == [(JOB_ID, 1)]
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("method", "content", "status", "code"),
+    [
+        ("POST", b"", 400, 2101),
+        ("POST", b"\xff\xfe", 400, 2101),
+        ("POST", b"[" * 50_000, 400, 2101),
+        ("POST", b'{"spec":"\\ud800","best_effort":true,"phases":[{"count":1}]}', 400, 2101),
+        ("POST", b'{"spec":"","best_effort":true,"phases":[{"count":1e999}]}', 400, 2101),
+        ("PUT", b"", 405, 2101),
+        ("OPTIONS", b"", 405, 2101),
+    ],
+)
+def test_requests_that_are_not_understood_have_a_code(
+    method: str, content: bytes, status: int, code: int
+):
+    """Guards against refusals of which callers cannot tell whether their job ran."""
+
+    async def test() -> None:
+        response = await request(make_callers(StartedJobs()), method, content)
+        assert response.status_code == status
+        assert response.json()["code"] == code
+        assert response.json()["reason"]
+
+    run(test)
+
+
 def free_ports(count: int) -> list[int]:
     listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
     ports = [listener.getsockname()[1] for listener in listeners]
