--- a/testing/platform/test_caller_requests.py
+++ b/testing/platform/test_caller_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -59,7 +60,7 @@
         routing=routing,
         pending=lambda _: 0,
         counters=Counters(),
-        stopping=lambda: False,
+        remaining_s=lambda: math.inf,
         unread_s=lambda: unread_s,
         clock=lambda: min(polls, polls_without_configuration) * POLL_S,
     )
