Log who leads the control processes, and reports without an answer

An operator who reads that a change was answered with 4102 could not tell which process led, whether the process was a member, whether its vote counts, or which processes it had asked for a leader. A process logs its seeds and whether it may vote when it starts, when it becomes or ceases to be the leader, and every five reports without a leader or without any answer.

--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -11,6 +11,7 @@
 import anyio
 import anyio.abc
 import attrs
+import logbook
 
 from apricotpoint._control import election, replication
 from apricotpoint._control.documents import DocumentChunks
@@ -57,6 +58,8 @@
 
 # Time-out of a start check, and the interval at which a learner reports to the members.
 _START_CHECK_TIMEOUT_S = 1.0
+# A process without a leader logs that after this many reports.
+_REPORTS_BEFORE_NOTICE = 5
 _MAX_LEADER_WAIT_S = 2.0
 _MAX_POLL_WAIT_S = 10.0
 _CLAIM_COMPACTION_INTERVAL_S = 10.0
@@ -65,6 +68,8 @@
 # Half of it is for the leader to contact a majority, the rest for the request to the leader.
 _DOCUMENT_READ_TIMEOUT_S = 1.0
 
+_log = logbook.Logger("control")
+
 
 class ControlNode:
     """One control process: replica, key registry and configuration server.
@@ -297,6 +302,7 @@
         """
         for message_type in (Append, InstallSnapshot, PreVote, Vote):
             self._register_handler(message_type, self._on_early_request)
+        unanswered = 0
         while not self._start_known.is_set():
             # The processes in the settings may all be gone; the log names those that followed them.
             other_ids = {*self._seeds(), *self._log.disk_by_member()} - {self.node_id}
@@ -304,8 +310,14 @@
                 return
             for other_id in sorted(other_ids):
                 self._check_start_with(other_id)
-            with anyio.move_on_after(_START_CHECK_TIMEOUT_S):
+            with anyio.move_on_after(_START_CHECK_TIMEOUT_S) as scope:
                 await self._start_known.wait()
+            unanswered += scope.cancelled_caught
+            if scope.cancelled_caught and unanswered % _REPORTS_BEFORE_NOTICE == 0:
+                _log.notice(
+                    "no other control process has answered since the start: asked {}",
+                    sorted(self._reported_ids),
+                )
         # The other processes get a short time to report a newer start.
         await self._timers.sleep(_START_CHECK_TIMEOUT_S / 2)
 
@@ -368,17 +380,29 @@
         return attrs.evolve(reply, control_ids=sorted(self._log.disk_by_member()))
 
     async def _report_as_learner(self) -> None:
+        reports = 0
         while True:
             await self._timers.sleep(_START_CHECK_TIMEOUT_S)
             replica = self.replica
             # A member that was removed while it was partitioned still counts itself as a member.
             if replica.has_majority() or (replica.is_voter() and not self._manages_members):
+                reports = 0
                 continue
             async with anyio.create_task_group() as group:
                 known_ids = {*replica.peer_ids(), *self._seeds(), *self._reported_ids}
                 for other_id in sorted(known_ids - {self.node_id}):
                     self._connect(other_id)
                     group.start_soon(self._report_start, other_id)
+            reports += 1
+            if reports % _REPORTS_BEFORE_NOTICE == 0:
+                _log.notice(
+                    "no leader for {} reports, {} in term {}: members {}, reported to {}",
+                    reports,
+                    replica.role.value,
+                    self._log.term,
+                    self._log.disk_by_member(),
+                    sorted(known_ids),
+                )
 
     # Replica
 
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -11,6 +11,7 @@
 import anyio
 import anyio.abc
 import attrs
+import logbook
 
 from apricotpoint._control.identity import Identity
 from apricotpoint._control.log import Log
@@ -58,6 +59,9 @@
 )
 
 
+_log = logbook.Logger("control")
+
+
 class Role(enum.Enum):
     """The Raft role of a replica in its current term."""
 
@@ -259,6 +263,7 @@
             for member_id in self.peer_ids()
         }
         self.counters.add("control.elected")
+        _log.notice("leader in term {} of {}", self.log.term, sorted(self.log.disk_by_member()))
         # Entries of earlier terms are committed only together with an entry of this term.
         self.append_as_leader(Entry(term=self.log.term))
 
@@ -527,6 +532,7 @@
             # A new leader has one election time-out to receive its first replies.
             is_new = self.timers.now() - self.leader_since < ELECTION_TIMEOUT_S
             if not is_new and not self.has_majority():
+                _log.notice("no longer leader in term {}: no contact to a majority", self.log.term)
                 self.become_follower(self.log.term, None)
                 continue
             self.leader_contact_at = self.timers.now()
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -62,6 +62,7 @@
             remedy="run the control program on a VM with a data disk",
         )
     await _initialise_data_folder(folder, settings)
+    _log.info("seeds {}, may vote: {}", settings.seeds, settings.may_vote)
     timers, counters = TimerService(suspended_s=suspended_s), Counters()
     incarnation = new_incarnation()
     mesh = Mesh(
