Let control processes vote if there is none that counts

Where fault_counted is false for all control processes, no replacement became a member any more, so the configuration was lost once two of the first three members had been replaced.

Evidence: the new test in test_membership.py fails without the change.

--- a/src/apricotpoint/_control/membership.py
+++ b/src/apricotpoint/_control/membership.py
@@ -123,6 +123,11 @@
     disk: with fewer members, the tolerated loss of other disks would leave no majority although
     it returns. At that number its replacement is therefore added before it is removed.
     """
+    if not any(status.may_vote for status in status_by_id.values()):
+        # No replica is better than another, and without voters the configuration would be lost.
+        status_by_id = {
+            key: attrs.evolve(status, may_vote=True) for key, status in status_by_id.items()
+        }
     situation = _Situation(own_id, members, status_by_id, tolerance)
     for peer_id, status in sorted(status_by_id.items()):
         if members.get(peer_id) not in (None, "", status.disk_id) and _is_ready(status):
--- a/testing/control/membership_soak.py
+++ b/testing/control/membership_soak.py
@@ -20,19 +20,46 @@
 from apricotpoint._control.state import REPLACE_DOCUMENT
 from apricotpoint._core.codes import ResultCode
 
-DOMAINS = ["c1", "c2", "c3"]
-COUNTED = [*IDS, "c1-b", "c2-b", "c3-b"]
-TOLERANCE = FaultTolerance(members=2, domains=1)
 # A process counts as lost for this long after it is back or, if it is new, after its start.
 CATCH_UP_S = 6.0
 # After losses beyond the tolerance, service may be suspended for this long.
 RECOVERY_S = 15.0
 # A member is known to be gone for good only after some silence.
 REMOVAL_S = 2.5
-MAX_COUNTED, MAX_UNCOUNTED = 8, 4
+MAX_UNCOUNTED = 4
 MAX_ACTIONS_PER_ROUND = 7
 
 
+@attrs.frozen
+class Layout:
+    """The processes that count, two or one in each failure domain, and what they tolerate."""
+
+    counted_ids: tuple[str, ...]
+    tolerance: FaultTolerance
+
+    @property
+    def domains(self) -> list[str]:
+        """The failure domains."""
+        return sorted({domain_of(key) for key in self.counted_ids})
+
+    @property
+    def max_counted(self) -> int:
+        """Up to how many run at the same time while some are replaced."""
+        return len(self.counted_ids) + 2
+
+
+TWO_DISKS, ONE_DISK = FaultTolerance(2, 1), FaultTolerance(1, 1)
+THREE_PAIRS = (*IDS, "c1-b", "c2-b", "c3-b")
+# Of the platform: three or four failure domains, with one process or two in each.
+LAYOUTS = [
+    Layout(THREE_PAIRS, TWO_DISKS),
+    Layout((*THREE_PAIRS, "c4", "c4-b"), TWO_DISKS),
+    Layout(THREE_PAIRS, TWO_DISKS),
+    Layout(tuple(IDS), ONE_DISK),
+    Layout(THREE_PAIRS, ONE_DISK),
+]
+
+
 @attrs.define
 class Losses:
     """Which processes count as lost, so that no series loses more disks than is allowed.
@@ -42,6 +69,7 @@
     `RECOVERY_S` after all others were back.
     """
 
+    tolerance: FaultTolerance
     dark_ids: set[str] = attrs.Factory(set)
     disk_free_at_by_id: dict[str, float] = attrs.Factory(dict)
     suspended: bool = False
@@ -50,7 +78,7 @@
     def update(self, now: float) -> None:
         """Note whether the losses exceed the tolerance; call it after each change of them."""
         lost = self.dark_ids | self._lost_disk_ids(now)
-        if len(lost) > TOLERANCE.members and len({domain_of(key) for key in lost}) > 1:
+        if len(lost) > self.tolerance.members and len({domain_of(key) for key in lost}) > 1:
             self.suspended = True
         if self.suspended:
             self.suspended_until = now + RECOVERY_S
@@ -58,7 +86,7 @@
 
     def free_disks(self, now: float) -> int:
         """Return how many more disks may be lost."""
-        return TOLERANCE.members - len(self._lost_disk_ids(now))
+        return self.tolerance.members - len(self._lost_disk_ids(now))
 
     def _lost_disk_ids(self, now: float) -> set[str]:
         is_suspended = self.suspended or now < self.suspended_until
@@ -86,8 +114,9 @@
     def __init__(self, cluster: Cluster, seed: int) -> None:
         self._cluster = cluster
         self._random = random.Random(seed)
-        self._losses = Losses()
-        self._counted_ids = set(COUNTED)
+        self._layout = LAYOUTS[seed % len(LAYOUTS)]
+        self._losses = Losses(self._layout.tolerance)
+        self._counted_ids = set(self._layout.counted_ids)
         self._uncounted_ids: set[str] = set()
         self._started_at_by_id: dict[str, float] = {}
         self._new_count = 0
@@ -100,9 +129,9 @@
     async def play(self, rounds: int) -> None:
         """Play rounds of losses; after each, the operator must be able to read and change."""
         cluster = self._cluster
-        cluster.tolerance = TOLERANCE
+        cluster.tolerance = self._layout.tolerance
         await cluster.start_new_deployment()
-        for node_id in COUNTED[3:]:
+        for node_id in self._layout.counted_ids[3:]:
             await self._start_new(node_id)
         await anyio.sleep(CATCH_UP_S)
         async with anyio.create_task_group() as group:
@@ -113,7 +142,7 @@
                     break
                 # What was lost in this round counts no more in the next one.
                 await anyio.sleep(RECOVERY_S + self._random.uniform(0.0, 2.0))
-                self._losses = Losses()
+                self._losses = Losses(self._layout.tolerance)
             group.cancel_scope.cancel()
 
     async def _play_round(self) -> None:
@@ -239,7 +268,7 @@
 
     async def _cut_domain(self) -> None:
         """Cut a failure domain off from the others that count."""
-        domain = self._random.choice(DOMAINS)
+        domain = self._random.choice(self._layout.domains)
         inside = {key for key in self._counted_ids if domain_of(key) == domain}
         if inside & self._losses.dark_ids:
             return
@@ -266,7 +295,9 @@
         self._losses.dark_ids.add(node_id)
         self._new_count += 1
         new_id = f"{domain_of(node_id)}-{self._new_count}"
-        is_planned = len(self._counted_ids) < MAX_COUNTED and self._random.random() < 0.5
+        is_planned = (
+            len(self._counted_ids) < self._layout.max_counted and self._random.random() < 0.5
+        )
         self._note(f"{node_id} is to be replaced by {new_id}, planned: {is_planned}")
         if is_planned:
             await self._start_new(new_id)
@@ -293,7 +324,7 @@
             if len(self._uncounted_ids) >= MAX_UNCOUNTED:
                 return
             self._new_count += 1
-            new_id = f"{self._random.choice(DOMAINS)}-u{self._new_count}"
+            new_id = f"{self._random.choice(self._layout.domains)}-u{self._new_count}"
             self._uncounted_ids.add(new_id)
             await self._start_new(new_id, counted=False)
 
@@ -305,28 +336,37 @@
                 await self._kill(node_id)
 
     async def _final_fault(self) -> None:
-        """After an acknowledgement cut all power; as many disks as allowed are lost."""
+        """After an acknowledgement as many disks as allowed are lost, mostly with all power.
+
+        Others may be dark since before it, and keep their disks.
+        """
+        dark = self._random.sample(sorted(self._counted_ids), self._random.choice([0, 1, 2]))
+        self._losses.dark_ids |= set(dark)
+        self._note(f"dark before the final fault: {dark}")
+        await self._kill(*dark)
+        await anyio.sleep(self._random.choice([0.5, 2.5, 4.5]))
         await self._change_until_acknowledged(within_s=1.0)
         if self._random.random() < 0.5:
             await self._remove_uncounted()
-        names = sorted(self._counted_ids | self._uncounted_ids)
-        lost = [
-            key
-            for key in self._random.sample(sorted(self._counted_ids), len(self._counted_ids))
-            if self._take_disk(key)
-        ]
+        others = sorted(self._counted_ids - set(dark))
+        self._random.shuffle(others)
+        lost = [key for key in others if self._take_disk(key)]
         self._note(f"final fault, disks lost: {lost}")
-        await self._kill(*names)
+        names = sorted(self._counted_ids | self._uncounted_ids)
+        await self._kill(*(names if self._random.random() < 0.6 else lost))
         for node_id in lost:
             await self._cluster.replace_disk(node_id)
         await anyio.sleep(self._random.uniform(0.2, 1.5))
+        ended = [key for key in names if not self._is_running(key)]
         # The platform writes the seeds anew at each start, from a list that may lag.
-        for node_id in names:
+        for node_id in ended:
             if self._random.random() < 0.5:
+                listed = sorted(self._counted_ids)
                 self._cluster.seeds_by_id[node_id] = self._random.sample(
-                    sorted(self._counted_ids), 3
+                    listed, min(3, len(listed))
                 )
-        await self._start(*names)
+        await self._start(*ended)
+        self._losses.dark_ids -= set(dark)
         self._note("all are back after the final fault")
 
     # Operator
--- a/testing/control/test_membership.py
+++ b/testing/control/test_membership.py
@@ -135,3 +135,15 @@
     statuses = {key: live(f"disk-{key}", domain) for key, domain in domains.items()}
     members = {key: f"disk-{key}" for key in domains}
     assert next_members("1", members, statuses) == {key: members[key] for key in "123"}
+
+
+def test_replicas_that_may_not_vote_replace_each_other_if_there_are_no_others():
+    """Guards against a deployment without voters after all initial members were replaced."""
+    domains = {"1": "x", "2": "y", "4": "z"}
+    statuses = {
+        key: PeerStatus(f"disk-{key}", 0.1, caught_up=True, may_vote=False, failure_domain=domain)
+        for key, domain in domains.items()
+    }
+    statuses["3"] = PeerStatus("disk-3", 2.0, True, may_vote=False, failure_domain="z")
+    members = {key: f"disk-{key}" for key in "123"}
+    assert next_members("1", members, statuses) == {**members, "4": "disk-4"}
