End leases before the callers of a lost origin send their jobs again

Callers saw a task run twice, in two failure domains: their front was killed, and 0.4 to 0.9 s later the holder of its jobs, too (or it was frozen then). The callers sent their jobs again 1.3 s after the first kill, while the runs went on for up to 1.9 s: the holder would have ended them 0.9 to 1.0 s after the last contact, and had renewed their leases of 0.9 s until it was killed itself.

Cause: two time-outs that are each below 1.3 s add up, as the lease knew nothing of the process that waits for the answer. Class of fault: safety that depends on a later action of a process that may end before it. Now each renewal and each start limits the lease to 1.2 s after the last sign of life of each origin, or after the answer of the job for runs that are still being stopped, so that the runs are over by then whatever becomes of the holder. In normal operation the origin is heard every 0.4 s, and the limit shortens the lease by 0.1 s at most.

Evidence: test_a_run_is_over_when_its_origin_and_then_its_scheduler_are_killed fails before for 0.5 and 0.8 s between the kills and passes now; with 0.2 and 0.9 s it passed before, too. Runs of other origins on the same backend server go on, shown by another test.

--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from apricotpoint._pool.backendclient import BackendClient, LeaseReply, RunKey
@@ -18,6 +20,8 @@
 # A refused start limits the resources that are used for this long; by then a backend server
 # announces a room that has shrunk.
 FULL_ROOM_S = 1.0
+# No task starts under a lease that can last for less than this.
+MIN_LEASE_S = 0.2
 # Upper bound of the time from the expiry of a lease until its runs are terminated.
 LEASE_END_MARGIN_S = 0.06
 
@@ -28,7 +32,8 @@
 
     `announcement` is the last one received. `token` is the fencing token: the backend server
     ignores requests with a lower token than it has seen. `lease_expires_at` is the monotonic time
-    by which all runs there have been terminated unless the lease is renewed again.
+    by which all runs there have been terminated unless the lease is renewed again, and
+    `lease_limit_at` the one beyond which it must not be renewed because of its runs.
     `untracked_runs` are runs listed there that belong to no job of this process, such as those of
     an earlier holder. `acknowledged` is the number of the last ended run that was processed.
     `born_ms` is the start of the incarnation in unix milliseconds, 0 if not reported.
@@ -54,6 +59,7 @@
     is_responsive: bool = False
     refuses_connections: bool = False
     lease_expires_at: float = 0.0
+    lease_limit_at: float = math.inf
     full_room: Room = Room(0, 0)
     full_until: float = 0.0
     handing_over: bool = False
@@ -104,6 +110,7 @@
             and not self.announcement.leaving
             and not self.released
             and not self.untracked_runs
+            and now + MIN_LEASE_S <= self.lease_limit_at
             and self.health.allows_start(now, len(self.run_by_key))
         )
 
@@ -161,11 +168,12 @@
     def lease_until_ms(self, now: float) -> int | None:
         """Return the end of a lease that begins now, on the clock of the backend server.
 
-        Also moves `lease_expires_at`. None before the first reply.
+        Also moves `lease_expires_at`. None before the first reply and after `lease_limit_at`.
         """
-        if self._clock_offset_ms is None:
+        lease_s = min(LEASE_S, self.lease_limit_at - now)
+        if self._clock_offset_ms is None or lease_s <= 0:
             return None
         self.lease_expires_at = max(
-            self.lease_expires_at, now + LEASE_S / CLOCK_RATE + LEASE_END_MARGIN_S
+            self.lease_expires_at, now + lease_s / CLOCK_RATE + LEASE_END_MARGIN_S
         )
-        return int(now * 1000 + self._clock_offset_ms + LEASE_S * 1000)
+        return int(now * 1000 + self._clock_offset_ms + lease_s * 1000)
--- /dev/null
+++ b/src/apricotpoint/_pool/leaselimit.py
@@ -0,0 +1,36 @@
+"""The latest end of a lease: before callers send the jobs of its runs again.
+
+The process that renews a lease may be killed or stopped right after that, and then nobody stops
+the runs. So no lease is renewed beyond the time at which they have to be over.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+
+from apricotpoint._pool.heldbackend import CLOCK_RATE, LEASE_END_MARGIN_S, LEASE_S
+from apricotpoint._pool.job import Origin, Run
+
+# Callers send a job again this long after an answer that leaves its outcome open, or after the
+# process that took it has ended.
+RESEND_S = 1.3
+# A lease is measured by the clock of the backend server and takes a moment to end; the last part
+# is for the way of the answer.
+LIMIT_S = RESEND_S - LEASE_S * (1 / CLOCK_RATE - 1) - LEASE_END_MARGIN_S - 0.02
+
+
+def lease_limit_at(runs: Iterable[Run], *, origin_alive_at: Callable[[Origin], float]) -> float:
+    """Return the monotonic time up to which the lease for these runs may last.
+
+    `origin_alive_at` returns the last time at which an origin is known to have been alive, minus
+    infinity if it has ended. Infinity if no run limits the lease.
+    """
+    limit_at = math.inf
+    for run in runs:
+        job = run.task.job
+        if job.answered_at is not None:
+            limit_at = min(limit_at, job.answered_at + LIMIT_S)
+        elif job.origin is not None:
+            limit_at = min(limit_at, origin_alive_at(job.origin) + LIMIT_S)
+    return limit_at
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import anyio
@@ -86,7 +86,8 @@
 
     A start that got no answer may have been carried out, or may be carried out later. A renewal
     with a higher fencing token resolves this: once it is answered, the run is either listed in
-    the reply or its start will be ignored.
+    the reply or its start will be ignored. `lease_limit_at` returns the time beyond which the
+    lease must not be renewed.
     """
 
     def __init__(
@@ -96,8 +97,10 @@
         observer: RunObserver,
         timers: TimerService,
         counters: Counters,
+        lease_limit_at: Callable[[HeldBackend], float],
     ) -> None:
         self._held = held
+        self._lease_limit_at = lease_limit_at
         self._observer = observer
         self._timers = timers
         self._counters = counters
@@ -132,6 +135,7 @@
         if fence:
             held.token += TOKEN_STEP
         token, sent_at = held.token, self._timers.now()
+        held.lease_limit_at = self._lease_limit_at(held)
         # Without answers, renewals do not extend the lease: they might still arrive, and the lease
         # has to expire before the tasks that run there may start elsewhere.
         lease_until_ms = held.lease_until_ms(sent_at) if held.is_responsive else None
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 from collections.abc import Callable, Sequence
 from types import TracebackType
@@ -20,6 +21,7 @@
 from apricotpoint._pool.heldbackend import HeldBackend
 from apricotpoint._pool.job import Job, Origin, Run, RunState, Task
 from apricotpoint._pool.jobtable import JobTable
+from apricotpoint._pool.leaselimit import lease_limit_at
 from apricotpoint._pool.renewal import LeaseRenewer
 from apricotpoint._pool.verdicts import Evidence, Verdict
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
@@ -36,7 +38,9 @@
     Use it as an async context manager. Call all methods on the event loop. `on_fenced` is called
     with a backend server on which another process has a higher fencing token, `on_backend_ended`
     with the id of a backend server whose incarnation has ended. `may_start` tells whether the
-    claims of this process are known to be still its own; no task starts otherwise. `make_client`
+    claims of this process are known to be still its own; no task starts otherwise.
+    `origin_alive_at` returns the last time at which the origin of a job is known to have been
+    alive, minus infinity if it has ended. `make_client`
     returns a client for an announced backend server; the scheduler closes it.
     """
 
@@ -55,6 +59,7 @@
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
         self.may_start: Callable[[], bool] = lambda: True
+        self.origin_alive_at: Callable[[Origin], float] = lambda _: math.inf
         self.draining = False
         self._timers = timers
         self._counters = counters
@@ -97,7 +102,13 @@
         if speed is not None:
             held.speed.restore(speed)
         held.lease_expires_at = self._timers.now()
-        renewer = LeaseRenewer(held, observer=self, timers=self._timers, counters=self._counters)
+        renewer = LeaseRenewer(
+            held,
+            observer=self,
+            timers=self._timers,
+            counters=self._counters,
+            lease_limit_at=self._lease_limit_at,
+        )
         self.held_by_id[announcement.backend_id] = held
         self._renewer_by_id[announcement.backend_id] = renewer
         self._group.start_soon(self._run_renewer, held, renewer)
@@ -117,6 +128,9 @@
                 self.release(held.backend_id, "its renewals failed unexpectedly")
             await held.client.close()
 
+    def _lease_limit_at(self, held: HeldBackend) -> float:
+        return lease_limit_at(held.run_by_key.values(), origin_alive_at=self.origin_alive_at)
+
     def announce(self, announcement: PoolBackend) -> None:
         """Process an announcement; ignored if it is outdated or its backend server is not held."""
         held = self.held_by_id.get(announcement.backend_id)
@@ -485,10 +499,12 @@
             # The process was paused since the dispatch; its jobs end with its claims.
             self._counters.add("pool.starts_withheld")
             return
+        held.lease_limit_at = self._lease_limit_at(held)
         lease_until_ms = held.lease_until_ms(now)
-        assert lease_until_ms is not None, (
-            "start on a backend server that has not answered a renewal yet"
-        )
+        if lease_until_ms is None:
+            # Its origin, or that of a run there, has ended meanwhile.
+            self._handle_start_refusal(run, StartOutcome.TOO_LATE)
+            return
         start_request = StartRequest(
             key=run.key,
             spec=run.task.job.request.spec,
@@ -588,7 +604,7 @@
                     job.describe(now),
                 )
         job.cancelled = True
-        job.close(answer)
+        job.close(answer, now)
         for run in job.active_runs():
             self._stop(run)
         if not job.active_runs():
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -103,6 +103,7 @@
         self._transport.request_handlers_by_type[PoolJob] = self._on_job
         self._transport.handlers_by_type[PoolCancel] = self._on_cancel
         self._subscription = self._timers.every(PEER_CHECK_PERIOD_S, self._cancel_orphaned_jobs)
+        self._scheduler.origin_alive_at = self._origin_alive_at
         return self
 
     async def __aexit__(
@@ -368,10 +369,17 @@
         """
         if origin is None:
             return False
-        # Messages that were held up may have been sent by a process that has ended since.
-        if self._transport.seconds_since_alive(origin.entry_id) > PEER_TIMEOUT_S:
-            return True
-        return self._transport.incarnation_of(origin.entry_id) != origin.incarnation
+        return self._timers.now() - self._origin_alive_at(origin) > PEER_TIMEOUT_S
+
+    def _origin_alive_at(self, origin: Origin) -> float:
+        """Return the last time at which an origin is known to have been alive.
+
+        Messages that were held up may have been sent by a process that has ended since. Minus
+        infinity if it has been started again.
+        """
+        if self._transport.incarnation_of(origin.entry_id) != origin.incarnation:
+            return -math.inf
+        return self._timers.now() - self._transport.seconds_since_alive(origin.entry_id)
 
     def _cancel_orphaned_jobs(self) -> None:
         """Cancel jobs that are scheduled here or were passed on, and for which nobody waits."""
--- a/testing/pool/test_jobtable.py
+++ b/testing/pool/test_jobtable.py
@@ -12,7 +12,7 @@
 def close(table: JobTable, number: int) -> None:
     job = Job(make_job(number), "", 0.0, 0.1)
     table.add(job)
-    job.close(PoolAnswer(1000))
+    job.close(PoolAnswer(1000), 0.0)
     table.close(job)
 
 
--- a/testing/pool/test_run_ends.py
+++ b/testing/pool/test_run_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 from pool_cluster import Cluster, Entry, run_cluster
 from pool_harness import make_job, run_on_virtual_time
 
@@ -38,6 +39,45 @@
     ]
 
 
+@pytest.mark.parametrize("later_s", [0.2, 0.5, 0.8, 0.9])
+def test_a_run_is_over_when_its_origin_and_then_its_scheduler_are_killed(later_s: float):
+    """Guards against a lease that the scheduler renewed until it was killed, after the origin."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            cluster.network.sends_heartbeats = True
+            start_job(cluster, "e2", make_job(1, work_s=9.0, deadline_s=60.0))
+            await anyio.sleep(1.0)
+            assert running_tasks(cluster)
+            cluster.entry_by_id["e2"].kill()
+            await anyio.sleep(later_s)
+            cluster.entry_by_id["e1"].kill()
+            await anyio.sleep(RESEND_S - later_s)
+            assert not running_tasks(cluster)
+
+    run_on_virtual_time(test)
+
+
+def test_the_runs_of_other_jobs_go_on_when_an_origin_is_lost():
+    """Guards against a lease that lapses before the jobs of a lost origin have been stopped."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            cluster.network.sends_heartbeats = True
+            for number in range(1, 5):
+                origin = "e2" if number % 2 else "e1"
+                start_job(cluster, origin, make_job(number, work_s=9.0, deadline_s=60.0))
+            await anyio.sleep(1.0)
+            assert len(running_tasks(cluster)) == 4
+            cluster.entry_by_id["e2"].kill()
+            await anyio.sleep(2.0)
+            started = sum(len(backend.starts) for backend in cluster.backend_by_id.values())
+            assert len(running_tasks(cluster)) == 2
+            assert started == 4
+
+    run_on_virtual_time(test)
+
+
 def test_messages_that_were_held_up_do_not_make_a_killed_origin_look_alive():
     """Guards against a contact that counts from the arrival of a message, not from its sending."""
 
