--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/claimer.py
@@ -173,6 +173,9 @@
         layout = make_layout(count_by_domain, cores_by_domain)
         if layout.part_count_by_domain != self._layout.part_count_by_domain:
             _log.notice("failure domains have these parts: {}", dict(layout.part_count_by_domain))
+        groups = [share.domains for share in layout.shares if len(share.domains) > 1]
+        if groups != [share.domains for share in self._layout.shares if len(share.domains) > 1]:
+            _log.notice("failure domains that share a holder: {}", groups)
         self._layout = layout
         own_domain = members.summaries()[members.entry_id].failure_domain
         members.shared_domains = frozenset(
@@ -279,7 +282,13 @@
 
     def _release_claim(self, part: str, reason: str) -> None:
         del self._term_by_part[part]
-        _log.notice("released the claim on {}: {}", part, reason)
+        run_count = sum(len(held.run_by_key) for held in self._scheduler.held_by_id.values())
+        _log.notice(
+            "released the claim on {}: {}; {} runs are active on all held backend servers",
+            part,
+            reason,
+            run_count,
+        )
 
     def _has_contact(self, members: EntryMembers) -> bool:
         """Return whether another process was heard from just now, and ask for a sign if not.
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -105,6 +105,7 @@
         self._timers = timers
         self._counters = counters
         self._scope = anyio.CancelScope()
+        self._logged_runs: set[RunKey] = set()
 
     async def run(self) -> None:
         """Renew the lease until `release` is called, then close the client."""
@@ -268,6 +269,16 @@
 
     async def _stop_untracked_runs(self) -> None:
         held = self._held
+        self._logged_runs &= held.untracked_runs
         for key in sorted(held.untracked_runs, key=lambda item: (item.task, item.run)):
             self._counters.add("pool.foreign_runs_stopped")
-            await held.client.stop(key, held.token)
+            stopped = await held.client.stop(key, held.token)
+            if key not in self._logged_runs:
+                self._logged_runs.add(key)
+                _log.notice(
+                    "run {} of task {} of an earlier holder is active on backend server {}: {}",
+                    key.run,
+                    key.task,
+                    held.backend_id,
+                    "it was stopped" if stopped else "its stop got no answer",
+                )
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -158,7 +158,12 @@
             return
         renewer.release()
         self._counters.add("pool.backends_released")
-        _log.info("released backend server {}: {}", backend_id, reason)
+        _log.info(
+            "released backend server {}: {}; {} runs are active there",
+            backend_id,
+            reason,
+            len(held.run_by_key),
+        )
         for run in list(held.run_by_key.values()):
             held.remove(run, run.task.job.request.room)
             run.task.run = None
