--- a/testing/pool/test_run_ends.py
+++ b/testing/pool/test_run_ends.py
@@ -97,3 +97,27 @@
             assert not running_tasks(cluster)
 
     run_on_virtual_time(test)
+
+
+def test_a_new_holder_lets_the_runs_of_an_earlier_one_lapse_if_it_cannot_stop_them():
+    """Guards against a lease that a new holder renews for runs whose stops get no answer."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            start_job(cluster, "e1", make_job(1, work_s=9.0, deadline_s=60.0))
+            await anyio.sleep(0.5)
+            backend = next(b for b in cluster.backend_by_id.values() if b.active_run_by_key)
+
+            async def lose_stop(*_: object) -> bool:
+                await anyio.sleep(0.15)
+                return False
+
+            backend.stop = lose_stop  # type: ignore[method-assign]
+            # Its next incarnation claims nothing, so another process claims at once.
+            cluster.entry_by_id["e1"].kill()
+            await cluster.restart("e1")
+            await anyio.sleep(RESEND_S)
+            assert any(backend_id for ids in cluster.holders().values() for backend_id in ids)
+            assert not running_tasks(cluster)
+
+    run_on_virtual_time(test)
