Give leases by the new clock of a backend server that has restarted

A start that was held up could still be carried out seconds later, when its caller had sent the job again: after a restart of a backend server under its id, its leases and the latest time of its starts were given by its former clock, as much too late as it had run before. Only max_hold_ms of the platform bounds the leases then; nothing bounds the starts but a higher fencing token.

Cause: the offset of the clock is made anew when the incarnation in a reply differs from the known one, but the known one was set from the same reply just before.

Evidence: in test_backend_clock.py a lease was 500.7 s long after a restart of a backend server that had run 500 s; it is at most 0.9 s now.

--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/heldbackend.py
@@ -155,10 +155,12 @@
         """Estimate the offset of the clock of the backend server from a reply received now.
 
         The reply was sent some time ago, so the true clock is ahead of this estimate: leases are
-        never longer than intended.
+        never longer than intended. Call it before `born_ms` is set from the reply, as another
+        incarnation has another clock.
         """
         offset_ms = reply.clock_ms - now * 1000
-        if self._clock_offset_ms is None or self.born_ms != reply.born_ms:
+        has_restarted = reply.born_ms not in (0, self.born_ms)
+        if self._clock_offset_ms is None or has_restarted:
             self._clock_offset_ms = offset_ms
         else:
             # The least delayed reply gives the largest and best offset. The decrement per reply
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -188,8 +188,8 @@
         held.refuses_connections = False
         if reply.born_ms and held.born_ms and reply.born_ms != held.born_ms:
             self._handle_restart(reply)
-        held.born_ms = reply.born_ms or held.born_ms
         held.update_clock(reply, now)
+        held.born_ms = reply.born_ms or held.born_ms
         earlier_runs = dict(held.run_by_key)
         ended_keys = self._process_ended_runs(reply, earlier_runs)
         for key, run in earlier_runs.items():
