Have the front itself send a job to the holder that another one names

Callers saw a task run twice: their front was killed, and 0.4 to 0.9 s later the holder that had forwarded their jobs to another one. That one knew only the holder that waited for it, ended the runs 0.9 s after its last sign, 1.8 s after the first kill, and the callers had sent the jobs again after 1.3 s.

Cause: in a chain of processes each waits for the time-out of the one before it. Now a holder that would forward a job refuses it and names the other one (PoolAnswer.forward_to), and the front sends the job there. So each scheduler watches the process that answers the caller, and no job that is passed on has another origin.

--- a/src/apricotpoint/_pool/attempts.py
+++ b/src/apricotpoint/_pool/attempts.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from apricotpoint._pool.job import Origin
 from apricotpoint._wire.pool import PoolJob
 
 # Longer than a job waits anywhere for its cancellation to catch up with it: jobs that are older
@@ -16,11 +15,10 @@
 
 @attrs.frozen
 class PassedOnJob:
-    """A job that was passed on to `target`; `origin` waits for its answer, None if this one."""
+    """A job that was passed on to `target`; this process waits for its answer."""
 
     request: PoolJob
     target: str
-    origin: Origin | None
 
 
 class Attempts:
@@ -44,10 +42,6 @@
         if self._passed_on_by_attempt.get(job.request.attempt) is job:
             del self._passed_on_by_attempt[job.request.attempt]
 
-    def passed_on(self) -> list[PassedOnJob]:
-        """Return the jobs that were passed on and have no answer yet."""
-        return list(self._passed_on_by_attempt.values())
-
     def find(self, job_id: str, attempt: int = 0) -> list[PassedOnJob]:
         """Return the open attempts of a job that were passed on; 0 stands for all attempts."""
         return [
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -149,6 +149,9 @@
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
                 answer = await self._submit_to(target, current)
+                if answer.forward_to:
+                    target = answer.forward_to
+                    answer = await self._submit_forwarded(target, request, began_at)
                 if answer.code == ResultCode.DRAINING and len(draining_ids) < MAX_REROUTES:
                     draining_ids.add(target)
                     continue
@@ -223,14 +226,25 @@
         ]
         return self._random.choice(distant_ids) if distant_ids else None
 
-    async def _submit_to(
-        self, target: str, request: PoolJob, origin: Origin | None = None
-    ) -> PoolAnswer:
+    async def _submit_forwarded(self, target: str, request: PoolJob, began_at: float) -> PoolAnswer:
+        """Submit a job to the process that another one has named instead of running it.
+
+        The process that took the job from its caller does this itself, so that the one that
+        schedules it knows when its caller sends it again.
+        """
+        if self._attempts.is_cancelled(request.attempt):
+            return _CANCELLED
+        elapsed_s = request.elapsed_s + self._timers.now() - began_at
+        return await self._submit_to(
+            target, attrs.evolve(request, elapsed_s=elapsed_s, forwarded=True)
+        )
+
+    async def _submit_to(self, target: str, request: PoolJob) -> PoolAnswer:
         if target == self._members.entry_id:
             return await self._run_locally(request, None)
         self._counters.add("jobs.passed_on")
         self._members.open_link(target)
-        passed_on = PassedOnJob(request, target, origin)
+        passed_on = PassedOnJob(request, target)
         self._attempts.add(passed_on)
         timeout_s = max(request.deadline_s - request.elapsed_s, 0.0) + REPLY_MARGIN_S
         answer: PoolAnswer | None = None
@@ -299,7 +313,7 @@
             if other is None:
                 return refusal
             self._counters.add("jobs.forwarded")
-            return await self._submit_to(other, attrs.evolve(request, forwarded=True), origin)
+            return attrs.evolve(refusal, forward_to=other)
         job = self._scheduler.submit(request, origin)
         await job.answered.wait()
         assert job.answer is not None
@@ -382,12 +396,8 @@
         return self._timers.now() - self._transport.seconds_since_alive(origin.entry_id)
 
     def _cancel_orphaned_jobs(self) -> None:
-        """Cancel jobs that are scheduled here or were passed on, and for which nobody waits."""
-        open_jobs: list[Job | PassedOnJob] = [
-            *self._scheduler.unanswered_jobs(),
-            *self._attempts.passed_on(),
-        ]
-        for job in open_jobs:
+        """Cancel jobs that are scheduled here and for which nobody waits."""
+        for job in self._scheduler.unanswered_jobs():
             request, origin = job.request, job.origin
             if origin is None or not self._is_lost(origin):
                 continue
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -242,11 +242,15 @@
 
 @attrs.frozen
 class PoolAnswer:
-    """How a job ended: result code, reason, and for refusals the time until a retry."""
+    """How a job ended: result code, reason, and for refusals the time until a retry.
+
+    A refused job that another process can run sooner is to be sent to `forward_to`.
+    """
 
     code: int
     reason: str = ""
     retry_after_s: float = 0.0
+    forward_to: str = ""
 
 
 @attrs.frozen
--- a/testing/pool/test_run_ends.py
+++ b/testing/pool/test_run_ends.py
@@ -78,6 +78,32 @@
     run_on_virtual_time(test)
 
 
+@pytest.mark.parametrize("later_s", [0.2, 0.8])
+def test_a_forwarded_run_is_over_when_its_origin_and_then_the_forwarder_are_killed(
+    later_s: float,
+):
+    """Guards against a scheduler that knows only the process that forwarded the job to it."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            cluster.network.sends_heartbeats = True
+            request = make_job(1, work_s=9.0, deadline_s=60.0)
+            for number in range(2, 6):
+                start_job(cluster, "e1", make_job(number, work_s=9.0, deadline_s=60.0))
+            await anyio.sleep(0.3)
+            start_job(cluster, "e2", request)
+            await anyio.sleep(0.5)
+            assert cluster.entry_by_id["e1"].counters.get("jobs.forwarded") == 1
+            assert f"{request.job_id}.0.0.0" in running_tasks(cluster)
+            cluster.entry_by_id["e2"].kill()
+            await anyio.sleep(later_s)
+            cluster.entry_by_id["e1"].kill()
+            await anyio.sleep(RESEND_S - later_s)
+            assert f"{request.job_id}.0.0.0" not in running_tasks(cluster)
+
+    run_on_virtual_time(test)
+
+
 def test_messages_that_were_held_up_do_not_make_a_killed_origin_look_alive():
     """Guards against a contact that counts from the arrival of a message, not from its sending."""
 
