Start no run under a lease that outlasts its origin

Callers saw a task run twice: a job waited at its holder, its front was killed, a task of the job started up to 0.9 s later beside other runs, and then the holder was killed, too. A lease covers all that runs on a backend server and is never shortened there, so the run had the lease of the others, up to 0.98 s from its start, whatever limit its own start carried.

Now a task starts only where the lease that lasts already ends in time for its origin, which is heard every 0.4 s; and the lease of a backend server without runs is not renewed, so that an idle one takes any job at once. The rule for runs of earlier holders is part of this.

Evidence: test_a_run_that_starts_under_a_lasting_lease_is_over_when_both_processes_are_killed fails before.

--- a/src/apricotpoint/_pool/dispatch.py
+++ b/src/apricotpoint/_pool/dispatch.py
@@ -20,13 +20,14 @@
     *,
     fastest: float,
     may_start: Callable[[Task], bool],
+    allows_start: Callable[[HeldBackend, Job], bool],
 ) -> Iterator[tuple[Task, HeldBackend]]:
     """Yield each task to start now with its backend server.
 
     The caller has to start a task, and thereby reserve its resources, before it asks for the next
     one. `waiting` is sorted in place. `eligible` are the backend servers that may start tasks,
     `fastest` is the speed that a task may expect to get by waiting. Tasks for which `may_start` is
-    false are left out.
+    false are left out, and backend servers for which `allows_start` is false for a job.
     """
     waiting.sort(key=lambda job: joborder.order_key(job, now, fastest))
     blocked = 0
@@ -35,7 +36,9 @@
         fitting = [
             held
             for held in eligible
-            if held.can_start(request, now) and (job.started or not held.handing_over)
+            if held.can_start(request, now)
+            and (job.started or not held.handing_over)
+            and allows_start(held, job)
         ]
         for task in filter(may_start, job.waiting_tasks()):
             if not fitting:
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -138,9 +138,9 @@
         token, sent_at = held.token, self._timers.now()
         held.lease_limit_at = self._lease_limit_at(held)
         # Without answers, renewals do not extend the lease: they might still arrive, and the lease
-        # has to expire before the tasks that run there may start elsewhere. Neither do they while
-        # only runs of earlier holders are active there, which may have started elsewhere.
-        extends = held.is_responsive and (held.run_by_key or not held.untracked_runs)
+        # has to expire before the tasks that run there may start elsewhere. Runs of earlier
+        # holders may have started elsewhere, too, and starts bring a lease of their own.
+        extends = held.is_responsive and held.run_by_key
         lease_until_ms = held.lease_until_ms(sent_at) if extends else None
         try:
             reply = await held.client.renew_lease(
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -14,14 +14,13 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._pool import admission, dispatch, joborder, placement, trials
+from apricotpoint._pool import admission, dispatch, joborder, leaselimit, placement, trials
 from apricotpoint._pool.backendclient import BackendClient, RunOutcome, StartOutcome, StartRequest
 from apricotpoint._pool.crashes import CrashHistory
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.heldbackend import HeldBackend
 from apricotpoint._pool.job import Job, Origin, Run, RunState, Task
 from apricotpoint._pool.jobtable import JobTable
-from apricotpoint._pool.leaselimit import lease_limit_at
 from apricotpoint._pool.renewal import LeaseRenewer
 from apricotpoint._pool.verdicts import Evidence, Verdict
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
@@ -129,7 +128,11 @@
             await held.client.close()
 
     def _lease_limit_at(self, held: HeldBackend) -> float:
-        return lease_limit_at(held.run_by_key.values(), origin_alive_at=self.origin_alive_at)
+        runs = held.run_by_key.values()
+        return leaselimit.lease_limit_at(runs, origin_alive_at=self.origin_alive_at)
+
+    def _allows_start(self, held: HeldBackend, job: Job) -> bool:
+        return leaselimit.allows_start(held, job, origin_alive_at=self.origin_alive_at)
 
     def announce(self, announcement: PoolBackend) -> None:
         """Process an announcement; ignored if it is outdated or its backend server is not held."""
@@ -453,7 +456,12 @@
         if not eligible:
             return
         for task, held in dispatch.select_starts(
-            waiting, eligible, now, fastest=fastest, may_start=self._is_clear
+            waiting,
+            eligible,
+            now,
+            fastest=fastest,
+            may_start=self._is_clear,
+            allows_start=self._allows_start,
         ):
             self._start(task, held, now)
 
@@ -471,6 +479,8 @@
         )
         if suspects:
             for task, held in trials.select_trials(suspects, backends, now, fastest=fastest):
+                if not self._allows_start(held, task.job):
+                    continue
                 self._counters.add("pool.trials")
                 self._start(task, held, now)
 
--- a/testing/pool/test_run_ends.py
+++ b/testing/pool/test_run_ends.py
@@ -147,3 +147,28 @@
             assert not running_tasks(cluster)
 
     run_on_virtual_time(test)
+
+
+def test_a_run_that_starts_under_a_lasting_lease_is_over_when_both_processes_are_killed():
+    """Guards against a lease of other runs that is too long for a job that has waited."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            cluster.network.sends_heartbeats = True
+            for number in range(1, 9):
+                holder = "e1" if number % 2 else "e3"
+                start_job(cluster, holder, make_job(number, work_s=9.0, deadline_s=60.0))
+            for backend in cluster.backend_by_id.values():
+                backend.work_s_by_task[f"{1:016x}.0.0.0"] = 3.2
+            await anyio.sleep(0.5)
+            waiting = make_job(9, work_s=9.0, deadline_s=60.0, base_latency_s=60.0)
+            start_job(cluster, "e2", waiting)
+            await anyio.sleep(2.02)
+            cluster.entry_by_id["e2"].kill()
+            await anyio.sleep(0.75)
+            assert f"{1:016x}.0.0.0" not in running_tasks(cluster)
+            cluster.entry_by_id["e1"].kill()
+            await anyio.sleep(RESEND_S - 0.75)
+            assert f"{waiting.job_id}.0.0.0" not in running_tasks(cluster)
+
+    run_on_virtual_time(test)
