--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/renewal.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import anyio
@@ -86,7 +86,8 @@
 
     A start that got no answer may have been carried out, or may be carried out later. A renewal
     with a higher fencing token resolves this: once it is answered, the run is either listed in
-    the reply or its start will be ignored.
+    the reply or its start will be ignored. `lease_limit_at` returns the time beyond which the
+    lease must not be renewed.
     """
 
     def __init__(
@@ -96,12 +97,15 @@
         observer: RunObserver,
         timers: TimerService,
         counters: Counters,
+        lease_limit_at: Callable[[HeldBackend], float],
     ) -> None:
         self._held = held
+        self._lease_limit_at = lease_limit_at
         self._observer = observer
         self._timers = timers
         self._counters = counters
         self._scope = anyio.CancelScope()
+        self._logged_runs: set[RunKey] = set()
 
     async def run(self) -> None:
         """Renew the lease until `release` is called, then close the client."""
@@ -132,9 +136,12 @@
         if fence:
             held.token += TOKEN_STEP
         token, sent_at = held.token, self._timers.now()
+        held.lease_limit_at = self._lease_limit_at(held)
         # Without answers, renewals do not extend the lease: they might still arrive, and the lease
-        # has to expire before the tasks that run there may start elsewhere.
-        lease_until_ms = held.lease_until_ms(sent_at) if held.is_responsive else None
+        # has to expire before the tasks that run there may start elsewhere. Runs of earlier
+        # holders may have started elsewhere, too, and starts bring a lease of their own.
+        extends = held.is_responsive and held.run_by_key
+        lease_until_ms = held.lease_until_ms(sent_at) if extends else None
         try:
             reply = await held.client.renew_lease(
                 token=token,
@@ -181,8 +188,8 @@
         held.refuses_connections = False
         if reply.born_ms and held.born_ms and reply.born_ms != held.born_ms:
             self._handle_restart(reply)
-        held.born_ms = reply.born_ms or held.born_ms
         held.update_clock(reply, now)
+        held.born_ms = reply.born_ms or held.born_ms
         earlier_runs = dict(held.run_by_key)
         ended_keys = self._process_ended_runs(reply, earlier_runs)
         for key, run in earlier_runs.items():
@@ -264,6 +271,16 @@
 
     async def _stop_untracked_runs(self) -> None:
         held = self._held
+        self._logged_runs &= held.untracked_runs
         for key in sorted(held.untracked_runs, key=lambda item: (item.task, item.run)):
             self._counters.add("pool.foreign_runs_stopped")
-            await held.client.stop(key, held.token)
+            stopped = await held.client.stop(key, held.token)
+            if key not in self._logged_runs:
+                self._logged_runs.add(key)
+                _log.notice(
+                    "run {} of task {} of an earlier holder is active on backend server {}: {}",
+                    key.run,
+                    key.task,
+                    held.backend_id,
+                    "it was stopped" if stopped else "its stop got no answer",
+                )
