Take the age of a request from the arrival of its bytes

After a pause of an entry process, callers that still waited got refusals with 2105: all that is read within 0.2 s after a pause counted as old as the whole pause, and a pause as long as the deadline refused it all, also requests that had arrived just before or after its end.

Linux records when the last bytes of a connection arrived (TCP_INFO), and goes on to do so while a process is stopped. The age of a request is now the time since then. The record says nothing about input that waited outside of a stopped machine, which arrives with the end of the pause: what arrived from 0.1 s before a pause is noticed until 0.05 s after it keeps the whole pause as its age, as does everything without a record. Input that arrived earlier shows that the kernel was running. The time of a suspended machine, which the record does not count, is added. So no age is shorter than it is known to be; requests that a starved process reads more than 0.2 s after a pause are now seen to be old, and the time that a body takes counts as well.

--- a/src/apricotpoint/_http/serve.py
+++ b/src/apricotpoint/_http/serve.py
@@ -13,10 +13,11 @@
 import anyio.lowlevel
 import attrs
 import hypercorn.asyncio
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
+from apricotpoint._http.arrivals import Arrivals, RecordingListener
 
 # Timeout for a request head on a new or idle connection. It is longer than the
 # 1 s after which BackendClient no longer reuses an idle connection.
@@ -35,6 +36,19 @@
     key: Path
 
 
+class _Config(Config):
+    """Settings of hypercorn with a socket that listens already."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        super().__init__()
+        self._listener = listener
+
+    def create_sockets(self) -> Sockets:
+        """Return the socket in place of new ones."""
+        sockets = [self._listener]
+        return Sockets(sockets, [], []) if self.ssl_enabled else Sockets([], sockets, [])
+
+
 async def serve(
     app: Any,
     bind: str,
@@ -43,20 +57,21 @@
     *,
     grace_s: float = DEFAULT_GRACE_PERIOD_S,
     idle_s: float = REQUEST_HEAD_TIMEOUT_S,
+    arrivals: Arrivals | None = None,
     task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` on `bind` ("host:port") until `shutdown` returns.
 
     Then no new connections are accepted, and requests in progress get up to
     `grace_s` seconds to finish. A connection without a request is closed after
-    `idle_s` seconds. Reports the bound port as task status. Raises
-    `ApricotError` with code 5001 if the address cannot be bound. Works only
-    with the asyncio backend of anyio.
+    `idle_s` seconds. Accepted connections are added to `arrivals`. Reports the
+    bound port as task status. Raises `ApricotError` with code 5001 if the
+    address cannot be bound. Works only with the asyncio backend of anyio.
     """
     listener = _listen(bind)
+    listener.arrivals = arrivals
     port = listener.getsockname()[1]
-    config = Config()
-    config.bind = [f"fd://{listener.detach()}"]
+    config = _Config(listener)
     config.alpn_protocols = ["http/1.1"]
     config.keep_alive_timeout = idle_s
     config.graceful_timeout = grace_s
@@ -76,11 +91,11 @@
         raise
 
 
-def _listen(bind: str) -> socket.socket:
+def _listen(bind: str) -> RecordingListener:
     host, _, port = bind.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = RecordingListener(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -67,7 +67,7 @@
         pending: Callable[[str], int],
         counters: Counters,
         remaining_s: Callable[[], float],
-        unread_s: Callable[[], float],
+        unread_s: Callable[[tuple[str, int] | None], float],
     ) -> None:
         self._service = service
         self._routing = routing
@@ -153,7 +153,7 @@
         )
 
     async def _respond(self, request: Request, open_request: _OpenRequest) -> Response:
-        unread_s = self._unread_s()
+        began_at, unread_s = anyio.current_time(), self._unread_s(request.client)
         routing = await self._wait_for_routing()
         if not routing.version:
             body = await read_body(request, max_bytes=routing.max_body_bytes)
@@ -178,7 +178,10 @@
             job_id = request.url.path[len(route.prefix) :]
             if request.method == "POST":
                 job = decode_job(job_id, body, route=route, deadline_s=_parse_deadline_s(request))
-                job = attrs.evolve(job, elapsed_s=job.elapsed_s + unread_s)
+                # Includes the time since the head, and a pause during it.
+                waited_s = unread_s + anyio.current_time() - began_at
+                waited_s = max(waited_s, self._unread_s(request.client))
+                job = attrs.evolve(job, elapsed_s=job.elapsed_s + waited_s)
                 return _encode_response(await self._submit(request, job, open_request))
         except ApricotError as error:
             self._counters.add("callers.malformed")
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -15,6 +15,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.pauses import PauseMonitor
 from apricotpoint._core.timers import TimerService
+from apricotpoint._http.arrivals import Arrivals
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
@@ -162,13 +163,14 @@
             random=generator,
         )
         self._pauses = PauseMonitor(timers=self._timers)
+        self._arrivals = Arrivals()
         self._callers = CallerInterface(
             self._service,
             routing=lambda: self._routing,
             pending=self._scheduler.unstarted_jobs,
             counters=counters,
             remaining_s=self._remaining_s,
-            unread_s=self._pauses.unread_s,
+            unread_s=lambda client: self._pauses.unread_s(self._arrivals.silent_s(client)),
         )
 
     async def __aenter__(self) -> EntryProcess:
@@ -287,6 +289,7 @@
             self._close_servers.wait,
             grace_s=SERVER_CLOSE_S,
             idle_s=CONNECTION_IDLE_TIMEOUT_S,
+            arrivals=self._arrivals,
             task_status=task_status,
         )
 
--- a/testing/platform/test_caller_requests.py
+++ b/testing/platform/test_caller_requests.py
@@ -50,7 +50,7 @@
         pending=lambda _: 0,
         counters=Counters(),
         remaining_s=lambda: math.inf,
-        unread_s=lambda: unread_s,
+        unread_s=lambda _: unread_s,
     )
     sent: list[dict[str, Any]] = []
     received = [{"type": "http.request", "body": json.dumps(JOB).encode(), "more_body": False}]
--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -90,7 +90,7 @@
         pending=lambda _: 0,
         counters=Counters(),
         remaining_s=lambda: remaining_s,
-        unread_s=lambda: 0.0,
+        unread_s=lambda _: 0.0,
     )
 
 
@@ -244,7 +244,7 @@
     monkeypatch.setattr(entry, "Routing", lambda: Routing(1, [ROUTE]))
     # The process runs without its links to others and its timers.
     monkeypatch.setattr(EntryMembers, "send_status", lambda _: None)
-    monkeypatch.setattr(PauseMonitor, "unread_s", lambda _: 0.0)
+    monkeypatch.setattr(PauseMonitor, "unread_s", lambda *_: 0.0)
     settings_file = write_settings(tmp_path / "boot.yaml", grace_period_s=2.8)
     url = f"http://{settings_file.current.caller_bind}/check/{JOB_ID}"
     responses: list[httpx.Response] = []
