--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -68,7 +68,7 @@
         pending: Callable[[str], int],
         counters: Counters,
         remaining_s: Callable[[], float],
-        unread_s: Callable[[], float],
+        unread_s: Callable[[tuple[str, int] | None], float],
         clock: Callable[[], float],
     ) -> None:
         self._service = service
@@ -156,7 +156,7 @@
         )
 
     async def _respond(self, request: Request, open_request: _OpenRequest) -> Response:
-        sent_at = self._clock() - self._unread_s()
+        sent_at = self._clock() - self._unread_s(request.client)
         routing = await self._wait_for_routing()
         if not routing.version:
             body = await read_body(request, max_bytes=routing.max_body_bytes)
@@ -181,8 +181,9 @@
             job_id = request.url.path[len(route.prefix) :]
             if request.method == "POST":
                 job = decode_job(job_id, body, route=route, deadline_s=_parse_deadline_s(request))
-                elapsed_s = job.elapsed_s + self._clock() - sent_at
-                job = attrs.evolve(job, elapsed_s=elapsed_s)
+                # Includes the time since the head, and a pause during it.
+                waited_s = max(self._clock() - sent_at, self._unread_s(request.client))
+                job = attrs.evolve(job, elapsed_s=job.elapsed_s + waited_s)
                 return _encode_response(await self._submit(request, job, open_request))
         except ApricotError as error:
             self._counters.add("callers.malformed")
--- a/testing/platform/test_caller_requests.py
+++ b/testing/platform/test_caller_requests.py
@@ -61,7 +61,7 @@
         pending=lambda _: 0,
         counters=Counters(),
         remaining_s=lambda: math.inf,
-        unread_s=lambda: unread_s,
+        unread_s=lambda _: unread_s,
         clock=lambda: min(polls, polls_without_configuration) * POLL_S,
     )
     sent: list[dict[str, Any]] = []
