--- a/src/apricotpoint/_soak/backends.py
+++ b/src/apricotpoint/_soak/backends.py
@@ -68,7 +68,7 @@
         self._max_lease_s = max_lease_s
         self._began_at = sightings.now()
         self._token = 0
-        self._lease_until = 0.0
+        self._lease_until = self._lapsed_at = 0.0
         self._running: dict[str, RunningTask] = {}
         self._highest_ended: dict[str, int] = {}
         self._finished: list[tuple[int, Run]] = []
@@ -92,8 +92,11 @@
 
     def extend_lease(self, deadline_ms: int) -> None:
         """Let everything run until a time on the clock of the backend server; never shortens."""
+        now = self.advance()
+        if self._lease_until < now:
+            self._lapsed_at = self._lease_until
         deadline = self._began_at + (deadline_ms - FIRST_CLOCK_MS) / 1000
-        limit = self._sightings.now() + self._max_lease_s
+        limit = now + self._max_lease_s
         self._lease_until = max(self._lease_until, min(deadline, limit))
 
     def start(self, order: Order) -> str:
@@ -129,10 +132,16 @@
             self._highest_ended[task] = max(self._highest_ended.get(task, 0), number)
 
     def acknowledge(self, count: int) -> None:
-        """Forget the ends up to a number, which the holder has taken note of."""
+        """Forget the ends up to a number, which the holder has taken note of.
+
+        An end does not count as noted if the lease lapsed since: the holder may have given the
+        run up before it learned of its end.
+        """
+        now = self.advance()
         for number, run in self._finished:
-            if number <= count and run.noted_at is None:
-                run.noted_at = self._sightings.now()
+            lapsed = run.ended_at is None or run.ended_at <= self._lapsed_at
+            if number <= count and not lapsed and self._lease_until >= now:
+                run.noted_at = now
         self._finished = [row for row in self._finished if row[0] > count]
 
     def running(self) -> list[tuple[Run, int, int]]:
