--- a/src/apricotpoint/_soak/conductor.py
+++ b/src/apricotpoint/_soak/conductor.py
@@ -15,6 +15,8 @@
 FLAPS = 3
 BURST_CALLERS = 30
 DELAY_S = 0.15
+# 2 Mbit/s, the least of the users' sites.
+NARROW_BYTES_PER_S = 250_000
 ACKNOWLEDGEMENT_WAIT_S = 8.0
 DEADLY_SHAPE = JobShape(1, 500, deadly=True)
 
@@ -43,7 +45,9 @@
             FaultKind.SILENCE: self._silence,
             FaultKind.DELAY: self._delay,
             FaultKind.RESET: self._reset,
+            FaultKind.NARROW: self._delay,
             FaultKind.BURST: self._burst,
+            FaultKind.ODD_ANNOUNCEMENTS: self._odd_announcements,
             FaultKind.DEADLY_JOB: self._deadly_job,
             FaultKind.BACKEND_LEAVES: self._backend_leaves,
             FaultKind.BACKEND_FLAPS: self._backend_flaps,
@@ -79,7 +83,8 @@
 
     async def _stop(self, fault: Fault) -> None:
         for target in fault.targets:
-            await self._processes.stop(target)
+            # Even ones get further signals while they stop.
+            await self._processes.stop(target, repeated=fault.number % 2 == 0)
         await anyio.sleep(fault.duration_s)
         self._start(fault.targets)
 
@@ -163,10 +168,13 @@
         relays = self._deployment.links.between(set(fault.targets), others)
         with self._deployment.disturbed_links(fault.targets):
             for relay in relays:
-                relay.delay_s = DELAY_S
+                if fault.kind is FaultKind.NARROW:
+                    relay.bytes_per_s = NARROW_BYTES_PER_S
+                else:
+                    relay.delay_s = DELAY_S
             await anyio.sleep(fault.duration_s)
             for relay in relays:
-                relay.delay_s = 0.0
+                relay.delay_s = relay.bytes_per_s = 0.0
 
     async def _reset(self, fault: Fault) -> None:
         others = set(self._processes.ids()) - set(fault.targets)
@@ -203,6 +211,10 @@
         for backend in shrunk:
             backend.cpu *= 2
 
+    async def _odd_announcements(self, fault: Fault) -> None:
+        for slot in fault.targets:
+            await self._fleet.announce_oddly(slot)
+
     def _is_known(self, process_id: str) -> bool:
         return process_id in self._processes.ids()
 
--- a/src/apricotpoint/_soak/fleet.py
+++ b/src/apricotpoint/_soak/fleet.py
@@ -107,6 +107,16 @@
                 self._sightings.note(f"{url} is not answered: {type(error).__name__}")
         self.crash(slot)
 
+    async def announce_oddly(self, slot: str) -> None:
+        """Send announcements of another writer to all control processes."""
+        for path, content in self._words.odd_announcements(self.backend_by_slot[slot]):
+            for address in self._control_addresses():
+                try:
+                    await self._client.post(f"http://{address}{path}", content=content)
+                except httpx.TransportError:
+                    # The others get it.
+                    continue
+
     async def _run(
         self, slot: str, backend: Backend, listener: MultiListener[anyio.abc.SocketStream]
     ) -> None:
--- a/src/apricotpoint/_soak/generation.py
+++ b/src/apricotpoint/_soak/generation.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from apricotpoint._soak.series import Fault, FaultKind, Series
+from apricotpoint._soak.series import SIZES, Fault, FaultKind, Series
 from apricotpoint._soak.settings import SoakSettings
 
 TOLERATED = "fault_tolerance specifies what may be lost at the same time while all rules are kept"
@@ -23,6 +23,8 @@
 SILENT = "Open connections may go silent for good, without a reset, while new ones work"
 STOPPED = "To stop a process, the platform sends SIGTERM, and then SIGKILL"
 HANG_UP = "SIGHUP indicates that the settings file has changed"
+NARROWED = "Links have a delay, a bandwidth and small windows"
+ODD = "An entry or a heartbeat may come from another writer"
 LOADED = "many users come at once"
 LEAVES = "Before a planned end, the worker reports draining"
 FLAPS = "workers go down and up by turns"
@@ -51,6 +53,8 @@
     FaultKind.SILENCE: 3,
     FaultKind.DELAY: 3,
     FaultKind.RESET: 2,
+    FaultKind.NARROW: 2,
+    FaultKind.ODD_ANNOUNCEMENTS: 1,
     FaultKind.BURST: 1,
     FaultKind.DEADLY_JOB: 1,
     FaultKind.BACKEND_LEAVES: 2,
@@ -106,6 +110,8 @@
             FaultKind.SILENCE: self._links_of_one,
             FaultKind.DELAY: self._links_of_one,
             FaultKind.RESET: self._links_of_one,
+            FaultKind.NARROW: self._links_of_one,
+            FaultKind.ODD_ANNOUNCEMENTS: self._backend,
             FaultKind.BURST: self._load,
             FaultKind.DEADLY_JOB: self._load,
             FaultKind.BACKEND_LEAVES: self._backend,
@@ -223,9 +229,10 @@
         if not self.uses_links:
             return None
         target = self._random.choice([*self._entries, *self._controls])
-        rule = {FaultKind.RESET: RESET_ALL, FaultKind.SILENCE: SILENT}.get(kind, "")
-        duration_s = self._random.uniform(1.0, 4.0) if kind is FaultKind.DELAY else 0.0
-        if kind is FaultKind.DELAY:
+        rule = {FaultKind.RESET: RESET_ALL, FaultKind.SILENCE: SILENT}.get(kind, NARROWED)
+        lasts = kind in {FaultKind.DELAY, FaultKind.NARROW}
+        duration_s = self._random.uniform(1.0, 4.0) if lasts else 0.0
+        if lasts:
             lost = [target] if target in self._controls else []
             rule = self._lose(lost, at_s, duration_s, loses_disk=False)
         return Fault(0, at_s, kind, [target], duration_s, rule) if rule else None
@@ -242,7 +249,11 @@
         target = self._random.choice(free)
         duration_s = self._random.uniform(2.0, 6.0)
         self._busy_until[target] = at_s + duration_s + 2.0
-        rules = {FaultKind.BACKEND_LEAVES: LEAVES, FaultKind.BACKEND_FLAPS: FLAPS}
+        rules = {
+            FaultKind.BACKEND_LEAVES: LEAVES,
+            FaultKind.BACKEND_FLAPS: FLAPS,
+            FaultKind.ODD_ANNOUNCEMENTS: ODD,
+        }
         return Fault(0, at_s, kind, [target], duration_s, rules.get(kind, SHRINKS))
 
     def _lose(self, targets: list[str], at_s: float, duration_s: float, loses_disk: bool) -> str:
@@ -313,4 +324,5 @@
         )
         for number, fault in enumerate(faults, 1)
     ]
-    return Series(seed, settings.seconds, numbered)
+    sizes = {name: getattr(settings, name) for name in SIZES}
+    return Series(seed, settings.seconds, numbered, sizes)
--- a/src/apricotpoint/_soak/processes.py
+++ b/src/apricotpoint/_soak/processes.py
@@ -132,8 +132,11 @@
             process.frozen.until, process.frozen = self._sightings.now(), None
         return True
 
-    async def stop(self, process_id: str) -> None:
-        """Send SIGTERM, and SIGKILL if the process has not ended after the grace period."""
+    async def stop(self, process_id: str, *, repeated: bool = False) -> None:
+        """Send SIGTERM, and SIGKILL if the process has not ended after the grace period.
+
+        With `repeated`, SIGHUP and SIGTERM are sent again and again until the end.
+        """
         process = self._by_id.get(process_id)
         if process is None or process.popen is None or not self.is_running(process_id):
             return
@@ -143,7 +146,10 @@
         self._sightings.note(f"{process_id} is stopped")
         popen.send_signal(signal.SIGTERM)
         with anyio.move_on_after(self._words.limits.grace_s):
-            while popen.poll() is None:  # noqa: ASYNC110 - the end of a process has no event
+            while popen.poll() is None:
+                if repeated:
+                    popen.send_signal(signal.SIGHUP)
+                    popen.send_signal(signal.SIGTERM)
                 await anyio.sleep(POLL_S)
         stopping.until = self._sightings.now()
         if process.popen is not popen:
--- a/src/apricotpoint/_soak/relays.py
+++ b/src/apricotpoint/_soak/relays.py
@@ -28,7 +28,8 @@
 class Relay:
     """Forwards the connections that one process opens to another one.
 
-    Bytes wait while `cut` is set, and are `delay_s` seconds late.
+    Bytes wait while the relay is cut, and are `delay_s` seconds late. `bytes_per_s` is the bandwidth
+    in each direction, 0 for no limit.
     """
 
     def __init__(self, host: str, port: int, target_port: int) -> None:
@@ -36,7 +37,7 @@
         self._connections: list[_Connection] = []
         self._joined = anyio.Event()
         self._joined.set()
-        self.delay_s = 0.0
+        self.delay_s = self.bytes_per_s = 0.0
 
     def cut(self) -> None:
         """Hold up all bytes and new connections until `join`."""
@@ -96,8 +97,11 @@
         try:
             while True:
                 data = await source.receive(READ_BYTES)
-                if self.delay_s:
-                    await anyio.sleep(self.delay_s)
+                wait_s = self.delay_s
+                if self.bytes_per_s:
+                    wait_s += len(data) / self.bytes_per_s
+                if wait_s:
+                    await anyio.sleep(wait_s)
                 await self._joined.wait()
                 silent = connection.forward_silent if forward else connection.backward_silent
                 if not silent:
--- a/src/apricotpoint/_soak/series.py
+++ b/src/apricotpoint/_soak/series.py
@@ -34,19 +34,23 @@
     SILENCE = "silence"
     DELAY = "delay"
     RESET = "reset"
+    NARROW = "narrow"
     BURST = "burst"
     DEADLY_JOB = "deadly_job"
     BACKEND_LEAVES = "backend_leaves"
     BACKEND_FLAPS = "backend_flaps"
     BACKEND_SHRINKS = "backend_shrinks"
+    ODD_ANNOUNCEMENTS = "odd_announcements"
 
 
+SIZES = ["entries", "controls", "backends", "tolerated_processes", "tolerated_domains"]
 LINK_KINDS = {
     FaultKind.CUT,
     FaultKind.SPLIT,
     FaultKind.SILENCE,
     FaultKind.DELAY,
     FaultKind.RESET,
+    FaultKind.NARROW,
 }
 
 
@@ -72,11 +76,16 @@
 
 @attrs.frozen
 class Series:
-    """All faults of one run, with the seed of all else that is random in it."""
+    """All faults of one run, with the seed of all else that is random in it.
+
+    `sizes` are the settings on which the faults depend: they replace those of a run that plays
+    the series again. `cause` says in a kept case what made it fail.
+    """
 
     seed: int
     seconds: float
     faults: list[Fault]
+    sizes: dict[str, int] = attrs.Factory(dict)
     cause: str = ""
 
     def without(self, numbers: Collection[int]) -> Series:
--- a/src/apricotpoint/_soak/words.py
+++ b/src/apricotpoint/_soak/words.py
@@ -67,6 +67,7 @@
     `settings` returns the settings file of a member, `command` the words that start it, `document`
     a configuration from its version and number of routes, `announcement` the path and body in
     which a backend server announces itself, and `farewell_path` where it says that it ends.
+    `odd_announcements` are those of another writer, paths and contents.
     `respond` carries out an order that a backend server received: its path, headers and content
     give a status and a body.
     """
@@ -85,4 +86,5 @@
     document: Callable[[int, int], dict[str, Any]]
     announcement: Callable[[Backend], tuple[str, dict[str, Any]]]
     farewell_path: Callable[[Backend], str]
+    odd_announcements: Callable[[Backend], list[tuple[str, bytes]]]
     respond: Callable[..., Any]
--- a/src/apricotpoint/platform/soakwords.py
+++ b/src/apricotpoint/platform/soakwords.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from typing import Any
 
@@ -127,6 +128,7 @@
         },
         document=_document,
         announcement=_announcement,
+        odd_announcements=_odd_announcements,
         farewell_path=lambda backend: f"/instances/{backend.backend_id}/deregister",
         respond=respond,
     )
@@ -190,6 +192,31 @@
     }
 
 
+def _odd_announcements(backend: Backend) -> list[tuple[str, bytes]]:
+    """Return announcements that name no backend server to use, or hide a sound one."""
+    path, sound = _announcement(backend)
+    other_path = path.replace(backend.backend_id, "odd-1")
+    own_changes: list[dict[str, Any]] = [{"born": 10**15}, {"sequence": 10**15}]
+    other_changes: list[dict[str, Any]] = [
+        {"address": "127.0.0.1:99999"},
+        {"address": "fe80::1%a\0b:80"},
+        {"zone": "a#b"},
+        {"zone": ""},
+        {"state": "odd"},
+        {"service": None},
+        {"labels": "a"},
+        {"capacity": {}},
+        {"sequence": -1},
+    ]
+    odd = [(path, sound | change) for change in own_changes]
+    odd += [(other_path, sound | change) for change in other_changes]
+    return [
+        *((target, json.dumps(body).encode()) for target, body in odd),
+        (other_path, b"[" * 100_000),
+        (other_path, b"\xff"),
+    ]
+
+
 def _announcement(backend: Backend) -> tuple[str, dict[str, Any]]:
     return f"/instances/{backend.backend_id}/heartbeat", {
         "service": SERVICE,
