--- a/src/apricotpoint/_soak/deployment.py
+++ b/src/apricotpoint/_soak/deployment.py
@@ -120,7 +120,9 @@
     async def add_control(self, process_id: str, domain: str, *, counted: bool = True) -> None:
         """Start a control process at a new address with an empty disk."""
         await self._add_member(process_id, domain, is_control=True, counted=counted)
-        self.processes.start(process_id)
+        # Another fault may have removed it while its relays were started.
+        if process_id in self.processes.ids():
+            self.processes.start(process_id)
 
     def remove_control(self, process_id: str) -> None:
         """Forget a control process that has ended for good."""
--- a/src/apricotpoint/_soak/relays.py
+++ b/src/apricotpoint/_soak/relays.py
@@ -28,8 +28,8 @@
 class Relay:
     """Forwards the connections that one process opens to another one.
 
-    Bytes wait while the relay is cut, and are `delay_s` seconds late. `bytes_per_s` is the bandwidth
-    in each direction, 0 for no limit.
+    Bytes wait while the relay is cut, and are `delay_s` seconds late. `bytes_per_s` is the
+    bandwidth in each direction, 0 for no limit.
     """
 
     def __init__(self, host: str, port: int, target_port: int) -> None:
