--- a/src/apricotpoint/_soak/configchecks.py
+++ b/src/apricotpoint/_soak/configchecks.py
@@ -66,13 +66,15 @@
     for reading in readings:
         same = changes_by_version[reading.version]
         first = first_by_version.setdefault(reading.version, reading)
-        allowed = {change.digest for change in same}
-        for change in same:
-            if change.acknowledged_at is not None:
-                overtaken = {
-                    other.digest for other in same if other.sent_at > change.acknowledged_at
-                }
-                allowed -= overtaken - {change.digest}
+        # Contents in the order in which they were first sent.
+        sent_at_by_digest: dict[str, float] = {}
+        for change in sorted(same, key=lambda change: change.sent_at):
+            sent_at_by_digest.setdefault(change.digest, change.sent_at)
+        decided_at = min(
+            (change.acknowledged_at for change in same if change.acknowledged_at is not None),
+            default=float("inf"),
+        )
+        allowed = {key for key, sent_at in sent_at_by_digest.items() if sent_at < decided_at}
         if reading.digest not in allowed or reading.digest != first.digest:
             found.append(
                 Violation(
--- a/src/apricotpoint/_soak/generation.py
+++ b/src/apricotpoint/_soak/generation.py
@@ -69,6 +69,11 @@
     return {f"{prefix}-{index + 1}": domains[index % len(domains)] for index in range(count)}
 
 
+# As in the bounds of the users' sites; time in which the service comes back after losses beyond
+# the tolerated ones. Disks that were lost count as lost until then.
+RECOVERY_S = 15.0
+
+
 @attrs.define
 class _Loss:
     control_id: str
@@ -93,6 +98,8 @@
         self._added = 0
         self._busy_until: dict[str, float] = {}
         self._losses: list[_Loss] = []
+        # Until then the service may be suspended, so that no lost disk is replaced.
+        self._suspended_until = 0.0
         self._draw_by_kind: dict[FaultKind, Callable[[float, FaultKind], Fault | None]] = {
             FaultKind.FREEZE: self._any_process,
             FaultKind.KILL: self._any_process,
@@ -170,6 +177,7 @@
 
     def _power_loss(self, at_s: float, kind: FaultKind) -> Fault | None:
         duration_s = self._random.uniform(0.3, 1.0)
+        self._suspended_until = at_s + duration_s + RECOVERY_S
         return Fault(0, at_s, kind, list(self._controls), duration_s, ALL_KILLED)
 
     def _replacement(self, at_s: float, kind: FaultKind) -> Fault | None:
@@ -272,12 +280,17 @@
         if not tolerated and not self._beyond:
             return ""
         self._losses += [_Loss(target, at_s, until, loses_disk) for target in targets]
+        if not tolerated:
+            self._suspended_until = max(self._suspended_until, at_s + duration_s + RECOVERY_S)
         return TOLERATED if tolerated else OVERLAP
 
     def _overlapping(self, since: float, until: float) -> list[_Loss]:
         return [loss for loss in self._losses if loss.since < until and loss.until > since]
 
     def _disks_lost(self, since: float, until: float) -> list[_Loss]:
+        """Return the lost disks that may not be replaced by copies yet."""
+        if since < self._suspended_until:
+            return [loss for loss in self._losses if loss.loses_disk]
         return [loss for loss in self._overlapping(since, until) if loss.loses_disk]
 
     def _new_control(self, domain: str) -> str:
--- a/src/apricotpoint/_soak/processes.py
+++ b/src/apricotpoint/_soak/processes.py
@@ -20,7 +20,7 @@
 POLLS_PER_USAGE = 20
 END_TIMEOUT_S = 10.0
 # A program has installed its handlers of signals by then.
-START_S = 12.0
+START_S = 4.0
 ENVIRONMENT = ("PATH", "HOME", "LANG")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -177,6 +177,9 @@
         process = self._by_id.get(process_id)
         if process is not None and process.popen is not None and self.is_running(process_id):
             self._write_settings(process.member, first=False)
+            if self._sightings.now() < process.started_at + START_S:
+                # The interpreter may not have come to the program, which handles the signal.
+                return
             process.popen.send_signal(signal.SIGHUP)
             self._sightings.note(f"{process_id} gets SIGHUP")
 
@@ -222,6 +225,7 @@
                     self._sightings.own_ends.append(
                         f"{process_id} ended by itself with status {status}"
                     )
+                    self.start(process_id)
                 if status is None and polls % POLLS_PER_USAGE == 0:
                     self._measure(process)
             polls += 1
--- a/src/apricotpoint/_soak/series.py
+++ b/src/apricotpoint/_soak/series.py
@@ -64,7 +64,8 @@
 
     number: int
     at_s: float
-    kind: FaultKind
+    # Converted, as the plain text that is read from a file is no member of the enumeration.
+    kind: FaultKind = attrs.field(converter=FaultKind)
     targets: list[str]
     duration_s: float = 0.0
     rule: str = ""
