Block signals before their handlers are removed at the end of a process

Cause: the handlers are removed as the receiver is left; until the end of the interpreter the default action of SIGHUP and SIGTERM ended the process.

--- a/src/apricotpoint/platform/process.py
+++ b/src/apricotpoint/platform/process.py
@@ -30,6 +30,8 @@
 # are freed by reference counting; the default of 700 would run a collection for each job.
 GC_THRESHOLD_ALLOCATIONS = 20_000
 
+RECEIVED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 _log = logbook.Logger("process")
 
 
@@ -96,7 +98,7 @@
     async def _receive(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        with anyio.open_signal_receiver(*RECEIVED_SIGNALS) as signals:
             task_status.started()
             async for number in signals:
                 if number is signal.SIGHUP:
@@ -120,6 +122,11 @@
     async def run_with_signals(settings: SettingsFile) -> None:
         async with Signals(settings) as signals:
             await run(settings, signals)
+            # A signal would end the process before it has written its last log line, once the
+            # handlers are removed. They may come at any time, so they are blocked before.
+            signal.pthread_sigmask(signal.SIG_BLOCK, RECEIVED_SIGNALS)
+        for number in RECEIVED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
 
     with make_handler(LogSettings(format=LogFormat.JSON), sys.stdout).applicationbound():
         try:
--- a/testing/platform/test_signals.py
+++ b/testing/platform/test_signals.py
@@ -5,7 +5,10 @@
 import importlib
 import os
 import signal
+import subprocess
 import sys
+import time
+from pathlib import Path
 from types import SimpleNamespace
 
 import anyio
@@ -48,6 +51,49 @@
     anyio.run(test)
 
 
+# A program whose end takes as long as that of a process on a busy machine.
+ENDING_PROGRAM = """
+import time
+from apricotpoint.platform import process
+
+async def run(settings, signals):
+    print("ready", flush=True)
+    await signals.stop_requested.wait()
+
+class Settings:
+    def __init__(self, path):
+        self.current = type("Current", (), {"name": "p", "failure_domain": "d"})
+    def reload(self):
+        pass
+
+process.SettingsFile = Settings
+status = process.run_program("entry", run)
+time.sleep(0.3)
+raise SystemExit(status)
+"""
+
+
+def test_signals_do_not_end_a_process_that_has_shut_down():
+    """Guards against a process that ends with a failure as signals come until its end."""
+    program = subprocess.Popen(
+        [sys.executable, "-c", ENDING_PROGRAM],
+        env=os.environ | {"APRICOTPOINT_SETTINGS": "unused", "PYTHONPATH": "src"},
+        cwd=Path(__file__).resolve().parents[2],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert program.stdout is not None
+    with program.stdout:
+        while "ready" not in program.stdout.readline():
+            assert program.poll() is None
+        program.send_signal(signal.SIGTERM)
+        while program.poll() is None:
+            program.send_signal(signal.SIGHUP)
+            program.send_signal(signal.SIGTERM)
+            time.sleep(0.01)
+    assert program.returncode == 0
+
+
 def test_a_program_is_not_ended_by_sighup_while_it_is_imported(monkeypatch: pytest.MonkeyPatch):
     """Guards against a process that ends as its settings file changes at its start."""
 
