--- a/src/apricotpoint/_soak/play.py
+++ b/src/apricotpoint/_soak/play.py
@@ -5,11 +5,9 @@
 from pathlib import Path
 
 import anyio
-import attrs
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
-from apricotpoint._core.settings import structure
 from apricotpoint._soak.checks import find_violations
 from apricotpoint._soak.conductor import Conductor
 from apricotpoint._soak.configchecks import find_configuration_violations
@@ -33,11 +31,8 @@
 ) -> Report:
     """Start a deployment, play a series, end the deployment, and write all to the report folder.
 
-    The sizes of the series replace those in the settings. Raises `ApricotError` with code 5001
-    if the deployment cannot be started.
+    Raises `ApricotError` with code 5001 if the deployment cannot be started.
     """
-    source = "sizes of the series"
-    settings = structure(attrs.asdict(settings) | series.sizes, SoakSettings, source=source)
     folder = Path(settings.report_folder)
     save_series(series, folder / "series.json")
     deployment = Deployment(
--- a/src/apricotpoint/platform/soak.py
+++ b/src/apricotpoint/platform/soak.py
@@ -88,7 +88,12 @@
 
 
 async def run_series(settings: SoakSettings, series: Series) -> Report:
-    """Play a series; raises `ApricotError` with code 5001 if the programs cannot be started."""
+    """Play a series with its sizes, which replace those in the settings.
+
+    Raises `ApricotError` with code 5001 if the programs cannot be started.
+    """
+    sized = attrs.asdict(settings) | series.sizes
+    settings = structure(sized, SoakSettings, source="sizes of the series")
     return await play(
         settings, series, make_words(settings), build_folder=_find_build(settings.build_folder)
     )
