--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup test demo lint format bench fuzz defects
+.PHONY: setup test demo lint format bench fuzz soak defects
 
 setup: .venv/ready
 
@@ -23,6 +23,9 @@
 fuzz: setup
 	$(BIN)/python -m pytest testing/fuzz --fuzz-profile=long -s
 
+soak: setup
+	$(BIN)/apricot-soak run settings/soak.jsonc
+
 defects: setup
 	$(BIN)/python testing/defects/run.py
 
--- a/src/apricotpoint/_soak/deployment.py
+++ b/src/apricotpoint/_soak/deployment.py
@@ -23,11 +23,8 @@
 from apricotpoint._soak.sightings import Sightings
 from apricotpoint._soak.words import Member, Ports, Words
 
-START_TIMEOUT_S = 40.0
 FIRST_SUBNET, LAST_SUBNET = 10, 250
-FIRST_PORT, LAST_PORT = 20_000, 30_000
-# Peer ports: with relays, one for each process that may ever be added.
-PEER_PORTS = 400
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 FIRST_ENTRY, FIRST_CONTROL, BACKEND_NETWORK = 1, 200, 100
 PORT_DRAWS = 20
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -4,7 +4,9 @@
 
 import json
 import os
+import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -78,6 +80,19 @@
     assert "Traceback" not in errors
 
 
+def test_ports_in_use_are_named(tmp_path: Path):
+    """Guards against a run that fails later, with the logs of processes that could not listen."""
+    with socket.socket() as other:
+        other.bind(("127.9.1.2", random.randint(20_000, 30_000)))
+        other.listen()
+        port = other.getsockname()[1]
+        settings = write_settings(tmp_path, subnet=9, first_port=port)
+        process = command("run", settings)
+        _, errors = process.communicate(timeout=60)
+    assert process.returncode == 40
+    assert f"first_port: ports from {port} are in use" in errors
+
+
 def test_interrupt_ends_all_processes(tmp_path: Path):
     """Guards against processes that go on after Ctrl-C."""
     process = command("run", write_settings(tmp_path, entries=1, controls=1), "--json")
