--- a/src/apricotpoint/_soak/generation.py
+++ b/src/apricotpoint/_soak/generation.py
@@ -7,60 +7,15 @@
 
 import attrs
 
+from apricotpoint._soak import rules
 from apricotpoint._soak.series import SIZES, Fault, FaultKind, Series
 from apricotpoint._soak.settings import SoakSettings
 
-TOLERATED = "fault_tolerance specifies what may be lost at the same time while all rules are kept"
-OVERLAP = "Losses may also overlap beyond it, as long as no more disks are lost than it allows"
-UNCOUNTED = "Any number of other machines may be lost"
-REMOVED = "A machine of the core may be removed permanently, with or without SIGTERM"
-ADDED = "another machine may be added with the same roles, at a new address"
-EMPTY_DISK = "A machine may lose its disk"
-ALL_KILLED = "All processes of the core may be killed at the same moment and be back"
-FINAL_FAULT = "Some days end with a final fault, immediately after an acknowledgement"
-HALVES = "the machines that count may also be split into two halves"
-RESET_ALL = "Connection resets may also affect machines of the core"
-SILENT = "Open connections may go silent for good, without a reset, while new ones work"
-STOPPED = "To stop a process, the platform sends SIGTERM, and then SIGKILL"
-HANG_UP = "SIGHUP indicates that the settings file has changed"
-NARROWED = "Links have a delay, a bandwidth and small windows"
-ODD = "An entry or a heartbeat may come from another writer"
-LOADED = "many users come at once"
-LEAVES = "Before a planned end, the worker reports draining"
-FLAPS = "workers go down and up by turns"
-SHRINKS = "A new incarnation may be of a different kind"
-DEADLY = "After a crash, the worker runs nothing and has seen no fencing token"
-
 BEYOND_SHARE, LINKS_SHARE, FINAL_SHARE = 0.3, 0.4, 0.6
 MAX_ADDED_CONTROLS = 2
 # Share of the entry processes that are disturbed at the same time, at most.
 MAX_ENTRIES_SHARE = 0.5
 MIN_GAP_S = 0.1
-WEIGHT_BY_KIND = {
-    FaultKind.FREEZE: 8,
-    FaultKind.KILL: 6,
-    FaultKind.STOP: 4,
-    FaultKind.HANG_UP: 2,
-    FaultKind.POWER_LOSS: 1,
-    FaultKind.LOSE_DISK: 2,
-    FaultKind.REPLACE: 2,
-    FaultKind.REPLACE_PLANNED: 1,
-    FaultKind.ADD: 1,
-    FaultKind.ADD_UNCOUNTED: 2,
-    FaultKind.LOSE_UNCOUNTED: 2,
-    FaultKind.CUT: 2,
-    FaultKind.SPLIT: 1,
-    FaultKind.SILENCE: 3,
-    FaultKind.DELAY: 3,
-    FaultKind.RESET: 2,
-    FaultKind.NARROW: 2,
-    FaultKind.ODD_ANNOUNCEMENTS: 1,
-    FaultKind.BURST: 1,
-    FaultKind.DEADLY_JOB: 1,
-    FaultKind.BACKEND_LEAVES: 2,
-    FaultKind.BACKEND_FLAPS: 1,
-    FaultKind.BACKEND_SHRINKS: 1,
-}
 
 
 def names_by_domain(settings: SoakSettings, prefix: str, count: int) -> dict[str, str]:
@@ -128,8 +83,8 @@
 
     def draw(self, at_s: float) -> Fault | None:
         """Return a fault at a time, numbered 0; None if the drawn kind is not allowed then."""
-        kinds = list(WEIGHT_BY_KIND)
-        kind = self._random.choices(kinds, weights=list(WEIGHT_BY_KIND.values()))[0]
+        kinds = list(rules.WEIGHT_BY_KIND)
+        kind = self._random.choices(kinds, weights=list(rules.WEIGHT_BY_KIND.values()))[0]
         return self._draw_by_kind[kind](at_s, kind)
 
     def next_at(self, at_s: float) -> float:
@@ -145,7 +100,7 @@
         targets = self._random.sample(
             list(self._controls), self._random.randint(0, min(count, len(self._controls)))
         )
-        return Fault(0, at_s, FaultKind.FINAL, targets, 1.0, FINAL_FAULT)
+        return Fault(0, at_s, FaultKind.FINAL, targets, 1.0, rules.FINAL_FAULT)
 
     def _any_process(self, at_s: float, kind: FaultKind) -> Fault | None:
         if self._random.random() < 0.35:
@@ -157,7 +112,9 @@
         target = self._random.choice(free)
         duration_s = self._duration(kind)
         self._busy_until[target] = at_s + duration_s + self._settling_s(kind)
-        rule = {FaultKind.STOP: STOPPED, FaultKind.HANG_UP: HANG_UP}.get(kind, UNCOUNTED)
+        rule = {FaultKind.STOP: rules.STOPPED, FaultKind.HANG_UP: rules.HANG_UP}.get(
+            kind, rules.UNCOUNTED
+        )
         return Fault(0, at_s, kind, [target], duration_s, rule)
 
     def _control(self, at_s: float, kind: FaultKind) -> Fault | None:
@@ -167,18 +124,18 @@
         target = self._random.choice(free)
         duration_s = self._duration(kind)
         loses_disk = kind is FaultKind.LOSE_DISK
-        rule = HANG_UP
+        rule = rules.HANG_UP
         if kind is not FaultKind.HANG_UP:
             rule = self._lose([target], at_s, duration_s + self._settling_s(kind), loses_disk)
         if not rule:
             return None
         self._busy_until[target] = at_s + duration_s + self._settling_s(kind)
-        return Fault(0, at_s, kind, [target], duration_s, EMPTY_DISK if loses_disk else rule)
+        return Fault(0, at_s, kind, [target], duration_s, rules.EMPTY_DISK if loses_disk else rule)
 
     def _power_loss(self, at_s: float, kind: FaultKind) -> Fault | None:
         duration_s = self._random.uniform(0.3, 1.0)
         self._suspended_until = at_s + duration_s + RECOVERY_S
-        return Fault(0, at_s, kind, list(self._controls), duration_s, ALL_KILLED)
+        return Fault(0, at_s, kind, list(self._controls), duration_s, rules.ALL_KILLED)
 
     def _replacement(self, at_s: float, kind: FaultKind) -> Fault | None:
         free = [control for control in self._controls if not self._is_busy(control, at_s)]
@@ -190,7 +147,7 @@
             return None
         new = self._new_control(self._controls.pop(old))
         self._busy_until[new] = at_s + duration_s + self._catch_up_s
-        return Fault(0, at_s, kind, [old, new], duration_s, REMOVED)
+        return Fault(0, at_s, kind, [old, new], duration_s, rules.REMOVED)
 
     def _addition(self, at_s: float, kind: FaultKind) -> Fault | None:
         if self._added >= MAX_ADDED_CONTROLS:
@@ -198,7 +155,7 @@
         self._added += 1
         new = self._new_control(self._random.choice(self._settings.failure_domains))
         self._busy_until[new] = at_s + self._catch_up_s
-        return Fault(0, at_s, kind, [new], 0.0, ADDED)
+        return Fault(0, at_s, kind, [new], 0.0, rules.ADDED)
 
     def _uncounted_addition(self, at_s: float, kind: FaultKind) -> Fault | None:
         if len(self._uncounted) > MAX_ADDED_CONTROLS:
@@ -206,14 +163,14 @@
         new = self._new_control(self._random.choice(self._settings.failure_domains))
         del self._controls[new]
         self._uncounted.append(new)
-        return Fault(0, at_s, kind, [new], 0.0, ADDED)
+        return Fault(0, at_s, kind, [new], 0.0, rules.ADDED)
 
     def _uncounted_loss(self, at_s: float, kind: FaultKind) -> Fault | None:
         if not self._uncounted:
             return None
         lost = self._random.sample(self._uncounted, self._random.randint(1, len(self._uncounted)))
         self._uncounted = [name for name in self._uncounted if name not in lost]
-        return Fault(0, at_s, kind, lost, 0.0, UNCOUNTED)
+        return Fault(0, at_s, kind, lost, 0.0, rules.UNCOUNTED)
 
     def _cut(self, at_s: float, kind: FaultKind) -> Fault | None:
         if not self.uses_links:
@@ -231,13 +188,15 @@
         if not self.uses_links or len(self._controls) < 2:
             return None
         half = self._random.sample(list(self._controls), len(self._controls) // 2)
-        return Fault(0, at_s, kind, half, self._random.uniform(1.0, 4.0), HALVES)
+        return Fault(0, at_s, kind, half, self._random.uniform(1.0, 4.0), rules.HALVES)
 
     def _links_of_one(self, at_s: float, kind: FaultKind) -> Fault | None:
         if not self.uses_links:
             return None
         target = self._random.choice([*self._entries, *self._controls])
-        rule = {FaultKind.RESET: RESET_ALL, FaultKind.SILENCE: SILENT}.get(kind, NARROWED)
+        rule = {FaultKind.RESET: rules.RESET_ALL, FaultKind.SILENCE: rules.SILENT}.get(
+            kind, rules.NARROWED
+        )
         lasts = kind in {FaultKind.DELAY, FaultKind.NARROW}
         duration_s = self._random.uniform(1.0, 4.0) if lasts else 0.0
         if lasts:
@@ -247,8 +206,8 @@
 
     def _load(self, at_s: float, kind: FaultKind) -> Fault | None:
         if kind is FaultKind.BURST:
-            return Fault(0, at_s, kind, [], self._random.uniform(1.0, 3.0), LOADED)
-        return Fault(0, at_s, kind, [], 0.0, DEADLY)
+            return Fault(0, at_s, kind, [], self._random.uniform(1.0, 3.0), rules.LOADED)
+        return Fault(0, at_s, kind, [], 0.0, rules.DEADLY)
 
     def _backend(self, at_s: float, kind: FaultKind) -> Fault | None:
         free = [slot for slot in self._slots if not self._is_busy(slot, at_s)]
@@ -257,12 +216,12 @@
         target = self._random.choice(free)
         duration_s = self._random.uniform(2.0, 6.0)
         self._busy_until[target] = at_s + duration_s + 2.0
-        rules = {
-            FaultKind.BACKEND_LEAVES: LEAVES,
-            FaultKind.BACKEND_FLAPS: FLAPS,
-            FaultKind.ODD_ANNOUNCEMENTS: ODD,
+        rule_by_kind = {
+            FaultKind.BACKEND_LEAVES: rules.LEAVES,
+            FaultKind.BACKEND_FLAPS: rules.FLAPS,
+            FaultKind.ODD_ANNOUNCEMENTS: rules.ODD,
         }
-        return Fault(0, at_s, kind, [target], duration_s, rules.get(kind, SHRINKS))
+        return Fault(0, at_s, kind, [target], duration_s, rule_by_kind.get(kind, rules.SHRINKS))
 
     def _lose(self, targets: list[str], at_s: float, duration_s: float, loses_disk: bool) -> str:
         """Take account of lost control processes; returns the rule that allows it, or nothing."""
@@ -282,7 +241,7 @@
         self._losses += [_Loss(target, at_s, until, loses_disk) for target in targets]
         if not tolerated:
             self._suspended_until = max(self._suspended_until, at_s + duration_s + RECOVERY_S)
-        return TOLERATED if tolerated else OVERLAP
+        return rules.TOLERATED if tolerated else rules.OVERLAP
 
     def _overlapping(self, since: float, until: float) -> list[_Loss]:
         return [loss for loss in self._losses if loss.since < until and loss.until > since]
--- a/src/apricotpoint/platform/soakwords.py
+++ b/src/apricotpoint/platform/soakwords.py
@@ -196,7 +196,8 @@
     """Return announcements that name no backend server to use, or hide a sound one."""
     path, sound = _announcement(backend)
     other_path = path.replace(backend.backend_id, "odd-1")
-    own_changes: list[dict[str, Any]] = [{"born": 10**15}, {"sequence": 10**15}]
+    elsewhere = {"address": "127.0.0.1:9"}
+    own_changes = [elsewhere | {"born": 10**15}, elsewhere | {"sequence": 10**15}]
     other_changes: list[dict[str, Any]] = [
         {"address": "127.0.0.1:99999"},
         {"address": "fe80::1%a\0b:80"},
