--- a/src/apricotpoint/_soak/relays.py
+++ b/src/apricotpoint/_soak/relays.py
@@ -10,6 +10,8 @@
 import attrs
 
 READ_BYTES = 65_536
+# Without this wait the processes that connect again and again take all processor time.
+REFUSAL_S = 0.3
 # Closing a socket with this option resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -35,17 +37,23 @@
     def __init__(self, host: str, port: int, target_port: int) -> None:
         self._host, self._port, self._target_port = host, port, target_port
         self._connections: list[_Connection] = []
+        # Cuts may overlap: the link is joined when the last one is over.
+        self._cuts = 0
         self._joined = anyio.Event()
         self._joined.set()
         self.delay_s = self.bytes_per_s = 0.0
 
     def cut(self) -> None:
-        """Hold up all bytes and new connections until `join`."""
-        self._joined = anyio.Event()
+        """Hold up all bytes and new connections until each cut has had its `join`."""
+        self._cuts += 1
+        if self._joined.is_set():
+            self._joined = anyio.Event()
 
     def join(self) -> None:
-        """Deliver what was held up."""
-        self._joined.set()
+        """End one cut; after the last one deliver what was held up."""
+        self._cuts -= 1
+        if not self._cuts:
+            self._joined.set()
 
     def silence(self, *, both: bool) -> int:
         """Drop what open connections carry from now on; new ones work; return their number.
@@ -79,7 +87,9 @@
             try:
                 far = await anyio.connect_tcp(self._host, self._target_port)
             except OSError:
-                # The process does not listen: its own port would have reset the connection, too.
+                # The process does not listen. Its own port would refuse the connection, after which
+                # the opener waits; it does not after a connection that was accepted.
+                await anyio.sleep(REFUSAL_S)
                 return
             with anyio.CancelScope() as scope:
                 async with far, anyio.create_task_group() as group:
@@ -102,7 +112,8 @@
                     wait_s += len(data) / self.bytes_per_s
                 if wait_s:
                     await anyio.sleep(wait_s)
-                await self._joined.wait()
+                while self._cuts:
+                    await self._joined.wait()
                 silent = connection.forward_silent if forward else connection.backward_silent
                 if not silent:
                     await target.send(data)
