--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -207,6 +207,9 @@
             _log.info("listening for callers on {}", settings.caller_bind)
             await stop_requested.wait()
             await self._drain()
+            # No time remains for what arrives until the servers are closed, also after a short
+            # drain.
+            self._drained_by = min(self._drained_by, self._timers.now())
             await self._callers.end_open_requests()
             self._close_servers.set()
 
--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -277,3 +277,38 @@
             assert response.headers["retry-after"]
             assert not service.submitted
     assert responses
+
+
+def test_a_request_that_arrives_while_the_servers_close_is_refused(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a job that starts after a drain that ended early, and is cut off."""
+    service = StartedJobs()
+    monkeypatch.setattr(entry, "PoolService", lambda **_: service)
+    monkeypatch.setattr(entry, "Routing", lambda: Routing(1, [ROUTE]))
+    monkeypatch.setattr(entry, "LOAD_BALANCER_DRAIN_S", 0.1)
+    # The process runs without its links to others and its timers.
+    monkeypatch.setattr(EntryMembers, "send_status", lambda _: None)
+    monkeypatch.setattr(PauseMonitor, "unread_s", lambda *_: 0.0)
+    settings_file = write_settings(tmp_path / "boot.yaml", grace_period_s=6.0)
+    url = f"http://{settings_file.current.caller_bind}/check/{JOB_ID}"
+    responses: list[httpx.Response] = []
+    end_open_requests = CallerInterface.end_open_requests
+
+    async def send_and_end(callers: CallerInterface) -> None:
+        async with httpx.AsyncClient() as client:
+            responses.append(await client.post(url, json=make_job(100), headers=HEADERS))
+        await end_open_requests(callers)
+
+    monkeypatch.setattr(CallerInterface, "end_open_requests", send_and_end)
+
+    async def test() -> None:
+        stop_requested = anyio.Event()
+        stop_requested.set()
+        with anyio.fail_after(8):
+            await entry.EntryProcess(settings_file).serve_until(stop_requested)
+
+    run(test)
+    assert responses[0].status_code == 503
+    assert responses[0].json()["code"] == 2110
+    assert not service.submitted
