Refuse a job for the time it has waited only if others wait

A request that had waited for a paused process or for a new holder of backend servers was refused with 2104 as soon as it would be later than its latency objective, although its caller still waited and all its tasks could start at once. Such a refusal is final for the caller and saves no room that others wait for.

With a wait, or with a run time above the objective, nothing changes.

Two cases of test_admission.py fail before; test_load.py, test_scheduler.py, test_cluster.py and test_learning.py pass.

--- a/src/apricotpoint/_pool/admission.py
+++ b/src/apricotpoint/_pool/admission.py
@@ -33,8 +33,14 @@
     It is infeasible if it would be later than its objective, or if it would miss its deadline even
     with an optimistic run time. `elapsed_s` has passed since the caller sent the job;
     `objective_s` and `deadline_s` count from the same moment.
+
+    A job that is late only by the time that has passed, and can start all its tasks now, takes
+    nothing from others that wait; it is feasible if it meets its deadline with its whole run time.
     """
-    is_late = elapsed_s + wait_s + run_s > MAX_OBJECTIVE_SHARE * objective_s
+    latest_s = MAX_OBJECTIVE_SHARE * objective_s
+    is_late = elapsed_s + wait_s + run_s > latest_s
+    if is_late and not wait_s and run_s <= latest_s:
+        return elapsed_s + run_s > deadline_s
     share = OPTIMISTIC_SHARE if wait_s > 0 else IDLE_OPTIMISTIC_SHARE
     is_past_deadline = elapsed_s + wait_s + share * run_s > deadline_s
     return is_late or is_past_deadline
