--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -232,21 +232,24 @@
     return SettingsFile(path)
 
 
-@pytest.mark.parametrize("sent_after_s", [0.0, 1.6])
+@pytest.mark.parametrize("sent_after_s", [-0.1, 2.2])
 def test_each_request_around_a_stop_has_an_answer_with_a_code(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent_after_s: float
 ):
     """Guards against answers 500 without content of a process that stops.
 
-    The request is sent before, or just before the last open ones are ended.
+    The request is sent before, or so late that its deadline lies behind the end of the process,
+    but long enough before the servers close that a loaded machine reads it.
     """
     service = StartedJobs()
     monkeypatch.setattr(entry, "PoolService", lambda **_: service)
+    # The drain takes all of its time, also while no request is open.
+    monkeypatch.setattr(entry, "LOAD_BALANCER_DRAIN_S", 10.0)
     monkeypatch.setattr(entry, "Routing", lambda: Routing(1, [ROUTE]))
     # The process runs without its links to others and its timers.
     monkeypatch.setattr(EntryMembers, "send_status", lambda _: None)
     monkeypatch.setattr(PauseMonitor, "unread_s", lambda *_: 0.0)
-    settings_file = write_settings(tmp_path / "boot.yaml", grace_period_s=2.8)
+    settings_file = write_settings(tmp_path / "boot.yaml", grace_period_s=4.0)
     url = f"http://{settings_file.current.caller_bind}/check/{JOB_ID}"
     responses: list[httpx.Response] = []
 
@@ -255,20 +258,18 @@
         stop_requested = anyio.Event()
 
         async def send(delay_s: float) -> None:
-            await anyio.sleep(delay_s)
             async with httpx.AsyncClient() as client:
+                await anyio.sleep(delay_s)
                 headers = {**HEADERS, "apricotpoint-deadline-ms": "1500"}
                 responses.append(await client.post(url, json=make_job(100), headers=headers))
 
-        async def stop() -> None:
-            await anyio.sleep(1.0)
-            stop_requested.set()
-
-        with anyio.fail_after(8):
+        with anyio.fail_after(12):
             async with anyio.create_task_group() as group:
                 group.start_soon(process.serve_until, stop_requested)
-                group.start_soon(stop)
-                group.start_soon(send, 0.9 + sent_after_s)
+                await anyio.sleep(1.5)
+                group.start_soon(send, 0.5 + sent_after_s)
+                await anyio.sleep(0.5)
+                stop_requested.set()
 
     run(test)
     for response in responses:
@@ -278,3 +279,38 @@
             assert response.headers["retry-after"]
             assert not service.submitted
     assert responses
+
+
+def test_a_request_that_arrives_while_the_servers_close_is_refused(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a job that starts after a drain that ended early, and is cut off."""
+    service = StartedJobs()
+    monkeypatch.setattr(entry, "PoolService", lambda **_: service)
+    monkeypatch.setattr(entry, "Routing", lambda: Routing(1, [ROUTE]))
+    monkeypatch.setattr(entry, "LOAD_BALANCER_DRAIN_S", 0.1)
+    # The process runs without its links to others and its timers.
+    monkeypatch.setattr(EntryMembers, "send_status", lambda _: None)
+    monkeypatch.setattr(PauseMonitor, "unread_s", lambda *_: 0.0)
+    settings_file = write_settings(tmp_path / "boot.yaml", grace_period_s=6.0)
+    url = f"http://{settings_file.current.caller_bind}/check/{JOB_ID}"
+    responses: list[httpx.Response] = []
+    end_open_requests = CallerInterface.end_open_requests
+
+    async def send_and_end(callers: CallerInterface) -> None:
+        async with httpx.AsyncClient() as client:
+            responses.append(await client.post(url, json=make_job(100), headers=HEADERS))
+        await end_open_requests(callers)
+
+    monkeypatch.setattr(CallerInterface, "end_open_requests", send_and_end)
+
+    async def test() -> None:
+        stop_requested = anyio.Event()
+        stop_requested.set()
+        with anyio.fail_after(8):
+            await entry.EntryProcess(settings_file).serve_until(stop_requested)
+
+    run(test)
+    assert responses[0].status_code == 503
+    assert responses[0].json()["code"] == 2110
+    assert not service.submitted
