--- a/testing/control/membership_soak.py
+++ b/testing/control/membership_soak.py
@@ -165,7 +165,7 @@
                 group.start_soon(self._random.choice(actions))
                 await anyio.sleep(self._random.choice([0.3, 1.0, 2.0, 4.0, 7.0]))
         # After this pause all disks that are allowed may be lost at once.
-        await anyio.sleep(self._random.choice([0.0, CATCH_UP_S + 0.5, RECOVERY_S + 0.5]))
+        await anyio.sleep(self._random.choice([0.0, CATCH_UP_S + 0.5, RECOVERY_S + 2.5]))
         await self._final_fault()
         await self._check_recovery()
 
@@ -340,11 +340,11 @@
 
         Others may be dark since before it, and keep their disks.
         """
-        dark = self._random.sample(sorted(self._counted_ids), self._random.choice([0, 1, 2]))
+        dark = self._random.sample(sorted(self._counted_ids), self._random.choice([0, 1, 2, 2]))
         self._losses.dark_ids |= set(dark)
         self._note(f"dark before the final fault: {dark}")
         await self._kill(*dark)
-        await anyio.sleep(self._random.choice([0.5, 2.5, 4.5]))
+        await anyio.sleep(self._random.choice([0.5, 4.5, 4.5]))
         await self._change_until_acknowledged(within_s=1.0)
         if self._random.random() < 0.5:
             await self._remove_uncounted()
