--- a/testing/control/test_membership_soak.py
+++ b/testing/control/test_membership_soak.py
@@ -8,7 +8,7 @@
 from membership_soak import play
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [2, 5])
 def test_what_was_acknowledged_is_read_and_changed_again_after_tolerated_losses(
     tmp_path: Path, seed: int
 ):
