Vote for a candidate that knows of a newer membership

Seen by operators: the configuration can be neither read nor changed although all control processes with their disks are back, and one was replaced.

Cause: a replica voted only if its own log names it as a member. The leader had added c3 and the entry had reached c1 only when c2 and c3 lost power; c3-b was gone for good. For c1 the members are four, so c3 must vote, which refused for ever; c2 and c3 without the entry are refused by c1, whose log is newer.

Whether it counts is decided by the candidate, which compares the disk in the reply with its log.

--- a/src/apricotpoint/_control/election.py
+++ b/src/apricotpoint/_control/election.py
@@ -71,16 +71,17 @@
     """Return whether this replica may vote for the candidate, whatever the term.
 
     A replica in contact with a leader does not vote, so that a candidate that
-    was partitioned cannot depose a leader that the others can reach.
+    was partitioned cannot depose a leader that the others can reach. Whether
+    the vote counts is for the candidate to say: its log may name this replica
+    as a member although that entry has not arrived here.
     """
     has_leader_contact = replica.timers.now() - replica.leader_contact_at < ELECTION_TIMEOUT_S
     if replica.leader_id is not None and has_leader_contact:
         return False
     log = replica.log
-    return (
-        replica.is_voter()
-        and candidate_id in log.disk_by_member()
-        and (last_term, last_index) >= (log.last_term, log.last_index)
+    return candidate_id in log.disk_by_member() and (last_term, last_index) >= (
+        log.last_term,
+        log.last_index,
     )
 
 
