Keep the lease limit of a run when its job is given up

Callers saw, on virtual time: a task that runs twice after an entry process was killed while stops of its runs get no answer, or the holder is killed as it sends them.

Cause: the lease of a run was limited by the last sign of its origin until its job was answered, then by the time of the answer. The scheduler answers a job that nobody waits for 0.9 to 1.0 s after that sign, so the limit moved on by that time.

Change: the limit is fixed when the job is answered, at the earlier of both.

--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/job.py
@@ -106,8 +106,9 @@
     waits for the answer, None for this one. `started` is set when the first start
     of a task is sent: from then on the job can no longer be refused as not run. `cancelled` is set
     when the job is answered, after which its runs are stopped. `completed_runs` has the runs that
-    ended as done, with the seconds that each took. `answered` is set together with `answer`, at the
-    monotonic time `answered_at`.
+    ended as done, with the seconds that each took. `answered` is set together with `answer`.
+    The caller may send the job again from a moment after the monotonic time `given_up_at`, which is
+    then set, too.
     """
 
     request: PoolJob
@@ -121,7 +122,7 @@
     completed_runs: list[tuple[Run, float]] = attrs.Factory(list)
     answer: PoolAnswer | None = None
     answered: anyio.Event = attrs.Factory(anyio.Event)
-    answered_at: float | None = None
+    given_up_at: float | None = None
 
     def __attrs_post_init__(self) -> None:
         names = (f"{self.request.job_id}.0.0.{index}" for index in range(self.request.count))
@@ -185,9 +186,13 @@
                 )
         return "; ".join(parts)
 
-    def close(self, answer: PoolAnswer, now: float) -> None:
-        """Set the final answer and wake whoever waits for it; later answers are ignored."""
+    def close(self, answer: PoolAnswer, given_up_at: float) -> None:
+        """Set the final answer and wake whoever waits for it; later answers are ignored.
+
+        `given_up_at` is the monotonic time of the answer, or earlier that of the last sign of life
+        of the origin, whose caller may have been left alone since then.
+        """
         if self.answer is None:
             self.answer = answer
-            self.answered_at = now
+            self.given_up_at = given_up_at
             self.answered.set()
--- a/src/apricotpoint/_pool/leaselimit.py
+++ b/src/apricotpoint/_pool/leaselimit.py
@@ -30,8 +30,8 @@
     limit_at = math.inf
     for run in runs:
         job = run.task.job
-        if job.answered_at is not None:
-            limit_at = min(limit_at, job.answered_at + LIMIT_S)
+        if job.given_up_at is not None:
+            limit_at = min(limit_at, job.given_up_at + LIMIT_S)
         elif job.origin is not None:
             limit_at = min(limit_at, origin_alive_at(job.origin) + LIMIT_S)
     return limit_at
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -619,7 +619,9 @@
                     job.describe(now),
                 )
         job.cancelled = True
-        job.close(answer, now)
+        # What is heard of the origin later shows nothing about this answer.
+        alive_at = now if job.origin is None else self.origin_alive_at(job.origin)
+        job.close(answer, min(now, alive_at))
         for run in job.active_runs():
             self._stop(run)
         if not job.active_runs():
