Vote for a candidate that the own log does not name as a member

Seen on virtual time: no leader, and the acknowledged configuration cannot be read, after two tolerated losses of disks while a member was being added.

Cause: a voter refused a candidate that its own log does not name. The entry that adds it may have been committed without this voter.

Change: as in Raft, only the logs are compared. Contact with a leader and the pre-vote keep processes that were removed from disturbing the others.

--- a/src/apricotpoint/_control/election.py
+++ b/src/apricotpoint/_control/election.py
@@ -39,10 +39,10 @@
             await _run_election(replica)
 
 
-def on_pre_vote(replica: Replica, candidate_id: str, message: PreVote) -> VoteReply:
+def on_pre_vote(replica: Replica, message: PreVote) -> VoteReply:
     """Reply whether a vote would be granted, without changing the term or the vote."""
     granted = message.term > replica.log.term and _may_grant_vote(
-        replica, candidate_id, message.last_term, message.last_index
+        replica, message.last_term, message.last_index
     )
     return replica.vote_reply(granted=granted)
 
@@ -52,7 +52,7 @@
     log = replica.log
     if message.term < log.term:
         return replica.vote_reply(granted=False)
-    if not _may_grant_vote(replica, candidate_id, message.last_term, message.last_index):
+    if not _may_grant_vote(replica, message.last_term, message.last_index):
         return replica.vote_reply(granted=False)
     if message.term > log.term:
         replica.become_follower(message.term, None)
@@ -67,22 +67,19 @@
     return replica.vote_reply(granted=granted)
 
 
-def _may_grant_vote(replica: Replica, candidate_id: str, last_term: int, last_index: int) -> bool:
-    """Return whether this replica may vote for the candidate, whatever the term.
+def _may_grant_vote(replica: Replica, last_term: int, last_index: int) -> bool:
+    """Return whether this replica may vote for a candidate with this log, whatever the term.
 
     A replica in contact with a leader does not vote, so that a candidate that
     was partitioned cannot depose a leader that the others can reach. Whether
-    the vote counts is for the candidate to say: its log may name this replica
-    as a member although that entry has not arrived here.
+    the vote counts is for the candidate to say: an entry that made it or this
+    replica a member may not have arrived here.
     """
     has_leader_contact = replica.timers.now() - replica.leader_contact_at < ELECTION_TIMEOUT_S
     if replica.leader_id is not None and has_leader_contact:
         return False
     log = replica.log
-    return candidate_id in log.disk_by_member() and (last_term, last_index) >= (
-        log.last_term,
-        log.last_index,
-    )
+    return (last_term, last_index) >= (log.last_term, log.last_index)
 
 
 async def _wins_pre_vote(replica: Replica) -> bool:
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -412,8 +412,8 @@
     async def _on_install_snapshot(self, sender: Sender, message: InstallSnapshot) -> object:
         return await replication.on_install_snapshot(self.replica, sender.peer_id, message)
 
-    async def _on_pre_vote(self, sender: Sender, message: PreVote) -> object:
-        return election.on_pre_vote(self.replica, sender.peer_id, message)
+    async def _on_pre_vote(self, _: Sender, message: PreVote) -> object:
+        return election.on_pre_vote(self.replica, message)
 
     async def _on_vote(self, sender: Sender, message: Vote) -> object:
         return await election.on_vote(self.replica, sender.peer_id, message)
