Let members return to a failure domain that was dark

Seen on virtual time: with one tolerated loss and two control processes in each of three failure domains, the members stay two in one domain and one in another after a third domain was dark; the loss of the first then leaves no leader.

Cause: a learner was added beyond the least number of members only if the members then tolerate the loss of a failure domain. From two, one and none every single addition gives two, one and one, which does not; and nothing can be removed at the least number.

Change: a learner is also added if a member too many in a failure domain can be removed after that. Silent members are removed before those that may not vote, so that a majority of live ones is left. The second step of a replacement in a larger cluster, which a test had lost, is tested again.

--- a/src/apricotpoint/_control/membership.py
+++ b/src/apricotpoint/_control/membership.py
@@ -155,17 +155,17 @@
 def _leaving_member(situation: _Situation) -> str | None:
     """Return the member that is to be removed next, None if there is none.
 
-    First those that may not vote, this replica as the last of them, then the one that has been
-    silent for the longest time, then one too many in its failure domain.
+    First the one that has been silent for the longest time, then those that may not vote, this
+    replica as the last of them, then one too many in its failure domain.
     """
     own_id, status_by_id = situation.own_id, situation.status_by_id
     known = [key for key in sorted(situation.members) if key in status_by_id]
-    ineligible = [key for key in known if not status_by_id[key].may_vote]
-    if ineligible:
-        return min(ineligible, key=lambda key: key == own_id)
     silent = [key for key in known if not situation.is_live(key)]
     if silent:
         return max(silent, key=lambda key: status_by_id[key].silent_s)
+    ineligible = [key for key in known if not status_by_id[key].may_vote]
+    if ineligible:
+        return min(ineligible, key=lambda key: key == own_id)
     if len(situation.members) > situation.tolerance.min_members and not situation.covers_domains(
         situation.members
     ):
@@ -191,7 +191,7 @@
     """Return the learner to add next, None if there is none of use.
 
     Beyond the number of members that the tolerated losses need, a learner is only added if the
-    members then still tolerate the loss of a failure domain.
+    members then still tolerate the loss of a failure domain, at least after another one has left.
     """
     members, status_by_id = situation.members, situation.status_by_id
     remaining = members.keys() - {leaving_id}
@@ -208,10 +208,23 @@
     if not ranks:
         return None
     leaves_uncovered, _, peer_id = min(ranks)
-    is_needed = leaving_id is not None or len(members) < situation.tolerance.min_members
+    is_needed = (
+        leaving_id is not None
+        or len(members) < situation.tolerance.min_members
+        or _may_swap(situation, peer_id)
+    )
     return None if leaves_uncovered and not is_needed else peer_id
 
 
+def _may_swap(situation: _Situation, learner_id: str) -> bool:
+    """Return whether a learner allows to remove a member too many in a failure domain."""
+    members = situation.members.keys()
+    return not situation.covers_domains(members) and any(
+        situation.covers_domains({*members, learner_id} - {key})
+        for key in members - {situation.own_id}
+    )
+
+
 async def maintain_members(replica: Replica, tolerance: FaultTolerance) -> None:
     """As leader, replace unreachable members and replaced disks, one change at a time.
 
--- a/testing/control/test_membership.py
+++ b/testing/control/test_membership.py
@@ -58,6 +58,7 @@
     statuses = {"2": live("b"), "3": live("c"), "4": silent("d", 2.0), "5": live("e")}
     shrunk = next_members("1", members, statuses)
     assert shrunk == MEMBERS
+    assert next_members("1", shrunk, statuses) == {**MEMBERS, "5": "e"}
 
 
 def test_an_unreachable_member_stays_without_a_replacement():
