Ask only replicas that have answered whether they may vote

Seen on virtual time: where no control process counts, a leader that is gone for good is never replaced, and the next loss leaves no majority.

Cause: processes that do not count vote if there are no others. A member that never answered the new leader counted as one that may vote.

Evidence: test_replicas_that_may_not_vote_replace_a_lost_leader, found by the review, failed before and passes now.

--- a/src/apricotpoint/_control/membership.py
+++ b/src/apricotpoint/_control/membership.py
@@ -123,7 +123,8 @@
     disk: with fewer members, the tolerated loss of other disks would leave no majority although
     it returns. At that number its replacement is therefore added before it is removed.
     """
-    if not any(status.may_vote for status in status_by_id.values()):
+    # A replica that never answered this leader has not said whether it may vote.
+    if not any(status.may_vote for status in status_by_id.values() if status.disk_id):
         # No replica is better than another, and without voters the configuration would be lost.
         status_by_id = {
             key: attrs.evolve(status, may_vote=True) for key, status in status_by_id.items()
