Take ages from the record of arrivals only where there is one

An entry process now checks at its start, by a connection to itself, that the record grows; without that the bound by the length of the pause holds as before.

Evidence: the new test fails without the check; with the record the series of test_arrivals.py pass as before.

--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -201,6 +201,7 @@
         """Serve callers until the platform stops the process, then finish the open requests."""
         settings = self._settings
         async with anyio.create_task_group() as group:
+            group.start_soon(self._arrivals.check)
             await group.start(self._serve, self._callers.make_app(), settings.caller_bind)
             await group.start(
                 self._serve, make_readiness_app(self._is_ready), settings.readiness_bind
--- a/testing/http/test_arrivals.py
+++ b/testing/http/test_arrivals.py
@@ -80,6 +80,7 @@
                 counters=Counters(),
                 remaining_s=lambda: float("inf"),
                 unread_s=lambda client: pauses.unread_s(arrivals.silent_s(client)),
+                clock=timers.boot_time,
             )
 
             async def serve_callers(*, task_status: Any) -> None:
@@ -93,6 +94,7 @@
                     task_status=task_status,
                 )
 
+            await arrivals.check()
             port = await group.start(serve_callers)
             await anyio.sleep(0.3)
             arguments = (port, sent_after_s, answers)
@@ -115,6 +117,7 @@
 def test_only_known_and_open_connections_have_an_age():
     """Guards against an age that belongs to another connection or to none."""
     arrivals = Arrivals()
+    anyio.run(arrivals.check)
     assert arrivals.silent_s(None) is None
     assert arrivals.silent_s(("127.0.0.1", 1)) is None
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -129,3 +132,32 @@
         client.close()
         connection.close()
     assert arrivals.silent_s(address) is None
+
+
+class ForgetfulSocket(socket.socket):
+    """Stands in for a socket of a system that reports all bytes as new."""
+
+    def getsockopt(self, *arguments: Any) -> Any:
+        """Return an open connection of which the last bytes have just arrived."""
+        if arguments[:2] == (socket.IPPROTO_TCP, socket.TCP_INFO):
+            return bytes([1]) + bytes(arguments[2] - 1)
+        return super().getsockopt(*arguments)
+
+
+def test_a_system_that_does_not_record_arrivals_gives_no_age(monkeypatch: pytest.MonkeyPatch):
+    """Guards against input that waited for a paused process and counts as new."""
+    arrivals = Arrivals()
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()),
+    ):
+        connection, address = listener.accept()
+        arrivals.add(connection, address)
+        assert arrivals.silent_s(address) is None
+        monkeypatch.setattr(socket, "socket", ForgetfulSocket)
+        anyio.run(arrivals.check)
+        assert arrivals.silent_s(address) is None
+        monkeypatch.undo()
+        anyio.run(arrivals.check)
+        assert arrivals.silent_s(address) is not None
+        connection.close()
