--- a/src/apricotpoint/_soak/series.py
+++ b/src/apricotpoint/_soak/series.py
@@ -59,7 +59,7 @@
     """A fault that begins `at_s` seconds after the start of the series.
 
     Processes are down, frozen or cut off for `duration_s`. `targets` are ids of processes or
-    backend servers. `rule` is the sentence of the users' pages that allows the fault.
+    backend servers. `rule` says why the users' platform allows the fault.
     """
 
     number: int
--- a/src/apricotpoint/platform/soak.py
+++ b/src/apricotpoint/platform/soak.py
@@ -76,7 +76,7 @@
     options = _OVERRIDES
 
     def handle(self) -> int:
-        """Print one line for each fault, with the sentence that allows it."""
+        """Print one line for each fault, with the rule that allows it."""
         _print_series(_choose_series(_load_settings(self), None, None))
         return 0
 
