Draw other random numbers in each process

Two processes had given the attempts of two callers the same number. One attempt was cancelled; the process that scheduled both then took the other, whose origin was cut off, for cancelled already and did not stop its job, which ran again beside the second attempt.

Cause: the generator of the fake processes had the same seed in each. That of the real ones is seeded by the time of their start in microseconds alone, so that two that start in the same microsecond draw the same numbers, too. Class of fault: a time taken for an identity.

Change: the id of the process is part of the seed, in entry and control processes, whose elections it spreads, and in the tests.

That real processes have ever started in the same microsecond is not shown.

--- a/src/apricotpoint/_programs/control.py
+++ b/src/apricotpoint/_programs/control.py
@@ -33,7 +33,7 @@
 from apricotpoint._operator.dump import StateDump, dump_on_signal
 from apricotpoint._operator.executor import CommandExecutor
 from apricotpoint._programs.console import run_commands, settings_commands
-from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._programs.signals import wait_for_stop_signal
 from apricotpoint._settings.control import ControlSettings
 from apricotpoint._wire.jobs import Answer, JobRequest
@@ -116,7 +116,7 @@
         transport=mesh,
         timers=timers,
         counters=counters,
-        random=random.Random(incarnation),
+        random=make_random(settings.control_id, incarnation),
     )
     state_dump = StateDump(
         process_id=settings.control_id,
--- a/src/apricotpoint/_programs/entry.py
+++ b/src/apricotpoint/_programs/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -33,7 +32,7 @@
 from apricotpoint._programs.components import EntryComponents
 from apricotpoint._programs.configrows import configuration_rows
 from apricotpoint._programs.console import run_commands, settings_commands
-from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._programs.signals import wait_for_stop_signal
 from apricotpoint._settings.entry import EntrySettings
 from apricotpoint._wire.configuration import Change, ChangeReply, ChangeRequest
@@ -120,7 +119,7 @@
             transport=self._mesh,
             timers=self._timers,
             counters=self.counters,
-            random=random.Random(incarnation),
+            random=make_random(settings.entry_id, incarnation),
             entry_ids=lambda: settings.peer_by_id,
             configuration=self._feed.configuration,
             configuration_current=self._feed.current,
--- a/src/apricotpoint/_programs/incarnation.py
+++ b/src/apricotpoint/_programs/incarnation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 
 
@@ -13,3 +14,12 @@
     ends with code 5106; see `Mesh`.
     """
     return time.time_ns() // 1000
+
+
+def make_random(process_id: str, incarnation: int) -> random.Random:
+    """Return the random numbers of an incarnation of a process.
+
+    Processes that start in the same microsecond have the same incarnation. Their numbers must
+    differ all the same: they tell apart the attempts of callers, and spread elections.
+    """
+    return random.Random(f"{process_id} {incarnation}")
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -27,7 +27,7 @@
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.relay import AnnouncementRelay
-from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._wire.configuration import ConfigPoll
 from apricotpoint.platform.controlapi import make_control_app
 from apricotpoint.platform.process import (
@@ -92,7 +92,7 @@
         transport=mesh,
         timers=timers,
         counters=counters,
-        random=random.Random(incarnation),
+        random=make_random(settings.address, incarnation),
     )
 
     def control_ids() -> list[str]:
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 import sys
 from contextlib import AsyncExitStack
 
@@ -26,7 +25,7 @@
 from apricotpoint._pool.routing import Routing
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
-from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._wire.configuration import ConfigPoll, Configuration
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolJob
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
@@ -85,7 +84,7 @@
         self._close_servers = anyio.Event()
         incarnation = new_incarnation()
         counters = Counters()
-        generator = random.Random(incarnation)
+        generator = make_random(settings.address, incarnation)
         self._timers = TimerService(suspended_s=suspended_s)
         self._started_at = self._timers.wall_time()
         self._mesh = Mesh(
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -336,7 +336,8 @@
                     transport=transport,
                     timers=timers,
                     counters=self.counters,
-                    random=random.Random(3),
+                    # Other numbers of attempts than those of all other incarnations.
+                    random=random.Random(f"{self.entry_id} {self.started_at}"),
                 )
                 crash_reports = CrashReports(
                     crashes=self.scheduler.crashes,
