Divide the pool package into decisions, holders and runs

Decisions without input or output, membership and claims, and runs with their leases get a folder each; the leases (runs/leases.py) and the starts and stops of runs (runs/starter.py) leave the scheduler. Moves only: no behaviour changes. The tests of testing/pool pass.

--- /dev/null
+++ b/src/apricotpoint/_pool/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the pool as functions without input or output."""
--- a/src/apricotpoint/_pool/claims.py
+++ b/src/apricotpoint/_pool/decisions/claims.py
@@ -16,7 +16,7 @@
 import attrs
 import xxhash
 
-from apricotpoint._pool.shares import Layout, Share, capacity, domain_of
+from apricotpoint._pool.decisions.shares import Layout, Share, capacity, domain_of
 from apricotpoint._wire.pool import EntryStatus, EntrySummary
 
 # Delay between one candidate for a share and the next. Nobody knows whether a process that
--- a/src/apricotpoint/_pool/dispatch.py
+++ b/src/apricotpoint/_pool/decisions/dispatch.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable, Iterator, Sequence
 
-from apricotpoint._pool import joborder, placement
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Task
+from apricotpoint._pool.decisions import joborder, placement
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Task
 
 # Number of jobs whose next task no backend server can start now after which the search ends. More
 # than one, as smaller jobs behind one that waits for large resources may still start.
--- a/src/apricotpoint/_pool/forecast.py
+++ b/src/apricotpoint/_pool/decisions/forecast.py
@@ -10,8 +10,8 @@
 import heapq
 from collections.abc import Iterable
 
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Run
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Run
 
 # A run that exceeds its expected time is expected to go on for this share of its time so far.
 OVERDUE_SHARE = 0.2
--- a/src/apricotpoint/_pool/joborder.py
+++ b/src/apricotpoint/_pool/decisions/joborder.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from apricotpoint._pool.job import Job
+from apricotpoint._pool.runs.job import Job
 
 # Slack that one step of priority counts as. Larger steps serve more short jobs, but too few
 # large and long ones.
--- a/src/apricotpoint/_pool/leaselimit.py
+++ b/src/apricotpoint/_pool/decisions/leaselimit.py
@@ -9,8 +9,8 @@
 import math
 from collections.abc import Callable, Iterable
 
-from apricotpoint._pool.heldbackend import CLOCK_RATE, LEASE_END_MARGIN_S, LEASE_S, HeldBackend
-from apricotpoint._pool.job import Job, Origin, Run
+from apricotpoint._pool.runs.heldbackend import CLOCK_RATE, LEASE_END_MARGIN_S, LEASE_S, HeldBackend
+from apricotpoint._pool.runs.job import Job, Origin, Run
 
 # Callers send a job again this long after an answer that leaves its outcome open, or after the
 # process that took it has ended.
--- a/src/apricotpoint/_pool/placement.py
+++ b/src/apricotpoint/_pool/decisions/placement.py
@@ -11,10 +11,10 @@
 
 from collections.abc import Sequence
 
-from apricotpoint._pool.admission import OPTIMISTIC_SHARE
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Run, Task
-from apricotpoint._pool.learning import SPEED_CLASS_FACTOR
+from apricotpoint._pool.decisions.admission import OPTIMISTIC_SHARE
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Run, Task
+from apricotpoint._pool.runs.learning import SPEED_CLASS_FACTOR
 
 # Run times scatter around their estimate by a factor of 1.35 (one standard deviation on the
 # deployments), so a job has to meet its deadline with its run time times this factor. The
--- a/src/apricotpoint/_pool/trials.py
+++ b/src/apricotpoint/_pool/decisions/trials.py
@@ -11,10 +11,10 @@
 
 from collections.abc import Callable, Collection, Iterator, Sequence
 
-from apricotpoint._pool import placement
-from apricotpoint._pool.forecast import remaining_s
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Task
+from apricotpoint._pool.decisions import placement
+from apricotpoint._pool.decisions.forecast import remaining_s
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Task
 
 # Share of the backend servers on which trials may take place at the same time, and share of those
 # that may be lost in trials; each is at least one.
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -5,10 +5,10 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 
-from apricotpoint._pool import admission, forecast, joborder
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Run, Task
-from apricotpoint._pool.learning import KindRunTimes, mean_speed_log
+from apricotpoint._pool.decisions import admission, forecast, joborder
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Run, Task
+from apricotpoint._pool.runs.learning import KindRunTimes, mean_speed_log
 from apricotpoint._wire.pool import PoolJob, PoolLoad
 
 # Expected time until a backend server that was just acquired answers its first renewal.
--- a/src/apricotpoint/_pool/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -13,13 +13,13 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.peer import MAX_RECONNECT_S
-from apricotpoint._pool import claims
-from apricotpoint._pool.claims import ShareClaim
-from apricotpoint._pool.discovery import HOLDER_HELLO_PERIOD_S, INITIAL_HELLO_PERIOD_S
-from apricotpoint._pool.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
-from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.decisions import claims
+from apricotpoint._pool.decisions.claims import ShareClaim
+from apricotpoint._pool.decisions.shares import Layout, make_layout
+from apricotpoint._pool.holders.discovery import HOLDER_HELLO_PERIOD_S, INITIAL_HELLO_PERIOD_S
+from apricotpoint._pool.holders.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
-from apricotpoint._pool.shares import Layout, make_layout
 from apricotpoint._wire.pool import EntryStatus, PoolBackend
 
 CLAIM_CHECK_PERIOD_S = 0.1
--- a/src/apricotpoint/_pool/crashes.py
+++ b/src/apricotpoint/_pool/holders/crashes.py
@@ -1,7 +1,7 @@
 """History of the runs that were lost with their backend servers, by task.
 
 Each loss is recorded with its evidence of a crash, which grows or vanishes with what is heard of
-the backend server later; `_pool.verdicts` judges a task by its losses.
+the backend server later; `_pool.decisions.verdicts` judges a task by its losses.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import msgspec
 import xxhash
 
-from apricotpoint._pool.verdicts import Evidence, Verdict, judge
+from apricotpoint._pool.decisions.verdicts import Evidence, Verdict, judge
 from apricotpoint._wire.pool import LostRun, LostRunChanges, PoolBackend
 
 # Losses are remembered for this long after the last change, for callers that submit again.
--- a/src/apricotpoint/_pool/crashreports.py
+++ b/src/apricotpoint/_pool/holders/crashreports.py
@@ -8,10 +8,10 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
-from apricotpoint._pool.crashes import CrashHistory
-from apricotpoint._pool.members import EntryMembers
-from apricotpoint._pool.roster import Roster
-from apricotpoint._pool.verdicts import Evidence
+from apricotpoint._pool.decisions.verdicts import Evidence
+from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.holders.members import EntryMembers
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._wire.pool import LostRun, LostRunChanges
 
 EXPIRY_PERIOD_S = 1.0
--- a/src/apricotpoint/_pool/discovery.py
+++ b/src/apricotpoint/_pool/holders/discovery.py
@@ -11,8 +11,8 @@
 
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.transport import PeerUnreachable
-from apricotpoint._pool.directory import EntryDirectory
-from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.holders.directory import EntryDirectory
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import (
     BackendsHeard,
--- a/src/apricotpoint/_pool/members.py
+++ b/src/apricotpoint/_pool/holders/members.py
@@ -13,9 +13,9 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender
-from apricotpoint._pool.discovery import Discovery
-from apricotpoint._pool.roster import Roster
-from apricotpoint._pool.shares import domain_of
+from apricotpoint._pool.decisions.shares import domain_of
+from apricotpoint._pool.holders.discovery import Discovery
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import (
     BackendsHeard,
--- a/src/apricotpoint/_pool/relay.py
+++ b/src/apricotpoint/_pool/holders/relay.py
@@ -11,9 +11,9 @@
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
-from apricotpoint._pool.crashes import CrashHistory
-from apricotpoint._pool.roster import Roster
-from apricotpoint._pool.verdicts import Evidence
+from apricotpoint._pool.decisions.verdicts import Evidence
+from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._wire.pool import (
     BackendsHeard,
     EntryHello,
--- a/src/apricotpoint/_pool/heldbackend.py
+++ b/src/apricotpoint/_pool/runs/heldbackend.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from apricotpoint._pool.backendclient import BackendClient, LeaseReply, RunKey
-from apricotpoint._pool.health import Health
-from apricotpoint._pool.job import Run, Task
-from apricotpoint._pool.learning import Speed
+from apricotpoint._pool.runs.backendclient import BackendClient, LeaseReply, RunKey
+from apricotpoint._pool.runs.health import Health
+from apricotpoint._pool.runs.job import Run, Task
+from apricotpoint._pool.runs.learning import Speed
 from apricotpoint._wire.pool import PoolBackend, PoolJob, Room
 
 # Duration of a lease. A backend server ends its runs by itself this long after the last
@@ -42,8 +42,8 @@
     resources, no more than `full_room` is used until `full_until`. `used` are the resources of the
     runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
     server: only jobs that have started may start tasks there then. `trial` is a task that may
-    crash the backend server (`_pool.trials`): no other one starts there meanwhile. `released` is
-    set when the lease is no longer to be renewed.
+    crash the backend server (`_pool.decisions.trials`): no other one starts there meanwhile.
+    `released` is set when the lease is no longer to be renewed.
     """
 
     announcement: PoolBackend
--- a/src/apricotpoint/_pool/job.py
+++ b/src/apricotpoint/_pool/runs/job.py
@@ -9,11 +9,11 @@
 import anyio
 import attrs
 
-from apricotpoint._pool.backendclient import RunKey
+from apricotpoint._pool.runs.backendclient import RunKey
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 
 if TYPE_CHECKING:
-    from apricotpoint._pool.heldbackend import HeldBackend
+    from apricotpoint._pool.runs.heldbackend import HeldBackend
 
 
 # Run times of the tasks of one job differ by about 15%. The longest one is expected to exceed
--- a/src/apricotpoint/_pool/jobtable.py
+++ b/src/apricotpoint/_pool/runs/jobtable.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from apricotpoint._pool.job import Job, Task
+from apricotpoint._pool.runs.job import Job, Task
 
 # Answers are kept for this long, for callers that submit their job again.
 ANSWER_RETENTION_S = 10.0
--- a/src/apricotpoint/_pool/renewal.py
+++ b/src/apricotpoint/_pool/runs/renewal.py
@@ -10,16 +10,16 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
-from apricotpoint._pool.backendclient import (
+from apricotpoint._pool.decisions.verdicts import Evidence
+from apricotpoint._pool.runs.backendclient import (
     LeaseReply,
     RenewalRefused,
     RunKey,
     RunOutcome,
     StartOutcome,
 )
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Run, RunState
-from apricotpoint._pool.verdicts import Evidence
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Run, RunState
 
 # Longest time that a renewal waits at the backend server for the end of a run. Two unanswered
 # renewals fit into a lease.
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -4,8 +4,9 @@
 
 import math
 import random as random_module
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from types import TracebackType
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -14,15 +15,26 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._pool import admission, dispatch, joborder, leaselimit, placement, trials
-from apricotpoint._pool.backendclient import BackendClient, RunOutcome, StartOutcome, StartRequest
-from apricotpoint._pool.crashes import CrashHistory
+from apricotpoint._pool.decisions import (
+    admission,
+    dispatch,
+    joborder,
+    placement,
+    trials,
+)
+from apricotpoint._pool.decisions.verdicts import Evidence, Verdict
 from apricotpoint._pool.estimates import Estimates
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Origin, Run, RunState, Task
-from apricotpoint._pool.jobtable import JobTable
-from apricotpoint._pool.renewal import LeaseRenewer
-from apricotpoint._pool.verdicts import Evidence, Verdict
+from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.runs.backendclient import (
+    BackendClient,
+    RunOutcome,
+    StartOutcome,
+)
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Origin, Run, Task
+from apricotpoint._pool.runs.jobtable import JobTable
+from apricotpoint._pool.runs.leases import Leases
+from apricotpoint._pool.runs.starter import RunStarter
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
 # Period in which deadlines are checked and unanswered stop requests are repeated.
@@ -51,7 +63,16 @@
         random: random_module.Random,
         make_client: Callable[[PoolBackend], BackendClient],
     ) -> None:
-        self.held_by_id: dict[str, HeldBackend] = {}
+        self.leases = Leases(
+            observer=self,
+            timers=timers,
+            counters=counters,
+            spawn=self._spawn,
+            make_client=make_client,
+            origin_alive_at=self._origin_alive_at,
+            on_renewal_failed=lambda key: self.release(key, "its renewals failed unexpectedly"),
+        )
+        self.held_by_id = self.leases.held_by_id
         self.crashes = CrashHistory(now=timers.now)
         self.estimates = Estimates(self.held_by_id, self._is_clear)
         self.crashes.on_given_up = self._end_given_up_jobs
@@ -63,9 +84,16 @@
         self._timers = timers
         self._counters = counters
         self._random = random
-        self._make_client = make_client
-        self._renewer_by_id: dict[str, LeaseRenewer] = {}
         self._jobs = JobTable(now=timers.now)
+        self._starter = RunStarter(
+            observer=self,
+            leases=self.leases,
+            timers=timers,
+            counters=counters,
+            spawn=self._spawn,
+            next_run=self._jobs.next_run,
+            may_start=self._may_start,
+        )
         self._dispatch_requested = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._subscription: PeriodicTimer | None = None
@@ -88,88 +116,32 @@
         self._group.cancel_scope.cancel()
         return await self._group.__aexit__(exc_type, exc, traceback)
 
-    # Backend servers
+    def _spawn(self, function: Callable[..., Coroutine[Any, Any, object]], *args: object) -> None:
+        assert self._group is not None
+        self._group.start_soon(function, *args)
 
-    def acquire(self, announcement: PoolBackend, token: int, *, speed: float | None = None) -> None:
-        """Start to hold the lease of a backend server with this fencing token.
+    # The attributes may be replaced after the construction.
 
-        `speed` is the speed that its previous holder learned, None if it is not known. No task
-        starts there before the first renewal is answered.
-        """
-        assert self._group is not None
-        held = HeldBackend(announcement, self._make_client(announcement), token)
-        if speed is not None:
-            held.speed.restore(speed)
-        held.lease_expires_at = self._timers.now()
-        renewer = LeaseRenewer(
-            held,
-            observer=self,
-            timers=self._timers,
-            counters=self._counters,
-            lease_limit_at=self._lease_limit_at,
-        )
-        self.held_by_id[announcement.backend_id] = held
-        self._renewer_by_id[announcement.backend_id] = renewer
-        self._group.start_soon(self._run_renewer, held, renewer)
-        self._counters.add("pool.backends_taken")
-        _log.info(
-            "acquiring backend server {} with fencing token {}", announcement.backend_id, token
-        )
+    def _may_start(self) -> bool:
+        return self.may_start()
 
-    async def _run_renewer(self, held: HeldBackend, renewer: LeaseRenewer) -> None:
-        """Renew a lease; an unexpected error costs this backend server, not the process."""
-        try:
-            await renewer.run()
-        except Exception:
-            _log.exception("renewals of the lease on backend server {} failed", held.backend_id)
-            self._counters.add("pool.renewal_errors")
-            if self.held_by_id.get(held.backend_id) is held:
-                self.release(held.backend_id, "its renewals failed unexpectedly")
-            await held.client.close()
+    def _origin_alive_at(self, origin: Origin) -> float:
+        return self.origin_alive_at(origin)
 
-    def _lease_limit_at(self, held: HeldBackend) -> float:
-        runs = held.run_by_key.values()
-        return leaselimit.lease_limit_at(runs, origin_alive_at=self.origin_alive_at)
+    # Backend servers
 
-    def _allows_start(self, held: HeldBackend, job: Job) -> bool:
-        return leaselimit.allows_start(held, job, origin_alive_at=self.origin_alive_at)
+    def acquire(self, announcement: PoolBackend, token: int, *, speed: float | None = None) -> None:
+        """Start to hold the lease of a backend server; see `Leases.acquire`."""
+        self.leases.acquire(announcement, token, speed=speed)
 
     def announce(self, announcement: PoolBackend) -> None:
         """Process an announcement; ignored if it is outdated or its backend server is not held."""
-        held = self.held_by_id.get(announcement.backend_id)
-        if held is None:
-            return
-        known = held.announcement
-        # Another incarnation under the same id counts its announcements anew.
-        if (announcement.born_ms, announcement.sequence) < (known.born_ms, known.sequence):
-            return
-        if announcement.leaving and not held.announcement.leaving:
-            _log.info(
-                "backend server {} is shutting down; starting no more tasks there",
-                announcement.backend_id,
-            )
-        if announcement.room != known.room:
-            held.full_until = 0.0
-        held.announcement = announcement
-        self.request_dispatch()
+        if self.leases.update(announcement):
+            self.request_dispatch()
 
     def release(self, backend_id: str, reason: str) -> None:
         """Stop renewing the lease of a backend server and fail the jobs that have runs there."""
-        held = self.held_by_id.pop(backend_id, None)
-        renewer = self._renewer_by_id.pop(backend_id, None)
-        if held is None or renewer is None:
-            return
-        renewer.release()
-        self._counters.add("pool.backends_released")
-        _log.info(
-            "released backend server {}: {}; {} runs are active there",
-            backend_id,
-            reason,
-            len(held.run_by_key),
-        )
-        for run in list(held.run_by_key.values()):
-            held.remove(run, run.task.job.request.room)
-            run.task.run = None
+        for run in self.leases.release(backend_id, reason):
             self._fail_job_without_lease(
                 run.task.job, f"backend server {backend_id} was released: {reason}"
             )
@@ -359,12 +331,12 @@
             held.backend_id,
         )
         run.task.avoided_backends.add(held.backend_id)
-        self._stop(run)
+        self._starter.stop(run)
 
     def run_confirmed(self, run: Run) -> None:
         """Stop a confirmed run that is to be stopped or whose job was cancelled."""
         if run.stopping or run.task.job.cancelled:
-            self._stop(run)
+            self._starter.stop(run)
 
     def run_straggling(self, run: Run, predicted_s: float) -> None:
         """Mark a run as a straggler and learn the speed of its backend server from it."""
@@ -404,7 +376,7 @@
             run.sent_at + predicted_s - job.deadline_at,
         )
         run.task.avoided_backends.add(run.backend.backend_id)
-        self._stop(run)
+        self._starter.stop(run)
 
     def backend_changed(self, held: HeldBackend) -> None:
         """Start waiting tasks, as the backend server may accept some now."""
@@ -461,9 +433,9 @@
             now,
             fastest=fastest,
             may_start=self._is_clear,
-            allows_start=self._allows_start,
+            allows_start=self.leases.allows_start,
         ):
-            self._start(task, held, now)
+            self._starter.start(task, held, now)
 
     def _start_trials(self, waiting: list[Job], now: float, fastest: float) -> None:
         """Start the tasks that may have crashed a backend server, apart from all others."""
@@ -479,10 +451,10 @@
         )
         if suspects:
             for task, held in trials.select_trials(suspects, backends, now, fastest=fastest):
-                if not self._allows_start(held, task.job):
+                if not self.leases.allows_start(held, task.job):
                     continue
                 self._counters.add("pool.trials")
-                self._start(task, held, now)
+                self._starter.start(task, held, now)
 
     def _is_clear(self, task: Task) -> bool:
         return self.crashes.verdict(task.name) is Verdict.CLEAR
@@ -490,77 +462,10 @@
     def _is_suspect(self, task: Task) -> bool:
         return self.crashes.verdict(task.name) is Verdict.SUSPECT
 
-    def _start(self, task: Task, held: HeldBackend, now: float) -> None:
-        assert self._group is not None
-        job = task.job
-        run = Run(
-            task=task,
-            number=self._jobs.next_run(task),
-            backend=held,
-            token=held.token,
-            sent_at=now,
-            expected_s=job.estimate_s / held.speed.value,
-        )
-        task.run = run
-        task.run_count += 1
-        job.started = True
-        held.add(run, job.request.room)
-        self._counters.add("pool.starts")
-        self._group.start_soon(self._send_start, run)
-
-    async def _send_start(self, run: Run) -> None:
-        held, now = run.backend, self._timers.now()
-        if not self.may_start():
-            # The process was paused since the dispatch; its jobs end with its claims.
-            self._counters.add("pool.starts_withheld")
-            return
-        held.lease_limit_at = self._lease_limit_at(held)
-        lease_until_ms = held.lease_until_ms(now)
-        if lease_until_ms is None:
-            # Its origin, or that of a run there, has ended meanwhile.
-            self._handle_start_refusal(run, StartOutcome.TOO_LATE)
-            return
-        start_request = StartRequest(
-            key=run.key,
-            spec=run.task.job.request.spec,
-            lease_until_ms=lease_until_ms,
-            token=run.token,
-        )
-        outcome = await held.client.start(start_request)
-        if held.run_by_key.get(run.key) is not run:
-            return
-        if outcome is StartOutcome.STARTED:
-            run.state = RunState.RUNNING
-            run.confirmed_at = self._timers.now()
-            self.run_confirmed(run)
-        elif outcome is StartOutcome.UNKNOWN:
-            await held.client.renew_connections()
-            renewer = self._renewer_by_id.get(held.backend_id)
-            if renewer is not None:
-                await renewer.resolve(run)
-        else:
-            self._handle_start_refusal(run, outcome)
-
-    def _handle_start_refusal(self, run: Run, outcome: StartOutcome) -> None:
-        held, now, job = run.backend, self._timers.now(), run.task.job
-        self._counters.add(f"pool.refused_{outcome.value}")
-        _log.info(
-            "backend server {} refused to start run {} of task {}: {}",
-            held.backend_id,
-            run.number,
-            run.task.name,
-            outcome.value,
-        )
-        held.remove(run, job.request.room)
-        run.task.run = None
-        if outcome is StartOutcome.NO_ROOM:
-            held.record_full(now)
-        elif outcome is StartOutcome.NOT_LISTENING:
-            # No further starts there until a renewal of the lease is answered.
-            held.is_responsive, held.refuses_connections = False, True
-        elif outcome is StartOutcome.UNHEALTHY:
-            held.health.record_failure(now)
-        elif outcome is StartOutcome.OTHER_INCARNATION:
+    def run_refused(self, run: Run, outcome: StartOutcome) -> None:
+        """Retry the task of a run that its backend server refused, or end its job."""
+        job, held = run.task.job, run.backend
+        if outcome is StartOutcome.OTHER_INCARNATION:
             self.backend_ended(held, "another incarnation answers at its address")
         elif outcome is StartOutcome.REJECTED:
             self._finish_job(
@@ -623,7 +528,7 @@
         alive_at = now if job.origin is None else self.origin_alive_at(job.origin)
         job.close(answer, min(now, alive_at))
         for run in job.active_runs():
-            self._stop(run)
+            self._starter.stop(run)
         if not job.active_runs():
             self._jobs.close(job)
         self.request_dispatch()
@@ -633,18 +538,6 @@
         code = ResultCode.BACKEND_LOST if job.started else ResultCode.NO_BACKEND
         self._finish_job(job, PoolAnswer(int(code), reason))
 
-    def _stop(self, run: Run) -> None:
-        run.stopping = True
-        if run.state is RunState.RUNNING and self._group is not None:
-            self._group.start_soon(self._send_stop, run)
-
-    async def _send_stop(self, run: Run) -> None:
-        held = run.backend
-        while held.run_by_key.get(run.key) is run and not held.released:
-            if await held.client.stop(run.key, held.token):
-                return
-            await self._timers.sleep(TICK_PERIOD_S)
-
     def _tick(self) -> None:
         now = self._timers.now()
         for job in self.unanswered_jobs():
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -14,10 +14,10 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender
-from apricotpoint._pool import claims
-from apricotpoint._pool.attempts import Attempts, PassedOnJob
-from apricotpoint._pool.job import Job, Origin
-from apricotpoint._pool.members import EntryMembers
+from apricotpoint._pool.decisions import claims
+from apricotpoint._pool.holders.members import EntryMembers
+from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
+from apricotpoint._pool.runs.job import Job, Origin
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob, PoolLoad
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -72,8 +72,8 @@
 
     `heard` are new or changed ones, `repeated` the ids of backend servers that have
     announced themselves again without a change, and `gone` those that have left.
-    `repeated_digests` has the digest (`_pool.roster.digest`) of each repeated announcement, so
-    that a receiver notices that it has missed a change.
+    `repeated_digests` has the digest (`_pool.holders.roster.digest`) of each repeated
+    announcement, so that a receiver notices that it has missed a change.
     """
 
     heard: list[PoolBackend]
@@ -87,8 +87,8 @@
     """A run that was lost with its backend server.
 
     `born_ms` is the start of the incarnation of the backend server in unix milliseconds, 0 if it
-    is not known. `evidence` is a value of `_pool.verdicts.Evidence`, known for `age_s`. `alone`
-    tells that no other run was there.
+    is not known. `evidence` is a value of `_pool.decisions.verdicts.Evidence`, known for
+    `age_s`. `alone` tells that no other run was there.
     """
 
     task: str
@@ -138,8 +138,8 @@
     `list_digest` is that of the last list of entry processes received from this control
     process, 0 if there was none. `needs_backends` asks for all announcements. Repeated
     announcements of backend servers in `watched_domains` are relayed with little delay.
-    `crash_digest` is that of the crashes known to the entry process (`_pool.crashes`), None while
-    they change.
+    `crash_digest` is that of the crashes known to the entry process (`_pool.holders.crashes`),
+    None while they change.
     """
 
     summary: EntrySummary
@@ -189,7 +189,7 @@
 class EntryStatus:
     """State of an entry process that holds backend servers, which also serves as its heartbeat.
 
-    `term_by_claim` has the parts of failure domains (`_pool.shares`) whose backend
+    `term_by_claim` has the parts of failure domains (`_pool.decisions.shares`) whose backend
     servers the process claims, with the term of each claim. `held` are the backend
     servers whose lease it has not released yet; no other process may take them over
     before. `answering` counts those of them that answer. `speed_by_backend` has the
--- a/src/apricotpoint/platform/controlapi.py
+++ b/src/apricotpoint/platform/controlapi.py
@@ -15,7 +15,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
 from apricotpoint._http.body import read_body
-from apricotpoint._pool.relay import AnnouncementRelay
+from apricotpoint._pool.holders.relay import AnnouncementRelay
 from apricotpoint._wire.configuration import Change, ChangeReply, Document
 from apricotpoint.platform.configuration import decode_document
 from apricotpoint.platform.heartbeats import check_plausible, decode_heartbeat
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -26,7 +26,7 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
-from apricotpoint._pool.relay import AnnouncementRelay
+from apricotpoint._pool.holders.relay import AnnouncementRelay
 from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._wire.configuration import ConfigPoll
 from apricotpoint.platform.controlapi import make_control_app
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -17,11 +17,11 @@
 from apricotpoint._http.arrivals import Arrivals
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
-from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
-from apricotpoint._pool.crashreports import CrashReports
-from apricotpoint._pool.discovery import Discovery
-from apricotpoint._pool.members import EntryMembers
-from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
+from apricotpoint._pool.holders.crashreports import CrashReports
+from apricotpoint._pool.holders.discovery import Discovery
+from apricotpoint._pool.holders.members import EntryMembers
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._pool.routing import Routing
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
--- a/src/apricotpoint/platform/heartbeats.py
+++ b/src/apricotpoint/platform/heartbeats.py
@@ -10,7 +10,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
-from apricotpoint._pool.shares import PART_SEPARATOR
+from apricotpoint._pool.decisions.shares import PART_SEPARATOR
 from apricotpoint._wire.pool import PoolBackend, Room
 from apricotpoint.platform.numbers import Natural
 
--- a/src/apricotpoint/platform/workers.py
+++ b/src/apricotpoint/platform/workers.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from apricotpoint._core.errors import DECODE_ERRORS
-from apricotpoint._pool.backendclient import (
+from apricotpoint._pool.runs.backendclient import (
     EndedRun,
     LeaseReply,
     RenewalRefused,
--- a/testing/platform/test_odd_entries.py
+++ b/testing/platform/test_odd_entries.py
@@ -15,7 +15,7 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
-from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._wire.pool import BackendsHeard, PoolBackend
 from apricotpoint.platform.controlapi import make_control_app
 from apricotpoint.platform.heartbeats import MAX_AHEAD_S, check_plausible, decode_heartbeat
@@ -146,7 +146,7 @@
     async def test() -> None:
         async with run_cluster(cores=2 * ALL_DOMAINS_CORES) as cluster:
             entry = cluster.entry_by_id["e1"]
-            make_client = entry.scheduler._make_client
+            make_client = entry.scheduler.leases.make_client
 
             # The first that the holder tries to acquire at each check of its claims.
             odd_id, *sound_ids = entry.scheduler.held_by_id
@@ -156,7 +156,7 @@
                     raise ValueError("odd")
                 return make_client(announcement)
 
-            entry.scheduler._make_client = make_unless_odd
+            entry.scheduler.leases.make_client = make_unless_odd
             for backend_id in (odd_id, *sound_ids):
                 entry.scheduler.release(backend_id, "a test")
             await anyio.sleep(1.0)
--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -17,7 +17,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.pauses import PauseMonitor
-from apricotpoint._pool.members import EntryMembers
+from apricotpoint._pool.holders.members import EntryMembers
 from apricotpoint._pool.routing import Route, Routing
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 from apricotpoint.platform import entry
--- a/testing/platform/test_workers.py
+++ b/testing/platform/test_workers.py
@@ -9,7 +9,7 @@
 import pytest
 from test_connections import FakeWorker, running_worker
 
-from apricotpoint._pool.backendclient import RenewalRefused, RunKey, StartOutcome, StartRequest
+from apricotpoint._pool.runs.backendclient import RenewalRefused, RunKey, StartOutcome, StartRequest
 from apricotpoint._wire.pool import PoolBackend, Room
 from apricotpoint.platform.workers import WorkerClient
 
--- a/testing/pool/attempt_soak.py
+++ b/testing/pool/attempt_soak.py
@@ -11,7 +11,7 @@
 from pool_cluster import Cluster, run_cluster
 from pool_harness import make_job
 
-from apricotpoint._pool.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 
 DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "b"))
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -17,16 +17,16 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.peer import HEARTBEAT_PERIOD_S, RETRANSMIT_TIMEOUT_S
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
-from apricotpoint._pool.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
-from apricotpoint._pool.claimer import CLAIM_CHECK_PERIOD_S, Claimer
-from apricotpoint._pool.crashreports import CrashReports
-from apricotpoint._pool.discovery import Discovery
-from apricotpoint._pool.members import EntryMembers
-from apricotpoint._pool.relay import AnnouncementRelay
-from apricotpoint._pool.roster import Roster
+from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
+from apricotpoint._pool.holders.crashreports import CrashReports
+from apricotpoint._pool.holders.discovery import Discovery
+from apricotpoint._pool.holders.members import EntryMembers
+from apricotpoint._pool.holders.relay import AnnouncementRelay
+from apricotpoint._pool.holders.roster import Roster
+from apricotpoint._pool.runs.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
-from apricotpoint._pool.shares import BACKENDS_PER_CORE
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolBackend
 
 ONE_WAY_DELAY_S = 0.0005
--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -15,7 +15,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
-from apricotpoint._pool.backendclient import (
+from apricotpoint._pool.runs.backendclient import (
     EndedRun,
     LeaseReply,
     RenewalRefused,
--- a/testing/pool/share_soak.py
+++ b/testing/pool/share_soak.py
@@ -10,7 +10,7 @@
 from pool_cluster import CONTROL_IDS, run_cluster
 from pool_harness import FakeBackend
 
-from apricotpoint._pool.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
 
 DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "b"), ("e5", "c"), ("e6", "c"))
 BACKENDS_PER_DOMAIN = 4
--- a/testing/pool/test_admission.py
+++ b/testing/pool/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from apricotpoint._pool.admission import is_infeasible
+from apricotpoint._pool.decisions.admission import is_infeasible
 
 
 @pytest.mark.parametrize(
--- a/testing/pool/test_backend_clock.py
+++ b/testing/pool/test_backend_clock.py
@@ -8,8 +8,8 @@
 import attrs
 from pool_harness import FakeBackend, make_job, run_on_virtual_time, run_scheduler
 
-from apricotpoint._pool.backendclient import LeaseReply
-from apricotpoint._pool.heldbackend import LEASE_S
+from apricotpoint._pool.runs.backendclient import LeaseReply
+from apricotpoint._pool.runs.heldbackend import LEASE_S
 
 
 def test_a_backend_server_that_starts_again_gets_leases_by_its_new_clock():
--- a/testing/pool/test_claims.py
+++ b/testing/pool/test_claims.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from apricotpoint._pool import claims
-from apricotpoint._pool.claims import ShareClaim
-from apricotpoint._pool.shares import BACKENDS_PER_CORE, Layout, Share
+from apricotpoint._pool.decisions import claims
+from apricotpoint._pool.decisions.claims import ShareClaim
+from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE, Layout, Share
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolLoad
 
 LAYOUT = Layout((Share(("a",), ("a",), 8), Share(("b",), ("b",), 8)), {"a": 1, "b": 1})
--- a/testing/pool/test_crash_reports.py
+++ b/testing/pool/test_crash_reports.py
@@ -11,11 +11,11 @@
 from pool_harness import DOWN_S, FakeBackend, make_announcement, make_job, run_on_virtual_time
 
 from apricotpoint._core.codes import ResultCode
-from apricotpoint._pool.backendclient import RunKey
-from apricotpoint._pool.crashes import RETENTION_S, SETTLING_S, CrashHistory
-from apricotpoint._pool.crashreports import FORWARDING_CONTROL_PROCESSES
-from apricotpoint._pool.shares import BACKENDS_PER_CORE
-from apricotpoint._pool.verdicts import Evidence, Verdict
+from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.decisions.verdicts import Evidence, Verdict
+from apricotpoint._pool.holders.crashes import RETENTION_S, SETTLING_S, CrashHistory
+from apricotpoint._pool.holders.crashreports import FORWARDING_CONTROL_PROCESSES
+from apricotpoint._pool.runs.backendclient import RunKey
 from apricotpoint._wire.pool import LostRun, LostRunChanges, PoolAnswer
 
 BACKEND_IDS = ("a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4")
--- a/testing/pool/test_crashes.py
+++ b/testing/pool/test_crashes.py
@@ -16,7 +16,7 @@
 )
 
 from apricotpoint._core.codes import ResultCode
-from apricotpoint._pool.verdicts import Evidence
+from apricotpoint._pool.decisions.verdicts import Evidence
 
 DEADLY_JOB = 1
 DEADLY_TASK = f"{DEADLY_JOB:016x}.0.0.0"
--- a/testing/pool/test_jobtable.py
+++ b/testing/pool/test_jobtable.py
@@ -4,8 +4,8 @@
 
 from pool_harness import make_job
 
-from apricotpoint._pool.job import Job
-from apricotpoint._pool.jobtable import ANSWER_RETENTION_S, JobTable
+from apricotpoint._pool.runs.job import Job
+from apricotpoint._pool.runs.jobtable import ANSWER_RETENTION_S, JobTable
 from apricotpoint._wire.pool import PoolAnswer
 
 
--- a/testing/pool/test_learning.py
+++ b/testing/pool/test_learning.py
@@ -8,7 +8,7 @@
 import anyio
 from pool_harness import FakeBackend, make_job, run_on_virtual_time, run_scheduler
 
-from apricotpoint._pool.learning import KindRunTimes
+from apricotpoint._pool.runs.learning import KindRunTimes
 
 
 def test_the_estimate_lies_between_the_declared_time_and_the_mean_of_the_kind():
--- a/testing/pool/test_poolplacement.py
+++ b/testing/pool/test_poolplacement.py
@@ -5,10 +5,10 @@
 import pytest
 from pool_harness import FakeBackend, make_announcement, make_job
 
-from apricotpoint._pool import admission, placement
-from apricotpoint._pool.forecast import SlotForecast
-from apricotpoint._pool.heldbackend import HeldBackend
-from apricotpoint._pool.job import Job, Run
+from apricotpoint._pool.decisions import admission, placement
+from apricotpoint._pool.decisions.forecast import SlotForecast
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Run
 
 FAST, SLOW = 2.0, 1.0
 
--- a/testing/pool/test_relay.py
+++ b/testing/pool/test_relay.py
@@ -11,9 +11,9 @@
 from pool_harness import make_announcement, run_on_virtual_time
 
 from apricotpoint._core.timers import TimerService
-from apricotpoint._pool.directory import LIST_EXPIRY_S, EntryDirectory
-from apricotpoint._pool.relay import REPEATED_RELAY_PERIOD_S, AnnouncementRelay
-from apricotpoint._pool.roster import REMOVED_RETENTION_S, UNREACHABLE_TIMEOUT_S, Roster
+from apricotpoint._pool.holders.directory import LIST_EXPIRY_S, EntryDirectory
+from apricotpoint._pool.holders.relay import REPEATED_RELAY_PERIOD_S, AnnouncementRelay
+from apricotpoint._pool.holders.roster import REMOVED_RETENTION_S, UNREACHABLE_TIMEOUT_S, Roster
 from apricotpoint._wire.pool import (
     BackendsHeard,
     EntryHello,
--- a/testing/pool/test_shares.py
+++ b/testing/pool/test_shares.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from apricotpoint._pool.shares import Layout, make_layout
+from apricotpoint._pool.decisions.shares import Layout, make_layout
 
 DOMAINS = ("a", "b", "c", "d", "e")
 
--- a/testing/pool/test_size.py
+++ b/testing/pool/test_size.py
@@ -8,7 +8,7 @@
 from pool_harness import make_job, run_on_virtual_time
 
 from apricotpoint._core.codes import ResultCode
-from apricotpoint._pool.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
 from apricotpoint._wire.pool import PoolAnswer
 
 OBSERVED_S = 6.0
