End jobs whose first progress shows that they miss their deadline

On the deployment for van routing 3% of the jobs take 7 times as long as their kind. The progress gives a lower bound of the run time at once; two backend servers, or all runs of the job by more than the first percent, have to show it, so that one that is slow or stands still ends no job.

--- a/src/apricotpoint/_pool/runs/renewal.py
+++ b/src/apricotpoint/_pool/runs/renewal.py
@@ -71,6 +71,9 @@
     def run_straggling(self, run: Run, predicted_s: float) -> None:
         """Handle a run whose progress predicts a far longer run time than expected, in seconds."""
 
+    def run_progressed(self, run: Run) -> None:
+        """Handle new progress of a run."""
+
     def run_time_predicted(self, run: Run, predicted_s: float) -> None:
         """Handle a new prediction of the run time of a run in seconds, from its progress."""
 
@@ -273,6 +276,7 @@
                 self._observer.run_straggling(run, predicted_s)
             if predicted_s is not None:
                 self._observer.run_time_predicted(run, predicted_s)
+            self._observer.run_progressed(run)
             return
         limit_s = max(STALL_S, STALL_SHARE * run.expected_s)
         if now - run.progress_changed_at > limit_s and not run.stopping:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -19,6 +19,7 @@
     admission,
     dispatch,
     joborder,
+    overrun,
     placement,
     trials,
 )
@@ -378,6 +379,32 @@
         run.task.avoided_backends.add(run.backend.backend_id)
         self._starter.stop(run)
 
+    def run_progressed(self, run: Run) -> None:
+        """End a job if the progress of its runs shows that it cannot meet its deadline."""
+        job = run.task.job
+        if job.answer is not None:
+            return
+        reports = [
+            overrun.Progress(
+                active.backend.backend_id,
+                active.backend.speed.value,
+                active.progress_changed_at - active.sent_at,
+                active.progress,
+            )
+            for active in job.active_runs()
+            if active.progress_changed_at
+        ]
+        if overrun.cannot_meet_deadline(
+            reports,
+            task_count=job.request.count,
+            remaining_s=job.deadline_at - self._timers.now(),
+            fastest=self.estimates.attainable_speed(),
+        ):
+            self._counters.add("pool.overruns")
+            least_s = max(map(overrun.least_run_s, reports))
+            reason = f"its tasks take at least {least_s:.3f} s by their progress"
+            self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+
     def backend_changed(self, held: HeldBackend) -> None:
         """Start waiting tasks, as the backend server may accept some now."""
         self.crashes.process_answer(held.backend_id, held.born_ms)
