Add orders to evacuate a failure domain to the replicated configuration

Operators need a call that ends all new starts in a failure domain, and one that revokes it (docs/contention-and-evacuation.md, 2.2). The orders are part of the configuration, numbered by failure domain; the process that takes an order names the last one that it knows, so that a delayed copy does not undo a newer order. The platform's two calls exist only where the settings list the contract; apricotctl has evacuate, restore and a table.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -239,6 +239,9 @@
                 )
             self._configuration = configuration
             self._counters.set_gauge("configuration.version", configuration.version)
+            self._counters.set_gauge(
+                "configuration.evacuated_domains", len(configuration.evacuated_domains())
+            )
         for callback in self._callbacks:
             self._notify(callback, configuration)
 
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -159,6 +159,7 @@
             connect=self._connect,
         )
         self.replica.on_configuration_change = self._notify_configuration_changed
+        self._set_evacuation_gauge()
         self._register_handler(StartCheck, self._on_start_check)
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
@@ -420,7 +421,12 @@
 
     # Configuration
 
+    def _set_evacuation_gauge(self) -> None:
+        evacuated = self.replica.state.configuration.evacuated_domains()
+        self._counters.set_gauge("configuration.evacuated_domains", len(evacuated))
+
     def _notify_configuration_changed(self) -> None:
+        self._set_evacuation_gauge()
         self._configuration_changed.set()
         self._configuration_changed = anyio.Event()
 
--- a/src/apricotpoint/_control/state.py
+++ b/src/apricotpoint/_control/state.py
@@ -7,7 +7,9 @@
 
 import attrs
 
+from apricotpoint._control.evacuation import EVACUATION_ACTIONS, apply_order
 from apricotpoint._control.messages import Entry, StateImage
+from apricotpoint._control.refusals import ChangeRefused, invalid
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._wire.configuration import (
     Change,
@@ -27,15 +29,6 @@
 _MAX_NAME_LENGTH = 64
 
 
-class ChangeRefused(Exception):  # noqa: N818
-    """A change that is refused with a result code and a message for the operator."""
-
-    def __init__(self, code: ResultCode, message: str) -> None:
-        super().__init__(message)
-        self.code = code
-        self.message = message
-
-
 class ReplicatedState:
     """The state that results from the committed entries.
 
@@ -96,6 +89,8 @@
 
     def _apply_change(self, change: Change) -> ChangeReply:
         try:
+            if change.action in EVACUATION_ACTIONS:
+                return self._apply_evacuation_order(change)
             changed = self._changed_configuration(change)
         except ChangeRefused as refusal:
             return self._refusal_reply(refusal)
@@ -103,6 +98,19 @@
         self.configuration = attrs.evolve(changed, version=version)
         return ChangeReply(code=ResultCode.ACCEPTED, version=version)
 
+    def _apply_evacuation_order(self, change: Change) -> ChangeReply:
+        """Carry out an order; one for the state already in effect makes no new version."""
+        _check_names(change)
+        evacuation = apply_order(self.configuration, change)
+        known = self.configuration.evacuation_by_domain
+        if evacuation is not None and evacuation != known.get(change.target):
+            self.configuration = attrs.evolve(
+                self.configuration,
+                version=self.configuration.version + 1,
+                evacuation_by_domain={**known, change.target: evacuation},
+            )
+        return ChangeReply(ResultCode.ACCEPTED, self.configuration.version, evacuation=evacuation)
+
     def _replace_document(self, change: Change) -> ChangeReply:
         """Store a document with a higher version; any other one is accepted without effect.
 
@@ -124,17 +132,11 @@
     def _changed_configuration(self, change: Change) -> Configuration:
         action = _ACTION_BY_NAME.get(change.action)
         if action is None:
-            raise _invalid(
+            raise invalid(
                 f"action {change.action!r} is not known; use one of "
-                f"{', '.join(sorted(_ACTION_BY_NAME))}"
-            )
-        if not _is_name(change.command_id):
-            raise _invalid("command_id must have 1 to 64 printable characters")
-        if not _is_name(change.target):
-            raise _invalid(
-                f"target {change.target[:_MAX_NAME_LENGTH]!r} of {change.action} must have "
-                "1 to 64 printable characters"
+                f"{', '.join(sorted({*_ACTION_BY_NAME, *EVACUATION_ACTIONS}))}"
             )
+        _check_names(change)
         if change.base_version != self.configuration.version:
             raise ChangeRefused(
                 ResultCode.VERSION_CONFLICT,
@@ -153,11 +155,17 @@
                     ResultCode.NOT_FOUND, f"{change.target!r} is not a control member"
                 )
             if len(self.disk_by_member) == 1:
-                raise _invalid(f"{change.target!r} is the last control member")
+                raise invalid(f"{change.target!r} is the last control member")
 
 
-def _invalid(message: str) -> ChangeRefused:
-    return ChangeRefused(ResultCode.INVALID_COMMAND, message)
+def _check_names(change: Change) -> None:
+    if not _is_name(change.command_id):
+        raise invalid("command_id must have 1 to 64 printable characters")
+    if not _is_name(change.target):
+        raise invalid(
+            f"target {change.target[:_MAX_NAME_LENGTH]!r} of {change.action} must have "
+            "1 to 64 printable characters"
+        )
 
 
 def _is_name(text: str) -> bool:
@@ -169,28 +177,28 @@
         check = checks.get(name)
         if check is None:
             allowed = f"use {', '.join(sorted(checks))}" if checks else "it takes none"
-            raise _invalid(f"argument {name!r} of {change.action} is not known; {allowed}")
+            raise invalid(f"argument {name!r} of {change.action} is not known; {allowed}")
         check(f"argument {name!r} of {change.action}", value)
 
 
 def _positive_number(name: str, value: Any) -> None:
     if type(value) not in (int, float) or not 0 < value < float("inf"):
-        raise _invalid(f"{name} must be a number above 0, got {value!r}")
+        raise invalid(f"{name} must be a number above 0, got {value!r}")
 
 
 def _non_negative_integer(name: str, value: Any) -> None:
     if type(value) is not int or not 0 <= value < 1 << 53:
-        raise _invalid(f"{name} must be an integer of 0 or more, got {value!r}")
+        raise invalid(f"{name} must be an integer of 0 or more, got {value!r}")
 
 
 def _boolean(name: str, value: Any) -> None:
     if type(value) is not bool:
-        raise _invalid(f"{name} must be true or false, got {value!r}")
+        raise invalid(f"{name} must be true or false, got {value!r}")
 
 
 def _policy(name: str, value: Any) -> None:
     if value not in POLICIES:
-        raise _invalid(f"{name} must be one of {', '.join(POLICIES)}, got {value!r}")
+        raise invalid(f"{name} must be one of {', '.join(POLICIES)}, got {value!r}")
 
 
 _SERVICE_CHECKS = {
--- a/src/apricotpoint/_operator/executor.py
+++ b/src/apricotpoint/_operator/executor.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import re
+import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
+from apricotpoint._control.evacuation import describe, make_order
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
 from apricotpoint._link.transport import PeerUnreachable, Transport
@@ -26,6 +28,7 @@
     ChangeCommand,
     Command,
     DumpCommand,
+    EvacuationCommand,
     ShowCommand,
     SubmitCommand,
 )
@@ -54,6 +57,8 @@
     replicated log recognises a resent change by the command id; a resent submission
     is recognised by the key of its job, which is made from the command id unless the
     command has a key; `Cancellations` stores the results of cancellations by command id.
+    `failure_domains` are all those of the deployment; without them the process takes no orders
+    for failure domains. `wall_time` returns Unix seconds.
     """
 
     def __init__(
@@ -67,7 +72,11 @@
         submit: Callable[[JobRequest], Awaitable[Answer]],
         cancel: CancelJob,
         dump: Callable[[], dict[str, Any]],
+        failure_domains: Sequence[str] = (),
+        wall_time: Callable[[], float] = time.time,
     ) -> None:
+        self._failure_domains = failure_domains
+        self._wall_time = wall_time
         self._process_id = process_id
         self._transport = transport
         self._configuration = configuration
@@ -116,6 +125,8 @@
                 return await self._cancellations.run(condition, command_id)
             case ChangeCommand():
                 return await self._apply_change(command, command_id)
+            case EvacuationCommand():
+                return await self._order_evacuation(command, command_id)
             case DumpCommand(process):
                 return await self._dump_of(process or self._process_id, command_id)
 
@@ -166,20 +177,38 @@
             target=command.target,
             arguments=setting_values(command.settings),
         )
+        reply = await self._send_change(change)
+        return _change_result(reply, command_id, reply.message)
+
+    async def _order_evacuation(self, command: EvacuationCommand, command_id: str) -> ChangeResult:
+        if not self._failure_domains:
+            raise invalid_command(
+                "this process does not know all failure domains",
+                "send the command to an entry process",
+            )
+        order = make_order(
+            self._configuration(),
+            begin=command.verb == "evacuate",
+            domain=command.domain,
+            command_id=command_id,
+            domains=self._failure_domains,
+            ordered_at=self._wall_time(),
+        )
+        reply = await self._send_change(order)
+        message = reply.message
+        if reply.code == ResultCode.ACCEPTED:
+            message = f"failure domain {command.domain}: {describe(reply.evacuation)}"
+        return _change_result(reply, command_id, message)
+
+    async def _send_change(self, change: Change) -> ChangeReply:
         try:
-            reply = await self._change(change)
+            return await self._change(change)
         except PeerUnreachable as error:
             raise ApricotError(
                 ResultCode.COORDINATOR_UNREACHABLE,
                 "no control process answered; the change may have been accepted",
-                remedy=f"send the command again with the command id {command_id}",
+                remedy=f"send the command again with the command id {change.command_id}",
             ) from error
-        return ChangeResult(
-            code=ResultCode(reply.code),
-            command_id=command_id,
-            message=reply.message,
-            version=reply.version,
-        )
 
     def _check_existence(self, command: ChangeCommand) -> None:
         # Only a configuration of exactly the base version shows whether the name
@@ -239,6 +268,12 @@
         return reply.rows[0]
 
 
+def _change_result(reply: ChangeReply, command_id: str, message: str) -> ChangeResult:
+    return ChangeResult(
+        code=ResultCode(reply.code), command_id=command_id, message=message, version=reply.version
+    )
+
+
 def new_command_id() -> str:
     """Return a new unique command id."""
     return uuid.uuid4().hex
--- a/src/apricotpoint/_operator/language.py
+++ b/src/apricotpoint/_operator/language.py
@@ -26,6 +26,7 @@
     CancelCommand,
     ChangeCommand,
     DumpCommand,
+    EvacuationCommand,
     Ordering,
     Setting,
     ShowCommand,
@@ -43,7 +44,7 @@
     "$END": "end of the command",
     "EQUAL": "=",
     "OPERATOR": "!= < <= > >= ~",
-    "TABLE": "jobs, tasks, backends, vms, services, teams or members",
+    "TABLE": "jobs, tasks, backends, vms, services, teams, members or evacuations",
     "DURATION": "a duration such as 500ms",
     "NUMBER": "a number",
     "INTEGER": "a whole number",
@@ -177,6 +178,9 @@
 
     control = remove
 
+    def evacuation(self, items: list[Any]) -> EvacuationCommand:
+        return EvacuationCommand(str(items[0]), items[1])
+
     def dump(self, items: list[Any]) -> DumpCommand:
         return DumpCommand(items[1])
 
--- a/src/apricotpoint/_operator/printing.py
+++ b/src/apricotpoint/_operator/printing.py
@@ -22,6 +22,7 @@
     ChangeCommand,
     Command,
     DumpCommand,
+    EvacuationCommand,
     Setting,
     ShowCommand,
     Statement,
@@ -67,6 +68,8 @@
             return f"cancel jobs where {print_condition(condition)}"
         case ChangeCommand(verb, kind, target, base_version, settings):
             return f"{verb} {kind} {_name(target)}{_settings(settings)} at {base_version}"
+        case EvacuationCommand(verb, domain):
+            return f"{verb} {_name(domain)}"
         case DumpCommand(process):
             return "dump" if process is None else f"dump {_name(process)}"
 
--- a/src/apricotpoint/_operator/statements.py
+++ b/src/apricotpoint/_operator/statements.py
@@ -75,6 +75,14 @@
     settings: tuple[Setting, ...] = ()
 
 
+@attrs.frozen
+class EvacuationCommand:
+    """Orders with `verb` "evacuate" or "restore" whether backend servers of `domain` start work."""
+
+    verb: str
+    domain: str
+
+
 @attrs.frozen
 class DumpCommand:
     """Returns the state dump of `process`, or of the executing process if that is None."""
@@ -82,7 +90,9 @@
     process: str | None = None
 
 
-Command = ShowCommand | SubmitCommand | CancelCommand | ChangeCommand | DumpCommand
+Command = (
+    ShowCommand | SubmitCommand | CancelCommand | ChangeCommand | EvacuationCommand | DumpCommand
+)
 
 
 @attrs.frozen
--- a/src/apricotpoint/_operator/tables.py
+++ b/src/apricotpoint/_operator/tables.py
@@ -23,7 +23,7 @@
 # cancellation that the process executed under that id.
 CANCELLATION_TABLE = "cancellation:"
 # Every process has a copy of these tables, so equal rows are merged into one.
-_REPLICATED_TABLES = frozenset({"services", "teams", "members"})
+_REPLICATED_TABLES = frozenset({"services", "teams", "members", "evacuations"})
 
 RowsByTable = Mapping[str, Callable[[], list[Row]]]
 CancelJob = Callable[[str, str], Awaitable[Answer]]
--- a/src/apricotpoint/_programs/control.py
+++ b/src/apricotpoint/_programs/control.py
@@ -32,6 +32,7 @@
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._operator.dump import StateDump, dump_on_signal
 from apricotpoint._operator.executor import CommandExecutor
+from apricotpoint._programs.configrows import evacuation_rows
 from apricotpoint._programs.console import run_commands, settings_commands
 from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._programs.signals import wait_for_stop_signal
@@ -126,7 +127,11 @@
     commands = CommandExecutor(
         process_id=settings.control_id,
         transport=mesh,
-        rows_by_table={"members": node.rows, "vms": lambda: [_vm_row(settings, node)]},
+        rows_by_table={
+            "members": node.rows,
+            "vms": lambda: [_vm_row(settings, node)],
+            "evacuations": lambda: evacuation_rows(node.replica.state.configuration, []),
+        },
         configuration=lambda: node.replica.state.configuration,
         change=node.change,
         submit=_refuse_job,
--- a/src/apricotpoint/_programs/ctl.py
+++ b/src/apricotpoint/_programs/ctl.py
@@ -63,6 +63,8 @@
     "drain": "Drain a VM or backend server: drain vm puebla-1 at 16.",
     "undrain": "End a drain: undrain vm puebla-1 at 17.",
     "stop": "Stop a VM or backend server: stop backend w-7 at 18.",
+    "evacuate": "Start nothing more in a failure domain: evacuate toluca.",
+    "restore": "End the evacuation of a failure domain: restore toluca.",
     "dump": "Show the state dump of a process: dump puebla-1.",
     "members": "Show the control members; 'members add' and 'members remove' change them.",
 }
--- a/src/apricotpoint/_programs/entry.py
+++ b/src/apricotpoint/_programs/entry.py
@@ -30,7 +30,7 @@
 from apricotpoint._operator.dump import StateDump, dump_on_signal
 from apricotpoint._operator.executor import CommandExecutor
 from apricotpoint._programs.components import EntryComponents
-from apricotpoint._programs.configrows import configuration_rows
+from apricotpoint._programs.configrows import configuration_rows, evacuation_rows
 from apricotpoint._programs.console import run_commands, settings_commands
 from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._programs.signals import wait_for_stop_signal
@@ -155,6 +155,8 @@
             submit=self._components.coordinator.submit,
             cancel=self._components.coordinator.cancel,
             dump=self.state_dump.build,
+            failure_domains=settings.failure_domains,
+            wall_time=self._timers.wall_time,
         )
 
     async def __aenter__(self) -> EntryProcess:
@@ -294,6 +296,9 @@
             "vms": self._vm_rows,
             "services": lambda: configuration_rows(self._feed.configuration().service_by_name),
             "teams": lambda: configuration_rows(self._feed.configuration().team_by_name),
+            "evacuations": lambda: evacuation_rows(
+                self._feed.configuration(), self.settings.failure_domains
+            ),
         }
 
     def _vm_rows(self) -> list[dict[str, Any]]:
--- a/src/apricotpoint/_wire/configuration.py
+++ b/src/apricotpoint/_wire/configuration.py
@@ -51,6 +51,20 @@
     text: str = ""
 
 
+@attrs.frozen
+class Evacuation:
+    """The last order for a failure domain; while it is `active`, nothing is started there.
+
+    `order` numbers the orders for that failure domain that took effect, from 1. `ordered_at` is
+    the Unix time at which a process received the order, for display only.
+    """
+
+    active: bool
+    order: int
+    command_id: str
+    ordered_at: float
+
+
 @attrs.frozen
 class Configuration:
     """One version of the configuration. Each accepted change increments the version."""
@@ -63,6 +77,12 @@
     drained_backends: list[str] = attrs.Factory(list)
     stopped_backends: list[str] = attrs.Factory(list)
     document: Document = Document()
+    evacuation_by_domain: dict[str, Evacuation] = attrs.Factory(dict)
+
+    def evacuated_domains(self) -> list[str]:
+        """Return the failure domains that are evacuated, sorted."""
+        evacuations = self.evacuation_by_domain
+        return sorted(domain for domain in evacuations if evacuations[domain].active)
 
     def with_document(self, document: Document) -> Configuration:
         """Return this configuration with another document."""
@@ -75,10 +95,13 @@
 
     `action` is one of set_service, set_team, remove_service, remove_team,
     drain_vm, undrain_vm, stop_vm, drain_backend, undrain_backend,
-    stop_backend, add_member, remove_member, replace_document. `arguments`
-    depend on the action. A change is based on configuration `base_version`.
-    `replace_document` ignores it: the highest version of the document becomes
-    active, and one that is not higher is accepted without effect.
+    stop_backend, add_member, remove_member, replace_document, begin_evacuation,
+    finish_evacuation. `arguments` depend on the action. A change is based on
+    configuration `base_version`. `replace_document` ignores it: the highest version
+    of the document becomes active, and one that is not higher is accepted without effect.
+    The orders to evacuate a failure domain and to finish that ignore it, too: they have
+    `known_order`, the number of the last order for the domain that the process which
+    received them knew, besides `ordered_at` and `domains`, all failure domains.
     """
 
     command_id: str
@@ -100,12 +123,14 @@
     """Answer to `ChangeRequest`; `version` is that of the configuration afterwards.
 
     `code` is 4000 (accepted), 4101 (version conflict), 4102 (no majority), 4103
-    (invalid command) or 4104 (not found).
+    (invalid command) or 4104 (not found). `evacuation` is what is in force after an accepted
+    order for a failure domain; its command id is that of the change which brought it into force.
     """
 
     code: int
     version: int
     message: str = ""
+    evacuation: Evacuation | None = None
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/controlapi.py
+++ b/src/apricotpoint/platform/controlapi.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import logbook
 from starlette.applications import Starlette
@@ -33,11 +33,13 @@
     document: Callable[[], Awaitable[Document | None]],
     counters: Counters,
     wall_time: Callable[[], float],
+    evacuation_routes: Sequence[Route] = (),
 ) -> Starlette:
     """Return the ASGI app for workers and operators.
 
     `change` commits a change of the configuration; `document` returns the latest
     document, None if it cannot be determined; `wall_time` returns the wall-clock time in seconds.
+    `evacuation_routes` are those of orders for failure domains, none where they are not supported.
     """
 
     async def heartbeat(request: Request) -> Response:
@@ -107,6 +109,7 @@
             Route("/instances/{worker_id}/deregister", deregister, methods=["POST"]),
             Route("/config/replace", replace_configuration, methods=["POST"]),
             Route("/config/read", read_configuration, methods=["GET"]),
+            *evacuation_routes,
             Route("/{path:path}", not_supported, methods=["GET", "POST"]),
         ]
     )
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -23,13 +23,16 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
+from apricotpoint._core.pauses import PauseMonitor
 from apricotpoint._core.timers import TimerService
+from apricotpoint._http.arrivals import Arrivals
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.holders.relay import AnnouncementRelay
 from apricotpoint._programs.incarnation import make_random, new_incarnation
 from apricotpoint._wire.configuration import ConfigPoll
 from apricotpoint.platform.controlapi import make_control_app
+from apricotpoint.platform.evacuations import make_evacuation_routes
 from apricotpoint.platform.process import (
     PEER_IDLE_S,
     PEER_KEY,
@@ -102,12 +105,23 @@
     relay = AnnouncementRelay(
         own_id=settings.address, transport=mesh, timers=timers, control_ids=control_ids
     )
+    pauses, arrivals = PauseMonitor(timers=timers), Arrivals()
+    evacuation_routes = make_evacuation_routes(
+        domains=lambda: settings_file.current.failure_domains,
+        configuration=lambda: node.replica.state.configuration,
+        change=node.change,
+        unread_s=lambda client: pauses.unread_s(arrivals.silent_s(client)),
+        clock=timers.boot_time,
+        wall_time=timers.wall_time,
+        counters=counters,
+    )
     app = make_control_app(
         relay=relay,
         change=node.change,
         document=node.document,
         counters=counters,
         wall_time=timers.wall_time,
+        evacuation_routes=evacuation_routes if settings.has_places else [],
     )
     close_server = anyio.Event()
 
@@ -121,13 +135,15 @@
             close_server.wait,
             grace_s=SHUTDOWN_GRACE_S,
             idle_s=CONNECTION_IDLE_TIMEOUT_S,
+            arrivals=arrivals,
             task_status=task_status,
         )
 
     async with AsyncExitStack() as stack:
-        for component in (timers, mesh, node, relay):
+        for component in (timers, pauses, mesh, node, relay):
             await stack.enter_async_context(component)
         async with anyio.create_task_group() as group:
+            group.start_soon(arrivals.check)
             await group.start(serve_app)
             _log.info("listening for workers and operators on {}", settings.control_bind)
             await signals.stop_requested.wait()
