Test evacuation orders, and let product entry processes follow them

Without this an order of apricotctl was accepted and had no effect there, as the product's lease holders looked at drained and stopped backend servers only.

--- a/src/apricotpoint/_dispatch/announcements.py
+++ b/src/apricotpoint/_dispatch/announcements.py
@@ -136,7 +136,7 @@
             self._add_view(view)
         service = self._context.service(announcement.service)
         view.obeys_guards = self._context.service_config(service.name).guards
-        view.blocked = announcement.backend_id in self._context.blocked
+        view.blocked = self._context.is_blocked(announcement)
         view.handed_over = False
         view.update(announcement, now)
         if service.queue.count:
--- a/src/apricotpoint/_dispatch/context.py
+++ b/src/apricotpoint/_dispatch/context.py
@@ -18,7 +18,7 @@
 from apricotpoint._dispatch.policies import Policy
 from apricotpoint._dispatch.queue import FairQueue, HeldTask
 from apricotpoint._link.transport import Transport
-from apricotpoint._wire.announce import HolderName
+from apricotpoint._wire.announce import Announcement, HolderName
 from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
 
 # Entry processes whose latest load report is older count as not live: they are
@@ -52,7 +52,8 @@
 class HolderContext:
     """External dependencies and shared state of the parts of one lease holder.
 
-    `blocked` are the ids of the backend servers that are drained or stopped.
+    `blocked` are the ids of the backend servers that are drained or stopped, and
+    `evacuated_domains` the failure domains in which nothing more is started.
     `services_to_bind` are the names of the services with a binding pass due, and
     `wake` is set when any work is due.
     """
@@ -69,6 +70,7 @@
     service_by_name: dict[str, Service] = attrs.Factory(dict)
     view_by_id: dict[str, BackendView] = attrs.Factory(dict)
     blocked: frozenset[str] = frozenset()
+    evacuated_domains: frozenset[str] = frozenset()
     services_to_bind: set[str] = attrs.Factory(set)
     wake: anyio.Event = attrs.Factory(anyio.Event)
     group: anyio.abc.TaskGroup | None = None
@@ -97,10 +99,18 @@
             return
         self._applied_configuration = configuration
         self.blocked = frozenset(configuration.drained_backends + configuration.stopped_backends)
+        self.evacuated_domains = frozenset(configuration.evacuated_domains())
         for view in self.view_by_id.values():
-            view.blocked = view.backend_id in self.blocked
+            view.blocked = self.is_blocked(view.announcement)
             view.obeys_guards = self.service_config(view.announcement.service).guards
 
+    def is_blocked(self, announcement: Announcement) -> bool:
+        """Return whether an operator ordered that a backend server starts nothing more."""
+        return (
+            announcement.backend_id in self.blocked
+            or announcement.failure_domain in self.evacuated_domains
+        )
+
     def schedule_binding(self, service: Service) -> None:
         """Request a binding pass for a service at the next wake-up of the holder."""
         self.services_to_bind.add(service.name)
--- a/testing/dispatch/test_holder.py
+++ b/testing/dispatch/test_holder.py
@@ -10,7 +10,7 @@
 
 from apricotpoint._link.transport import Sender
 from apricotpoint._wire.announce import Announced, GuardState, HolderName
-from apricotpoint._wire.configuration import Configuration, ServiceConfig, TeamConfig
+from apricotpoint._wire.configuration import Configuration, Evacuation, ServiceConfig, TeamConfig
 from apricotpoint._wire.load import LoadReport
 from apricotpoint._wire.tasks import (
     BatchResult,
@@ -655,9 +655,11 @@
     run_scenario(scenario, server := FakeBackend("b1", mode="lose", result_reply="unknown"))
 
 
-@pytest.mark.parametrize("event", ["drain before binding", "drain after binding", "cancel"])
+@pytest.mark.parametrize(
+    "event", ["drain before binding", "drain after binding", "evacuation after binding", "cancel"]
+)
 def test_drains_and_cancellations_are_checked_up_to_the_send(event: str):
-    """Guards against sends after a drain or cancellation that comes before or after binding."""
+    """Guards against sends after an order or cancellation that comes before or after binding."""
 
     async def scenario(rig: Rig) -> None:
         start_ids = rig.run(1, batch_id=7)
@@ -665,6 +667,12 @@
             rig.holder._bind(rig.holder._service("desk"), rig.timers.now())
         if event == "cancel":
             rig.holder.cancel(LOCAL_COORDINATOR, [7])
+        elif event == "evacuation after binding":
+            orders = {
+                "puebla": Evacuation(True, 1, "c", 0.0),
+                "toluca": Evacuation(False, 2, "c", 0.0),
+            }
+            rig.configuration = Configuration(evacuation_by_domain=orders)
         else:
             rig.configuration = Configuration(drained_backends=["b1"])
         await anyio.sleep(1.1)
--- a/testing/operator/operator_fakes.py
+++ b/testing/operator/operator_fakes.py
@@ -68,6 +68,8 @@
             submit=self._submit,
             cancel=self._cancel,
             dump=lambda: {"process": process_id},
+            failure_domains=["puebla", "toluca"],
+            wall_time=lambda: 1_800_000_000.0,
         )
 
     def _services(self) -> list[dict[str, Any]]:
--- a/testing/operator/operator_strategies.py
+++ b/testing/operator/operator_strategies.py
@@ -17,6 +17,7 @@
     CancelCommand,
     ChangeCommand,
     DumpCommand,
+    EvacuationCommand,
     Ordering,
     Setting,
     ShowCommand,
@@ -38,7 +39,9 @@
 )
 VALUES = st.one_of(NAMES, NUMBERS, DURATIONS, st.booleans())
 OPERATORS = st.sampled_from(["=", "!=", "<", "<=", ">", ">=", "~"])
-TABLES = st.sampled_from(["jobs", "tasks", "backends", "vms", "services", "teams", "members"])
+TABLES = st.sampled_from(
+    ["jobs", "tasks", "backends", "vms", "services", "teams", "members", "evacuations"]
+)
 
 
 def tuples(element: st.SearchStrategy, min_size: int = 0):
@@ -93,6 +96,7 @@
         NAMES,
         NON_NEGATIVE_INTEGERS,
     ),
+    st.builds(EvacuationCommand, st.sampled_from(["evacuate", "restore"]), NAMES),
     st.builds(DumpCommand, st.none() | NAMES),
 )
 STATEMENTS = st.builds(Statement, COMMANDS, st.none() | NAMES)
--- a/testing/operator/test_operator_commands.py
+++ b/testing/operator/test_operator_commands.py
@@ -11,6 +11,8 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._link.transport import PeerUnreachable
+from apricotpoint._programs.configrows import evacuation_rows
+from apricotpoint._wire.configuration import Configuration, Evacuation
 
 CHANGE = "set service order-desk max_queue_s = 20s, guards = false at 7"
 
@@ -209,3 +211,35 @@
     second.transport.unreachable = True
     result = run_on_virtual_time(lambda: first.commands.run("dump toluca-1"))
     assert result.code is ResultCode.COORDINATOR_UNREACHABLE
+
+
+def test_evacuation_orders_name_the_last_order_that_is_known():
+    """Guards against an order that undoes a newer one, and rows that hide who gave it."""
+    first, _ = make_system()
+    evacuation = Evacuation(True, 3, "c-1", 1_799_999_000.0)
+    first.configuration = Configuration(version=7, evacuation_by_domain={"toluca": evacuation})
+    result = run_on_virtual_time(lambda: first.commands.run("restore toluca", "c-2"))
+    assert (result.code, result.command_id) == (ResultCode.ACCEPTED, "c-2")
+    (change,) = first.changes
+    assert (change.action, change.target) == ("finish_evacuation", "toluca")
+    assert change.arguments == {
+        "known_order": 3,
+        "ordered_at": 1_800_000_000.0,
+        "domains": ["puebla", "toluca"],
+    }
+    assert evacuation_rows(first.configuration, ["puebla"]) == [
+        {
+            "failure_domain": "puebla",
+            "evacuated": False,
+            "since": None,
+            "command_id": None,
+            "order": 0,
+        },
+        {
+            "failure_domain": "toluca",
+            "evacuated": True,
+            "since": "2027-01-15T07:43:20+00:00",
+            "command_id": "c-1",
+            "order": 3,
+        },
+    ]
