Let the soak evacuate and restore failure domains

An acknowledged order must stay in force through kills, lost disks and lost power. The stand-in of the operator repeats acknowledged orders during the faults and after the recovery, and compares the command id that the answer names.

The check of starts in evacuated failure domains is off by default (check_evacuated_starts), as the entry processes do not follow the orders yet.

--- a/src/apricotpoint/_soak/backends.py
+++ b/src/apricotpoint/_soak/backends.py
@@ -65,6 +65,7 @@
         self.born_ms = wall_ms
         self.ended = anyio.Event()
         self._sightings, self._on_crash = sightings, on_crash
+        sightings.domain_by_backend[backend_id] = failure_domain
         self._max_lease_s = max_lease_s
         self._began_at = sightings.now()
         self._token = 0
--- a/src/apricotpoint/_soak/deployment.py
+++ b/src/apricotpoint/_soak/deployment.py
@@ -14,6 +14,7 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
 from apricotpoint._soak.callers import KINDS, Caller, LoadBalancer
+from apricotpoint._soak.evacuations import Evacuations
 from apricotpoint._soak.fleet import Fleet
 from apricotpoint._soak.generation import names_by_domain
 from apricotpoint._soak.operators import Operators
@@ -74,6 +75,15 @@
             control_addresses=self.control_addresses,
             random=self._spawn_random(),
         )
+        self.evacuations = Evacuations(
+            words,
+            self.sightings,
+            domains=settings.failure_domains,
+            control_addresses=self.control_addresses,
+            on_acknowledged=self.operators.signal_acknowledgement,
+            # Not spawned, so that the other parts draw the same numbers without evacuations.
+            random=random_module.Random(f"{seed} evacuations"),
+        )
         slots = names_by_domain(settings, "backend", settings.backends)
         self.fleet = Fleet(
             words,
@@ -94,7 +104,7 @@
     async def __aenter__(self) -> Deployment:
         await self._stack.__aenter__()
         try:
-            for owner in (self.processes, self.links, self.operators, self.fleet):
+            for owner in (self.processes, self.links, self.operators, self.evacuations, self.fleet):
                 await self._stack.enter_async_context(owner)
             self._group = await self._stack.enter_async_context(anyio.create_task_group())
             self._stack.callback(self._group.cancel_scope.cancel)
--- a/src/apricotpoint/_soak/operators.py
+++ b/src/apricotpoint/_soak/operators.py
@@ -50,7 +50,7 @@
         self._control_addresses = control_addresses
         self._version = 0
         self._document_by_version: dict[int, dict[str, object]] = {}
-        # Set at the next acknowledgement of a new version.
+        # Set at the next acknowledgement of a new version or of an order.
         self.acknowledged = anyio.Event()
 
     async def __aenter__(self) -> Operators:
@@ -87,10 +87,14 @@
                 group.start_soon(self.send, self._document_by_version[old], old)
             acknowledged = await self.send(document, version)
         if acknowledged:
-            self.acknowledged.set()
-            self.acknowledged = anyio.Event()
+            self.signal_acknowledgement()
         return acknowledged
 
+    def signal_acknowledgement(self) -> None:
+        """Wake what waits for the next acknowledgement of a new version or an order."""
+        self.acknowledged.set()
+        self.acknowledged = anyio.Event()
+
     async def send(self, document: dict[str, object], version: int) -> bool:
         """Send a configuration to one control process after the other until one answers clearly."""
         change = Change(version, self._sightings.now(), digest(document))
--- a/src/apricotpoint/_soak/play.py
+++ b/src/apricotpoint/_soak/play.py
@@ -12,6 +12,7 @@
 from apricotpoint._soak.conductor import Conductor
 from apricotpoint._soak.configchecks import find_configuration_violations
 from apricotpoint._soak.deployment import Deployment
+from apricotpoint._soak.evacuationchecks import find_evacuation_violations
 from apricotpoint._soak.report import Report, make_report, write_record
 from apricotpoint._soak.series import Series, save_series
 from apricotpoint._soak.settings import SoakSettings
@@ -42,6 +43,7 @@
     try:
         async with deployment:
             callers_stopped, operators_stopped = anyio.Event(), anyio.Event()
+            recovered = anyio.Event()
             async with anyio.create_task_group() as group:
                 await _wait_until_ready(deployment)
                 for _ in range(settings.callers):
@@ -51,9 +53,16 @@
                     raise _not_started(f"{', '.join(sorted(unserved))} served no caller", folder)
                 sightings.note("the series begins")
                 group.start_soon(deployment.operators.run, operators_stopped)
+                evacuations_ended = anyio.Event()
+                group.start_soon(
+                    _evacuate, deployment, operators_stopped, recovered, evacuations_ended
+                )
                 await Conductor(deployment).play(series)
                 operators_stopped.set()
                 await _wait_for_recovery(deployment, words.limits.recovery_s * PATIENCE_FACTOR)
+                recovered.set()
+                with anyio.move_on_after(words.limits.recovery_s):
+                    await evacuations_ended.wait()
                 await anyio.sleep(CALM_S)
                 callers_stopped.set()
                 with anyio.move_on_after(LAST_ANSWERS_S):
@@ -63,6 +72,9 @@
             violations = [
                 *find_violations(sightings, words.limits),
                 *find_configuration_violations(sightings, words.limits),
+                *find_evacuation_violations(
+                    sightings, words.limits, check_starts=settings.check_evacuated_starts
+                ),
             ]
             report = make_report(series, sightings, violations)
     finally:
@@ -81,6 +93,17 @@
     )
 
 
+async def _evacuate(
+    deployment: Deployment, stopped: anyio.Event, recovered: anyio.Event, ended: anyio.Event
+) -> None:
+    """Send orders until `stopped` is set, and check after the recovery that they are in force."""
+    if deployment.settings.with_evacuations:
+        await deployment.evacuations.run(stopped)
+        await recovered.wait()
+        await deployment.evacuations.confirm()
+    ended.set()
+
+
 async def _wait_for_recovery(deployment: Deployment, timeout_s: float) -> None:
     """Take the time until the configuration is read and changed, and all entries serve."""
     sightings = deployment.sightings
--- a/src/apricotpoint/_soak/report.py
+++ b/src/apricotpoint/_soak/report.py
@@ -29,6 +29,8 @@
     changes: int
     acknowledged: int
     readings: int
+    orders: int
+    orders_acknowledged: int
     recovered_s: float | None
     most_memory_mb: int
     most_descriptors: int
@@ -74,6 +76,10 @@
         changes=len(sightings.changes),
         acknowledged=sum(1 for item in sightings.changes if item.acknowledged_at is not None),
         readings=len(sightings.readings),
+        orders=len(sightings.orders),
+        orders_acknowledged=sum(
+            1 for order in sightings.orders if order.acknowledged_at is not None
+        ),
         recovered_s=None if recovered_s is None else round(recovered_s, 1),
         most_memory_mb=round(max((usage.memory_mb for usage in usages), default=0)),
         most_descriptors=max((usage.descriptors for usage in usages), default=0),
@@ -83,8 +89,8 @@
 
 
 def write_record(sightings: Sightings, folder: Path) -> None:
-    """Write the events of the soak, and all runs, requests, changes and readings, as lines."""
+    """Write the events of the soak, and what was seen, as lines."""
     (folder / "record.txt").write_text("\n".join(sightings.lines) + "\n", encoding="utf-8")
-    for name in ("runs", "attempts", "changes", "readings", "disturbances"):
+    for name in ("runs", "attempts", "changes", "readings", "orders", "disturbances"):
         lines = [json.dumps(attrs.asdict(item)) for item in getattr(sightings, name)]
         (folder / f"{name}.jsonl").write_text("\n".join(lines) + "\n", encoding="utf-8")
--- a/src/apricotpoint/_soak/settings.py
+++ b/src/apricotpoint/_soak/settings.py
@@ -15,9 +15,11 @@
     `failure_domains`; `tolerated_processes` control processes or `tolerated_domains` failure
     domains may be lost at the same time. `seconds` is the length of the series of faults,
     `fault_interval_s` the mean time between two of them. Processes listen on addresses of the
-    loopback network 127.`subnet`.0.0, 0 selects one. `first_port` 0 selects free ports.
-    Programs come from `build_folder`, or from this environment if it is empty. Logs are kept in
-    `report_folder`.
+    loopback network 127.`subnet`.0.0, 0 selects one. With `with_evacuations` an operator evacuates
+    and restores failure domains; with `check_evacuated_starts` a start in an evacuated one that is
+    later than allowed is a violation, with entry processes that follow these orders only.
+    `first_port` 0 selects free ports. Programs come from `build_folder`, or from this environment
+    if it is empty. Logs are kept in `report_folder`.
     """
 
     report_folder: str
@@ -36,6 +38,8 @@
     tolerated_processes: int = attrs.field(default=1, validator=checks.between(0, 5, "processes"))
     tolerated_domains: int = attrs.field(default=1, validator=checks.between(0, 3, "domains"))
     with_links: bool = True
+    with_evacuations: bool = True
+    check_evacuated_starts: bool = False
     subnet: int = attrs.field(default=0, validator=checks.between(0, 250, ""))
     first_port: int = attrs.field(default=0, validator=checks.between(0, 60_000, ""))
     build_folder: str = ""
--- a/src/apricotpoint/_soak/sightings.py
+++ b/src/apricotpoint/_soak/sightings.py
@@ -70,6 +70,23 @@
     digest: str
 
 
+@attrs.define
+class EvacuationOrder:
+    """One order to begin or finish the evacuation of a failure domain, sent until acknowledged.
+
+    `command_id` is that of the order in force by the acknowledgement. An order that repeats an
+    acknowledged one has the `command_id` of that in `confirms`.
+    """
+
+    domain: str
+    begin: bool
+    sent_at: float
+    confirms: str = ""
+    acknowledged_at: float | None = None
+    command_id: str = ""
+    refused_with: int = 0
+
+
 @attrs.define
 class Disturbance:
     """A time in which a process was disturbed by the soak; `until` is None while it lasts.
@@ -102,6 +119,8 @@
         self.attempts: list[Attempt] = []
         self.changes: list[Change] = []
         self.readings: list[Reading] = []
+        self.orders: list[EvacuationOrder] = []
+        self.domain_by_backend: dict[str, str] = {}
         self.disturbances: list[Disturbance] = []
         self.usages: dict[str, Usage] = {}
         # Texts of ends of processes that the soak did not cause.
--- a/src/apricotpoint/_soak/words.py
+++ b/src/apricotpoint/_soak/words.py
@@ -56,6 +56,7 @@
     heartbeat_s: float
     max_lease_s: float
     drain_s: float
+    evacuation_s: float
     memory_mb: float
     descriptors: int
 
@@ -67,6 +68,7 @@
     `settings` returns the settings file of a member, `command` the words that start it, `document`
     a configuration from its version and number of routes, `announcement` the path and body in
     which a backend server announces itself, and `farewell_path` where it says that it ends.
+    `evacuation_path` is where the evacuation of a failure domain begins (True) or finishes.
     `odd_announcements` are those of another writer, paths and contents.
     `respond` carries out an order that a backend server received: its path, headers and content
     give a status and a body.
@@ -78,6 +80,7 @@
     readiness_path: str
     change_path: str
     read_path: str
+    evacuation_path: Callable[[str, bool], str]
     settings: Callable[[Member, Ports, list[str], bool], dict[str, Any]]
     settings_variable: str
     command: Callable[[Member], list[str]]
--- a/src/apricotpoint/platform/soakwords.py
+++ b/src/apricotpoint/platform/soakwords.py
@@ -18,6 +18,7 @@
 HEARTBEAT_MS = 1500
 # Processor and memory as in the sheets of small deployments.
 CORES, MEMORY_MB, DESCRIPTORS, LINK_MBPS, DISK_MB = 1.2, 296, 4096, 1000.0, 128
+CONTRACTS = ["base", "drain", "config", "cost", "recover", "sched"]
 # Bounds of the grown deployments, which the machine that plays a soak can keep.
 BOUNDS: dict[str, Any] = {
     "seed_lag_s": 3,
@@ -39,6 +40,7 @@
     "finish_s": 14,
     "lease_duration_ms": 3000,
     "resend_interval_ms": 1300,
+    "evacuation_timeout_ms": 5000,
 }
 LIMITS = Limits(
     apply_s=BOUNDS["config_apply_ms"] / 1000,
@@ -51,6 +53,7 @@
     heartbeat_s=HEARTBEAT_MS / 1000,
     max_lease_s=BOUNDS["max_hold_ms"] / 1000,
     drain_s=BOUNDS["drain_timeout_ms"] / 1000,
+    evacuation_s=BOUNDS["evacuation_timeout_ms"] / 1000,
     memory_mb=MEMORY_MB,
     descriptors=DESCRIPTORS,
 )
@@ -95,7 +98,7 @@
             "discovery": "registration",
             "entry_point": "virtual_ip",
             "heartbeat_interval_ms": HEARTBEAT_MS,
-            "contracts": ["base", "drain", "config", "cost", "recover", "sched"],
+            "contracts": CONTRACTS + ["places"] * settings.with_evacuations,
             "fault_tolerance": {
                 "machines": settings.tolerated_processes,
                 "zones": settings.tolerated_domains,
@@ -113,6 +116,9 @@
         readiness_path="/readiness",
         change_path="/config/replace",
         read_path="/config/read",
+        evacuation_path=lambda domain, begin: (
+            f"/evacuation/{domain}/{'begin' if begin else 'finish'}"
+        ),
         settings=settings_file,
         settings_variable=SETTINGS_PATH_VARIABLE,
         command=lambda member: [
