--- a/src/apricotpoint/_operator/executor.py
+++ b/src/apricotpoint/_operator/executor.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
+import logbook
+
 from apricotpoint._control.evacuation import describe, make_order
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
@@ -45,6 +47,8 @@
 from apricotpoint._wire.jobs import Answer, JobRequest
 from apricotpoint._wire.rows import RowsReply, RowsRequest
 
+_log = logbook.Logger("operator")
+
 # A submission without a key gets the key "op-" plus the command id, so a command id is
 # limited to characters and a length that are valid in a key.
 _COMMAND_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,59}")
@@ -198,6 +202,14 @@
         message = reply.message
         if reply.code == ResultCode.ACCEPTED:
             message = f"failure domain {command.domain}: {describe(reply.evacuation)}"
+        _log.notice(
+            "order {} to {} failure domain {!r} answered with code {}: {}",
+            command_id,
+            command.verb,
+            command.domain,
+            int(reply.code),
+            message,
+        )
         return _change_result(reply, command_id, message)
 
     async def _send_change(self, change: Change) -> ChangeReply:
--- a/src/apricotpoint/_soak/evacuations.py
+++ b/src/apricotpoint/_soak/evacuations.py
@@ -22,6 +22,8 @@
 ORDER_INTERVAL_S = 4.0
 # Share of the orders that repeat an acknowledged one, which must still be in force.
 REPEAT_SHARE = 0.3
+# Share of the evacuations that last for longer than starts are allowed in them.
+LONG_SHARE = 0.5
 # Other answers of 400 to 499 than `REFUSALS` end a call at this attempt, but for 408 and 429.
 MAX_CLIENT_ERRORS = 3
 PASSING = {408, 429}
@@ -60,7 +62,7 @@
     async def run(self, stopped: anyio.Event) -> None:
         """Send orders until `stopped` is set, and the last one until it is acknowledged."""
         while not stopped.is_set():
-            with anyio.move_on_after(ORDER_INTERVAL_S * self._random.uniform(0.2, 1.8)):
+            with anyio.move_on_after(self._draw_interval_s()):
                 await stopped.wait()
                 return
             await self._order_once()
@@ -73,8 +75,16 @@
             if order.begin:
                 await self._send(EvacuationOrder(domain, False, self._sightings.now()))
 
+    def _draw_interval_s(self) -> float:
+        interval_s = ORDER_INTERVAL_S * self._random.uniform(0.2, 1.8)
+        is_long = bool(self._evacuated()) and self._random.random() < LONG_SHARE
+        return interval_s + is_long * self._words.limits.evacuation_s
+
+    def _evacuated(self) -> list[str]:
+        return [domain for domain, order in self._last_by_domain.items() if order.begin]
+
     async def _order_once(self) -> None:
-        evacuated = [domain for domain, order in self._last_by_domain.items() if order.begin]
+        evacuated = self._evacuated()
         domain = evacuated[0] if evacuated else self._random.choice(self._domains)
         if domain in self._last_by_domain and self._random.random() < REPEAT_SHARE:
             await self._repeat(domain)
--- a/src/apricotpoint/platform/settings.py
+++ b/src/apricotpoint/platform/settings.py
@@ -99,6 +99,7 @@
     limits = raw.get("limits") or {}
     tolerance = raw.get("fault_tolerance") or {}
     folder = raw.get("data_directory")
+    contracts = raw.get("contracts")
     return PlatformSettings(
         name=str(raw["node_name"]),
         address=str(raw["ip_address"]),
@@ -119,6 +120,6 @@
         control_bind=str(listen.get("control_plane", "")),
         drain_s=float(bounds.get("drain_timeout_ms", 2000)) / 1000,
         grace_s=float(bounds.get("grace_period_s", 6)),
-        has_places="places" in (raw.get("contracts") or []),
+        has_places=isinstance(contracts, list | dict) and "places" in contracts,
         evacuation_timeout_s=float(bounds.get("evacuation_timeout_ms", 5000)) / 1000,
     )
--- a/testing/platform/test_evacuations.py
+++ b/testing/platform/test_evacuations.py
@@ -124,7 +124,12 @@
 
 @pytest.mark.parametrize(
     ("changes", "expected"),
-    [({"contracts": ["base", "places"]}, True), ({"contracts": ["base"]}, False), ({}, False)],
+    [
+        ({"contracts": ["base", "places"]}, True),
+        ({"contracts": ["base"]}, False),
+        ({"contracts": 5}, False),
+        ({}, False),
+    ],
 )
 def test_the_contract_is_read_from_the_settings(
     changes: dict[str, Any], expected: bool, tmp_path: Path
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -51,6 +51,7 @@
     assert report.violations == []
     assert report.answers.get("200 0", 0) > 0
     assert report.readings > 0
+    assert report.orders_acknowledged > 0
 
 
 @pytest.mark.parametrize("path", CASES, ids=[path.stem for path in CASES])
