Withhold starts in evacuated failure domains, and expect cold backend servers to be slower

Cause: an operator may order that nothing more starts in a failure domain, and backend servers may be slow after their start; entry processes knew of neither. A countdown in an announcement is no change for the relay.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -99,6 +99,13 @@
         """Return whether a replica in contact with a majority answered within the last 3 s."""
         return self._timers.now() - self._confirmed_at <= _CURRENT_FOR_S
 
+    def unconfirmed_s(self) -> float:
+        """Return the seconds since the last confirmation, infinity if there was none.
+
+        While the callbacks of `subscribe` run, that of the former configuration.
+        """
+        return self._timers.now() - self._confirmed_at
+
     def subscribe(self, callback: Callable[[Configuration], None]) -> None:
         """Call `callback` with each new configuration when it becomes active."""
         self._callbacks.append(callback)
--- a/src/apricotpoint/_pool/decisions/dispatch.py
+++ b/src/apricotpoint/_pool/decisions/dispatch.py
@@ -31,15 +31,19 @@
     """
     waiting.sort(key=lambda job: joborder.order_key(job, now, fastest))
     blocked = 0
+    # What an evacuated domain starts in its grace period is what nothing else can start now.
+    is_evacuating = any(held.is_evacuated for held in eligible)
     for job in waiting:
         request = job.request
         fitting = [
             held
             for held in eligible
             if held.can_start(request, now)
-            and (job.started or not held.handing_over)
+            and (job.started or not held.is_reserved)
             and allows_start(held, job)
         ]
+        if is_evacuating:
+            fitting = [held for held in fitting if not held.is_evacuated] or fitting
         for task in filter(may_start, job.waiting_tasks()):
             if not fitting:
                 blocked += 1
--- a/src/apricotpoint/_pool/decisions/forecast.py
+++ b/src/apricotpoint/_pool/decisions/forecast.py
@@ -37,11 +37,11 @@
         self._free_at_by_class: dict[int, list[float]] = {}
         speeds_by_class: dict[int, list[float]] = {}
         for held in backends:
-            speed_class = held.speed.speed_class
+            speed_class = held.expected_speed_class(now)
             free_at = self._free_at_by_class.setdefault(speed_class, [])
             free_at += [now] * (max(held.free(now).cpu, 0) // max(typical_cpu, 1))
             free_at += [now + remaining_s(run, now) for run in held.run_by_key.values()]
-            speeds_by_class.setdefault(speed_class, []).append(held.speed.value)
+            speeds_by_class.setdefault(speed_class, []).append(held.expected_speed(now))
         self._speed_by_class = {
             speed_class: sum(speeds) / len(speeds)
             for speed_class, speeds in speeds_by_class.items()
--- a/src/apricotpoint/_pool/decisions/placement.py
+++ b/src/apricotpoint/_pool/decisions/placement.py
@@ -44,16 +44,18 @@
     candidates = [
         held for held in fitting if held.backend_id not in task.avoided_backends
     ] or fitting
-    in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
-    safe = [held for held in in_time if _meets_deadline(job, held.speed.value, now, SAFE_MARGIN)]
+    in_time = [held for held in candidates if _is_in_time(job, held.expected_speed(now), now)]
+    safe = [
+        held for held in in_time if _meets_deadline(job, held.expected_speed(now), now, SAFE_MARGIN)
+    ]
     if safe:
-        return min(safe, key=lambda held: (held.speed.speed_class, held.free(now).cpu))
+        return min(safe, key=lambda held: (held.expected_speed_class(now), held.free(now).cpu))
     if in_time:
-        return max(in_time, key=lambda held: (held.speed.speed_class, -held.free(now).cpu))
-    best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free(now).cpu))
-    if best.speed.value * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
+        return max(in_time, key=lambda held: (held.expected_speed_class(now), -held.free(now).cpu))
+    best = max(candidates, key=lambda held: (held.expected_speed_class(now), -held.free(now).cpu))
+    if best.expected_speed(now) * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
-    return best if may_meet_deadline(job, best.speed.value, now) else None
+    return best if may_meet_deadline(job, best.expected_speed(now), now) else None
 
 
 def may_meet_deadline(job: Job, speed: float, now: float) -> bool:
@@ -80,5 +82,5 @@
     """
     if not others or run.task.run_count >= MAX_RUNS_PER_TASK:
         return False
-    best = max(held.speed.value for held in others)
+    best = max(held.expected_speed(now) for held in others)
     return now + STOP_DELAY_S + work_s * MOVE_MARGIN / best <= run.task.job.deadline_at
--- a/src/apricotpoint/_pool/decisions/trials.py
+++ b/src/apricotpoint/_pool/decisions/trials.py
@@ -29,7 +29,8 @@
         if task is None or task.run is not None:
             continue
         is_over = task.done or task.job.answer is not None
-        if is_over or not is_suspect(task) or not held.is_responsive or held.announcement.leaving:
+        is_lost = not held.is_responsive or held.announcement.leaving or held.is_evacuated
+        if is_over or is_lost or not is_suspect(task):
             held.trial = None
 
 
@@ -57,12 +58,12 @@
                 in_trial[task.name] = held
         if held is None or held.run_by_key or not held.accepts_starts(now):
             continue
-        if held.handing_over and not task.job.started:
-            # Its successor waits; only jobs that have started may finish there.
+        if held.is_reserved and not task.job.started:
+            # Only jobs that have started may finish there.
             held.trial = None
             del in_trial[task.name]
             continue
-        if placement.may_meet_deadline(task.job, held.speed.value, now):
+        if placement.may_meet_deadline(task.job, held.expected_speed(now), now):
             yield task, held
         else:
             held.trial = None
@@ -78,7 +79,7 @@
         for held in backends
         if held.can_run(task.job.request)
         and held.is_eligible(now)
-        and (task.job.started or not held.handing_over)
+        and (task.job.started or not held.is_reserved)
     ]
     idle = [held for held in suitable if not held.run_by_key]
     if idle:
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Callable, Iterable, Mapping
 
 from apricotpoint._pool.decisions import admission, forecast, joborder
+from apricotpoint._pool.runs.coldbackends import Slowdown
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run, Task
 from apricotpoint._pool.runs.learning import KindRunTimes, mean_speed_log
@@ -33,6 +35,7 @@
         self, held_by_id: Mapping[str, HeldBackend], may_start: Callable[[Task], bool]
     ) -> None:
         self.run_times = KindRunTimes()
+        self.slowdown = Slowdown()
         self._held_by_id = held_by_id
         self._may_start = may_start
         self._mean_cpu = 0.0
@@ -47,12 +50,14 @@
         self._mean_cpu += (request.room.cpu - self._mean_cpu) * weight
 
     def speeds(self) -> dict[str, float]:
-        """Return the learned speed by id of the held backend server."""
+        """Return the learned speed, when warm, by id of the held backend server."""
         return {key: round(held.speed.value, 3) for key, held in self._held_by_id.items()}
 
-    def attainable_speed(self) -> float:
+    def attainable_speed(self, now: float) -> float:
         """Return the speed that a job may expect of fast backend servers; 1 if none is held."""
-        speeds = sorted(held.speed.value for held in self._held_by_id.values())
+        backends = self._held_by_id.values()
+        usable = [held for held in backends if not held.is_evacuated] or backends
+        speeds = sorted(held.expected_speed(now) for held in usable)
         return speeds[int(len(speeds) * GOOD_SPEED_QUANTILE)] if speeds else 1.0
 
     def load(self, jobs: Iterable[Job], now: float) -> PoolLoad:
@@ -60,7 +65,7 @@
         eligible = [
             held
             for held in self._held_by_id.values()
-            if held.is_eligible(now) and not held.handing_over
+            if held.is_eligible(now) and not held.is_reserved
         ]
         typical_cpu = self._typical_cpu()
         return PoolLoad(
@@ -73,7 +78,7 @@
         """Return the predicted seconds until all waiting tasks of `jobs` have started."""
         typical_cpu = self._typical_cpu()
         rate = sum(
-            held.announcement.room.cpu // typical_cpu * held.speed.value
+            held.announcement.room.cpu // typical_cpu * held.expected_speed(now)
             for held in self._held_by_id.values()
             if held.is_schedulable(now)
         )
@@ -82,7 +87,7 @@
 
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
         """Return the predicted wait and run time in seconds of a job that competes with `jobs`."""
-        fastest = self.attainable_speed()
+        fastest = self.attainable_speed(now)
         run_s = job.longest_task_s / fastest
         schedulable = [
             held
@@ -111,7 +116,8 @@
     def can_meet_deadline(self, job: Job, now: float) -> bool:
         """Return whether the waiting tasks of a job can still end before its deadline."""
         share = admission.STARTED_OPTIMISTIC_SHARE if job.started else admission.OPTIMISTIC_SHARE
-        return now + share * job.longest_task_s / self.attainable_speed() <= job.deadline_at
+        fastest = self.attainable_speed(now)
+        return now + share * job.longest_task_s / fastest <= job.deadline_at
 
     def learn_from(self, job: Job) -> None:
         """Update run times and speeds from all runs of a job at once, unfinished ones included.
@@ -119,9 +125,10 @@
         The tasks of a job need about the same work. Comparing each run only with those that ended
         before it would make every backend server look slow, because runs that end late took
         longer than average. Leaving out runs that get stopped would make slow backend servers
-        look fast.
+        look fast. Runs on cold backend servers show only how slow these are.
         """
-        runs = _timed_runs(job)
+        runs = _warm(_timed_runs(job))
+        self._learn_slowdown(job, runs)
         work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
         total = sum(work_logs)
         for (run, took_s), work_log in zip(runs, work_logs, strict=True):
@@ -131,16 +138,25 @@
             self.run_times.observe(job.request.kind, job.request.estimate_s, math.exp(work_log))
         self._normalise_speeds()
 
+    def _learn_slowdown(self, job: Job, warm: list[tuple[Run, float]]) -> None:
+        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in warm]
+        expected_s = math.exp(statistics.fmean(work_logs)) if work_logs else job.estimate_s
+        for run, took_s in _timed_runs(job):
+            if run.cold_share:
+                ratio = took_s * run.backend.speed.value / max(expected_s, 1e-3)
+                self.slowdown.observe(run.cold_share, ratio, same_job=bool(warm))
+
     def refine_run_time(self, job: Job) -> None:
         """Replace the estimate of a job by the mean of its runs, which differ by only 15%."""
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in _timed_runs(job)]
+        runs = _warm(_timed_runs(job))
+        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
         if work_logs:
             job.refined_s = math.exp(sum(work_logs) / len(work_logs))
 
     def learn_from_straggler(self, run: Run, predicted_s: float) -> None:
         """Update the speed of the backend server of a straggler before its job has ended."""
-        others = [item for item in _timed_runs(run.task.job) if item[0] is not run]
-        if not others:
+        others = [item for item in _warm(_timed_runs(run.task.job)) if item[0] is not run]
+        if not others or run.cold_share:
             return
         work_logs = [math.log(took_s * other.backend.speed.value) for other, took_s in others]
         expected_s = math.exp(sum(work_logs) / len(work_logs))
@@ -165,6 +181,10 @@
         return max(int(min(rooms, default=1) * DEFAULT_TASK_SHARE), 1)
 
 
+def _warm(runs: list[tuple[Run, float]]) -> list[tuple[Run, float]]:
+    return [item for item in runs if not item[0].cold_share]
+
+
 def _timed_runs(job: Job) -> list[tuple[Run, float]]:
     """Return the runs of a job with their known or predicted run times in seconds."""
     runs = list(job.completed_runs)
--- a/src/apricotpoint/_pool/holders/members.py
+++ b/src/apricotpoint/_pool/holders/members.py
@@ -60,7 +60,8 @@
     Use it as an async context manager. Only holders send their status, to the processes in
     `audience_domains` and to the other holders; all others are known by the summaries that
     `discovery` has. Holders in `shared_domains`, those of the shares of the own failure domain,
-    are asked for their status when they become known. `last_contact_at` is the time of the last
+    are asked for their status when they become known. Processes in `evacuated_domains` get the
+    status of each holder. `last_contact_at` is the time of the last
     message from any process, None before it. `speed_by_backend` has the learned speeds that
     other processes report.
     """
@@ -80,6 +81,7 @@
         self.entry_id = discovery.summary.entry_id
         self.audience_domains: frozenset[str] = frozenset()
         self.shared_domains: frozenset[str] = frozenset()
+        self.evacuated_domains: frozenset[str] = frozenset()
         self.last_contact_at: float | None = None
         self.speed_by_backend: dict[str, float] = {}
         self._transport = transport
@@ -209,10 +211,11 @@
         state = (status.draining, status.term_by_claim, status.held)
         is_for_all = state != self._sent_state or not self._status_count % DISTANT_EVERY_STATUSES
         self._sent_state = state
+        domains = self.audience_domains | self.evacuated_domains
         audience = {
             entry_id
             for entry_id, summary in self.discovery.directory.summary_by_entry.items()
-            if summary.failure_domain in self.audience_domains or (summary.is_holder and is_for_all)
+            if summary.failure_domain in domains or (summary.is_holder and is_for_all)
         }
         if is_for_all:
             audience |= self._previously_live
--- a/src/apricotpoint/_pool/holders/relay.py
+++ b/src/apricotpoint/_pool/holders/relay.py
@@ -111,12 +111,12 @@
     def announce(self, announcement: PoolBackend) -> None:
         """Accept an announcement; forward it within `RELAY_PERIOD_S` if it is new or changed."""
         backend_id = announcement.backend_id
-        known = self._roster.announcement_by_id.get(backend_id)
+        is_repetition = self._roster.is_repetition(announcement)
         self._roster.update(BackendsHeard([announcement]))
         accepted = self._roster.announcement_by_id.get(backend_id)
         if accepted is not announcement:
             return
-        if known is None or attrs.evolve(known, sequence=announcement.sequence) != announcement:
+        if not is_repetition:
             self._changed_by_id[backend_id] = announcement
         elif backend_id not in self._changed_by_id:
             self._repeated_ids.add(backend_id)
@@ -208,7 +208,7 @@
             control_ids=sorted(self._control_ids()),
             list_digest=digest,
             entries=None if digest == message.list_digest else entries,
-            backends=list(self._roster.announcement_by_id.values()) if needs_backends else [],
+            backends=self._roster.current_announcements() if needs_backends else [],
             lost_runs=self._lost_runs_for(message, needs_all=needs_backends),
             crash_digest=self._crashes.digest(),
         )
--- a/src/apricotpoint/_pool/holders/roster.py
+++ b/src/apricotpoint/_pool/holders/roster.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from apricotpoint._pool.decisions import cold
 from apricotpoint._wire.pool import BackendsHeard, PoolBackend
 
 # A backend server that neither announces itself nor answers lease renewals for this long is
@@ -40,8 +41,14 @@
 
 
 def digest(announcement: PoolBackend) -> int:
-    """Return a digest of 32 bits of all fields of an announcement but its sequence number."""
-    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(attrs.evolve(announcement, sequence=0)))
+    """Return a digest of 32 bits of an announcement without its sequence number and countdown.
+
+    Both differ in each announcement. The countdown is left out, not set to 0, so that the digest
+    is that of an earlier release.
+    """
+    fields = msgspec.to_builtins(attrs.evolve(announcement, sequence=0))
+    del fields["cold_remaining_s"]
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(fields))
 
 
 class Roster:
@@ -57,6 +64,8 @@
     def __init__(self, *, now: Callable[[], float]) -> None:
         self.announcement_by_id: dict[str, PoolBackend] = {}
         self._digest_by_id: dict[str, int] = {}
+        # Ends of cold periods as announced when they last changed.
+        self._cold_until_by_id: dict[str, float] = {}
         self._last_contact_at_by_id: dict[str, float] = {}
         self.revision = 0
         self._removal_by_id: dict[str, _Removal] = {}
@@ -91,6 +100,49 @@
         for backend_id, value in itertools.zip_longest(message.repeated, message.repeated_digests):
             self._record_repetition(backend_id, value)
 
+    def current_announcements(self) -> list[PoolBackend]:
+        """Return the last announcement of each backend server, with countdowns as of now."""
+        now = self._now()
+        return [
+            announcement
+            if key not in self._cold_until_by_id
+            else attrs.evolve(
+                announcement, cold_remaining_s=max(self._cold_until_by_id[key] - now, 0.0)
+            )
+            for key, announcement in self.announcement_by_id.items()
+        ]
+
+    def is_repetition(self, announcement: PoolBackend) -> bool:
+        """Return whether an announcement, not processed yet, says nothing new.
+
+        A countdown that goes on as announced before is nothing new.
+        """
+        known = self.announcement_by_id.get(announcement.backend_id)
+        if known is None:
+            return False
+        expected = attrs.evolve(
+            known,
+            sequence=announcement.sequence,
+            cold_remaining_s=announcement.cold_remaining_s,
+        )
+        return expected == announcement and self._is_same_countdown(announcement)
+
+    def _is_same_countdown(self, announcement: PoolBackend) -> bool:
+        now = self._now()
+        known_until = self._cold_until_by_id.get(announcement.backend_id, now)
+        return cold.is_same_end(known_until, announcement.cold_remaining_s, now)
+
+    def _update_countdown(self, known: PoolBackend | None, announcement: PoolBackend) -> None:
+        """Keep the end announced first, so that small differences do not add up unnoticed."""
+        is_same = known is not None and known.born_ms == announcement.born_ms
+        if is_same and self._is_same_countdown(announcement):
+            return
+        if announcement.cold_remaining_s > 0:
+            until = self._now() + announcement.cold_remaining_s
+            self._cold_until_by_id[announcement.backend_id] = until
+        else:
+            self._cold_until_by_id.pop(announcement.backend_id, None)
+
     def count_by_domain(self) -> dict[str, int]:
         """Return the number of announced backend servers by failure domain."""
         return dict(Counter(item.failure_domain for item in self.announcement_by_id.values()))
@@ -163,6 +215,7 @@
                 announcement.failure_domain,
             )
             self.revision += 1
+        self._update_countdown(known, announcement)
         self.announcement_by_id[announcement.backend_id] = announcement
         self._digest_by_id[announcement.backend_id] = digest(announcement)
         self._last_contact_at_by_id[announcement.backend_id] = self._now()
@@ -173,6 +226,7 @@
     def _remove(self, backend_id: str, reason: str, *, final: bool) -> None:
         known = self.announcement_by_id.pop(backend_id, None)
         self._digest_by_id.pop(backend_id, None)
+        self._cold_until_by_id.pop(backend_id, None)
         if known is not None:
             _log.info("removed backend server {}: {}", backend_id, reason)
             self.revision += 1
--- a/src/apricotpoint/_pool/runs/heldbackend.py
+++ b/src/apricotpoint/_pool/runs/heldbackend.py
@@ -6,10 +6,12 @@
 
 import attrs
 
+from apricotpoint._pool.decisions import evacuation
 from apricotpoint._pool.runs.backendclient import BackendClient, LeaseReply, RunKey
+from apricotpoint._pool.runs.coldbackends import Warmth
 from apricotpoint._pool.runs.health import Health
 from apricotpoint._pool.runs.job import Run, Task
-from apricotpoint._pool.runs.learning import Speed
+from apricotpoint._pool.runs.learning import SPEED_CLASS_FACTOR, Speed
 from apricotpoint._wire.pool import PoolBackend, PoolJob, Room
 
 # Duration of a lease. A backend server ends its runs by itself this long after the last
@@ -43,7 +45,9 @@
     runs in `run_by_key`. `handing_over` is set while another process waits to acquire the backend
     server: only jobs that have started may start tasks there then. `trial` is a task that may
     crash the backend server (`_pool.decisions.trials`): no other one starts there meanwhile.
-    `released` is set when the lease is no longer to be renewed.
+    `released` is set when the lease is no longer to be renewed. `starts_end_at` is the end of the
+    grace period of its failure domain if that is evacuated, else None. `warmth` is set while the
+    backend server is cold.
     """
 
     announcement: PoolBackend
@@ -65,6 +69,8 @@
     handing_over: bool = False
     trial: Task | None = None
     released: bool = False
+    starts_end_at: float | None = None
+    warmth: Warmth | None = None
     _clock_offset_ms: float | None = None
     _free: Room | None = None
     _free_for: PoolBackend | None = None
@@ -74,6 +80,30 @@
         """Id of the backend server."""
         return self.announcement.backend_id
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether its failure domain is evacuated, or may be as the orders are not known yet."""
+        return self.starts_end_at is not None
+
+    @property
+    def is_reserved(self) -> bool:
+        """Whether only jobs that have started may start tasks here, and not for long."""
+        return self.handing_over or self.starts_end_at is not None
+
+    def slowdown(self, now: float) -> float:
+        """Return the factor by which runs that start now take longer, as it is cold."""
+        return 1.0 if self.warmth is None else self.warmth.factor(now)
+
+    def expected_speed(self, now: float) -> float:
+        """Return the speed of a run that starts now."""
+        return self.speed.value if self.warmth is None else self.speed.value / self.slowdown(now)
+
+    def expected_speed_class(self, now: float) -> int:
+        """Return the class of the expected speed; see `Speed`."""
+        if self.warmth is None:
+            return self.speed.speed_class
+        return round(math.log(self.expected_speed(now)) / math.log(SPEED_CLASS_FACTOR))
+
     def free(self, now: float) -> Room:
         """Return the resources that no run uses, by the last announcement and refused start."""
         if now < self.full_until:
@@ -110,6 +140,7 @@
             and not self.announcement.leaving
             and not self.released
             and not self.untracked_runs
+            and evacuation.may_start(self.starts_end_at, now, job_started=True)
             and now + MIN_LEASE_S <= self.lease_limit_at
             and self.health.allows_start(now, len(self.run_by_key))
         )
@@ -131,7 +162,7 @@
             self.is_responsive
             and self.trial is None
             and not self.announcement.leaving
-            and not self.handing_over
+            and not self.is_reserved
             and now >= self.health.backoff_until
         )
 
--- a/src/apricotpoint/_pool/runs/job.py
+++ b/src/apricotpoint/_pool/runs/job.py
@@ -41,7 +41,8 @@
     Times are monotonic seconds; `sent_at` is the time at which the start was sent. `expected_s` is
     the run time expected at the start. `progress` is in percent, as reported last, and changed at
     `progress_changed_at`. `stopping` is set once the run is to be stopped, `has_prediction` once
-    its run time was predicted from its progress.
+    its run time was predicted from its progress. At the start, runs on the backend server took
+    `slowdown` times as long as usual, and `cold_share` of its cold period was ahead.
     """
 
     task: Task
@@ -57,6 +58,13 @@
     stopping: bool = False
     is_straggler: bool = False
     has_prediction: bool = False
+    slowdown: float = 1.0
+    cold_share: float = 0.0
+
+    @property
+    def speed(self) -> float:
+        """Speed of this run by what is known now of its backend server."""
+        return self.backend.speed.value / self.slowdown
 
     def predicted_s(self) -> float | None:
         """Return the run time in seconds predicted from the progress, None if that is too low."""
--- a/src/apricotpoint/_pool/runs/starter.py
+++ b/src/apricotpoint/_pool/runs/starter.py
@@ -9,6 +9,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
+from apricotpoint._pool.decisions import evacuation
 from apricotpoint._pool.runs.backendclient import StartOutcome, StartRequest
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Run, RunState, Task
@@ -64,7 +65,9 @@
             backend=held,
             token=held.token,
             sent_at=now,
-            expected_s=job.estimate_s / held.speed.value,
+            expected_s=job.estimate_s / held.expected_speed(now),
+            slowdown=held.slowdown(now),
+            cold_share=0.0 if held.warmth is None else held.warmth.share(now),
         )
         task.run = run
         task.run_count += 1
@@ -79,6 +82,11 @@
             # The process was paused since the dispatch; its jobs end with its claims.
             self._counters.add("pool.starts_withheld")
             return
+        if not evacuation.may_start(held.starts_end_at, now, job_started=True):
+            # The grace period has ended since the dispatch, as the process was held up.
+            self._counters.add("pool.starts_withheld_evacuated")
+            self._handle_refusal(run, StartOutcome.TOO_LATE)
+            return
         held.lease_limit_at = self._leases.lease_limit_at(held)
         lease_until_ms = held.lease_until_ms(now)
         if lease_until_ms is None:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -4,7 +4,7 @@
 
 import math
 import random as random_module
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from types import TracebackType
 from typing import Any
 
@@ -18,6 +18,7 @@
 from apricotpoint._pool.decisions import (
     admission,
     dispatch,
+    evacuation,
     joborder,
     placement,
     trials,
@@ -30,6 +31,8 @@
     RunOutcome,
     StartOutcome,
 )
+from apricotpoint._pool.runs.coldbackends import ColdBackends
+from apricotpoint._pool.runs.evacuations import Evacuations
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Origin, Run, Task
 from apricotpoint._pool.runs.jobtable import JobTable
@@ -73,8 +76,10 @@
             on_renewal_failed=lambda key: self.release(key, "its renewals failed unexpectedly"),
         )
         self.held_by_id = self.leases.held_by_id
+        self.evacuations = Evacuations(now=timers.now, counters=counters)
         self.crashes = CrashHistory(now=timers.now)
         self.estimates = Estimates(self.held_by_id, self._is_clear)
+        self._cold = ColdBackends(now=timers.now, slowdown=self.estimates.slowdown)
         self.crashes.on_given_up = self._end_given_up_jobs
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
@@ -133,12 +138,56 @@
     def acquire(self, announcement: PoolBackend, token: int, *, speed: float | None = None) -> None:
         """Start to hold the lease of a backend server; see `Leases.acquire`."""
         self.leases.acquire(announcement, token, speed=speed)
+        self._apply_state(self.held_by_id[announcement.backend_id])
 
     def announce(self, announcement: PoolBackend) -> None:
         """Process an announcement; ignored if it is outdated or its backend server is not held."""
+        self._cold.record(announcement)
         if self.leases.update(announcement):
+            self._apply_state(self.held_by_id[announcement.backend_id])
             self.request_dispatch()
 
+    def _apply_state(self, held: HeldBackend) -> None:
+        self.evacuations.apply(held)
+        held.warmth = self._cold.warmth(held.backend_id)
+
+    def set_evacuated(
+        self, domains: Collection[str], *, grace_s: float = evacuation.EVACUATION_GRACE_S
+    ) -> bool:
+        """Replace the evacuated failure domains, in which no job starts from now on.
+
+        In those that were not evacuated before, jobs that have started may start their remaining
+        tasks for another `grace_s`. Jobs that cannot run on another backend server held here are
+        answered as `DRAINING`, or end if they have started and no time is left. Returns whether
+        this changes anything.
+        """
+        if not self.evacuations.set(domains, grace_s):
+            return False
+        for held in self.held_by_id.values():
+            self.evacuations.apply(held)
+        self._review_evacuated()
+        self.request_dispatch()
+        return True
+
+    def _review_evacuated(self) -> None:
+        """Answer the jobs that cannot start or go on because of an evacuation."""
+        if not self.evacuations.is_active():
+            return
+        fates = evacuation.decide(
+            self.unanswered_jobs(), self.held_by_id.values(), self._timers.now()
+        )
+        for job, fate in fates:
+            waiting = len(job.waiting_tasks())
+            self._counters.add("pool.starts_withheld_evacuated", waiting)
+            if fate is evacuation.Fate.MOVES:
+                self._counters.add("pool.jobs_rerouted_evacuated")
+                reason = "the failure domain of its backend servers is evacuated"
+                self._finish_job(job, PoolAnswer(int(ResultCode.DRAINING), reason))
+            else:
+                self._counters.add("pool.jobs_ended_evacuated")
+                reason = f"{waiting} tasks cannot start any more: their failure domain is evacuated"
+                self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+
     def release(self, backend_id: str, reason: str) -> None:
         """Stop renewing the lease of a backend server and fail the jobs that have runs there."""
         for run in self.leases.release(backend_id, reason):
@@ -176,11 +225,19 @@
         available = [
             held
             for held in self.held_by_id.values()
-            if not held.announcement.leaving and not held.handing_over
+            if not held.announcement.leaving and not held.is_reserved
         ]
+        can_run = any(held.can_run(request) for held in available)
+        if not can_run and any(
+            held.is_evacuated and held.can_run(request) for held in self.held_by_id.values()
+        ):
+            self._counters.add("pool.jobs_rerouted_evacuated")
+            return self._make_refusal(
+                ResultCode.DRAINING, "no job may start on the backend servers that could run it"
+            )
         if not available:
             return self._make_refusal(ResultCode.NO_BACKEND, "this process holds no backend server")
-        if not any(held.can_run(request) for held in available):
+        if not can_run:
             return self._make_refusal(
                 ResultCode.CANNOT_RUN,
                 "no backend server of its service has the resources that a task of the job needs",
@@ -353,8 +410,12 @@
         if run.stopping or run.sent_at + predicted_s <= job.deadline_at:
             return
         now = self._timers.now()
-        work_s = predicted_s * run.backend.speed.value
-        others = [held for held in self.held_by_id.values() if held.can_start(job.request, now)]
+        work_s = predicted_s * run.speed
+        others = [
+            held
+            for held in self.held_by_id.values()
+            if held.can_start(job.request, now) and not held.is_evacuated
+        ]
         if not placement.should_move(run, work_s, others, now):
             if admission.will_miss_deadline(
                 progress=run.progress,
@@ -422,7 +483,7 @@
             for job in self.unanswered_jobs()
             if job.waiting_tasks() and (job.started or not self.draining)
         ]
-        fastest = self.estimates.attainable_speed()
+        fastest = self.estimates.attainable_speed(now)
         self._start_trials(waiting, now, fastest)
         eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
         if not eligible:
@@ -540,6 +601,7 @@
 
     def _tick(self) -> None:
         now = self._timers.now()
+        self._review_evacuated()
         for job in self.unanswered_jobs():
             if now >= job.deadline_at:
                 if job.started:
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -4,6 +4,7 @@
 
 import math
 import random as random_module
+from collections.abc import Collection
 from types import TracebackType
 
 import anyio
@@ -14,7 +15,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender
-from apricotpoint._pool.decisions import claims
+from apricotpoint._pool.decisions import claims, evacuation
 from apricotpoint._pool.holders.members import EntryMembers
 from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
 from apricotpoint._pool.runs.job import Job, Origin
@@ -117,6 +118,15 @@
         self._transport.request_handlers_by_type.pop(PoolJob, None)
         self._transport.handlers_by_type.pop(PoolCancel, None)
 
+    def set_evacuated(
+        self, domains: Collection[str], *, grace_s: float = evacuation.EVACUATION_GRACE_S
+    ) -> None:
+        """Replace the evacuated failure domains; see `Scheduler.set_evacuated`."""
+        # Entry processes there choose among all holders, so they need the load of each.
+        self._members.evacuated_domains = frozenset(domains)
+        if self._scheduler.set_evacuated(domains, grace_s=grace_s):
+            self._members.send_status()
+
     def new_attempt(self) -> int:
         """Return a number for one request by which a caller submits a job."""
         return self._random.getrandbits(62) + 1
@@ -198,14 +208,20 @@
         """Return the process that schedules a job: a holder of the own failure domain, if any.
 
         Of several holders one is chosen at random by its free room, so that the entry processes
-        do not all send their jobs to the same one until its next status arrives.
+        do not all send their jobs to the same one until its next status arrives. Holders of
+        evacuated failure domains only are left out.
         """
+        evacuated = self._scheduler.evacuations.domains
         live = {
             entry_id: status
             for entry_id, status in self._members.live_entries().items()
             if entry_id not in excluded and not status.draining and status.held
         }
-        local_ids = claims.holders(self._own_domain, live)
+        live = evacuation.usable_holders(live, evacuated)
+        is_evacuated = self._own_domain in evacuated
+        if is_evacuated:
+            self._counters.add("jobs.routed_elsewhere_evacuated")
+        local_ids = list(live) if is_evacuated else claims.holders(self._own_domain, live)
         if local_ids:
             own_id = self._members.entry_id
             if own_id in local_ids and live[own_id].load.free:
@@ -215,15 +231,16 @@
         if live:
             return min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
         # Holders of other failure domains send their status to holders only.
-        distant_ids = [
-            entry_id
+        distant = {
+            entry_id: summary
             for entry_id, summary in self._members.available_summaries().items()
             if summary.is_holder
             and not summary.draining
             and entry_id not in excluded
             and entry_id != self._members.entry_id
             and summary.failure_domain != self._own_domain
-        ]
+        }
+        distant_ids = evacuation.prefer_usable(distant, evacuated)
         return self._random.choice(distant_ids) if distant_ids else None
 
     async def _submit_forwarded(self, target: str, request: PoolJob, began_at: float) -> PoolAnswer:
@@ -344,9 +361,11 @@
         if request.forwarded or self._scheduler.draining:
             return None
         own_s = expected_wait_s(self._scheduler.load(), request)
+        evacuated = self._scheduler.evacuations.domains
+        live = evacuation.usable_holders(self._members.live_entries(), evacuated)
         waits = [
             (expected_wait_s(status.load, request), entry_id)
-            for entry_id, status in self._members.live_entries().items()
+            for entry_id, status in live.items()
             if entry_id != self._members.entry_id and not status.draining and status.held
         ]
         best_s, entry_id = min(waits, default=(math.inf, ""))
--- a/src/apricotpoint/_wire/configuration.py
+++ b/src/apricotpoint/_wire/configuration.py
@@ -51,6 +51,20 @@
     text: str = ""
 
 
+@attrs.frozen
+class Evacuation:
+    """The last order for a failure domain: to evacuate it (`active`) or to restore it.
+
+    `order` numbers the orders for the domain, from 1. `ordered_at` is the Unix time at which the
+    process that took the order received it, for display only.
+    """
+
+    active: bool
+    order: int
+    command_id: str
+    ordered_at: float
+
+
 @attrs.frozen
 class Configuration:
     """One version of the configuration. Each accepted change increments the version."""
@@ -63,6 +77,7 @@
     drained_backends: list[str] = attrs.Factory(list)
     stopped_backends: list[str] = attrs.Factory(list)
     document: Document = Document()
+    evacuation_by_domain: dict[str, Evacuation] = attrs.Factory(dict)
 
     def with_document(self, document: Document) -> Configuration:
         """Return this configuration with another document."""
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -52,7 +52,8 @@
 
     `room` are all its resources. `sequence` grows with each announcement of one
     incarnation; `born_ms` is the start of that incarnation in unix milliseconds,
-    0 if it was not announced.
+    0 if it was not announced. `cold_remaining_s` is how much longer the backend
+    server remains slow after its start, counted from the announcement.
     """
 
     backend_id: str
@@ -64,6 +65,7 @@
     leaving: bool
     sequence: int
     born_ms: int = 0
+    cold_remaining_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -17,6 +17,7 @@
 from apricotpoint._http.arrivals import Arrivals
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
+from apricotpoint._pool.evacuationorders import EvacuationOrders
 from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.holders.crashreports import CrashReports
 from apricotpoint._pool.holders.discovery import Discovery
@@ -161,6 +162,13 @@
             counters=counters,
             random=generator,
         )
+        if settings.evacuations:
+            EvacuationOrders(
+                feed=self._feed,
+                scheduler=self._scheduler,
+                service=self._service,
+                timeout_s=settings.evacuation_timeout_s,
+            )
         self._pauses = PauseMonitor(timers=self._timers)
         self._arrivals = Arrivals()
         self._callers = CallerInterface(
--- a/src/apricotpoint/platform/heartbeats.py
+++ b/src/apricotpoint/platform/heartbeats.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import re
+from typing import Annotated
 
 import attrs
 import msgspec
@@ -24,6 +25,9 @@
 MAX_AHEAD_S = 86_400.0
 # Announcements of one incarnation: this many at its start, and for each second of its life.
 MAX_FIRST_SEQUENCE, MAX_SEQUENCE_PER_S = 10_000, 100
+# A backend server that is said to be cold for longer has sent an odd value.
+MAX_COLD_MS = 86_400_000
+_ColdMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -37,7 +41,10 @@
 
 @attrs.frozen
 class _Heartbeat:
-    """`born` is the start of this incarnation of the worker in unix milliseconds."""
+    """`born` is the start of this incarnation of the worker in unix milliseconds.
+
+    `cold_remaining_ms` is how much longer it remains slow after its start.
+    """
 
     service: str
     address: str
@@ -47,6 +54,7 @@
     capacity: _Capacity
     labels: list[str] = attrs.Factory(list)
     born: Natural = 0
+    cold_remaining_ms: _ColdMs = 0.0
 
 
 _DECODER = msgspec.json.Decoder(_Heartbeat)
@@ -101,6 +109,7 @@
         leaving=_LEAVING_BY_STATE[heartbeat.state],
         sequence=heartbeat.sequence,
         born_ms=heartbeat.born,
+        cold_remaining_s=heartbeat.cold_remaining_ms / 1000,
     )
 
 
--- a/src/apricotpoint/platform/settings.py
+++ b/src/apricotpoint/platform/settings.py
@@ -26,7 +26,8 @@
     of control processes. `first_start` is True only when the whole deployment
     starts for the first time. `tolerated_vms` or `tolerated_domains` may be lost at the same
     time; VMs that do not count, for which `may_vote` is False, may be lost beside them.
-    The `_bind` addresses are "host:port".
+    The `_bind` addresses are "host:port". `evacuations` tells whether failure domains may be
+    evacuated; nothing starts in one later than `evacuation_timeout_s` after the order.
     """
 
     name: str
@@ -46,6 +47,8 @@
     control_bind: str
     drain_s: float
     grace_s: float
+    evacuations: bool = False
+    evacuation_timeout_s: float = 5.0
 
     def peer_address(self, peer_id: str) -> str:
         """Return the "host:port" at which a peer listens; the port is the same on all VMs."""
@@ -116,4 +119,6 @@
         control_bind=str(listen.get("control_plane", "")),
         drain_s=float(bounds.get("drain_timeout_ms", 2000)) / 1000,
         grace_s=float(bounds.get("grace_period_s", 6)),
+        evacuations="places" in (raw.get("contracts") or []),
+        evacuation_timeout_s=float(bounds.get("evacuation_timeout_ms", 5000)) / 1000,
     )
