--- a/src/apricotpoint/_pool/decisions/evacuation.py
+++ b/src/apricotpoint/_pool/decisions/evacuation.py
@@ -79,10 +79,12 @@
     """Yield each open job that does not stay, with its fate; `backends` are all held here."""
     usable = [held for held in backends if not held.announcement.leaving]
     for job in jobs:
-        # A job of which all tasks have started ends normally.
+        if not job.waiting_tasks():
+            # Runs in progress end normally.
+            continue
         suitable = [held for held in usable if held.can_run(job.request)]
         ends = [held.starts_end_at for held in suitable if held.starts_end_at is not None]
-        if not ends or not job.waiting_tasks():
+        if not ends:
             continue
         decided = fate(
             started=job.started,
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -140,6 +140,15 @@
     )
 
 
+def test_the_time_for_which_a_worker_is_cold_is_decoded():
+    """Guards against workers that count as cold, or as warm, by mistake."""
+    assert decode_heartbeat("i-1", make_heartbeat()).cold_remaining_s == 0
+    raw = json.loads(make_heartbeat(cold_remaining_ms=1500.5))
+    assert decode_heartbeat("i-1", json.dumps(raw).encode()).cold_remaining_s == 1.5005
+    del raw["cold_remaining_ms"]
+    assert decode_heartbeat("i-1", json.dumps(raw).encode()).cold_remaining_s == 0
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -158,6 +167,11 @@
         make_heartbeat(capacity={"cpu": TOO_LARGE, "requested_memory_mb": 1}),
         make_heartbeat(sequence=TOO_LARGE),
         make_heartbeat(born=FAR_TOO_LARGE),
+        make_heartbeat(cold_remaining_ms=-1),
+        make_heartbeat(cold_remaining_ms="1500"),
+        make_heartbeat(cold_remaining_ms=None),
+        make_heartbeat(cold_remaining_ms=1e300),
+        make_heartbeat(cold_remaining_ms=FAR_TOO_LARGE),
         json.dumps({"service": "s1"}).encode(),
     ],
 )
@@ -249,3 +263,9 @@
     assert settings.peer_address("10.1.0.16") == "10.1.0.16:7720"
     assert (settings.caller_bind, settings.control_bind) == ("10.1.0.13:8161", "")
     assert settings.data_folder is None
+    assert (settings.evacuations, settings.evacuation_timeout_s) == (False, 5.0)
+    path.write_text(
+        path.read_text() + "contracts: [places, other]\nbounds: {evacuation_timeout_ms: 4000}\n"
+    )
+    settings = load_settings(path)
+    assert (settings.evacuations, settings.evacuation_timeout_s) == (True, 4.0)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -13,11 +13,13 @@
 import attrs
 from pool_harness import ANSWER_TIMEOUT_S, FakeBackend, make_announcement
 
+from apricotpoint._control.feed import ConfigurationFeed
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.peer import HEARTBEAT_PERIOD_S, RETRANSMIT_TIMEOUT_S
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.evacuationorders import EvacuationOrders
 from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.holders.crashreports import CrashReports
 from apricotpoint._pool.holders.discovery import Discovery
@@ -27,6 +29,7 @@
 from apricotpoint._pool.runs.backendclient import LeaseReply, RunKey, StartOutcome, StartRequest
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
+from apricotpoint._wire.configuration import ConfigPoll, ConfigUpdate, Configuration, Evacuation
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolBackend
 
 ONE_WAY_DELAY_S = 0.0005
@@ -214,12 +217,43 @@
         """Do nothing: there are no connections."""
 
 
+class FakeOrders:
+    """Orders to evacuate failure domains, served by the control processes in a configuration.
+
+    With `version` 0 there is no configuration until the first order.
+    """
+
+    def __init__(self, *, version: int = 1) -> None:
+        self.configuration = Configuration(version=version)
+        self._changed = anyio.Event()
+
+    def give(self, domain: str, *, active: bool) -> None:
+        """Evacuate a failure domain, or restore it."""
+        order = Evacuation(active, 1, f"order-{domain}", 0.0)
+        orders = {**self.configuration.evacuation_by_domain, domain: order}
+        version = self.configuration.version + 1
+        self.configuration = Configuration(version=version, evacuation_by_domain=orders)
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def answer(self, _: Sender, message: object) -> object:
+        """Answer a long poll, as a control process in contact with a majority does."""
+        assert isinstance(message, ConfigPoll)
+        if message.version == self.configuration.version:
+            with anyio.move_on_after(message.wait_s):
+                await self._changed.wait()
+        is_newer = self.configuration.version > message.version
+        newer = self.configuration if is_newer else None
+        return ConfigUpdate(self.configuration.version, current=True, configuration=newer)
+
+
 class FakeNetwork:
     """The network: `dropped_pairs` has the pairs (sender, receiver) whose messages are dropped.
 
     `delay_by_pair` has the delays of messages that take longer than usual, in seconds.
     With `sends_heartbeats` both sides of an open request hear from each other.
-    `sent_by_id` counts the messages and replies that each process has sent.
+    `sent_by_id` counts the messages and replies that each process has sent. With `orders` the
+    entry processes get them, as where failure domains may be evacuated.
     """
 
     def __init__(self, group: anyio.abc.TaskGroup) -> None:
@@ -232,6 +266,7 @@
         self.incarnation_by_id: Counter[str] = Counter()
         self.sent_by_id: Counter[str] = Counter()
         self.sends_heartbeats = False
+        self.orders: FakeOrders | None = None
 
     async def deliver_heartbeat(self, sender: str, receiver: str) -> None:
         """Record a contact at the receiver, if the sender lives and reaches it."""
@@ -355,6 +390,17 @@
                     self.service,
                 ):
                     await stack.enter_async_context(part)
+                if self.network.orders is not None:
+                    feed = ConfigurationFeed(
+                        transport=transport,
+                        control_ids=discovery.control_ids,
+                        timers=timers,
+                        counters=self.counters,
+                    )
+                    EvacuationOrders(
+                        feed=feed, scheduler=self.scheduler, service=self.service, timeout_s=5.0
+                    )
+                    await stack.enter_async_context(feed)
                 self.claimer.start_pause_detection()
 
                 def check() -> None:
@@ -467,6 +513,7 @@
     leader: str = "e1",
     domains: Sequence[tuple[str, str]] = DOMAINS,
     backend_ids: Sequence[str] = ("a1", "a2", "b1", "b2"),
+    orders: FakeOrders | None = None,
 ) -> AsyncIterator[Cluster]:
     """Run the cluster until all backend servers are held.
 
@@ -477,6 +524,7 @@
     backend_by_id = {key: FakeBackend() for key in backend_ids}
     async with anyio.create_task_group() as group:
         network = FakeNetwork(group)
+        network.orders = orders
         for backend in backend_by_id.values():
             backend.group = group
         async with AsyncExitStack() as stack:
@@ -492,6 +540,9 @@
                 )
                 for control_id in CONTROL_IDS
             }
+            for control_id in CONTROL_IDS if orders is not None else ():
+                handlers = network.transport_by_id[control_id].request_handlers_by_type
+                handlers[ConfigPoll] = orders.answer
             unannounced: set[str] = set()
             group.start_soon(_announce, relay_by_id, network, backend_by_id, unannounced)
             entries = [
