Test the routing and the grace period of evacuated failure domains by themselves

Cause: with single rules taken out on a scratch copy, the tests of evacuation still passed in four of nine cases: routing, dispatch, end of the grace period, audience of statuses. Change: tests of the pure functions, more load on the share of several domains, checks of counters. Measured: each of the nine changes fails a test now; test_evacuation.py and test_cold.py pass.

--- a/testing/pool/test_evacuation.py
+++ b/testing/pool/test_evacuation.py
@@ -10,13 +10,20 @@
 import attrs
 import pytest
 from pool_cluster import ALL_DOMAINS_CORES, ONE_DOMAIN_CORES, Cluster, FakeOrders, run_cluster
-from pool_harness import FakeBackend, make_job, run_on_virtual_time, run_scheduler
+from pool_harness import (
+    FakeBackend,
+    make_announcement,
+    make_job,
+    run_on_virtual_time,
+    run_scheduler,
+)
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.decisions import evacuation
 from apricotpoint._pool.decisions.evacuation import EVACUATION_GRACE_S
 from apricotpoint._pool.runs.health import Health
-from apricotpoint._wire.pool import PoolAnswer, PoolJob
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolAnswer, PoolJob, PoolLoad
 
 THREE_DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "c"))
 BACKEND_IDS = ("a1", "a2", "b1", "b2", "c1", "c2")
@@ -46,11 +53,14 @@
     run_on_virtual_time(test)
 
 
-async def submit_each(cluster: Cluster, entry_ids: list[str], first: int) -> list[PoolAnswer]:
+async def submit_each(
+    cluster: Cluster, entry_ids: list[str], first: int, **fields: float
+) -> list[PoolAnswer]:
     answers: list[PoolAnswer] = []
 
     async def submit(entry_id: str, number: int) -> None:
-        answers.append(await cluster.entry_by_id[entry_id].service.submit(make_job(number)))
+        job = make_job(number, **fields)
+        answers.append(await cluster.entry_by_id[entry_id].service.submit(job))
 
     async with anyio.create_task_group() as group:
         for number, entry_id in enumerate(entry_ids, first):
@@ -69,6 +79,32 @@
     assert evacuation.grace_s(unconfirmed_s, 5.0) == pytest.approx(expected_s)
 
 
+def test_a_task_starts_in_an_evacuated_domain_only_in_the_grace_period():
+    """Guards against starts of new jobs there, and against any start after the grace period."""
+    may_start = evacuation.may_start
+    assert may_start(None, 10.0, job_started=False)
+    assert [may_start(10.0, now, job_started=True) for now in (9.9, 10.0)] == [True, False]
+    assert not may_start(10.0, 9.9, job_started=False)
+    held = HeldBackend(make_announcement(), FakeBackend(), token=1, is_responsive=True)
+    held.starts_end_at = 10.0
+    assert [held.can_start(make_job(), now) for now in (9.9, 10.0)] == [True, False]
+    assert not held.is_schedulable(9.9)
+
+
+def test_holders_of_evacuated_domains_only_are_left_out():
+    """Guards against jobs that are sent to a holder which returns them."""
+    load = PoolLoad(0.0, 1, 1)
+    status_by_entry = {
+        key: EntryStatus("a", False, 1, dict.fromkeys(parts, 1), ["w1"], load)
+        for key, parts in {"e1": ["a"], "e2": ["a#1"], "e3": ["a", "b"], "e4": ["c"]}.items()
+    }
+    assert list(evacuation.usable_holders(status_by_entry, {"a"})) == ["e3", "e4"]
+    assert list(evacuation.usable_holders(status_by_entry, ())) == ["e1", "e2", "e3", "e4"]
+    summaries = {key: EntrySummary(key, key[0], 1.0, 0.0) for key in ("a1", "b1")}
+    assert evacuation.prefer_usable(summaries, {"a"}) == ["b1"]
+    assert evacuation.prefer_usable(summaries, {"a", "b"}) == ["a1", "b1"]
+
+
 def test_a_waiting_job_is_returned_at_once_and_a_started_one_ends_with_the_grace_period():
     """Guards against jobs that wait in an evacuated domain until their deadline."""
 
@@ -164,9 +200,13 @@
             group.cancel_scope.cancel()
         before = starts_in(cluster, "a")
         await anyio.sleep(PROPAGATION_S)
+        # Processes there that hold nothing get the load of the others, too.
+        assert {"e3", "e4"} <= cluster.entry_by_id["e2"].members.live_entries().keys()
         codes = [answer.code for answer in await submit_each(cluster, ["e1", "e2"] * 6, 10)]
         assert codes == [ResultCode.COMPLETE] * 12
         assert starts_in(cluster, "a") == before
+        counters = cluster.entry_by_id["e1"].counters
+        assert counters.get("pool.jobs_rerouted_evacuated") == 1
         assert min(starts_in(cluster, "b"), starts_in(cluster, "c")) >= 4
         assert cluster.entry_by_id["e2"].counters.get("jobs.routed_elsewhere_evacuated") >= 6
         orders.give("a", active=False)
@@ -186,7 +226,8 @@
         (holder,) = [key for key, held in cluster.holders().items() if held]
         orders.give("a", active=True)
         await anyio.sleep(PROPAGATION_S)
-        answers = await submit_each(cluster, ["e1", "e3", "e4"] * 2, 1)
+        # More than the other domains have room for, and some of it in the grace period.
+        answers = await submit_each(cluster, ["e1", "e3", "e4"] * 4, 1, base_latency_s=1.0)
         assert {answer.code for answer in answers} == {ResultCode.COMPLETE}
         assert starts_in(cluster, "a") == 0
         assert len(cluster.entry_by_id[holder].held()) == len(BACKEND_IDS)
