--- a/src/apricotpoint/_pool/holders/roster.py
+++ b/src/apricotpoint/_pool/holders/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import operator
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -21,6 +22,12 @@
 # before the removal may still arrive.
 REMOVED_RETENTION_S = 30.0
 
+# In the order in which msgspec encodes the fields of a class with slots.
+_DIGEST_FIELDS = sorted(
+    field.name for field in attrs.fields(PoolBackend) if field.name != "cold_remaining_s"
+)
+_digest_values = operator.attrgetter(*_DIGEST_FIELDS)
+
 _log = logbook.Logger("roster")
 
 
@@ -46,8 +53,8 @@
     Both differ in each announcement. The countdown is left out, not set to 0, so that the digest
     is that of an earlier release.
     """
-    fields = msgspec.to_builtins(attrs.evolve(announcement, sequence=0))
-    del fields["cold_remaining_s"]
+    fields = dict(zip(_DIGEST_FIELDS, _digest_values(announcement), strict=True))
+    fields["sequence"] = 0
     return xxhash.xxh32_intdigest(msgspec.msgpack.encode(fields))
 
 
--- a/src/apricotpoint/_pool/runs/heldbackend.py
+++ b/src/apricotpoint/_pool/runs/heldbackend.py
@@ -140,7 +140,10 @@
             and not self.announcement.leaving
             and not self.released
             and not self.untracked_runs
-            and evacuation.may_start(self.starts_end_at, now, job_started=True)
+            and (
+                self.starts_end_at is None
+                or evacuation.may_start(self.starts_end_at, now, job_started=True)
+            )
             and now + MIN_LEASE_S <= self.lease_limit_at
             and self.health.allows_start(now, len(self.run_by_key))
         )
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -219,9 +219,9 @@
         }
         live = evacuation.usable_holders(live, evacuated)
         is_evacuated = self._own_domain in evacuated
-        if is_evacuated:
-            self._counters.add("jobs.routed_elsewhere_evacuated")
         local_ids = list(live) if is_evacuated else claims.holders(self._own_domain, live)
+        if is_evacuated and local_ids:
+            self._counters.add("jobs.routed_elsewhere_evacuated")
         if local_ids:
             own_id = self._members.entry_id
             if own_id in local_ids and live[own_id].load.free:
@@ -241,6 +241,8 @@
             and summary.failure_domain != self._own_domain
         }
         distant_ids = evacuation.prefer_usable(distant, evacuated)
+        if is_evacuated and distant_ids:
+            self._counters.add("jobs.routed_elsewhere_evacuated")
         return self._random.choice(distant_ids) if distant_ids else None
 
     async def _submit_forwarded(self, target: str, request: PoolJob, began_at: float) -> PoolAnswer:
--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -212,7 +212,7 @@
     return ports
 
 
-def write_settings(path: Path, *, grace_period_s: float) -> SettingsFile:
+def write_settings(path: Path, *, grace_period_s: float, **fields: object) -> SettingsFile:
     peer_port, caller_port, ready_port = free_ports(3)
     settings = {
         "node_name": "front-1",
@@ -227,6 +227,7 @@
             "ready": f"127.0.0.1:{ready_port}",
         },
         "bounds": {"grace_period_s": grace_period_s},
+        **fields,
     }
     path.write_text(yaml.safe_dump(settings), encoding="utf-8")
     return SettingsFile(path)
--- a/testing/pool/test_cold.py
+++ b/testing/pool/test_cold.py
@@ -21,7 +21,7 @@
 from apricotpoint._pool.holders.roster import digest as digest_of
 from apricotpoint._pool.runs.coldbackends import ColdBackends, Slowdown
 from apricotpoint._pool.scheduler import Scheduler
-from apricotpoint._wire.pool import BackendsHeard
+from apricotpoint._wire.pool import BackendsHeard, PoolBackend, Room
 
 COLD_S = 20.0
 # Factor by which runs take longer at the beginning of a cold period, in the tests.
@@ -144,3 +144,7 @@
         roster.update(BackendsHeard([item]))
     assert repeated == [True, True, False, True]
     assert digest_of(announcement(1)) == digest_of(item)
+    # As computed by the release before cold backend servers.
+    room = Room(1, 2, 3)
+    former = PoolBackend("w", "s", "a:1", "d", room, ["x", "y"], leaving=True, sequence=7)
+    assert digest_of(attrs.evolve(former, born_ms=99)) == 1024343894
--- a/testing/pool/test_evacuation.py
+++ b/testing/pool/test_evacuation.py
@@ -21,6 +21,7 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.decisions import evacuation
 from apricotpoint._pool.decisions.evacuation import EVACUATION_GRACE_S
+from apricotpoint._pool.decisions.verdicts import Evidence
 from apricotpoint._pool.runs.health import Health
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolAnswer, PoolJob, PoolLoad
@@ -173,6 +174,31 @@
     run_on_virtual_time(test)
 
 
+def test_a_trial_moves_away_from_an_evacuated_domain():
+    """Guards against a task that waits for a backend server on which it may not start any more."""
+
+    async def test() -> None:
+        async with run_scheduler(FakeBackend(work_s=0.5), FakeBackend(work_s=0.6)) as harness:
+            scheduler = harness.scheduler
+            held, other = scheduler.held_by_id.values()
+            scheduler.announce(attrs.evolve(other.announcement, failure_domain="b", sequence=2))
+            for number in range(1, 5):
+                scheduler.submit(make_job(number, work_s=0.5))
+            await anyio.sleep(0.05)
+            suspect = make_job(9, deadline_s=9.0)
+            names = [f"{suspect.job_id}.0.0.0"]
+            lost = make_announcement("lost")
+            scheduler.crashes.record(lost, 0, names, Evidence.CRASHED, alone=False)
+            job = scheduler.submit(suspect)
+            await anyio.sleep(0.1)
+            assert held.trial is job.tasks[0]
+            scheduler.set_evacuated({"a"})
+            await anyio.sleep(0.7)
+            assert [run.backend for run in job.active_runs()] == [other]
+
+    run_on_virtual_time(test)
+
+
 def test_jobs_of_an_evacuated_domain_run_in_the_others():
     """Guards against callers of an evacuated domain that are refused while others have capacity."""
 
