--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -44,6 +45,16 @@
     anyio.run(test, backend="trio", backend_options={"clock": clock})
 
 
+def on_virtual_time(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Turn a test that is a coroutine function into one that runs on a virtual clock."""
+
+    @functools.wraps(test)
+    def run(**arguments: object) -> None:
+        run_on_virtual_time(functools.partial(test, **arguments))
+
+    return run
+
+
 def make_announcement(backend_id: str = "w1", *, room: Room = BACKEND_ROOM) -> PoolBackend:
     return PoolBackend(
         backend_id=backend_id,
