--- a/src/apricotpoint/_pool/decisions/overrun.py
+++ b/src/apricotpoint/_pool/decisions/overrun.py
@@ -39,6 +39,11 @@
     return elapsed_s * 100 / (progress.percent + 1)
 
 
+def is_late(progress: Progress, remaining_s: float) -> bool:
+    """Return whether a run ends later than in `remaining_s`, if it goes on where it is."""
+    return least_run_s(progress) - progress.elapsed_s > remaining_s
+
+
 def cannot_meet_deadline(
     reports: Iterable[Progress], *, task_count: int, remaining_s: float, fastest: float
 ) -> bool:
@@ -49,13 +54,12 @@
     backend servers that show it cannot be explained by one slow backend server. If all tasks run
     on one, they have to show it by more than the first percent. Without reports nothing is known.
     """
-    late = [report for report in reports if _is_late(report, remaining_s, fastest)]
+    late = [
+        report
+        for report in reports
+        if is_late(report, remaining_s)
+        and least_run_s(report) * report.speed / fastest > remaining_s
+    ]
     if len({report.backend_id for report in late}) > 1:
         return True
     return len(late) == task_count and all(report.percent >= MIN_PROGRESS_ALONE for report in late)
-
-
-def _is_late(report: Progress, remaining_s: float, fastest: float) -> bool:
-    run_s = least_run_s(report)
-    goes_on_s = run_s - report.elapsed_s
-    return min(goes_on_s, run_s * report.speed / fastest) > remaining_s
