Keep a control process with a full disk as a member

Cause: the first write that found no free space was kept as a final failure and ended the process with 5104, although full disks empty within seconds. Change: such a write is rolled back. The log keeps what it carried in memory and stores it when a retry finds free space; the claims it carried are refused and forgotten. Meanwhile the process acknowledges nothing, gives no vote and does not campaign; a leader steps down. A failed sync, and a write that fails otherwise, stay final.

--- a/src/apricotpoint/_control/election.py
+++ b/src/apricotpoint/_control/election.py
@@ -35,35 +35,44 @@
         if replica.role is Role.LEADER or not replica.is_voter():
             continue
         replica.leader_id = None
+        # The vote for itself could not be stored.
+        if replica.log.is_disk_full or replica.stall.is_stalled:
+            continue
         if await _wins_pre_vote(replica):
             await _run_election(replica)
 
 
 def on_pre_vote(replica: Replica, message: PreVote) -> VoteReply:
     """Reply whether a vote would be granted, without changing the term or the vote."""
-    granted = message.term > replica.log.term and _may_grant_vote(
-        replica, message.last_term, message.last_index
+    granted = (
+        message.term > replica.log.term
+        and not replica.log.is_disk_full
+        and _may_grant_vote(replica, message.last_term, message.last_index)
     )
     return replica.vote_reply(granted=granted)
 
 
 async def on_vote(replica: Replica, candidate_id: str, message: Vote) -> VoteReply:
-    """Grant or refuse a vote; a granted vote is synced to disk before the reply is sent."""
+    """Grant or refuse a vote; a granted vote is synced to disk before the reply is sent.
+
+    With a full disk it is refused. A vote that has found no free space keeps its place in
+    memory, so that no other one is given in its term.
+    """
     log = replica.log
-    if message.term < log.term:
+    if message.term < log.term or log.is_disk_full:
         return replica.vote_reply(granted=False)
     if not _may_grant_vote(replica, message.last_term, message.last_index):
         return replica.vote_reply(granted=False)
     if message.term > log.term:
         replica.become_follower(message.term, None)
     if log.voted_for not in ("", candidate_id):
-        await log.sync()
+        await log.try_sync()
         return replica.vote_reply(granted=False)
     if not log.voted_for:
         log.set_term_and_vote(message.term, candidate_id)
     replica.voted_at = replica.timers.now()
-    await log.sync()
-    granted = log.term == message.term and log.voted_for == candidate_id
+    stored = await log.try_sync()
+    granted = stored and log.term == message.term and log.voted_for == candidate_id
     return replica.vote_reply(granted=granted)
 
 
@@ -95,9 +104,12 @@
     term = log.term + 1
     log.set_term_and_vote(term, replica.node_id)
     replica.role = Role.CANDIDATE
-    await log.sync()
+    stored = await log.try_sync()
     if log.term != term or replica.role is not Role.CANDIDATE:
         return
+    if not stored:
+        replica.become_follower(term, None)
+        return
     message = Vote(term=term, last_index=log.last_index, last_term=log.last_term)
     won = await _collect_votes(replica, message)
     if log.term != term or replica.role is not Role.CANDIDATE:
--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -15,7 +15,7 @@
 
 from apricotpoint._control.documents import DocumentChunks
 from apricotpoint._control.download import DocumentDownload
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
@@ -234,9 +234,14 @@
                 content = msgspec.msgpack.encode(configuration)
                 # Without a checksum a flipped bit could raise the cached version, and every
                 # later configuration would be refused as older.
-                await self._storage.replace_file(
-                    self._cache_path.name, xxhash.xxh3_64_digest(content) + content
-                )
+                try:
+                    await self._storage.replace_file(
+                        self._cache_path.name, xxhash.xxh3_64_digest(content) + content
+                    )
+                except DiskFullError as error:
+                    # The cache only serves a start without contact; a start with it fetches.
+                    self._counters.add("configuration.not_cached")
+                    _log.warning("configuration {} not cached: {}", configuration.version, error)
             self._configuration = configuration
             self._counters.set_gauge("configuration.version", configuration.version)
         for callback in self._callbacks:
--- a/src/apricotpoint/_control/identity.py
+++ b/src/apricotpoint/_control/identity.py
@@ -11,7 +11,7 @@
 
 from apricotpoint._control import log, registry
 from apricotpoint._control.records import check_record_file, create_record_file
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import PROBE_FILE_NAME, Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 
@@ -78,14 +78,15 @@
     """
     assert not is_initialised(folder)
     names = (log.FILE_NAME, registry.FILE_NAME, _FILE_NAME)
-    for name in (*names, *(f"{name}.new" for name in names)):
+    for name in (*names, *(f"{name}.new" for name in names), PROBE_FILE_NAME):
         (folder / name).unlink(missing_ok=True)
 
 
 async def record_start(storage: Storage, *, node_id: str, random: random.Random) -> Identity:
     """Increment the start counter on disk and return the identity of this start.
 
-    Must be called once at each start of the process. Raises `ApricotError`
+    Must be called once at each start of the process, and again only after it
+    raised `DiskFullError`, which leaves the file as before. Raises `ApricotError`
     5001 if the folder is not initialised or belongs to another process, 5101
     if a record file has lost its content, and 5102 if the identity file
     cannot be read.
--- a/src/apricotpoint/_control/log.py
+++ b/src/apricotpoint/_control/log.py
@@ -7,7 +7,7 @@
 
 from apricotpoint._control.messages import Entry, Snapshot
 from apricotpoint._control.records import RecordFile
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import DiskFullError, Storage
 
 # A snapshot replaces older entries after this many committed entries.
 COMPACT_AFTER_ENTRIES = 1_000
@@ -61,12 +61,15 @@
     """Entries, term and vote in one file, so that one sync covers all of them.
 
     Changes are visible at once and durable after `sync`; nothing may be
-    acknowledged before that. `base_index` is the index just before the first
+    acknowledged before that. While the disk is full, they stay in memory only
+    and are written when there is free space. `base_index` is the index just before the first
     entry in the log; older entries are covered by `snapshot`.
     """
 
     def __init__(self, storage: Storage, *, initial_members: list[str]) -> None:
+        self._storage = storage
         self._file = RecordFile(storage, FILE_NAME)
+        self._compaction_failed = False
         self._initial_members = dict.fromkeys(initial_members, "")
         self.term = 0
         self.voted_for = ""
@@ -99,6 +102,26 @@
         """The size of the file in bytes, as of the last sync."""
         return self._file.size
 
+    @property
+    def is_disk_full(self) -> bool:
+        """Whether something that must be stored found no free space, and none was found since."""
+        return self._storage.full is not None
+
+    @property
+    def unstored_bytes(self) -> int:
+        """The size of what waits to be written."""
+        return self._file.queued_bytes
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether all that is in memory is durable."""
+        return self._file.is_synced
+
+    @property
+    def synced_count(self) -> int:
+        """A number that grows with each sync that makes something durable."""
+        return self._file.synced_count
+
     @property
     def last_index(self) -> int:
         """The index of the last entry, 0 for an empty log."""
@@ -161,7 +184,7 @@
     def needs_compaction(self, commit_index: int) -> bool:
         """Return whether a snapshot should replace the entries up to `commit_index`."""
         count = commit_index - self.snapshot_index
-        if count >= COMPACT_AFTER_ENTRIES:
+        if self._compaction_failed or count >= COMPACT_AFTER_ENTRIES:
             return True
         covered = self.entries(self.snapshot_index + 1, max(count, 0))
         return sum(map(entry_bytes, covered)) >= COMPACT_AFTER_BYTES
@@ -181,10 +204,20 @@
         """Return when everything written so far is durable."""
         await self._file.sync()
 
+    async def try_sync(self) -> bool:
+        """Do as `sync`, but return False if the disk is full."""
+        try:
+            await self._file.sync()
+        except DiskFullError:
+            return False
+        return True
+
     async def compact(self, snapshot: Snapshot) -> None:
         """Discard older entries that `snapshot`, taken from this log, covers.
 
         Some entries before the snapshot are kept for replicas slightly behind.
+        Raises `DiskFullError` if the file cannot be rewritten for now; it still holds
+        the older entries then, and `needs_compaction` asks for another attempt.
         """
         base_index = snapshot.index
         kept_bytes = 0
@@ -198,18 +231,22 @@
         entries = self.entries(base_index + 1, self.last_index)
         self._set_base(_CompactionBase(base_index, base_term, snapshot))
         self._put_entries(entries)
+        self._compaction_failed = True
         await self._file.rewrite(self._payloads)
+        self._compaction_failed = False
 
     async def install(self, snapshot: Snapshot) -> None:
         """Install a snapshot sent by the leader.
 
         Entries after it are kept only if the entry at its index has its term.
+        Raises `DiskFullError` if it cannot be stored for now; nothing else is stored
+        before it then, as the entries after it do not follow those in the file.
         """
         matches = self.term_at(snapshot.index) == snapshot.term
         entries = self.entries(snapshot.index + 1, self.last_index) if matches else []
         self._set_base(_CompactionBase(snapshot.index, snapshot.term, snapshot))
         self._put_entries(entries)
-        await self._file.rewrite(self._payloads)
+        await self._file.rewrite(self._payloads, required=True)
 
     def _set_base(self, base: _CompactionBase) -> None:
         self.base_index, self.base_term, self.snapshot = base.index, base.term, base.snapshot
--- a/src/apricotpoint/_control/messages.py
+++ b/src/apricotpoint/_control/messages.py
@@ -113,7 +113,9 @@
     """Reply to `Append` and `InstallSnapshot`.
 
     `match_index` is the last index up to which the log is synced and equal to
-    the leader's; `next_index` is where the leader should continue.
+    the leader's; `next_index` is where the leader should continue. With
+    `disk_full` a reply that does not match acknowledges nothing: the entries
+    before `next_index` are in memory at most.
     """
 
     term: int
@@ -123,6 +125,7 @@
     disk_id: str
     first: bool
     traits: ReplicaTraits = ReplicaTraits()
+    disk_full: bool = False
 
 
 @attrs.frozen
@@ -161,12 +164,14 @@
 
     `newer` is True if that is a newer start than the one reported. `control_ids` are the members
     that the receiver knows: the leader, which alone can add the sender, need not be among the
-    processes that the sender was told of.
+    processes that the sender was told of. Without `stored` the start was not recorded, because
+    the disk of the receiver is full, and the sender must ask again.
     """
 
     newest: StartCheck
     newer: bool
     control_ids: list[str] = attrs.Factory(list)
+    stored: bool = True
 
 
 codec.register(
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -14,6 +14,7 @@
 import logbook
 
 from apricotpoint._control import election, replication
+from apricotpoint._control.diskspace import retry_while_full, watch_space
 from apricotpoint._control.documents import DocumentChunks
 from apricotpoint._control.identity import Identity, record_start
 from apricotpoint._control.log import Log
@@ -38,7 +39,7 @@
     Role,
 )
 from apricotpoint._control.starts import NewestStarts
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.errors import ApricotError
@@ -75,10 +76,11 @@
     """One control process: replica, key registry and configuration server.
 
     Use as an async context manager. The data folder must have been initialised
-    (`identity.initialise`). A failed sync or a full disk (5103, 5104), or a
-    newer start of this node elsewhere (5105), ends the node with
-    `ApricotError`; no request is acknowledged after that. `storage` is for
-    tests.
+    (`identity.initialise`). A failed sync (5103, or 5104 for lack of space), or
+    a newer start of this node elsewhere (5105), ends the node with
+    `ApricotError`; no request is acknowledged after that. With a full disk it
+    goes on without storing anything; its start waits until its start counter
+    is stored. `storage` is for tests.
 
     `members` are the other control processes known at the start. With
     `initial_members`, the members of a new deployment are exactly these, and
@@ -136,7 +138,12 @@
         self.registry: KeyRegistry
 
     async def __aenter__(self) -> ControlNode:
-        identity = await record_start(self._storage, node_id=self.node_id, random=self._random)
+        identity = await retry_while_full(
+            self._storage,
+            self._timers,
+            lambda: record_start(self._storage, node_id=self.node_id, random=self._random),
+            f"start of {self.node_id}",
+        )
         self._identity = identity
         self._starts.open()
         await self._log.open()
@@ -163,6 +170,9 @@
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
         self._group.start_soon(self._stop_on_failure)
+        self._group.start_soon(
+            watch_space, self._storage, self._timers, self._counters, self.replica.notify
+        )
         self._group.start_soon(self._run)
         return self
 
@@ -238,6 +248,8 @@
             "claims": self.registry.claims,
             "claims_bytes": self.registry.file_bytes,
             "failure": str(self._storage.failure) if self._storage.failure else None,
+            "disk_full": str(self._storage.full) if self._storage.full else None,
+            "disk_stalled": replica.stall.is_stalled,
             "counters": self._counters.snapshot(),
         }
 
@@ -361,7 +373,7 @@
                 f"{self._identity.start_counter} from disk {self._identity.disk_id}",
                 remedy="attach the newer disk, or initialise an empty folder without --first",
             )
-        return True
+        return reply.stored
 
     def _report_to_others(self, control_ids: Iterable[str]) -> None:
         assert self._group is not None
@@ -437,7 +449,7 @@
         return self._document_chunks.make_update(
             replica.state.configuration,
             message.version,
-            current=replica.has_majority(),
+            current=replica.is_current(),
             chunked=message.chunked,
         )
 
@@ -458,7 +470,8 @@
         if replica.role is Role.LEADER:
             return await replica.change(change)
         if replica.leader_id is None:
-            return replica.no_majority_reply(NOT_ACCEPTED_MESSAGE)
+            reason = f" (the disk of {self.node_id} is full)" if self._log.is_disk_full else ""
+            return replica.no_majority_reply(f"{NOT_ACCEPTED_MESSAGE}{reason}")
         try:
             reply = await self._transport.request(
                 replica.leader_id,
@@ -505,7 +518,11 @@
     async def _compact_claims(self) -> None:
         while True:
             await self._timers.sleep(_CLAIM_COMPACTION_INTERVAL_S)
-            await self.registry.compact()
+            try:
+                await self.registry.compact()
+            except DiskFullError as error:
+                self._counters.add("claims.compactions_failed")
+                _log.warning("claims are compacted later: {}", error)
 
 
 def _peer_role(*, live: bool, member: bool) -> str:
--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -4,13 +4,15 @@
 
 import os
 import struct
+from collections import deque
 from collections.abc import Callable
+from pathlib import Path
 
 import anyio
 import msgspec
 import xxhash
 
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import ApricotError
 
@@ -19,6 +21,8 @@
 _MAGIC = b"aprc"
 _CHECKSUMMED_HEADER_BYTES = _HEADER.size - 8
 _DECODER = msgspec.msgpack.Decoder(list[bytes])
+# Writers of a dropped group look it up as soon as they run again; no group is written by then.
+_DROPPED_GROUPS_KEPT = 64
 
 
 class RecordFile:
@@ -28,9 +32,21 @@
     one sync runs at a time, so a crash can leave only the last record torn;
     `open` truncates it. Any other damage raises `ApricotError` 5102 in `open`,
     a missing record 5101.
+
+    When the disk is full, the file is truncated to its last synced record, and
+    `sync` raises `DiskFullError`. Without `on_dropped` the payloads stay queued, in
+    their order, until the retry of the storage has written them. With it they
+    are dropped: `on_dropped` is called with them, and their writers get
+    `DiskFullError`.
     """
 
-    def __init__(self, storage: Storage, name: str) -> None:
+    def __init__(
+        self,
+        storage: Storage,
+        name: str,
+        *,
+        on_dropped: Callable[[list[bytes]], None] | None = None,
+    ) -> None:
         self._storage = storage
         self._name = name
         self._path = storage.folder / name
@@ -41,6 +57,9 @@
         self._synced_count = 0
         self._write_in_progress = False
         self._write_finished = anyio.Event()
+        self._on_dropped = on_dropped
+        self._dropped_sequences: deque[range] = deque(maxlen=_DROPPED_GROUPS_KEPT)
+        self._required_rewrite: Callable[[], list[bytes]] | None = None
         self.size = 0
         self.truncated_bytes = 0
 
@@ -51,7 +70,9 @@
             self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
             data = self._path.read_bytes()
         except OSError as error:
-            raise self._storage.record_failure(error, self._path) from error
+            raise self._storage.explain(error, self._path) from error
+        # A crash may have left it; on a full disk it takes space that the file needs.
+        await self._storage.remove(self._temporary_path)
         payloads, end = self._scan(data)
         self.size = end
         self.truncated_bytes = len(data) - end
@@ -64,6 +85,7 @@
                 await self._storage.sync(folder, self._storage.folder)
             finally:
                 os.close(folder)
+        self._storage.register(self._flush)
         return payloads
 
     async def write_first_record(self) -> None:
@@ -76,10 +98,26 @@
 
     def close(self) -> None:
         """Close the file; payloads that are not synced are lost."""
+        self._storage.unregister(self._flush)
         if self._descriptor >= 0:
             os.close(self._descriptor)
             self._descriptor = -1
 
+    @property
+    def synced_count(self) -> int:
+        """How many payloads are synced or dropped."""
+        return self._synced_count
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether nothing waits to be written or synced."""
+        return self._synced_count == self._appended_count
+
+    @property
+    def queued_bytes(self) -> int:
+        """The size of the payloads that are queued and not being written."""
+        return sum(map(len, self._pending))
+
     def append(self, payload: bytes) -> int:
         """Queue a payload and return its sequence number for `sync`."""
         self._storage.check()
@@ -90,8 +128,8 @@
     async def sync(self, sequence: int | None = None) -> None:
         """Return when the payload with this sequence number, by default the last, is durable.
 
-        Raises `ApricotError` 5103 or 5104 if a write or sync has failed, now
-        or at any time before.
+        Raises `DiskFullError` if it cannot be stored for now, and `ApricotError` 5103
+        or 5104 if a sync has failed, now or at any time before.
         """
         target = self._appended_count if sequence is None else sequence
         while self._synced_count < target:
@@ -99,64 +137,118 @@
             if self._write_in_progress:
                 await self._write_finished.wait()
                 continue
+            # Only the retry of the storage writes then, however many writers wait.
+            self._storage.check_space()
             # A cancelled writer must not abort the sync that other writers wait for.
             with anyio.CancelScope(shield=True):
                 await self._write_pending()
         self._storage.check()
+        if any(target in dropped for dropped in self._dropped_sequences):
+            raise DiskFullError(OSError("its group was dropped, as the disk was full"), self._path)
 
-    async def rewrite(self, make_payloads: Callable[[], list[bytes]]) -> None:
+    async def rewrite(
+        self, make_payloads: Callable[[], list[bytes]], *, required: bool = False
+    ) -> None:
         """Replace the whole file atomically by one record with new payloads.
 
         `make_payloads` is called while no sync runs. Its result must include
         everything appended so far, because queued payloads are discarded.
+
+        Raises `DiskFullError` if there is no free space for the new file, which is
+        removed. If the rewrite is `required`, because the present content of
+        the file does not go with what is appended from now on, nothing is
+        written until it has succeeded; otherwise it is given up.
         """
+        if required:
+            self._required_rewrite = make_payloads
+            self._appended_count += 1
+            await self.sync()
+            return
         while self._write_in_progress:
             await self._write_finished.wait()
         self._storage.check()
         with anyio.CancelScope(shield=True):
             self._write_in_progress = True
+            group, self._pending = self._pending, []
+            target = self._appended_count
             try:
                 await self._rewrite(make_payloads())
+                self._synced_count = target
+            except DiskFullError:
+                self._pending = group + self._pending
+                raise
             finally:
                 self._finish_write()
 
+    async def _flush(self) -> bool:
+        """Write what is queued; return whether there was anything."""
+        while self._write_in_progress:
+            await self._write_finished.wait()
+        if self.is_synced:
+            return False
+        with anyio.CancelScope(shield=True):
+            await self._write_pending()
+        return True
+
     async def _write_pending(self) -> None:
         self._write_in_progress = True
         group, self._pending = self._pending, []
         target = self._appended_count
         try:
-            record = _encode_record(self._next_index, group)
-            self._storage.write(self._descriptor, record, self._path)
-            await self._storage.sync(self._descriptor, self._path)
-            self._next_index += 1
-            self.size += len(record)
+            if self._required_rewrite is not None:
+                await self._rewrite(self._required_rewrite())
+            else:
+                await self._append_record(group)
             self._synced_count = target
+        except DiskFullError as error:
+            if self._on_dropped is None:
+                self._pending = group + self._pending
+            else:
+                self._dropped_sequences.append(range(self._synced_count + 1, target + 1))
+                self._synced_count = target
+                self._on_dropped(group)
+            self._storage.mark_full(error)
+            raise
         finally:
             self._finish_write()
 
+    async def _append_record(self, group: list[bytes]) -> None:
+        record = _encode_record(self._next_index, group)
+        try:
+            await self._storage.write(self._descriptor, record, self._path)
+        except DiskFullError:
+            # Need not be synced: until the next record is synced, whatever a crash leaves
+            # here is a torn last record, which `open` truncates.
+            await self._storage.truncate(self._descriptor, self.size, self._path)
+            raise
+        await self._storage.sync(self._descriptor, self._path)
+        self._next_index += 1
+        self.size += len(record)
+
     async def _rewrite(self, payloads: list[bytes]) -> None:
-        self._pending = []
-        target = self._appended_count
-        temporary = self._storage.folder / f"{self._name}.new"
+        temporary = self._temporary_path
         record = _encode_record(1, payloads)
+        descriptor = -1
         try:
-            descriptor = os.open(
-                temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600
-            )
-        except OSError as error:
-            raise self._storage.record_failure(error, temporary) from error
-        try:
-            self._storage.write(descriptor, record, temporary)
+            descriptor = await self._storage.create(temporary)
+            await self._storage.write(descriptor, record, temporary)
             await self._storage.sync(descriptor, temporary)
             await self._storage.rename(temporary, self._path)
-        except BaseException:
-            os.close(descriptor)
+        except BaseException as error:
+            if descriptor >= 0:
+                os.close(descriptor)
+            if isinstance(error, DiskFullError):
+                await self._storage.remove(temporary)
             raise
         os.close(self._descriptor)
         self._descriptor = descriptor
         self._next_index = 2
         self.size = len(record)
-        self._synced_count = target
+        self._required_rewrite = None
+
+    @property
+    def _temporary_path(self) -> Path:
+        return self._storage.folder / f"{self._name}.new"
 
     def _finish_write(self) -> None:
         self._write_in_progress = False
--- a/src/apricotpoint/_control/registry.py
+++ b/src/apricotpoint/_control/registry.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from apricotpoint._control.records import RecordFile
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.keys import CLOCK_SKEW_ALLOWANCE_S, MAX_VALIDITY_S
@@ -27,6 +27,8 @@
 class KeyRegistry:
     """Claims of caller keys, synced to disk before they are granted.
 
+    A claim that finds no free space on the disk is refused and forgotten.
+
     `disk_replaced_at` is the time in unix seconds at which a lost disk was
     replaced, None for the first disk. Each payload in the file is a claim or
     the highest registry time so far. That time is written before each group
@@ -43,7 +45,8 @@
         disk_replaced_at: float | None,
         max_claims: int = MAX_CLAIMS,
     ) -> None:
-        self._file = RecordFile(storage, FILE_NAME)
+        self._storage = storage
+        self._file = RecordFile(storage, FILE_NAME, on_dropped=self._forget)
         self._timers = timers
         self._counters = counters
         self._disk_replaced_at = disk_replaced_at
@@ -93,7 +96,7 @@
         """Record a claim, or return the one recorded before.
 
         The code is 2101 if `valid_until` is too far in the future and 2104 if
-        the registry is full; nothing is recorded in either case. With
+        the registry or the disk is full; nothing is recorded in any case. With
         `check_only` nothing is recorded, and `existing` says whether the key
         is recorded already.
         """
@@ -121,6 +124,9 @@
         if self.claims >= self._max_claims:
             self._counters.add("claims.refused_full")
             return ResultCode.OVERLOADED
+        if self._storage.full is not None:
+            self._counters.add("claims.refused_disk_full")
+            return ResultCode.OVERLOADED
         return None
 
     async def _record(self, claim: Claim, now: float) -> ClaimReply:
@@ -133,7 +139,11 @@
         sequence = self._file.append(encoded)
         self._index_claim(claim, encoded)
         self._sequence_by_key[key] = sequence
-        await self._file.sync(sequence)
+        try:
+            await self._file.sync(sequence)
+        except DiskFullError:
+            self._counters.add("claims.refused_disk_full")
+            return ClaimReply(code=ResultCode.OVERLOADED)
         self._sequence_by_key.pop(key, None)
         self._counters.add("claims.granted")
         self._counters.record("claims.latency", self._timers.now() - started_at)
@@ -145,20 +155,30 @@
         """Delete expired claims; rewrite the file if half of it or more is expired.
 
         More exactly, the file is rewritten if it is at least 1 MiB larger than
-        twice the live claims. Returns whether it was rewritten.
+        twice the live claims. Returns whether it was rewritten. Raises `DiskFullError`
+        if there is no free space for the new file; the present one remains.
         """
         self.now()
         self._delete_expired()
         live_bytes = sum(map(len, self._encoded_claim_by_key.values()))
         if self._file.size < _MIN_COMPACTION_BYTES + 2 * live_bytes:
             return False
-        await self._file.rewrite(self._compacted_payloads)
+        try:
+            await self._file.rewrite(self._compacted_payloads)
+        except DiskFullError:
+            # The time in the payloads was not stored; the next claim writes it again.
+            self._persisted_time = 0.0
+            raise
         return True
 
     async def _reply_with_recorded(self, key: str, encoded: bytes, claim: Claim) -> ClaimReply:
         recorded: Any = _DECODER.decode(encoded)
         # The recorded claim must not be reported before it is synced.
-        await self._file.sync(self._sequence_by_key.get(key, 0))
+        try:
+            await self._file.sync(self._sequence_by_key.get(key, 0))
+        except DiskFullError:
+            self._counters.add("claims.refused_disk_full")
+            return ClaimReply(code=ResultCode.OVERLOADED)
         same = recorded.fingerprint == claim.fingerprint
         self._counters.add("claims.existing")
         return ClaimReply(
@@ -182,6 +202,19 @@
         self._encoded_claim_by_key[key] = encoded
         self._keys_by_expiry[claim.valid_until].append(key)
 
+    def _forget(self, payloads: list[bytes]) -> None:
+        """Remove claims that were not stored."""
+        for payload in payloads:
+            item = _DECODER.decode(payload)
+            if not isinstance(item, Claim):
+                # The next claim writes the registry time again.
+                self._persisted_time = 0.0
+                continue
+            key = _registry_key(item)
+            self._sequence_by_key.pop(key, None)
+            if self._encoded_claim_by_key.pop(key, None) is not None:
+                self._keys_by_expiry[item.valid_until].remove(key)
+
     def _delete_expired(self) -> None:
         # A claim is deleted CLOCK_SKEW_ALLOWANCE_S after its last valid second.
         limit = int(self._highest_time) - CLOCK_SKEW_ALLOWANCE_S
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -13,6 +13,7 @@
 import attrs
 import logbook
 
+from apricotpoint._control.diskspace import STALL_TIMEOUT_S, StallDetector
 from apricotpoint._control.identity import Identity
 from apricotpoint._control.log import Log
 from apricotpoint._control.messages import (
@@ -23,6 +24,7 @@
     VoteReply,
 )
 from apricotpoint._control.state import MEMBER_ACTIONS, ReplicatedState
+from apricotpoint._control.storage import DiskFullError
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
@@ -39,6 +41,8 @@
 REQUEST_TIMEOUT_S = 0.5
 SNAPSHOT_TIMEOUT_S = 2.0
 CHANGE_TIMEOUT_S = 3.0
+# After this time a compaction that found no free space may be tried again.
+COMPACTION_RETRY_S = 10.0
 MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND = 100, 1 << 20
 # Added to the time-out of a message between control processes for its size.
 MIN_BYTES_PER_S = 2_500_000
@@ -77,6 +81,7 @@
     `round` is the latest heartbeat round that the replica answered, and
     `acked_at` the time at which the answered request was sent. `match_index`
     is the last entry known to be stored there, `next_index` the next to send.
+    `is_waiting_for_space` means that it took no entry, as its disk is full.
     """
 
     next_index: int
@@ -86,6 +91,8 @@
     disk_id: str = ""
     first: bool = False
     traits: ReplicaTraits = ReplicaTraits()
+    disk_full: bool = False
+    is_waiting_for_space: bool = False
 
 
 @attrs.define(eq=False)
@@ -135,6 +142,8 @@
             self.state.restore(log.snapshot.state)
         self.commit_index = log.snapshot_index
         self.synced_index = 0
+        self.lacks_entries = False
+        self.stall = StallDetector()
         self.progress_by_id: dict[str, Progress] = {}
         self.learner_ids: set[str] = set()
         self._reported_at_by_learner: dict[str, float] = {}
@@ -250,12 +259,26 @@
         self.leader_id = leader_id
         self.notify()
 
+    def step_down(self, reason: str) -> None:
+        """As leader, become a follower, and answer the changes in progress with `reason`.
+
+        Other replicas may already store the entries of these changes and commit
+        them under the next leader, so their outcome is unknown.
+        """
+        _log.notice("no longer leader in term {}: {}", self.log.term, reason)
+        self.become_follower(self.log.term, None)
+        for waiter in self._waiter_by_index.values():
+            waiter.answer = self.no_majority_reply(f"{OUTCOME_UNKNOWN_MESSAGE} ({reason})")
+            waiter.done.set()
+        self._waiter_by_index.clear()
+
     def become_leader(self) -> None:
         """Become the leader of the current term and append a first entry of that term."""
         self.role = Role.LEADER
         self.leader_id = self.node_id
         now = self.timers.now()
         self.leader_since = now
+        self.lacks_entries = False
         # Entries may have been overwritten since this replica last synced as leader.
         self.synced_index = 0
         self.progress_by_id = {
@@ -286,6 +309,7 @@
             disk_id=self.identity.disk_id,
             first=self.identity.first,
             traits=self.traits,
+            disk_full=self.log.is_disk_full,
         )
 
     # Entries
@@ -348,7 +372,7 @@
         self.notify()
 
     def _start_compaction(self) -> None:
-        if self._compacting or self._group is None:
+        if self._compacting or self._group is None or self.log.is_disk_full:
             return
         self._compacting = True
         term = self.log.term_at(self.commit_index)
@@ -361,6 +385,10 @@
             if snapshot.index > self.log.snapshot_index:
                 await self.log.compact(snapshot)
                 self.counters.add("control.compactions")
+        except DiskFullError as error:
+            self.counters.add("control.compactions_failed")
+            _log.warning("compaction is tried again after {:.0f} s: {}", COMPACTION_RETRY_S, error)
+            await self.timers.sleep(COMPACTION_RETRY_S)
         finally:
             self._compacting = False
 
@@ -382,6 +410,10 @@
             return self.no_majority_reply(NOT_ACCEPTED_MESSAGE)
         if self.role is not Role.LEADER:
             return self.no_majority_reply(NOT_ACCEPTED_MESSAGE)
+        obstacle = self._storage_obstacle()
+        if obstacle:
+            self.counters.add("control.changes_refused_disk_full")
+            return self.no_majority_reply(f"{NOT_ACCEPTED_MESSAGE} ({obstacle})")
         waiter = _Waiter(term=self.log.term, done=anyio.Event())
         self._waiter_by_index[self.append_as_leader(self._entry_for_change(change))] = waiter
         with anyio.move_on_after(CHANGE_TIMEOUT_S):
@@ -392,6 +424,20 @@
         """Build a reply with code 4102 and the configuration version known here."""
         return ChangeReply(ResultCode.NO_MAJORITY, self.state.configuration.version, message)
 
+    def _storage_obstacle(self) -> str:
+        """Return why a new entry could not be stored now, empty if it could."""
+        if self.log.is_disk_full:
+            return f"the disk of the leader {self.node_id} is full"
+        members = self.log.disk_by_member()
+        full_ids = [
+            member_id
+            for member_id in sorted(members)
+            if (progress := self.progress_by_id.get(member_id)) and progress.disk_full
+        ]
+        if len(members) - len(full_ids) > len(members) // 2:
+            return ""
+        return f"the disks of {', '.join(full_ids)} are full, {len(full_ids)} of {len(members)}"
+
     async def confirm_leadership(self, timeout_s: float) -> bool:
         """Return whether this replica is still the leader, so that its state is the latest.
 
@@ -429,6 +475,10 @@
             return self.holds_for_majority(lambda progress: progress.acked_at >= limit)
         return self.leader_id is not None and self.leader_contact_at >= limit
 
+    def is_current(self) -> bool:
+        """Return whether reads here are as new as the contact to a majority."""
+        return self.has_majority() and not self.lacks_entries
+
     def is_fully_committed(self) -> bool:
         """Return whether this leader has committed all entries, the last of its own term.
 
@@ -518,17 +568,29 @@
             if self.role is not Role.LEADER or index == self.synced_index:
                 await self._notified.wait()
                 continue
-            await self.log.sync()
+            if not await self.log.try_sync():
+                if self.role is Role.LEADER:
+                    self.step_down(f"the disk of {self.node_id} is full")
+                continue
             if self.role is Role.LEADER and self.log.term == term:
                 self.synced_index = index
                 self.advance_commit()
 
     async def _check_leadership(self) -> None:
-        """Step down when a majority has not answered within an election time-out."""
+        """Step down without contact to a majority, or with a disk that is full or stalls."""
         while True:
             await self.timers.sleep(HEARTBEAT_INTERVAL_S)
+            self.stall.update(self.timers.now(), self.log.synced_count, self.log.is_synced)
             if self.role is not Role.LEADER:
                 continue
+            if self.log.is_disk_full:
+                self.step_down(f"the disk of {self.node_id} is full")
+                continue
+            if self.stall.is_stalled and self._others_can_store():
+                self.step_down(
+                    f"the disk of {self.node_id} has synced nothing for {STALL_TIMEOUT_S} s"
+                )
+                continue
             # A new leader has one election time-out to receive its first replies.
             is_new = self.timers.now() - self.leader_since < ELECTION_TIMEOUT_S
             if not is_new and not self.has_majority():
@@ -538,6 +600,13 @@
             self.leader_contact_at = self.timers.now()
             self._record_member_disks()
 
+    def _others_can_store(self) -> bool:
+        """Return whether a majority without this replica is in contact and has free space."""
+        limit = self.timers.now() - ELECTION_TIMEOUT_S
+        return self.holds_for_majority(
+            lambda progress: progress.acked_at >= limit and not progress.disk_full, own=False
+        )
+
     def _record_member_disks(self) -> None:
         """Add the disk ids of a new deployment's members to the log once they are known."""
         if not self.is_fully_committed():
--- a/src/apricotpoint/_control/replication.py
+++ b/src/apricotpoint/_control/replication.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 from apricotpoint._control.log import entry_bytes
 from apricotpoint._control.messages import Append, AppendReply, InstallSnapshot
 from apricotpoint._control.replica import (
@@ -15,8 +17,13 @@
     Replica,
     Role,
 )
+from apricotpoint._control.storage import DiskFullError
 from apricotpoint._link.transport import PeerUnreachable
 
+# What a follower with a full disk takes into memory: as much as the log holds between two
+# compactions.
+MAX_UNSTORED_BYTES = 8 << 20
+
 
 async def replicate(replica: Replica, peer_id: str) -> None:
     """Send entries and heartbeats to one peer until it is neither member nor learner."""
@@ -37,7 +44,11 @@
 
 
 async def on_append(replica: Replica, leader_id: str, message: Append) -> AppendReply:
-    """Append the leader's entries and reply once they are synced to disk."""
+    """Append the leader's entries and reply once they are synced to disk.
+
+    While the disk is full, entries are taken into memory up to a limit, so that reads stay
+    current, and the reply says that they are not stored.
+    """
     log = replica.log
     if message.term < log.term:
         return replica.append_reply(matched=False, match_index=0, next_index=0)
@@ -47,25 +58,36 @@
     skipped = max(0, log.base_index - previous_index)
     if skipped == 0 and log.term_at(previous_index) != message.previous_term:
         next_index = _next_index_after_mismatch(replica, previous_index)
-        await log.sync()
+        await log.try_sync()
         return replica.append_reply(matched=False, match_index=0, next_index=next_index)
     entries = message.entries[skipped:]
     first_index = max(previous_index, log.base_index) + 1
+    match_index = previous_index + len(message.entries)
+    lacks_entries = False
     for offset, entry in enumerate(entries):
         if log.term_at(first_index + offset) != entry.term:
+            if log.is_disk_full and log.unstored_bytes > MAX_UNSTORED_BYTES:
+                match_index = first_index + offset - 1
+                lacks_entries = True
+                break
             assert first_index + offset > replica.commit_index, (
                 "a committed entry would be overwritten"
             )
             log.append(first_index + offset, entries[offset:])
             replica.notify()
             break
-    match_index = previous_index + len(message.entries)
-    await log.sync()
+    replica.lacks_entries = lacks_entries
+    stored = await log.try_sync() and not lacks_entries
     if log.term != message.term:
         return replica.append_reply(matched=False, match_index=0, next_index=0)
     replica.leader_contact_at = replica.timers.now()
+    # A committed entry is stored by a majority, so it may be applied before it is stored here.
     replica.commit_to(min(message.commit_index, match_index))
-    return replica.append_reply(matched=True, match_index=match_index, next_index=match_index + 1)
+    return replica.append_reply(
+        matched=stored,
+        match_index=match_index if stored else 0,
+        next_index=match_index + 1,
+    )
 
 
 async def on_install_snapshot(
@@ -79,11 +101,16 @@
     index = message.snapshot.index
     if index > replica.commit_index:
         replica.restore(message.snapshot)
-        await log.install(message.snapshot)
-    await log.sync()
+        with contextlib.suppress(DiskFullError):
+            await log.install(message.snapshot)
+    stored = await log.try_sync()
     if log.term != message.term:
         return replica.append_reply(matched=False, match_index=0, next_index=0)
-    return replica.append_reply(matched=True, match_index=index, next_index=index + 1)
+    return replica.append_reply(
+        matched=stored,
+        match_index=index if stored else 0,
+        next_index=index + 1,
+    )
 
 
 def _accept_leader(replica: Replica, leader_id: str, term: int) -> None:
@@ -124,11 +151,13 @@
         timeout_s = SNAPSHOT_TIMEOUT_S
         replica.counters.add("control.snapshots_sent")
     else:
+        # A replica that has taken no entry for lack of space is asked with one entry at a time.
+        limit = 1 if progress.is_waiting_for_space else MAX_ENTRIES_PER_APPEND
         message = Append(
             term=term,
             previous_index=progress.next_index - 1,
             previous_term=previous_term,
-            entries=log.entries(progress.next_index, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND),
+            entries=log.entries(progress.next_index, limit, MAX_BYTES_PER_APPEND),
             commit_index=replica.commit_index,
         )
         size = sum(map(entry_bytes, message.entries))
@@ -153,16 +182,27 @@
         progress.match_index = 0
     progress.disk_id, progress.first, progress.traits = reply.disk_id, reply.first, reply.traits
     progress.acked_at, progress.round = sent_at, max(progress.round, round_)
+    progress.disk_full = reply.disk_full
+    progress.is_waiting_for_space = (
+        reply.disk_full and not reply.matched and reply.next_index == progress.next_index
+    )
     if reply.matched:
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(reply.next_index, progress.match_index + 1)
         replica.advance_commit()
+    elif reply.disk_full and reply.next_index > 0:
+        # Entries in the memory of the peer are not sent again, but count only when it has
+        # stored them, which it reports for the last one that it was sent.
+        progress.next_index = max(1, min(reply.next_index, log.last_index + 1))
+        progress.match_index = min(progress.match_index, progress.next_index - 1)
     else:
         progress.next_index = max(1, min(reply.next_index, progress.next_index - 1))
         # A disk may lose records that it has acknowledged, because a damaged end of the file
         # is truncated as a torn write. They must no longer count towards a commit.
         progress.match_index = min(progress.match_index, progress.next_index - 1)
     replica.notify()
+    if progress.is_waiting_for_space and progress.next_index <= log.last_index:
+        await replica.timers.sleep(HEARTBEAT_INTERVAL_S)
 
 
 def _is_up_to_date(replica: Replica, progress: Progress) -> bool:
--- a/src/apricotpoint/_control/starts.py
+++ b/src/apricotpoint/_control/starts.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from apricotpoint._control.messages import StartCheck, StartCheckReply
-from apricotpoint._control.storage import Storage
+from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 
@@ -37,16 +37,22 @@
             ) from error
 
     async def report(self, node_id: str, start: StartCheck) -> StartCheckReply:
-        """Record a start unless a newer one is known; return the reply once it is synced."""
+        """Record a start unless a newer one is known; return the reply once it is synced.
+
+        If the disk is full, nothing is recorded, and the reply says so.
+        """
         async with self._lock:
             known = self._newest_by_id.get(node_id)
             if known is not None and _is_newer(known, start):
                 return StartCheckReply(newest=known, newer=True)
             if known != start:
                 newest_by_id = {**self._newest_by_id, node_id: start}
-                await self._storage.replace_file(
-                    _FILE_NAME, msgspec.json.encode(newest_by_id, order="sorted")
-                )
+                try:
+                    await self._storage.replace_file(
+                        _FILE_NAME, msgspec.json.encode(newest_by_id, order="sorted")
+                    )
+                except DiskFullError:
+                    return StartCheckReply(newest=start, newer=False, stored=False)
                 self._newest_by_id = newest_by_id
         return StartCheckReply(newest=start, newer=False)
 
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import logbook
 
+from apricotpoint._control.diskspace import retry_while_full
 from apricotpoint._control.identity import (
     discard_incomplete_initialisation,
     initialise,
@@ -61,9 +62,10 @@
             f"the settings of {settings.name} name no data folder",
             remedy="run the control program on a VM with a data disk",
         )
-    await _initialise_data_folder(folder, settings)
-    _log.info("seeds {}, may vote: {}", settings.seeds, settings.may_vote)
     timers, counters = TimerService(suspended_s=suspended_s), Counters()
+    if not await _prepare_data_folder(folder, settings, timers, signals):
+        return
+    _log.info("seeds {}, may vote: {}", settings.seeds, settings.may_vote)
     incarnation = new_incarnation()
     mesh = Mesh(
         process_id=settings.address,
@@ -134,13 +136,40 @@
             close_server.set()
 
 
-async def _initialise_data_folder(folder: Path, settings: PlatformSettings) -> None:
+async def _prepare_data_folder(
+    folder: Path, settings: PlatformSettings, timers: TimerService, signals: Signals
+) -> bool:
+    """Initialise the data folder if needed, and wait until its disk has free space.
+
+    Returns False if the process was told to stop meanwhile.
+    """
+    prepared = False
+    storage = Storage(folder)
+
+    async def prepare() -> None:
+        await _initialise_data_folder(storage, settings)
+        await storage.write_probe()
+
+    async def stop(scope: anyio.CancelScope) -> None:
+        await signals.stop_requested.wait()
+        scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(stop, group.cancel_scope)
+        await retry_while_full(storage, timers, prepare, f"start of {settings.address}")
+        prepared = True
+        group.cancel_scope.cancel()
+    return prepared
+
+
+async def _initialise_data_folder(storage: Storage, settings: PlatformSettings) -> None:
     """Initialise an empty data folder, or one whose initialisation was interrupted."""
+    folder = storage.folder
     if is_initialised(folder):
         return
     discard_incomplete_initialisation(folder)
     await initialise(
-        Storage(folder),
+        storage,
         node_id=settings.address,
         first=settings.first_start,
         initialised_at=time.time(),
