--- a/src/apricotpoint/_control/storage.py
+++ b/src/apricotpoint/_control/storage.py
@@ -128,7 +128,7 @@
                 await self.remove(path)
 
     async def write(self, descriptor: int, data: bytes, path: Path) -> None:
-        """Write all of `data`; raise `DiskFullError`, or `ApricotError` 5103 for another failure."""
+        """Write all of `data`; raise `DiskFullError`, or 5103 for any other failure."""
         self.check()
         try:
             await self._call(lambda: self._write_all(descriptor, data))
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -199,7 +199,8 @@
     """A data folder that loses unsynced data in a crash.
 
     `incarnation` counts the kills of the process: a sync begun before a kill
-    fails. `sync_error` and `write_error` are raised by each sync or write.
+    fails. `sync_error` and `write_error` are raised by each sync or write. With
+    `stores_half`, a write that fails has stored half of its bytes before.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -207,6 +208,7 @@
         self.sync_s = 0.002
         self.sync_error: OSError | None = None
         self.write_error: OSError | None = None
+        self.stores_half = False
         self.incarnation = 0
         self._synced_bytes_by_inode: dict[int, int] = {}
         self._random = random.Random(folder.name)
@@ -230,6 +232,8 @@
 
         def write(descriptor: int, data: bytes) -> int:
             if self.write_error is not None:
+                if self.stores_half:
+                    os.write(descriptor, data[: len(data) // 2])
                 raise self.write_error
             return os.write(descriptor, data)
 
--- a/testing/control/membership_soak.py
+++ b/testing/control/membership_soak.py
@@ -145,8 +145,9 @@
                 self._losses = Losses(self._layout.tolerance)
             group.cancel_scope.cancel()
 
-    async def _play_round(self) -> None:
-        actions: list[Callable[[], Awaitable[None]]] = [
+    def _actions(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the losses from which a round draws."""
+        return [
             self._lose_power,
             self._kill_for_a_time,
             self._kill_for_a_time,
@@ -160,6 +161,9 @@
             self._add_uncounted,
             self._remove_uncounted,
         ]
+
+    async def _play_round(self) -> None:
+        actions = self._actions()
         async with anyio.create_task_group() as group:
             for _ in range(self._random.randint(2, MAX_ACTIONS_PER_ROUND)):
                 group.start_soon(self._random.choice(actions))
@@ -446,14 +450,14 @@
         return await self._change(node_id, self._version)
 
 
-def play(seed: int, folder: Path, *, rounds: int) -> Soak:
+def play(seed: int, folder: Path, *, rounds: int, kind: type[Soak] = Soak) -> Soak:
     """Play the series of one seed and return it."""
     soaks = []
 
     async def main() -> None:
         async with anyio.create_task_group() as group:
             cluster = Cluster(group, folder, seed)
-            soaks.append(Soak(cluster, seed))
+            soaks.append(kind(cluster, seed))
             await soaks[0].play(rounds)
             group.cancel_scope.cancel()
 
@@ -461,13 +465,13 @@
     return soaks[0]
 
 
-def main(first: int, last: int, rounds: int = 3) -> int:
+def main(first: int, last: int, rounds: int = 3, *, kind: type[Soak] = Soak) -> int:
     """Play the seeds from `first` to `last`; return how many were broken."""
     broken = 0
     for seed in range(first, last + 1):
         began_at = time.process_time()
         with tempfile.TemporaryDirectory() as folder:
-            soak = play(seed, Path(folder), rounds=rounds)
+            soak = play(seed, Path(folder), rounds=rounds, kind=kind)
         used_s = time.process_time() - began_at
         recovery_s = soak.slowest_recovery_s
         sys.stdout.write(f"seed {seed}: recovery {recovery_s:.1f} s, {used_s:.1f} s used\n")
