--- a/src/apricotpoint/_operator/codespage.py
+++ b/src/apricotpoint/_operator/codespage.py
@@ -45,7 +45,7 @@
     ResultCode.LOG_TORN: "A record of the log on disk is torn.",
     ResultCode.LOG_CHECKSUM: "A record of the log on disk has a wrong checksum.",
     ResultCode.SYNC_FAILED: "A write could not be synced to disk.",
-    ResultCode.DISK_FULL: "The disk is full.",
+    ResultCode.DISK_FULL: "The disk was full in a sync or the initialisation of a folder.",
     ResultCode.OLD_DISK: "The data folder is older than what other processes have seen of it.",
     ResultCode.OLD_INCARNATION: "A peer has seen a higher incarnation; the wall clock went back.",
 }
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -372,6 +372,10 @@
         process = self._process_by_id.get(node_id)
         return process is not None and not process.ended.is_set()
 
+    def is_serving(self, node_id: str) -> bool:
+        """Return whether a node is running and does not wait for space at its start."""
+        return self.is_running(node_id) and self._process_by_id[node_id].node is not None
+
     def node(self, node_id: str) -> ControlNode:
         """Return a running node."""
         node = self._process_by_id[node_id].node
--- a/testing/control/membership_soak.py
+++ b/testing/control/membership_soak.py
@@ -415,6 +415,8 @@
         """Read the configuration; note it if it is older than what was acknowledged before."""
         due = self._acknowledged
         document = None
+        if not self._cluster.is_serving(node_id):
+            return False
         with anyio.move_on_after(1.0):
             document = await self._cluster.node(node_id).document()
         if document is None:
