--- a/testing/control/membership_soak.py
+++ b/testing/control/membership_soak.py
@@ -194,6 +194,8 @@
 
     async def _start_new(self, node_id: str, *, counted: bool = True) -> None:
         listed = sorted(key for key in self._counted_ids if self._is_running(key))
+        # Without any address it could never find the others; the list may name dead ones.
+        listed = listed or sorted(self._counted_ids)
         self._cluster.seeds_by_id[node_id] = self._random.sample(listed, min(3, len(listed)))
         if not counted:
             self._cluster.ids_without_vote.add(node_id)
