Write and sync a record in one call of a worker thread

Change: one call does both. Tests also cover a claim that finds no space at the leader, and a full device (/dev/full). The two kinds of fills in the soak are one.

--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -215,13 +215,12 @@
     async def _append_record(self, group: list[bytes]) -> None:
         record = _encode_record(self._next_index, group)
         try:
-            await self._storage.write(self._descriptor, record, self._path)
+            await self._storage.write_and_sync(self._descriptor, record, self._path)
         except DiskFullError:
             # Need not be synced: until the next record is synced, whatever a crash leaves
             # here is a torn last record, which `open` truncates.
             await self._storage.truncate(self._descriptor, self.size, self._path)
             raise
-        await self._storage.sync(self._descriptor, self._path)
         self._next_index += 1
         self.size += len(record)
 
@@ -231,8 +230,7 @@
         descriptor = -1
         try:
             descriptor = await self._storage.create(temporary)
-            await self._storage.write(descriptor, record, temporary)
-            await self._storage.sync(descriptor, temporary)
+            await self._storage.write_and_sync(descriptor, record, temporary)
             await self._storage.rename(temporary, self._path)
         except BaseException as error:
             if descriptor >= 0:
--- a/src/apricotpoint/_control/storage.py
+++ b/src/apricotpoint/_control/storage.py
@@ -135,6 +135,31 @@
         except OSError as error:
             raise self.explain(error, path) from error
 
+    async def write_and_sync(self, descriptor: int, data: bytes, path: Path) -> None:
+        """Do as `write` and `sync`, in one call of a worker thread.
+
+        A second call takes 0.16 ms more CPU time, half as much again.
+        """
+        if not self._in_thread:
+            await self.write(descriptor, data, path)
+            await self.sync(descriptor, path)
+            return
+        self.check()
+        is_written = False
+
+        def write_and_sync() -> None:
+            nonlocal is_written
+            self._write_all(descriptor, data)
+            is_written = True
+            os.fdatasync(descriptor)
+
+        try:
+            await anyio.to_thread.run_sync(write_and_sync)
+        except OSError as error:
+            explain = self.record_failure if is_written else self.explain
+            raise explain(error, path) from error
+        self.check()
+
     async def truncate(self, descriptor: int, size: int, path: Path) -> None:
         """Cut off what a failed write has left; raise `ApricotError` 5103 if that fails."""
         self.check()
@@ -200,8 +225,7 @@
             try:
                 descriptor = await self.create(temporary)
                 try:
-                    await self.write(descriptor, data, temporary)
-                    await self.sync(descriptor, temporary)
+                    await self.write_and_sync(descriptor, data, temporary)
                 finally:
                     os.close(descriptor)
                 await self.rename(temporary, path)
--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -315,10 +315,10 @@
         await anyio.sleep(0.1)
 
     async def start_new_deployment(self) -> None:
-        """Initialise and start all nodes of a new deployment and wait for a leader."""
-        for node_id in IDS:
+        """Initialise and start the seeds as a new deployment and wait for a leader."""
+        for node_id in self.seeds:
             await self.initialise(node_id)
-        await self.start(*IDS)
+        await self.start(*self.seeds)
         await self.leader()
 
     async def _serve(self, node_id: str, process: _Process) -> None:
@@ -446,13 +446,18 @@
 
 
 def with_cluster(
-    test: Callable[[Cluster], Awaitable[None]], folder: Path, *, seed: int = 1
+    test: Callable[[Cluster], Awaitable[None]],
+    folder: Path,
+    *,
+    seed: int = 1,
+    ids: list[str] = IDS,
 ) -> None:
-    """Run a test on a started cluster of three nodes."""
+    """Run a test on a started cluster, by default of three nodes."""
 
     async def main() -> None:
         async with anyio.create_task_group() as group:
             cluster = Cluster(group, folder, seed)
+            cluster.seeds = ids
             await cluster.start_new_deployment()
             await test(cluster)
             group.cancel_scope.cancel()
--- a/testing/control/full_disk_soak.py
+++ b/testing/control/full_disk_soak.py
@@ -31,23 +31,18 @@
     """
 
     def _actions(self) -> list[Callable[[], Awaitable[None]]]:
-        return [*super()._actions(), *[self._fill_some] * 4, *[self._fill_all] * 2]
+        return [*super()._actions(), *[self._fill] * 6]
 
-    async def _fill_some(self) -> None:
-        count = self._random.choice([1, 1, 2])
-        names = self._random.sample(sorted(self._counted_ids), count)
-        await self._fill(names, self._random.choice([1.0, 3.0, 8.0]))
-
-    async def _fill_all(self) -> None:
-        await self._fill(sorted(self._counted_ids), self._random.choice([0.5, 2.0, 5.0]))
-
-    async def _fill(self, names: list[str], duration_s: float) -> None:
+    async def _fill(self) -> None:
+        names = sorted(self._counted_ids)
+        if self._random.random() < 0.7:
+            names = self._random.sample(names, self._random.choice([1, 1, 2]))
         # The disk of a process may be replaced meanwhile, which gives it an empty one.
         disks = [self._cluster.disk_by_id[name] for name in names]
         for disk in disks:
             fill(disk, stores_half=self._random.random() < 0.5)
         self._note(f"disks full: {names}")
-        await anyio.sleep(duration_s)
+        await anyio.sleep(self._random.choice([0.5, 2.0, 5.0]))
         for disk in disks:
             free(disk)
         self._note(f"free space again: {names}")
--- a/testing/control/test_full_disk.py
+++ b/testing/control/test_full_disk.py
@@ -3,28 +3,24 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import anyio
 import attrs
 import pytest
-from control_network import IDS, START_UNIX_S, Cluster, Disk, run, wait_until, with_cluster
+from control_network import IDS, Cluster, Disk, run, wait_until, with_cluster
 from full_disk_soak import FullDiskSoak, fill, free
 from membership_soak import play
+from test_registry import CLAIM, Clock, open_registry
 
-from apricotpoint._control.identity import Identity, _read_identity
+from apricotpoint._control.identity import _read_identity
 from apricotpoint._control.log import Log
 from apricotpoint._control.messages import Entry, Snapshot, StateImage, Vote, VoteReply
 from apricotpoint._control.records import RecordFile
-from apricotpoint._control.registry import KeyRegistry
 from apricotpoint._control.replica import Role
-from apricotpoint._control.storage import DiskFullError
+from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
-from apricotpoint._core.counters import Counters
-from apricotpoint._core.timers import TimerService
 from apricotpoint._wire.configuration import Configuration
-from apricotpoint._wire.jobs import Claim
 
 FIVE_IDS = [*IDS, "c4", "c5"]
 
@@ -33,21 +29,6 @@
     return sorted(path.name for path in folder.iterdir())
 
 
-def with_five(test: Callable[[Cluster], Awaitable[None]], folder: Path) -> None:
-    async def main() -> None:
-        async with anyio.create_task_group() as group:
-            cluster = Cluster(group, folder)
-            cluster.seeds = FIVE_IDS
-            for node_id in FIVE_IDS:
-                await cluster.initialise(node_id)
-            await cluster.start(*FIVE_IDS)
-            await cluster.leader()
-            await test(cluster)
-            group.cancel_scope.cancel()
-
-    run(main)
-
-
 async def wait_until_all_store(cluster: Cluster) -> None:
     await wait_until(
         lambda: (
@@ -86,6 +67,12 @@
         assert (disk.folder / "log").stat().st_size > size
         assert cluster.counters_by_id[full_id].snapshot()["control.disk_full"] == 0
         await wait_until_all_store(cluster)
+        # A claim that finds no space deposes the leader, too.
+        new = await cluster.leader()
+        fill(cluster.disk_by_id[new])
+        reply = await cluster.client.request(new, CLAIM, timeout_s=1.0)
+        assert getattr(reply, "code", None) == ResultCode.OVERLOADED
+        await wait_until(lambda: cluster.node(new).replica.role is not Role.LEADER, within_s=0.5)
 
     with_cluster(test, tmp_path)
 
@@ -120,7 +107,7 @@
             free(cluster.disk_by_id[key])
         await wait_until_all_store(cluster)
 
-    with_five(test, tmp_path)
+    with_cluster(test, tmp_path, ids=FIVE_IDS)
 
 
 def test_full_disks_on_all_members_end_no_process(tmp_path: Path):
@@ -147,8 +134,7 @@
         for disk in cluster.disk_by_id.values():
             free(disk)
         new = await cluster.leader(within_s=8.0)
-        identity: Identity = _read_identity(identity_path)
-        assert identity.start_counter == starts + 1
+        assert _read_identity(identity_path).start_counter == starts + 1
         configuration = cluster.node(new).replica.state.configuration
         assert "before" in str(configuration)
         reply = await cluster.change(new, "after", configuration.version)
@@ -267,24 +253,13 @@
     """Guards against a key that belongs to a job which was refused, or to two jobs."""
 
     async def test() -> None:
-        disk = Disk(tmp_path)
-        storage = disk.storage()
-
-        async def open_registry() -> KeyRegistry:
-            timers = TimerService(wall_clock=lambda: START_UNIX_S)
-            registry = KeyRegistry(
-                storage, timers=timers, counters=Counters(), disk_replaced_at=None
-            )
-            await registry.open()
-            return registry
-
-        registry = await open_registry()
-        claim = Claim("hem", "order-1", int(START_UNIX_S) + 600, "f1", "e1", 1)
+        disk, clock = Disk(tmp_path), Clock()
+        registry = await open_registry(disk, clock)
         fill(disk, stores_half=True)
         codes = []
 
         async def send(entry_id: str) -> None:
-            codes.append((await registry.claim(attrs.evolve(claim, entry_id=entry_id))).code)
+            codes.append((await registry.claim(attrs.evolve(CLAIM, entry_id=entry_id))).code)
 
         async with anyio.create_task_group() as group:
             for entry_id in ("e1", "e2", "e3"):
@@ -292,18 +267,35 @@
         assert codes == [ResultCode.OVERLOADED] * 3
         assert registry.claims == 0
         free(disk)
-        assert await storage.retry()
-        reply = await registry.claim(attrs.evolve(claim, entry_id="e4"))
+        assert await registry._storage.retry()
+        reply = await registry.claim(attrs.evolve(CLAIM, entry_id="e4"))
         assert (reply.entry_id, reply.existing) == ("e4", False)
         registry.close()
         disk.crash()
-        again = await open_registry()
-        assert (await again.claim(claim)).entry_id == "e4"
+        again = await open_registry(disk, clock)
+        assert (await again.claim(CLAIM)).entry_id == "e4"
         again.close()
 
     run(test)
 
 
+def test_full_device_leaves_the_former_file(tmp_path: Path):
+    """Guards against an error of the operating system that the fakes do not show."""
+
+    async def test() -> None:
+        storage = Storage(tmp_path)
+        await storage.replace_file("starts", b"former")
+        (tmp_path / "starts.new").symlink_to("/dev/full")
+        with pytest.raises(DiskFullError):
+            await storage.replace_file("starts", b"new")
+        assert file_names(tmp_path) == ["starts"]
+        assert (tmp_path / "starts").read_bytes() == b"former"
+        assert await storage.retry()
+        await storage.replace_file("starts", b"new")
+
+    anyio.run(test)
+
+
 @pytest.mark.parametrize("seed", [2, 6, 11])
 def test_what_was_acknowledged_survives_full_disks_beside_other_losses(tmp_path: Path, seed: int):
     """Guards against full disks that are harmless alone but not beside crashes and partitions."""
