--- a/testing/control/control_network.py
+++ b/testing/control/control_network.py
@@ -199,7 +199,8 @@
     """A data folder that loses unsynced data in a crash.
 
     `incarnation` counts the kills of the process: a sync begun before a kill
-    fails. `sync_error` and `write_error` are raised by each sync or write.
+    fails. `sync_error` and `write_error` are raised by each sync or write. With
+    `stores_half`, a write that fails has stored half of its bytes before.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -207,6 +208,7 @@
         self.sync_s = 0.002
         self.sync_error: OSError | None = None
         self.write_error: OSError | None = None
+        self.stores_half = False
         self.incarnation = 0
         self._synced_bytes_by_inode: dict[int, int] = {}
         self._random = random.Random(folder.name)
@@ -230,6 +232,8 @@
 
         def write(descriptor: int, data: bytes) -> int:
             if self.write_error is not None:
+                if self.stores_half:
+                    os.write(descriptor, data[: len(data) // 2])
                 raise self.write_error
             return os.write(descriptor, data)
 
@@ -311,10 +315,10 @@
         await anyio.sleep(0.1)
 
     async def start_new_deployment(self) -> None:
-        """Initialise and start all nodes of a new deployment and wait for a leader."""
-        for node_id in IDS:
+        """Initialise and start the seeds as a new deployment and wait for a leader."""
+        for node_id in self.seeds:
             await self.initialise(node_id)
-        await self.start(*IDS)
+        await self.start(*self.seeds)
         await self.leader()
 
     async def _serve(self, node_id: str, process: _Process) -> None:
@@ -368,6 +372,10 @@
         process = self._process_by_id.get(node_id)
         return process is not None and not process.ended.is_set()
 
+    def is_serving(self, node_id: str) -> bool:
+        """Return whether a node is running and does not wait for space at its start."""
+        return self.is_running(node_id) and self._process_by_id[node_id].node is not None
+
     def node(self, node_id: str) -> ControlNode:
         """Return a running node."""
         node = self._process_by_id[node_id].node
@@ -438,13 +446,18 @@
 
 
 def with_cluster(
-    test: Callable[[Cluster], Awaitable[None]], folder: Path, *, seed: int = 1
+    test: Callable[[Cluster], Awaitable[None]],
+    folder: Path,
+    *,
+    seed: int = 1,
+    ids: list[str] = IDS,
 ) -> None:
-    """Run a test on a started cluster of three nodes."""
+    """Run a test on a started cluster, by default of three nodes."""
 
     async def main() -> None:
         async with anyio.create_task_group() as group:
             cluster = Cluster(group, folder, seed)
+            cluster.seeds = ids
             await cluster.start_new_deployment()
             await test(cluster)
             group.cancel_scope.cancel()
