--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -182,7 +182,7 @@
             if fate is evacuation.Fate.MOVES:
                 self._counters.add("pool.jobs_rerouted_evacuated")
                 reason = "the failure domain of its backend servers is evacuated"
-                self._finish_job(job, PoolAnswer(int(ResultCode.DRAINING), reason))
+                self._finish_job(job, self._make_refusal(ResultCode.DRAINING, reason))
             else:
                 self._counters.add("pool.jobs_ended_evacuated")
                 reason = f"{waiting} tasks cannot start any more: their failure domain is evacuated"
