Replay the mix of the van routing deployment with swinging load

The mix has a tail of 3% of tasks 7 times as long, sizes of 16 cores and rates that swing by 55%. Waits in vain and the share served by size are counted.

--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -11,12 +11,17 @@
 from pool_harness import FakeBackend, SchedulerHarness, make_job, run_on_virtual_time, run_scheduler
 
 from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
 from apricotpoint._wire.pool import Room
 
 
 @attrs.frozen
 class JobKind:
-    """A kind of job: jobs per second at load 1, tasks, median work, and value if in time."""
+    """A kind of job: jobs per second at load 1, tasks, median work, and value if in time.
+
+    A share of `tail_share` of its tasks takes `TAIL_FACTOR` times as long. `cpu` is the median of
+    a task in thousandths of a core.
+    """
 
     name: str
     per_s: float
@@ -24,6 +29,10 @@
     work_s: float
     value: float
     priority: int
+    tail_share: float = 0.0
+    cpu: int = 14_000
+    max_cpu: int = 20_000
+    deadline_s: float = 1.5
 
 
 # The mix of the deployments: many short, some middle and few long jobs with 14 cores a task. Each
@@ -33,11 +42,24 @@
     JobKind("long", 1.04, 4, 0.9, 0.16, 2),
     JobKind("middle", 16.7, 2, 0.2, 0.01, 1),
 )
-BASE_LATENCY_S, STRETCH, DEADLINE_S = 0.06, 1.6, 1.5
+# The mix of the van routing deployment, at the rates of the whole deployment of 176 backend
+# servers, which all have the same speed. Each kind has a third of the value.
+VAN_MIX = (
+    JobKind("short", 90.7, 8, 0.051, 1 / 90.7, 0, 0.03, 16_000, 31_000, 1.55),
+    JobKind("long", 16.5, 4, 0.76, 1 / 16.5, 2, 0.03, 16_000, 31_000, 1.55),
+    JobKind("middle", 264.0, 2, 0.17, 1 / 264.0, 1, 0.03, 16_000, 31_000, 1.55),
+)
+VAN_BACKENDS, VAN_SWING, SWING_PERIOD_S = 176, 0.55, 15.0
+TAIL_FACTOR = 7
+BASE_LATENCY_S, STRETCH = 0.06, 1.6
 # The data sheets give the time that a backend server takes for a second of work: 0.55 or 1.2.
 FAST, SLOW = 1 / 0.55, 1 / 1.2
 # A late answer earns this share of the value, up to this multiple of the objective.
 LATE_FACTOR, LATE_SHARE = 3.0, 0.2
+# A job that did not start although it was held for longer than this share of its objective costs
+# its caller VAIN_WAIT_SHARE of its value (assumed; the page names no figure), or all of it if it
+# was held for longer than half of the time to its deadline.
+VAIN_AFTER_SHARE, VAIN_WAIT_SHARE = 0.25, 0.25
 
 
 @attrs.define
@@ -51,6 +73,16 @@
     failed: int = 0
     earned_value: float = 0.0
     offered_value: float = 0.0
+    vain_waits: int = 0
+    vain_value: float = 0.0
+    # Size in core-seconds of each job, and whether it was served.
+    served_by_size: list[tuple[float, bool]] = attrs.Factory(list)
+
+    def served(self, lower: float = 0.0, upper: float = 1.0) -> float:
+        """Return the share served of the jobs whose size is between two quantiles."""
+        rows = sorted(self.served_by_size)
+        part = rows[int(lower * len(rows)) : int(upper * len(rows))]
+        return sum(is_served for _, is_served in part) / max(len(part), 1)
 
 
 def make_backends(count: int = 8) -> list[FakeBackend]:
@@ -63,6 +95,16 @@
     return backends
 
 
+def make_van_backends(count: int) -> list[FakeBackend]:
+    """Return backend servers of one speed, a third of them 1.5 times as large."""
+    backends = []
+    for number in range(count):
+        backend = FakeBackend(speed=1.0)
+        backend.room = Room(48_000 if number % 3 == 2 else 32_000, 131_072)
+        backends.append(backend)
+    return backends
+
+
 def replay(
     *,
     load: float,
@@ -71,10 +113,14 @@
     backends: list[FakeBackend] | None = None,
     inject_faults: Callable[[float, list[FakeBackend]], None] | None = None,
     mix: tuple[JobKind, ...] = MIX,
+    swing: float = 0.0,
+    counters: list[Counters] | None = None,
 ) -> dict[str, JobCounts]:
     """Submit the mix at `load` times the base rate and return the outcomes by kind.
 
-    `inject_faults` is called every 0.1 s with the seconds passed and the backend servers.
+    `inject_faults` is called every 0.1 s with the seconds passed and the backend servers. The
+    rate swings by the share `swing` in `SWING_PERIOD_S`. The counters of the process are added to
+    `counters`.
     """
     counts_by_kind = {kind.name: JobCounts() for kind in mix}
     fleet = backends or make_backends()
@@ -83,10 +129,12 @@
         async with run_scheduler(*fleet) as harness, anyio.create_task_group() as group:
             for kind in mix:
                 group.start_soon(
-                    _offer, harness, kind, load, seconds, seed, counts_by_kind[kind.name]
+                    _offer, harness, kind, load, swing, seconds, seed, counts_by_kind[kind.name]
                 )
             if inject_faults is not None:
                 group.start_soon(_inject_faults, inject_faults, fleet, seconds)
+            if counters is not None:
+                counters.append(harness.counters)
 
     run_on_virtual_time(test)
     return counts_by_kind
@@ -98,6 +146,13 @@
     return sum(counts.earned_value for counts in counts_by_kind.values()) / offered_value
 
 
+def credit_share(counts_by_kind: dict[str, JobCounts]) -> float:
+    """Return the share of the offered value that was earned, less the cost of waits in vain."""
+    offered_value = sum(counts.offered_value for counts in counts_by_kind.values())
+    vain_value = sum(counts.vain_value for counts in counts_by_kind.values())
+    return earned_share(counts_by_kind) - vain_value / offered_value
+
+
 def complete_share(counts_by_kind: dict[str, JobCounts]) -> float:
     """Return the share of jobs that were answered as complete, in time or late."""
     submitted = sum(counts.submitted for counts in counts_by_kind.values())
@@ -119,16 +174,21 @@
     harness: SchedulerHarness,
     kind: JobKind,
     load: float,
+    swing: float,
     seconds: float,
     seed: int,
     counts: JobCounts,
 ) -> None:
     source = random.Random(f"{seed}{kind.name}")
-    until = anyio.current_time() + seconds
+    began_at = anyio.current_time()
+    until = began_at + seconds
     number = 0
     async with anyio.create_task_group() as group:
         while True:
-            await anyio.sleep(source.expovariate(kind.per_s * load))
+            phase = 2 * math.pi * (anyio.current_time() - began_at) / SWING_PERIOD_S
+            await anyio.sleep(
+                source.expovariate(kind.per_s * load * (1 + swing * math.sin(phase)))
+            )
             if anyio.current_time() >= until:
                 return
             number += 1
@@ -141,18 +201,22 @@
     count = max(1, round(kind.tasks * math.exp(source.gauss(-0.08, 0.4))))
     work_s = kind.work_s * math.exp(source.gauss(-0.08, 0.4))
     works_s = [work_s * source.uniform(0.85, 1.15) for _ in range(count)]
-    cpu = int(14_000 * math.exp(source.gauss(-0.02, 0.2)))
+    if kind.tail_share:
+        works_s = [
+            task_s * (TAIL_FACTOR if source.random() < kind.tail_share else 1) for task_s in works_s
+        ]
+    cpu = int(kind.cpu * math.exp(source.gauss(-0.02, 0.2)))
     request = attrs.evolve(
         make_job(
             number + 1_000_000 * kind.tasks,
             kind=kind.name,
             count=count,
             work_s=work_s * math.exp(source.gauss(0, 0.4)),
-            deadline_s=DEADLINE_S,
+            deadline_s=kind.deadline_s,
             base_latency_s=BASE_LATENCY_S,
             priority=kind.priority,
         ),
-        room=Room(min(cpu, 20_000), 64),
+        room=Room(min(cpu, kind.max_cpu), 64),
         stretch=STRETCH,
     )
     for backend in harness.backend_by_id.values():
@@ -161,17 +225,24 @@
             backend.cpu_by_task[f"{request.job_id}.0.0.{index}"] = request.room.cpu
     began_at = anyio.current_time()
     counts.submitted += 1
+    size = sum(works_s) * cpu
     share = 0.3 + 0.7 * sum(works_s) / (kind.tasks * kind.work_s)
     value = kind.value * min(share, 4.0)
     counts.offered_value += value
     if harness.scheduler.refusal(request) is not None:
         counts.refused += 1
+        counts.served_by_size.append((size, False))
         return
     job = harness.scheduler.submit(request)
     await job.answered.wait()
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
     objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
+    counts.served_by_size.append((size, job.answer.code == ResultCode.COMPLETE))
+    if not job.started and took_s > VAIN_AFTER_SHARE * objective_s:
+        counts.vain_waits += 1
+        is_long = took_s > kind.deadline_s / 2
+        counts.vain_value += value * (1.0 if is_long else VAIN_WAIT_SHARE)
     if job.answer.code == ResultCode.COMPLETE and took_s <= objective_s:
         counts.in_time += 1
         counts.earned_value += value
