Learn a changed speed only from three runs in a row

Where 3% of the tasks take 7 times as long, each such run counted with a weight of 0.4 as a change of the speed of its backend server, and made those of the other tasks of its job look fast. Learned speeds of equal backend servers spread from 0.07 to 4.3, estimates of run times doubled, and long jobs were refused beside free room.

--- a/src/apricotpoint/_pool/runs/learning.py
+++ b/src/apricotpoint/_pool/runs/learning.py
@@ -18,9 +18,12 @@
 # Run times of the jobs of a kind differ by a factor of 1.4, those of the tasks of one job by 15%:
 # a comparison with the estimate for the kind says little about the speed.
 KIND_COMPARISON_WEIGHT = 0.01
-# If a run differs from the other tasks of its job by more than this logarithm of a factor, the
-# speed of the backend server has changed; the average then follows with the larger weight.
-CHANGE_THRESHOLD_LOG, CHANGE_WEIGHT = 0.6, 0.4
+# If this many runs in a row differ from the other tasks of their jobs by more than this logarithm
+# of a factor, and in the same direction, the speed of the backend server has changed; the average
+# then follows with the larger weight. Before that they do not count: of some deployments, 3% of
+# the tasks take 7 times as long, on whichever backend server. Taken at once for a change, they
+# spread the learned speeds of equal backend servers from 0.07 to 4.3 (replay of `VAN_MIX`).
+CHANGE_THRESHOLD_LOG, CHANGE_WEIGHT, CHANGE_RUNS = 0.6, 0.4, 3
 # Number of kinds kept; the least recently used one is dropped.
 MAX_KINDS = 1024
 # Weight of the declared time in the geometric mean with the average of the kind. Both are wrong
@@ -111,6 +114,8 @@
         self._mean = _Mean(SPEED_WEIGHT)
         # An initial observation of speed 1 keeps the first run from determining the speed alone.
         self._mean.add(0.0)
+        # Observations in a row that deviate, negative if they are slower.
+        self._deviating_runs = 0
         self._update()
 
     def restore(self, value: float) -> None:
@@ -143,6 +148,18 @@
         if not same_job:
             self._mean.value += (logarithm - self._mean.value) * KIND_COMPARISON_WEIGHT
         else:
-            has_changed = abs(logarithm - self._mean.value) > CHANGE_THRESHOLD_LOG
-            self._mean.add(logarithm, least_weight=CHANGE_WEIGHT if has_changed else 0.0)
+            self._observe_in_job(logarithm)
         self._update()
+
+    def _observe_in_job(self, logarithm: float) -> None:
+        deviation = logarithm - self._mean.value
+        if abs(deviation) <= CHANGE_THRESHOLD_LOG:
+            self._deviating_runs = 0
+            self._mean.add(logarithm)
+            return
+        direction = 1 if deviation > 0 else -1
+        if self._deviating_runs * direction < 0:
+            self._deviating_runs = 0
+        self._deviating_runs += direction
+        if abs(self._deviating_runs) >= CHANGE_RUNS:
+            self._mean.add(logarithm, least_weight=CHANGE_WEIGHT)
