Forecast slots by the room that runs leave

A slot of typical size stood for each run and each free part. With tasks of 16 cores on average, a backend server of 32 cores had one slot or two depending on the last jobs, and a task of 18 cores was expected in the place of one of 14. Slots now have the size of the tasks of the job, and the typical size is 0.9 times the mean.

--- a/src/apricotpoint/_pool/decisions/forecast.py
+++ b/src/apricotpoint/_pool/decisions/forecast.py
@@ -25,7 +25,10 @@
 
 
 class SlotForecast:
-    """Slots for tasks of typical size, by speed and by the time at which they become free.
+    """Slots for tasks of one size, by speed and by the time at which they become free.
+
+    A slot becomes free when the runs that end leave enough room for it, so that two tasks of 17
+    cores are not expected on a backend server of 32, nor a task of 18 in the place of one of 14.
 
     Backend servers of about the same speed share a heap, so that the slot in which a task ends
     first is found without searching all of them. `typical_cpu` is the size of a slot in
@@ -39,8 +42,7 @@
         for held in backends:
             speed_class = held.speed.speed_class
             free_at = self._free_at_by_class.setdefault(speed_class, [])
-            free_at += [now] * (max(held.free(now).cpu, 0) // max(typical_cpu, 1))
-            free_at += [now + remaining_s(run, now) for run in held.run_by_key.values()]
+            free_at += _slots_free_at(held, max(typical_cpu, 1), now)
             speeds_by_class.setdefault(speed_class, []).append(held.speed.value)
         self._speed_by_class = {
             speed_class: sum(speeds) / len(speeds)
@@ -50,6 +52,10 @@
         for speed_class in self._speed_by_class:
             heapq.heapify(self._free_at_by_class[speed_class])
 
+    def has_slots(self) -> bool:
+        """Return whether there is any slot, free or taken."""
+        return bool(self._speed_by_class)
+
     def free_count(self) -> int:
         """Return the number of slots that are free now."""
         return sum(
@@ -78,3 +84,17 @@
         )
         heapq.heapreplace(self._free_at_by_class[speed_class], ends_at)
         return ends_at
+
+
+def _slots_free_at(held: HeldBackend, slot_cpu: int, now: float) -> list[float]:
+    """Return the times at which the slots of a backend server become free, in order."""
+    count, rest = divmod(max(held.free(now).cpu, 0), slot_cpu)
+    free_at = [now] * count
+    ends = sorted(
+        (now + remaining_s(run, now), run.task.job.request.room.cpu)
+        for run in held.run_by_key.values()
+    )
+    for ends_at, cpu in ends:
+        count, rest = divmod(rest + cpu, slot_cpu)
+        free_at += [ends_at] * count
+    return free_at
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -18,8 +18,15 @@
 GOOD_SPEED_QUANTILE = 0.9
 # Weight of a new job in the moving average of the processor use of a task.
 MEAN_CPU_WEIGHT = 0.05
+# Share of the mean size that counts as a slot: sizes scatter, and a task of 17 cores often finds
+# one of 14 to share a backend server of 32 with. With 1, a mean of about 16 cores made now one slot
+# of it, now two.
+SLOT_SHARE = 0.9
 # Before the first job, a typical task is assumed to take half of the smallest backend server.
 DEFAULT_TASK_SHARE = 0.5
+# Share of the processors of backend servers that tasks use: the rest is too small for the
+# next task. Tasks of a third to a half of a backend server whose sizes scatter use 0.8 to 0.9.
+USABLE_SHARE = 0.85
 
 
 class Estimates:
@@ -80,6 +87,23 @@
         work_s = sum(self._startable_count(job) * job.mean_task_s for job in jobs)
         return work_s / max(rate, 1.0)
 
+    def throughput(self, now: float) -> float:
+        """Return the work that can be done per second, in thousandths of a core at speed 1."""
+        return USABLE_SHARE * sum(
+            held.announcement.room.cpu * held.speed.value
+            for held in self._held_by_id.values()
+            if held.is_schedulable(now)
+        )
+
+    def slots(self, now: float) -> forecast.SlotForecast:
+        """Return a forecast of the slots on all backend servers that can be counted on."""
+        schedulable = [held for held in self._held_by_id.values() if held.is_schedulable(now)]
+        return forecast.SlotForecast(schedulable, self._typical_cpu(), now)
+
+    def waits_for_resources(self, job: Job) -> bool:
+        """Return whether all waiting tasks of a job could start if resources were free."""
+        return all(map(self._may_start, job.waiting_tasks()))
+
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
         """Return the predicted wait and run time in seconds of a job that competes with `jobs`."""
         fastest = self.attainable_speed()
@@ -99,7 +123,7 @@
             if (count := self._startable_count(other))
             and joborder.order_key(other, now, fastest) <= key
         ]
-        slots = forecast.SlotForecast(schedulable, self._typical_cpu(), now)
+        slots = forecast.SlotForecast(schedulable, job.request.room.cpu, now)
         if not ahead and slots.free_count() >= job.request.count:
             return 0.0, run_s
         wait_s = slots.predict_end(job, ahead) - now - run_s
@@ -160,7 +184,7 @@
 
     def _typical_cpu(self) -> int:
         if self._mean_cpu:
-            return max(int(self._mean_cpu), 1)
+            return max(int(SLOT_SHARE * self._mean_cpu), 1)
         rooms = [held.announcement.room.cpu for held in self._held_by_id.values()]
         return max(int(min(rooms, default=1) * DEFAULT_TASK_SHARE), 1)
 
