Refuse waiting jobs that will not be served in useful time

Under lasting overload, a late job waited behind all jobs in time until its deadline. A review, at most every 60 ms, simulates the queue and refuses jobs that would end too late, given the recent rate of arriving work.

--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -34,6 +34,7 @@
 from apricotpoint._pool.runs.job import Job, Origin, Run, Task
 from apricotpoint._pool.runs.jobtable import JobTable
 from apricotpoint._pool.runs.leases import Leases
+from apricotpoint._pool.runs.review import WaitReview
 from apricotpoint._pool.runs.starter import RunStarter
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
@@ -75,6 +76,7 @@
         self.held_by_id = self.leases.held_by_id
         self.crashes = CrashHistory(now=timers.now)
         self.estimates = Estimates(self.held_by_id, self._is_clear)
+        self._review = WaitReview(self.estimates)
         self.crashes.on_given_up = self._end_given_up_jobs
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
@@ -166,6 +168,7 @@
         if self._subscription is None:
             self._subscription = self._timers.every(TICK_PERIOD_S, self._tick)
         self.estimates.record_resources(request)
+        self._review.record_arrival(job, job.arrived_at)
         self._counters.add("pool.jobs")
         self._end_if_given_up(job)
         self.request_dispatch()
@@ -559,6 +562,7 @@
                     self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
                 else:
                     self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
+        self._refuse_waiting_jobs(now)
         self._jobs.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
             # Most processes schedule no jobs, and a timer that never rests costs each of them.
@@ -569,3 +573,16 @@
         # server.
         if any(job.waiting_tasks() for job in self.unanswered_jobs()):
             self.request_dispatch()
+
+    def _refuse_waiting_jobs(self, now: float) -> None:
+        """Refuse the jobs that have not started and will not be served in useful time."""
+        for refusal in self._review.refusals(self.unanswered_jobs(), now):
+            job = refusal.job
+            reason = (
+                f"refused after a wait of {now - job.sent_at:.3f} s: its predicted latency is "
+                f"{refusal.ends_at - job.sent_at:.3f} s, its latency objective "
+                f"{job.objective_s:.3f} s"
+            )
+            self._counters.add("pool.refused_waiting")
+            _log.notice("job {} is {}", job.request.job_id, reason)
+            self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -75,7 +75,8 @@
     offered_value: float = 0.0
     vain_waits: int = 0
     vain_value: float = 0.0
-    # Size in core-seconds of each job, and whether it was served.
+    # Size in core-seconds, and whether it was served, of each job that the fastest backend server
+    # can end before the deadline.
     served_by_size: list[tuple[float, bool]] = attrs.Factory(list)
 
     def served(self, lower: float = 0.0, upper: float = 1.0) -> float:
@@ -186,9 +187,7 @@
     async with anyio.create_task_group() as group:
         while True:
             phase = 2 * math.pi * (anyio.current_time() - began_at) / SWING_PERIOD_S
-            await anyio.sleep(
-                source.expovariate(kind.per_s * load * (1 + swing * math.sin(phase)))
-            )
+            await anyio.sleep(source.expovariate(kind.per_s * load * (1 + swing * math.sin(phase))))
             if anyio.current_time() >= until:
                 return
             number += 1
@@ -226,19 +225,23 @@
     began_at = anyio.current_time()
     counts.submitted += 1
     size = sum(works_s) * cpu
+    fastest = max(backend.speed for backend in harness.backend_by_id.values())
+    is_possible = max(works_s) / fastest <= kind.deadline_s
     share = 0.3 + 0.7 * sum(works_s) / (kind.tasks * kind.work_s)
     value = kind.value * min(share, 4.0)
     counts.offered_value += value
     if harness.scheduler.refusal(request) is not None:
         counts.refused += 1
-        counts.served_by_size.append((size, False))
+        if is_possible:
+            counts.served_by_size.append((size, False))
         return
     job = harness.scheduler.submit(request)
     await job.answered.wait()
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
     objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
-    counts.served_by_size.append((size, job.answer.code == ResultCode.COMPLETE))
+    if is_possible:
+        counts.served_by_size.append((size, job.answer.code == ResultCode.COMPLETE))
     if not job.started and took_s > VAIN_AFTER_SHARE * objective_s:
         counts.vain_waits += 1
         is_long = took_s > kind.deadline_s / 2
