Withdraw requests that were never written to a connection

Mesh.withdraw takes a request out of the queue of a link; request then raises RequestNotSent, as it does for an unknown peer and a full queue. What a socket has taken into its buffer counts as sent.

--- a/src/apricotpoint/_bench/network.py
+++ b/src/apricotpoint/_bench/network.py
@@ -150,6 +150,10 @@
             raise PeerUnreachable(f"no reply from {peer_id} within {timeout_s:g} s")
         return self._reply_by_request.pop(request_id)
 
+    def withdraw(self, peer_id: str, message: object) -> bool:
+        """Return False, as each message is on its way at once."""
+        return False
+
     def peers(self) -> list[str]:
         """Return the ids of all other processes."""
         return [peer_id for peer_id in self.network.port_by_id if peer_id != self.process_id]
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -26,7 +26,13 @@
     NewerIncarnation,
     PeerLink,
 )
-from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
+from apricotpoint._link.transport import (
+    Handler,
+    PeerUnreachable,
+    RequestHandler,
+    RequestNotSent,
+    Sender,
+)
 from apricotpoint._wire import codec
 
 MAX_REQUESTS_IN_PROGRESS = 2000
@@ -51,6 +57,7 @@
     arrived: anyio.Event = attrs.Factory(anyio.Event)
     reply: object = None
     failure: str = ""
+    is_sent: bool = True
 
 
 class Mesh:
@@ -165,12 +172,13 @@
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request once and return its reply.
 
-        Raises `PeerUnreachable` if the peer is unknown, its queue is full, the request cannot be
-        encoded or is too long, or no reply arrives within `timeout_s`.
+        Raises `RequestNotSent` if the peer is unknown, its queue is full, or the request was
+        withdrawn; `PeerUnreachable` if it cannot be encoded or is too long, or no reply arrives
+        within `timeout_s`.
         """
         link = self._link_by_id.get(peer_id)
         if link is None:
-            raise PeerUnreachable(f"peer {peer_id!r} is not known")
+            raise RequestNotSent(f"peer {peer_id!r} is not known")
         request_id, sent_at = next(self._request_ids), self._timers.now()
         pending = _PendingRequest(peer_id)
         self._pending_request_by_id[request_id] = pending
@@ -179,7 +187,7 @@
             link.begin_request()
         try:
             if not link.send(message, request_id=request_id):
-                raise PeerUnreachable(f"the send queue to peer {peer_id} is full")
+                raise RequestNotSent(f"the send queue to peer {peer_id} is full")
             with anyio.move_on_after(timeout_s):
                 await pending.arrived.wait()
         finally:
@@ -190,10 +198,26 @@
             self._counters.add("link.request_timeouts")
             link.check_silence(sent_at)
             raise PeerUnreachable(f"no reply from peer {peer_id} within {timeout_s:g} s")
+        if not pending.is_sent:
+            raise RequestNotSent(f"the request to peer {peer_id} was withdrawn")
         if pending.failure:
             raise PeerUnreachable(f"the request to peer {peer_id} failed: {pending.failure}")
         return pending.reply
 
+    def withdraw(self, peer_id: str, message: object) -> bool:
+        """Withdraw a request that was never written to a connection; False if it may have been.
+
+        `request` then raises `RequestNotSent`.
+        """
+        link = self._link_by_id.get(peer_id)
+        request_id = 0 if link is None else link.withdraw(message)
+        pending = self._pending_request_by_id.get(request_id)
+        if pending is None:
+            return False
+        pending.is_sent = False
+        pending.arrived.set()
+        return True
+
     def peers(self) -> list[str]:
         """Return the ids of all known peers."""
         return list(self._link_by_id)
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -172,6 +172,15 @@
         self._wakeup.set()
         return True
 
+    def withdraw(self, message: object) -> int:
+        """Remove a request that no connection has taken, and return its id; 0 if there is none."""
+        for item in self._queue:
+            if item.message is message and item.request_id and not item.repeated:
+                self._queue.remove(item)
+                self._counters.add("link.withdrawn")
+                return item.request_id
+        return 0
+
     def begin_request(self) -> None:
         """Keep up heartbeats until `end_request` was called as often as this."""
         if not self._open_requests:
--- a/src/apricotpoint/_link/transport.py
+++ b/src/apricotpoint/_link/transport.py
@@ -30,6 +30,10 @@
     """No reply to a request; the peer may or may not have handled it."""
 
 
+class RequestNotSent(PeerUnreachable):
+    """A request was never written to a connection: the peer has not handled it and never will."""
+
+
 class Transport(Protocol):
     """Messages to and from the other processes of the system.
 
@@ -51,8 +55,8 @@
     async def request(self, peer_id: str, message: object, *, timeout_s: float) -> object:
         """Send a request once and return its reply.
 
-        Raises `PeerUnreachable` if the peer is unknown, its queue is full or no
-        reply arrives within `timeout_s`.
+        Raises `RequestNotSent` if the peer is unknown or its queue is full, and
+        `PeerUnreachable` if no reply arrives within `timeout_s`.
         """
 
     def peers(self) -> list[str]:
--- a/src/apricotpoint/_pool/transport.py
+++ b/src/apricotpoint/_pool/transport.py
@@ -19,5 +19,11 @@
     def replace_connections(self, peer_id: str) -> None:
         """Open the connections to and from a peer anew."""
 
+    def withdraw(self, peer_id: str, message: object) -> bool:
+        """Withdraw a request that was never written to a connection; False if it may have been.
+
+        `request` then raises `RequestNotSent`.
+        """
+
     def seconds_since_alive(self, peer_id: str) -> float:
         """Return at most how many seconds ago the peer has sent a message that has arrived."""
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -17,7 +17,7 @@
 from apricotpoint._link import peer
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._link.peer import PeerLink
-from apricotpoint._link.transport import PeerUnreachable, Sender
+from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
 from apricotpoint._wire import codec
 from apricotpoint._wire.jobs import CancelForward, JobLookup
 from apricotpoint._wire.tasks import CancelBatch
@@ -445,3 +445,45 @@
                 await a.request("b", CancelBatch([1]), timeout_s=10.0)
 
     run_with_pair(check)
+
+
+def test_only_a_request_that_no_connection_has_taken_is_withdrawn():
+    """Guards against an unknown outcome of a request that was never sent, and a false certainty."""
+
+    async def test() -> None:
+        async with (
+            TimerService() as timers,
+            Mesh(
+                process_id="a",
+                incarnation=1,
+                listen=f"127.0.0.1:{free_port()}",
+                address_by_peer={"b": f"127.0.0.1:{free_port()}"},
+                keys=KEYS,
+                timers=timers,
+                counters=Counters(),
+            ) as mesh,
+            anyio.create_task_group() as group,
+        ):
+            with pytest.raises(RequestNotSent):
+                await mesh.request("unknown", JobLookup("t", "1", 0.0), timeout_s=1.0)
+            # The socket takes the first ones, which it would send as soon as it is connected.
+            requests = [JobLookup("t", str(number), 0.0) for number in range(40)]
+            not_sent: list[object] = []
+
+            async def send(message: JobLookup) -> None:
+                try:
+                    await mesh.request("b", message, timeout_s=5.0)
+                except RequestNotSent:
+                    not_sent.append(message)
+
+            for message in requests:
+                group.start_soon(send, message)
+            await anyio.sleep(0.3)
+            assert not mesh.withdraw("b", requests[0])
+            assert mesh.withdraw("b", requests[-1])
+            assert not mesh.withdraw("b", requests[-1])
+            await anyio.sleep(0.05)
+            assert not_sent == [requests[-1]]
+            group.cancel_scope.cancel()
+
+    anyio.run(test)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -61,6 +61,10 @@
     def replace_connections(self, peer_id: str) -> None:
         """Do nothing: there are no connections."""
 
+    def withdraw(self, peer_id: str, message: object) -> bool:
+        """Return False, as each message is on its way at once."""
+        return False
+
     def peers(self) -> list[str]:
         """Return the ids of all other processes."""
         return [key for key in self._network.transport_by_id if key != self.peer_id]
