Forward refused jobs up to twice, and refuse jobs that were never sent

A holder names another one by its load report, whose free room counts half for each 0.5 s of its age; the process that took the job tells who has refused it.

--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -13,8 +13,8 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._link.transport import PeerUnreachable, Sender
-from apricotpoint._pool.decisions import claims
+from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
+from apricotpoint._pool.decisions import claims, forwarding
 from apricotpoint._pool.holders.members import EntryMembers
 from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
 from apricotpoint._pool.runs.job import Job, Origin
@@ -35,9 +35,9 @@
 # them within a second after their last holder became unreachable.
 HOLDER_TIMEOUT_S = 1.0
 HOLDER_POLL_S = 0.02
-# A refused job is forwarded to a process whose expected wait is below this share of the own one.
-FORWARD_WAIT_SHARE = 0.5
-
+# A job that could not be sent to its scheduling process may be sent again after this time, by which
+# another process has taken over its backend servers.
+NOT_SENT_RETRY_AFTER_S = 1.0
 # Backlog that halves the jobs which a holder without free room gets.
 BACKLOG_HALVING_S = 0.1
 
@@ -57,18 +57,6 @@
     return max(load.free, 0) + 1 / (1 + max(load.backlog_s, 0.0) / BACKLOG_HALVING_S)
 
 
-def expected_wait_s(load: PoolLoad, request: PoolJob) -> float:
-    """Return a rough wait of a job at a holder, in seconds, for the choice among holders.
-
-    A job with many tasks waits for some of them even without a backlog, if they find no room
-    at once. Without any capacity the wait is infinite.
-    """
-    if not load.capacity:
-        return math.inf
-    waiting_tasks = max(request.count - load.free, 0)
-    return load.backlog_s + request.estimate_s * waiting_tasks / load.capacity
-
-
 class PoolService:
     """Submission and cancellation of the jobs of callers at one entry process.
 
@@ -149,9 +137,11 @@
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
                 answer = await self._submit_to(target, current)
-                if answer.forward_to:
+                refused_by: list[str] = []
+                while answer.forward_to and len(refused_by) < forwarding.MAX_FORWARDS:
+                    refused_by.append(target)
                     target = answer.forward_to
-                    answer = await self._submit_forwarded(target, request, began_at)
+                    answer = await self._submit_forwarded(target, request, began_at, refused_by)
                 if answer.code == ResultCode.DRAINING and len(draining_ids) < MAX_REROUTES:
                     draining_ids.add(target)
                     continue
@@ -226,7 +216,9 @@
         ]
         return self._random.choice(distant_ids) if distant_ids else None
 
-    async def _submit_forwarded(self, target: str, request: PoolJob, began_at: float) -> PoolAnswer:
+    async def _submit_forwarded(
+        self, target: str, request: PoolJob, began_at: float, refused_by: list[str]
+    ) -> PoolAnswer:
         """Submit a job to the process that another one has named instead of running it.
 
         The process that took the job from its caller does this itself, so that the one that
@@ -236,7 +228,13 @@
             return _CANCELLED
         elapsed_s = request.elapsed_s + self._timers.now() - began_at
         return await self._submit_to(
-            target, attrs.evolve(request, elapsed_s=elapsed_s, forwarded=True)
+            target,
+            attrs.evolve(
+                request,
+                elapsed_s=elapsed_s,
+                forwarded=len(refused_by) >= forwarding.MAX_FORWARDS,
+                refused_by=list(refused_by),
+            ),
         )
 
     async def _submit_to(self, target: str, request: PoolJob) -> PoolAnswer:
@@ -250,11 +248,18 @@
         answer: PoolAnswer | None = None
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._cancel_when_unreachable, target, group.cancel_scope)
+                group.start_soon(self._cancel_when_unreachable, target, request, group.cancel_scope)
                 reply = await self._transport.request(target, request, timeout_s=timeout_s)
                 assert isinstance(reply, PoolAnswer)
                 answer = reply
                 group.cancel_scope.cancel()
+        except* RequestNotSent as not_sent:
+            self._counters.add("jobs.not_passed_on")
+            answer = PoolAnswer(
+                int(ResultCode.NO_BACKEND),
+                f"the job has not run: {not_sent.exceptions[0]}",
+                NOT_SENT_RETRY_AFTER_S,
+            )
         except* PeerUnreachable as unreachable:
             _log.warning(
                 "job {}: scheduling process {} is unreachable: {}",
@@ -273,9 +278,13 @@
             )
         return answer
 
-    async def _cancel_when_unreachable(self, target: str, scope: anyio.CancelScope) -> None:
+    async def _cancel_when_unreachable(
+        self, target: str, request: PoolJob, scope: anyio.CancelScope
+    ) -> None:
         """Cancel a scope when the process that got a job is silent, or was started again.
 
+        A request that was not written to a connection yet is withdrawn instead.
+
         It sends at least heartbeats. The time before the job was sent does not count: an idle link
         carries no heartbeats.
         """
@@ -289,7 +298,8 @@
             if incarnation is not None and current != incarnation:
                 break
             incarnation = current
-        scope.cancel()
+        if not self._transport.withdraw(target, request):
+            scope.cancel()
 
     async def _run_locally(self, request: PoolJob, origin: Origin | None) -> PoolAnswer:
         arrived_at, asked = self._timers.now(), request
@@ -338,19 +348,27 @@
     def _less_loaded_process(self, request: PoolJob) -> str | None:
         """Return another holder that can run the job now or much sooner, None if there is none.
 
-        A job that has been forwarded already stays here, and one that a process which is shutting
-        down refuses is routed anew by its origin.
+        A job that a process which is shutting down refuses is routed anew by its origin.
         """
-        if request.forwarded or self._scheduler.draining:
+        if self._scheduler.draining:
             return None
-        own_s = expected_wait_s(self._scheduler.load(), request)
-        waits = [
-            (expected_wait_s(status.load, request), entry_id)
+        others = [
+            forwarding.Holder(entry_id, status.load, self._members.seconds_since_contact(entry_id))
             for entry_id, status in self._members.live_entries().items()
             if entry_id != self._members.entry_id and not status.draining and status.held
         ]
-        best_s, entry_id = min(waits, default=(math.inf, ""))
-        return entry_id if best_s == 0 or best_s < own_s * FORWARD_WAIT_SHARE else None
+        choice = forwarding.choose_holder(request, self._scheduler.load(), others)
+        if choice is None:
+            return None
+        holder, other_s, own_s = choice
+        _log.info(
+            "job {} is moved to {}: expected wait {:.3f} s there, {:.3f} s here",
+            request.job_id,
+            holder.entry_id,
+            other_s,
+            own_s,
+        )
+        return holder.entry_id
 
     async def _on_job(self, sender: Sender, message: object) -> object:
         assert isinstance(message, PoolJob)
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -219,6 +219,7 @@
     the caller sent the job. The deadline `deadline_s` counts from the same moment,
     and so does the latency objective, which is `base_latency_s` plus `stretch` times
     the run time of the longest task. `forwarded` jobs are not forwarded again.
+    `refused_by` are the ids of the holders that have refused the job before.
     `attempt` differs between the requests by which a caller submits the same job
     again; 0 is not known.
     """
@@ -238,6 +239,7 @@
     deadline_s: float
     forwarded: bool = False
     attempt: int = 0
+    refused_by: list[str] = attrs.Factory(list)
 
 
 @attrs.frozen
--- /dev/null
+++ b/testing/pool/test_forwarding.py
@@ -0,0 +1,43 @@
+"""To which other holder a refused job goes."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+from pool_harness import make_job
+
+from apricotpoint._pool.decisions.forwarding import MAX_FORWARDS, Holder, choose_holder
+from apricotpoint._wire.pool import PoolLoad
+
+FULL = PoolLoad(backlog_s=0.5, free=0, capacity=60)
+ROOMY = PoolLoad(backlog_s=0.0, free=20, capacity=60)
+REQUEST = make_job(count=8)
+
+
+def chosen_id(*others: Holder, refused_by: tuple[str, ...] = ()) -> str | None:
+    request = attrs.evolve(REQUEST, refused_by=list(refused_by))
+    choice = choose_holder(request, FULL, others)
+    return None if choice is None else choice[0].entry_id
+
+
+def test_an_old_report_counts_less():
+    """Guards against jobs sent to a holder whose free room others have taken since its report."""
+    old, recent = Holder("e2", ROOMY, 1.5), Holder("e3", attrs.evolve(ROOMY, free=12), 0.1)
+    assert chosen_id(old, recent) == "e3"
+    assert chosen_id(attrs.evolve(old, age_s=0.1), recent) == "e2"
+    assert chosen_id(attrs.evolve(old, age_s=math.inf)) is None
+
+
+def test_a_job_goes_to_a_second_holder_but_not_to_a_third():
+    """Guards against a refusal while a third domain has room, and jobs that wander or return."""
+    others = Holder("e2", ROOMY, 0.1), Holder("e3", ROOMY, 0.1), Holder("e4", ROOMY, 0.1)
+    assert chosen_id(*others) == "e2"
+    assert chosen_id(*others, refused_by=("e2",)) == "e3"
+    assert MAX_FORWARDS == 2
+    assert chosen_id(*others, refused_by=("e2", "e3")) is None
+
+
+def test_a_job_stays_where_no_holder_can_start_it_sooner():
+    """Guards against jobs that are sent from one full holder to the next."""
+    assert chosen_id(Holder("e2", FULL, 0.0), Holder("e3", PoolLoad(0.0, 0, 0), 0.0)) is None
