--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -16,7 +16,13 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.peer import HEARTBEAT_PERIOD_S, RETRANSMIT_TIMEOUT_S
-from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
+from apricotpoint._link.transport import (
+    Handler,
+    PeerUnreachable,
+    RequestHandler,
+    RequestNotSent,
+    Sender,
+)
 from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
 from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.holders.crashreports import CrashReports
@@ -48,6 +54,7 @@
         self._network = network
         self._last_contact_at_by_peer: dict[str, float] = {}
         self._last_alive_at_by_peer: dict[str, float] = {}
+        self._withdrawn_by_request: dict[int, anyio.Event] = {}
         network.incarnation_by_id[peer_id] += 1
         self._incarnation = network.incarnation_by_id[peer_id]
         network.transport_by_id[peer_id] = self
@@ -62,8 +69,11 @@
         """Do nothing: there are no connections."""
 
     def withdraw(self, peer_id: str, message: object) -> bool:
-        """Return False, as each message is on its way at once."""
-        return False
+        """Withdraw a request to a process whose connections take nothing; False to others."""
+        event = self._withdrawn_by_request.get(id(message))
+        if event is not None:
+            event.set()
+        return event is not None
 
     def peers(self) -> list[str]:
         """Return the ids of all other processes."""
@@ -92,6 +102,11 @@
         """Send a request and wait for its reply."""
         self._network.sent_by_id[self.peer_id] += 1
         sent_at = anyio.current_time()
+        if peer_id in self._network.blocked_ids:
+            withdrawn = self._withdrawn_by_request[id(message)] = anyio.Event()
+            with anyio.move_on_after(timeout_s):
+                await withdrawn.wait()
+                raise RequestNotSent(peer_id)
         with anyio.move_on_after(timeout_s):
             target = await self._reach(peer_id)
             handler = target and target.request_handlers_by_type.get(type(message))
@@ -222,6 +237,7 @@
     """The network: `dropped_pairs` has the pairs (sender, receiver) whose messages are dropped.
 
     `delay_by_pair` has the delays of messages that take longer than usual, in seconds.
+    Requests to the processes `blocked_ids` are never written to a connection.
     With `sends_heartbeats` both sides of an open request hear from each other.
     `sent_by_id` counts the messages and replies that each process has sent.
     """
@@ -236,6 +252,7 @@
         self.incarnation_by_id: Counter[str] = Counter()
         self.sent_by_id: Counter[str] = Counter()
         self.sends_heartbeats = False
+        self.blocked_ids: set[str] = set()
 
     async def deliver_heartbeat(self, sender: str, receiver: str) -> None:
         """Record a contact at the receiver, if the sender lives and reaches it."""
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -67,6 +67,26 @@
     run_on_virtual_time(test)
 
 
+def test_a_job_that_was_never_sent_to_its_scheduling_process_is_refused():
+    """Guards against an unknown outcome of a job of which it is certain that it has not run."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            answers: list[PoolAnswer] = []
+            cluster.network.blocked_ids.add("e1")
+            async with anyio.create_task_group() as group:
+                group.start_soon(submit_all, cluster, ["e2"], 1, answers)
+                await anyio.sleep(0.05)
+                cluster.network.isolate("e1")
+            assert answers[0].code == ResultCode.NO_BACKEND
+            assert answers[0].retry_after_s
+            e2 = cluster.entry_by_id["e2"]
+            assert e2.counters.get("jobs.not_passed_on")
+            assert not e2.counters.get("jobs.scheduler_lost")
+
+    run_on_virtual_time(test)
+
+
 def test_a_failure_domain_without_processes_is_held_by_another_one():
     """Guards against idle backend servers after all entry processes of their domain were killed."""
 
