--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -263,9 +263,9 @@
     assert settings.peer_address("10.1.0.16") == "10.1.0.16:7720"
     assert (settings.caller_bind, settings.control_bind) == ("10.1.0.13:8161", "")
     assert settings.data_folder is None
-    assert (settings.evacuations, settings.evacuation_timeout_s) == (False, 5.0)
+    assert (settings.has_places, settings.evacuation_timeout_s) == (False, 5.0)
     path.write_text(
         path.read_text() + "contracts: [places, other]\nbounds: {evacuation_timeout_ms: 4000}\n"
     )
     settings = load_settings(path)
-    assert (settings.evacuations, settings.evacuation_timeout_s) == (True, 4.0)
+    assert (settings.has_places, settings.evacuation_timeout_s) == (True, 4.0)
