Weigh a wait for the location of the data against a start elsewhere

Tasks that name a location take a multiple of their time elsewhere. The holder weighs at each dispatch whether the wait for a place there pays, by the predicted ends of the runs there, the objective, the deadline and the cost to others. Forecasts, admission and learning count the penalty.

--- a/src/apricotpoint/_pool/decisions/dispatch.py
+++ b/src/apricotpoint/_pool/decisions/dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from apricotpoint._pool.decisions import joborder, placement
+from apricotpoint._pool.decisions.locality import MAX_WAITING_TASKS, LocalityPass
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Task
 
@@ -21,6 +22,7 @@
     fastest: float,
     may_start: Callable[[Task], bool],
     allows_start: Callable[[HeldBackend, Job], bool],
+    preferences: LocalityPass,
 ) -> Iterator[tuple[Task, HeldBackend]]:
     """Yield each task to start now with its backend server.
 
@@ -28,6 +30,7 @@
     one. `waiting` is sorted in place. `eligible` are the backend servers that may start tasks,
     `fastest` is the speed that a task may expect to get by waiting. Tasks for which `may_start` is
     false are left out, and backend servers for which `allows_start` is false for a job.
+    `preferences` chooses for jobs with a locality.
     """
     waiting.sort(key=lambda job: joborder.order_key(job, now, fastest))
     blocked = 0
@@ -40,13 +43,23 @@
             and (job.started or not held.handing_over)
             and allows_start(held, job)
         ]
+        left_waiting = 0
         for task in filter(may_start, job.waiting_tasks()):
             if not fitting:
                 blocked += 1
+                preferences.reserve(job)
                 break
-            held = placement.choose(task, fitting, now, fastest=fastest)
+            if request.locality is None:
+                held = placement.choose(task, fitting, now, fastest=fastest)
+            else:
+                held = preferences.choose(task, fitting)
             if held is None:
-                break
+                left_waiting += 1
+                # The tasks of a job are equal, but those after one that waits for the next slot
+                # in its location may have to wait longer, so that a start elsewhere pays.
+                if request.locality is None or left_waiting >= MAX_WAITING_TASKS:
+                    break
+                continue
             yield task, held
             if not held.can_start(request, now):
                 fitting.remove(held)
--- a/src/apricotpoint/_pool/decisions/forecast.py
+++ b/src/apricotpoint/_pool/decisions/forecast.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run
@@ -29,15 +29,22 @@
 
     Backend servers of about the same speed share a heap, so that the slot in which a task ends
     first is found without searching all of them. `typical_cpu` is the size of a slot in
-    thousandths of a core; `now` and all results are monotonic seconds.
+    thousandths of a core; `now` and all results are monotonic seconds. `factor_of` returns by how
+    much longer the job whose end is predicted takes on a backend server than others.
     """
 
-    def __init__(self, backends: Iterable[HeldBackend], typical_cpu: int, now: float) -> None:
+    def __init__(
+        self,
+        backends: Iterable[HeldBackend],
+        typical_cpu: int,
+        now: float,
+        factor_of: Callable[[HeldBackend], float] = lambda _: 1.0,
+    ) -> None:
         self._now = now
-        self._free_at_by_class: dict[int, list[float]] = {}
-        speeds_by_class: dict[int, list[float]] = {}
+        self._free_at_by_class: dict[tuple[int, float], list[float]] = {}
+        speeds_by_class: dict[tuple[int, float], list[float]] = {}
         for held in backends:
-            speed_class = held.speed.speed_class
+            speed_class = (held.speed.speed_class, factor_of(held))
             free_at = self._free_at_by_class.setdefault(speed_class, [])
             free_at += [now] * (max(held.free(now).cpu, 0) // max(typical_cpu, 1))
             free_at += [now + remaining_s(run, now) for run in held.run_by_key.values()]
@@ -69,11 +76,17 @@
         for count, work_s in ahead:
             for _ in range(count):
                 self._reserve_earliest(work_s)
-        return max(self._reserve_earliest(job.longest_task_s) for _ in job.waiting_tasks())
+        return max(
+            self._reserve_earliest(job.longest_task_s, has_factor=True) for _ in job.waiting_tasks()
+        )
 
-    def _reserve_earliest(self, work_s: float) -> float:
+    def _reserve_earliest(self, work_s: float, *, has_factor: bool = False) -> float:
         ends_at, speed_class = min(
-            (self._free_at_by_class[speed_class][0] + work_s / speed, speed_class)
+            (
+                self._free_at_by_class[speed_class][0]
+                + work_s / speed * (speed_class[1] if has_factor else 1.0),
+                speed_class,
+            )
             for speed_class, speed in self._speed_by_class.items()
         )
         heapq.heapreplace(self._free_at_by_class[speed_class], ends_at)
--- a/src/apricotpoint/_pool/decisions/placement.py
+++ b/src/apricotpoint/_pool/decisions/placement.py
@@ -44,16 +44,23 @@
     candidates = [
         held for held in fitting if held.backend_id not in task.avoided_backends
     ] or fitting
-    in_time = [held for held in candidates if _is_in_time(job, held.speed.value, now)]
-    safe = [held for held in in_time if _meets_deadline(job, held.speed.value, now, SAFE_MARGIN)]
+    in_time = [held for held in candidates if _is_in_time(job, speed_for(job, held), now)]
+    safe = [
+        held for held in in_time if _meets_deadline(job, speed_for(job, held), now, SAFE_MARGIN)
+    ]
     if safe:
         return min(safe, key=lambda held: (held.speed.speed_class, held.free(now).cpu))
     if in_time:
         return max(in_time, key=lambda held: (held.speed.speed_class, -held.free(now).cpu))
     best = max(candidates, key=lambda held: (held.speed.speed_class, -held.free(now).cpu))
-    if best.speed.value * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
+    if speed_for(job, best) * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
-    return best if may_meet_deadline(job, best.speed.value, now) else None
+    return best if may_meet_deadline(job, speed_for(job, best), now) else None
+
+
+def speed_for(job: Job, held: HeldBackend) -> float:
+    """Return the speed of a backend server for a job, lower away from its location."""
+    return held.speed.value / job.remote_factor(held.location)
 
 
 def may_meet_deadline(job: Job, speed: float, now: float) -> bool:
@@ -80,5 +87,5 @@
     """
     if not others or run.task.run_count >= MAX_RUNS_PER_TASK:
         return False
-    best = max(held.speed.value for held in others)
+    best = max(speed_for(run.task.job, held) for held in others)
     return now + STOP_DELAY_S + work_s * MOVE_MARGIN / best <= run.task.job.deadline_at
--- a/src/apricotpoint/_pool/decisions/trials.py
+++ b/src/apricotpoint/_pool/decisions/trials.py
@@ -62,7 +62,7 @@
             held.trial = None
             del in_trial[task.name]
             continue
-        if placement.may_meet_deadline(task.job, held.speed.value, now):
+        if placement.may_meet_deadline(task.job, placement.speed_for(task.job, held), now):
             yield task, held
         else:
             held.trial = None
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 
-from apricotpoint._pool.decisions import admission, forecast, joborder
+from apricotpoint._pool.decisions import admission, forecast, joborder, locality
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run, Task
 from apricotpoint._pool.runs.learning import KindRunTimes, mean_speed_log
@@ -55,6 +55,13 @@
         speeds = sorted(held.speed.value for held in self._held_by_id.values())
         return speeds[int(len(speeds) * GOOD_SPEED_QUANTILE)] if speeds else 1.0
 
+    def attainable_speed_for(self, job: Job) -> float:
+        """Return the speed that a job may expect, near its data or elsewhere."""
+        fastest = self.attainable_speed()
+        if job.request.locality is None:
+            return fastest
+        return locality.attainable_speed(job, self._held_by_id.values(), fastest)
+
     def load(self, jobs: Iterable[Job], now: float) -> PoolLoad:
         """Return the load figures for other entry processes, with `jobs` unanswered."""
         eligible = [
@@ -83,7 +90,7 @@
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
         """Return the predicted wait and run time in seconds of a job that competes with `jobs`."""
         fastest = self.attainable_speed()
-        run_s = job.longest_task_s / fastest
+        run_s = job.longest_task_s / self.attainable_speed_for(job)
         schedulable = [
             held
             for held in self._held_by_id.values()
@@ -99,19 +106,35 @@
             if (count := self._startable_count(other))
             and joborder.order_key(other, now, fastest) <= key
         ]
+        if job.request.locality is not None:
+            return self._forecast_near_or_elsewhere(job, schedulable, ahead, now)
         slots = forecast.SlotForecast(schedulable, self._typical_cpu(), now)
         if not ahead and slots.free_count() >= job.request.count:
             return 0.0, run_s
         wait_s = slots.predict_end(job, ahead) - now - run_s
         return max(wait_s, 0.0), run_s
 
+    def _forecast_near_or_elsewhere(
+        self, job: Job, backends: list[HeldBackend], ahead: list[tuple[int, float]], now: float
+    ) -> tuple[float, float]:
+        """Forecast a job whose tasks each go where they end first, near their data or elsewhere."""
+        factor_of = locality.factors(job, backends, now)
+        slots = forecast.SlotForecast(backends, self._typical_cpu(), now, factor_of)
+        has_free_room = not ahead and slots.free_count() >= job.request.count
+        took_s = slots.predict_end(job, ahead) - now
+        run_s = job.longest_task_s / self.attainable_speed_for(job)
+        if has_free_room:
+            return 0.0, max(took_s, run_s)
+        return max(took_s - run_s, 0.0), run_s
+
     def _startable_count(self, job: Job) -> int:
         return sum(map(self._may_start, job.waiting_tasks()))
 
     def can_meet_deadline(self, job: Job, now: float) -> bool:
         """Return whether the waiting tasks of a job can still end before its deadline."""
         share = admission.STARTED_OPTIMISTIC_SHARE if job.started else admission.OPTIMISTIC_SHARE
-        return now + share * job.longest_task_s / self.attainable_speed() <= job.deadline_at
+        run_s = job.longest_task_s / self.attainable_speed_for(job)
+        return now + share * run_s <= job.deadline_at
 
     def learn_from(self, job: Job) -> None:
         """Update run times and speeds from all runs of a job at once, unfinished ones included.
@@ -122,18 +145,23 @@
         look fast.
         """
         runs = _timed_runs(job)
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
+        work_logs = [
+            math.log(took_s * run.backend.speed.value / run.remote_factor) for run, took_s in runs
+        ]
         total = sum(work_logs)
         for (run, took_s), work_log in zip(runs, work_logs, strict=True):
             others = len(work_logs) - 1
             expected_s = math.exp((total - work_log) / others) if others else job.estimate_s
-            run.backend.speed.observe(expected_s, took_s, same_job=others > 0)
+            run.backend.speed.observe(expected_s, took_s / run.remote_factor, same_job=others > 0)
             self.run_times.observe(job.request.kind, job.request.estimate_s, math.exp(work_log))
         self._normalise_speeds()
 
     def refine_run_time(self, job: Job) -> None:
         """Replace the estimate of a job by the mean of its runs, which differ by only 15%."""
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in _timed_runs(job)]
+        work_logs = [
+            math.log(took_s * run.backend.speed.value / run.remote_factor)
+            for run, took_s in _timed_runs(job)
+        ]
         if work_logs:
             job.refined_s = math.exp(sum(work_logs) / len(work_logs))
 
@@ -142,9 +170,12 @@
         others = [item for item in _timed_runs(run.task.job) if item[0] is not run]
         if not others:
             return
-        work_logs = [math.log(took_s * other.backend.speed.value) for other, took_s in others]
+        work_logs = [
+            math.log(took_s * other.backend.speed.value / other.remote_factor)
+            for other, took_s in others
+        ]
         expected_s = math.exp(sum(work_logs) / len(work_logs))
-        run.backend.speed.observe(expected_s, predicted_s, same_job=True)
+        run.backend.speed.observe(expected_s, predicted_s / run.remote_factor, same_job=True)
         self._normalise_speeds()
 
     def _normalise_speeds(self) -> None:
--- a/src/apricotpoint/_pool/runs/heldbackend.py
+++ b/src/apricotpoint/_pool/runs/heldbackend.py
@@ -74,6 +74,11 @@
         """Id of the backend server."""
         return self.announcement.backend_id
 
+    @property
+    def location(self) -> str:
+        """Location of its machine, empty if it is not announced."""
+        return self.announcement.location
+
     def free(self, now: float) -> Room:
         """Return the resources that no run uses, by the last announcement and refused start."""
         if now < self.full_until:
--- a/src/apricotpoint/_pool/runs/job.py
+++ b/src/apricotpoint/_pool/runs/job.py
@@ -41,7 +41,8 @@
     Times are monotonic seconds; `sent_at` is the time at which the start was sent. `expected_s` is
     the run time expected at the start. `progress` is in percent, as reported last, and changed at
     `progress_changed_at`. `stopping` is set once the run is to be stopped, `has_prediction` once
-    its run time was predicted from its progress.
+    its run time was predicted from its progress. `remote_factor` is the factor by which the run
+    takes longer than in the location that its job prefers.
     """
 
     task: Task
@@ -57,6 +58,7 @@
     stopping: bool = False
     is_straggler: bool = False
     has_prediction: bool = False
+    remote_factor: float = 1.0
 
     def predicted_s(self) -> float | None:
         """Return the run time in seconds predicted from the progress, None if that is too low."""
@@ -85,7 +87,9 @@
     `run` is its active run, `run_count` the number of its starts, `failure_count` the number of
     runs that ended as failed; terminated and stopped runs do not count as failures.
     `avoided_backends` are the ids of backend servers on which a run failed, stalled, was terminated
-    or was too slow; they are used only if no other can start the task.
+    or was too slow; they are used only if no other can start the task. `local_wait_at` is the
+    monotonic time since which it has waited for the location that its job prefers, while it could
+    have started elsewhere, None if it does not; `local_waited` tells that such a wait has ended.
     """
 
     job: Job
@@ -95,6 +99,8 @@
     failure_count: int = 0
     done: bool = False
     avoided_backends: set[str] = attrs.Factory(set)
+    local_wait_at: float | None = None
+    local_waited: bool = False
 
 
 @attrs.define(eq=False)
@@ -108,7 +114,8 @@
     when the job is answered, after which its runs are stopped. `completed_runs` has the runs that
     ended as done, with the seconds that each took. `answered` is set together with `answer`.
     The caller may send the job again from a moment after the monotonic time `given_up_at`, which is
-    then set, too.
+    then set, too. `group_location` is where its first task started, if the tasks are to stay
+    together.
     """
 
     request: PoolJob
@@ -123,6 +130,7 @@
     answer: PoolAnswer | None = None
     answered: anyio.Event = attrs.Factory(anyio.Event)
     given_up_at: float | None = None
+    group_location: str = ""
 
     def __attrs_post_init__(self) -> None:
         names = (f"{self.request.job_id}.0.0.{index}" for index in range(self.request.count))
@@ -158,6 +166,22 @@
         """Monotonic time in seconds after which the answer is late, at most the deadline."""
         return min(self.sent_at + self.objective_s, self.deadline_at)
 
+    @property
+    def preferred_location(self) -> str:
+        """Location in which its tasks run faster; empty if there is none, or none yet."""
+        locality = self.request.locality
+        return locality.location or self.group_location if locality is not None else ""
+
+    def remote_factor(self, location: str) -> float:
+        """Return the factor by which a task takes longer in a location.
+
+        It is 1 everywhere as long as a job that is only to stay together has not started.
+        """
+        locality, preferred = self.request.locality, self.preferred_location
+        if locality is None or not preferred or location == preferred:
+            return 1.0
+        return locality.remote_factor
+
     def waiting_tasks(self) -> list[Task]:
         """Return the tasks that have no active run and are not done."""
         return [task for task in self.tasks if task.run is None and not task.done]
--- a/src/apricotpoint/_pool/runs/starter.py
+++ b/src/apricotpoint/_pool/runs/starter.py
@@ -9,6 +9,7 @@
 
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
+from apricotpoint._pool.runs import localwaits
 from apricotpoint._pool.runs.backendclient import StartOutcome, StartRequest
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Run, RunState, Task
@@ -58,19 +59,25 @@
     def start(self, task: Task, held: HeldBackend, now: float) -> None:
         """Reserve resources for a run of the task and send its start."""
         job = task.job
+        locality = job.request.locality
+        if locality is not None and locality.together and not job.group_location:
+            job.group_location = held.location
+        remote_factor = job.remote_factor(held.location)
         run = Run(
             task=task,
             number=self._next_run(task),
             backend=held,
             token=held.token,
             sent_at=now,
-            expected_s=job.estimate_s / held.speed.value,
+            expected_s=job.estimate_s * remote_factor / held.speed.value,
+            remote_factor=remote_factor,
         )
         task.run = run
         task.run_count += 1
         job.started = True
         held.add(run, job.request.room)
         self._counters.add("pool.starts")
+        localwaits.record_start(run, self._counters, now)
         self._spawn(self._send_start, run)
 
     async def _send_start(self, run: Run) -> None:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -19,12 +19,14 @@
     admission,
     dispatch,
     joborder,
+    locality,
     placement,
     trials,
 )
 from apricotpoint._pool.decisions.verdicts import Evidence, Verdict
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.runs import localwaits
 from apricotpoint._pool.runs.backendclient import (
     BackendClient,
     RunOutcome,
@@ -353,7 +355,7 @@
         if run.stopping or run.sent_at + predicted_s <= job.deadline_at:
             return
         now = self._timers.now()
-        work_s = predicted_s * run.backend.speed.value
+        work_s = predicted_s * run.backend.speed.value / run.remote_factor
         others = [held for held in self.held_by_id.values() if held.can_start(job.request, now)]
         if not placement.should_move(run, work_s, others, now):
             if admission.will_miss_deadline(
@@ -427,6 +429,7 @@
         eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
         if not eligible:
             return
+        preferences = locality.LocalityPass(eligible, now, fastest=fastest)
         for task, held in dispatch.select_starts(
             waiting,
             eligible,
@@ -434,8 +437,10 @@
             fastest=fastest,
             may_start=self._is_clear,
             allows_start=self.leases.allows_start,
+            preferences=preferences,
         ):
             self._starter.start(task, held, now)
+        localwaits.record_waits(preferences.waits, now)
 
     def _start_trials(self, waiting: list[Job], now: float, fastest: float) -> None:
         """Start the tasks that may have crashed a backend server, apart from all others."""
@@ -516,6 +521,8 @@
             self.estimates.learn_from(job)
             self._counters.add(f"pool.answers_{answer.code}")
             self._counters.record("pool.latency", now - job.sent_at)
+            if job.request.locality is not None:
+                localwaits.record_answer(job, answer.code, self._counters, now)
             if job.started and answer.code != ResultCode.COMPLETE:
                 _log.notice(
                     "job {} ended with code {}: {}",
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -65,6 +65,11 @@
     sequence: int
     born_ms: int = 0
 
+    @property
+    def location(self) -> str:
+        """Location of its machine: the second of its labels (kind, location), empty if absent."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
 
 @attrs.frozen
 class BackendsHeard:
@@ -210,6 +215,19 @@
     started_at: float = 0.0
 
 
+@attrs.frozen
+class Locality:
+    """Where the tasks of a job run faster.
+
+    `location` is that of its data, empty if there is none. With `together` they run faster if all
+    are in one location. Elsewhere a task takes `remote_factor` times as long.
+    """
+
+    location: str
+    together: bool
+    remote_factor: float
+
+
 @attrs.frozen
 class PoolJob:
     """A job of one step: `count` equal tasks that may start in any order.
@@ -220,7 +238,7 @@
     and so does the latency objective, which is `base_latency_s` plus `stretch` times
     the run time of the longest task. `forwarded` jobs are not forwarded again.
     `attempt` differs between the requests by which a caller submits the same job
-    again; 0 is not known.
+    again; 0 is not known. `locality` is None if its tasks are equally fast everywhere.
     """
 
     job_id: str
@@ -238,6 +256,7 @@
     deadline_s: float
     forwarded: bool = False
     attempt: int = 0
+    locality: Locality | None = None
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -57,7 +57,8 @@
     `pending` returns the number of jobs of a route of which no task has started, `remaining_s` for
     how many seconds this process still runs jobs, infinity before it is stopped, and `unread_s`
     for how many seconds a request that is read now may have waited for this process. `clock`
-    returns seconds that include those in which the machine was suspended.
+    returns seconds that include those in which the machine was suspended, and `remote_penalty` the
+    factor by which a task takes longer away from its data.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         remaining_s: Callable[[], float],
         unread_s: Callable[[tuple[str, int] | None], float],
         clock: Callable[[], float],
+        remote_penalty: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._service = service
         self._routing = routing
@@ -78,6 +80,7 @@
         self._remaining_s = remaining_s
         self._unread_s = unread_s
         self._clock = clock
+        self._remote_penalty = remote_penalty
         self._open_requests: set[_OpenRequest] = set()
 
     @property
@@ -180,7 +183,13 @@
                 return JSONResponse({"reason": reason}, status_code=404)
             job_id = request.url.path[len(route.prefix) :]
             if request.method == "POST":
-                job = decode_job(job_id, body, route=route, deadline_s=_parse_deadline_s(request))
+                job = decode_job(
+                    job_id,
+                    body,
+                    route=route,
+                    deadline_s=_parse_deadline_s(request),
+                    remote_penalty=self._remote_penalty(),
+                )
                 # Includes the time since the head, and a pause during it.
                 waited_s = max(self._clock() - sent_at, self._unread_s(request.client))
                 job = attrs.evolve(job, elapsed_s=job.elapsed_s + waited_s)
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -171,6 +171,7 @@
             remaining_s=self._remaining_s,
             unread_s=lambda client: self._pauses.unread_s(self._arrivals.silent_s(client)),
             clock=self._timers.boot_time,
+            remote_penalty=lambda: settings_file.current.remote_penalty,
         )
 
     async def __aenter__(self) -> EntryProcess:
--- a/src/apricotpoint/platform/heartbeats.py
+++ b/src/apricotpoint/platform/heartbeats.py
@@ -79,7 +79,7 @@
             "it must be an IP address and a port"
         )
     for name in (heartbeat.service, heartbeat.zone, *heartbeat.labels):
-        if not _is_name(name):
+        if not is_name(name):
             raise _malformed(
                 f"the heartbeat of worker {worker_id} has the name {name[:MAX_NAME_LENGTH]!r}; "
                 f"names must have 1 to {MAX_NAME_LENGTH} printable characters and no '#'"
@@ -126,7 +126,8 @@
         )
 
 
-def _is_name(text: str) -> bool:
+def is_name(text: str) -> bool:
+    """Return whether a text can be a label, or the name of a service or zone."""
     return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable() and PART_SEPARATOR not in text
 
 
--- a/src/apricotpoint/platform/jobs.py
+++ b/src/apricotpoint/platform/jobs.py
@@ -10,7 +10,8 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
 from apricotpoint._pool.routing import Route
-from apricotpoint._wire.pool import PoolAnswer, PoolJob, Room
+from apricotpoint._wire.pool import Locality, PoolAnswer, PoolJob, Room
+from apricotpoint.platform.heartbeats import MAX_NAME_LENGTH, is_name
 from apricotpoint.platform.numbers import Natural, NonNegative
 
 MAX_SPEC_BYTES = 4_000
@@ -39,6 +40,9 @@
     utilization: bool = False
     image: str = ""
     target_ms: float = 0.0
+    # The tasks run faster on this rack, or all on one rack.
+    data_rack: str = ""
+    rack_local: bool = False
 
 
 @attrs.frozen
@@ -76,11 +80,19 @@
 _FIRST_OUTCOME_UNKNOWN_CODE = 3000
 
 
-def decode_job(job_id: str, body: bytes, *, route: Route, deadline_s: float | None) -> PoolJob:
+def decode_job(
+    job_id: str,
+    body: bytes,
+    *,
+    route: Route,
+    deadline_s: float | None,
+    remote_penalty: float = 1.0,
+) -> PoolJob:
     """Return the job in the body of a request of a caller.
 
     `deadline_s` is how long the caller waits, None if it gives no deadline;
-    the time-out of the route is the upper limit. Raises `ApricotError` with code
+    the time-out of the route is the upper limit. A task takes `remote_penalty` times as
+    long away from the rack of its data. Raises `ApricotError` with code
     2101 for a malformed job, 2111 for a spec that is too long, and 2106 for a
     job that uses a feature that is not supported.
     """
@@ -109,9 +121,21 @@
         stretch=route.stretch,
         elapsed_s=CALLER_ONE_WAY_LATENCY_S,
         deadline_s=wait_s,
+        locality=_make_locality(step, remote_penalty),
     )
 
 
+def _make_locality(step: _Step, remote_penalty: float) -> Locality | None:
+    """Return the locality of a step, None if its tasks are equally fast everywhere.
+
+    Tasks that name the rack of their data are together there, so `rack_local` adds nothing.
+    """
+    together = step.rack_local and step.count > 1 and not step.data_rack
+    if remote_penalty <= 1.0 or not (step.data_rack or together):
+        return None
+    return Locality(step.data_rack, together, remote_penalty)
+
+
 def encode_answer(answer: PoolAnswer) -> tuple[int, dict[str, object], dict[str, str]]:
     """Return the HTTP status, body and headers of the response to a job."""
     state = _STATE_BY_CODE.get(answer.code)
@@ -140,6 +164,12 @@
         raise ApricotError(
             ResultCode.MALFORMED, f"count is {step.count}; it must be 1 to {MAX_TASKS}"
         )
+    if step.data_rack and not is_name(step.data_rack):
+        raise ApricotError(
+            ResultCode.MALFORMED,
+            f"data_rack is {step.data_rack[:MAX_NAME_LENGTH]!r}; it must have 1 to "
+            f"{MAX_NAME_LENGTH} printable characters and no '#'",
+        )
     for name in _UNSUPPORTED_FIELDS:
         if getattr(step, name):
             raise _unsupported(f"phases with {name}")
--- a/src/apricotpoint/platform/settings.py
+++ b/src/apricotpoint/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from collections.abc import Mapping
 from pathlib import Path
@@ -14,6 +15,8 @@
 from apricotpoint._core.errors import ApricotError
 
 SETTINGS_PATH_VARIABLE = "APRICOTPOINT_SETTINGS"
+# Far above the penalties of the deployments (1.5 and 3); keeps predicted times finite.
+MAX_REMOTE_PENALTY = 100.0
 
 
 @attrs.frozen
@@ -26,7 +29,8 @@
     of control processes. `first_start` is True only when the whole deployment
     starts for the first time. `tolerated_vms` or `tolerated_domains` may be lost at the same
     time; VMs that do not count, for which `may_vote` is False, may be lost beside them.
-    The `_bind` addresses are "host:port".
+    The `_bind` addresses are "host:port". A task takes `remote_penalty` times as long elsewhere
+    than near its data.
     """
 
     name: str
@@ -46,6 +50,7 @@
     control_bind: str
     drain_s: float
     grace_s: float
+    remote_penalty: float = 1.0
 
     def peer_address(self, peer_id: str) -> str:
         """Return the "host:port" at which a peer listens; the port is the same on all VMs."""
@@ -116,4 +121,17 @@
         control_bind=str(listen.get("control_plane", "")),
         drain_s=float(bounds.get("drain_timeout_ms", 2000)) / 1000,
         grace_s=float(bounds.get("grace_period_s", 6)),
+        remote_penalty=_decode_remote_penalty(bounds.get("remote_penalty", 1.0)),
     )
+
+
+def _decode_remote_penalty(value: object) -> float:
+    """Return the penalty; raises `ValueError` for a value that is no penalty."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    penalty = float(value) if is_number else math.nan  # type: ignore[arg-type]
+    if not 1.0 <= penalty <= MAX_REMOTE_PENALTY:
+        raise ValueError(
+            f"bounds.remote_penalty is {value!r}; it must be a number from 1 to "
+            f"{MAX_REMOTE_PENALTY:g}"
+        )
+    return penalty
--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -44,14 +44,16 @@
     anyio.run(test, backend="trio", backend_options={"clock": clock})
 
 
-def make_announcement(backend_id: str = "w1", *, room: Room = BACKEND_ROOM) -> PoolBackend:
+def make_announcement(
+    backend_id: str = "w1", *, room: Room = BACKEND_ROOM, location: str = ""
+) -> PoolBackend:
     return PoolBackend(
         backend_id=backend_id,
         service="desk",
         address=f"{backend_id[:2]}.example:1",
         failure_domain="a",
         room=room,
-        labels=[],
+        labels=["plain", location] if location else [],
         leaving=False,
         sequence=1,
     )
@@ -105,10 +107,16 @@
     answer. `is_other_incarnation` refuses renewals; with `fails` runs fail, with `stalls` they
     make no progress. Without `guards_room` starts may exceed its room. A start of a task in
     `deadly_tasks` crashes it: it refuses connections for `DOWN_S`, then another incarnation
-    answers.
+    answers. It is in `location`; a task of a job in `location_by_job` takes `penalty_by_job` times
+    as long elsewhere. A job whose location is empty there gets that of its first start; the backend
+    servers share the dict.
     """
 
-    def __init__(self, *, work_s: float = 0.2, speed: float = 1.0) -> None:
+    def __init__(self, *, work_s: float = 0.2, speed: float = 1.0, location: str = "") -> None:
+        self.location = location
+        self.location_by_job: dict[str, str] = {}
+        self.penalty_by_job: dict[str, float] = {}
+        self.remote_starts = 0
         self.work_s = work_s
         self.speed = speed
         self.fails = False
@@ -178,6 +186,13 @@
         await anyio.sleep(DOWN_S)
         self.is_down, self.is_other_incarnation = False, True
 
+    def _penalty(self, job_id: str) -> float:
+        if job_id not in self.location_by_job:
+            return 1.0
+        preferred = self.location_by_job[job_id] = self.location_by_job[job_id] or self.location
+        self.remote_starts += preferred != self.location
+        return 1.0 if preferred == self.location else self.penalty_by_job[job_id]
+
     def _cpu(self, key: RunKey) -> int:
         return self.cpu_by_task.get(key.task, TASK_ROOM.cpu)
 
@@ -204,6 +219,7 @@
             return StartOutcome.NO_ROOM
         self.starts.append(request.key)
         work_s = self.work_s_by_task.get(request.key.task, self.work_s)
+        work_s *= self._penalty(request.key.task.partition(".")[0])
         remaining_s = float("inf") if self.stalls else work_s / self.speed
         self.active_run_by_key[request.key] = ActiveRun(request.key, now, remaining_s, remaining_s)
         self.group.start_soon(self._run, request.key, remaining_s)
@@ -319,7 +335,10 @@
     ):
         for backend_id, backend in backend_by_id.items():
             backend.group = group
-            scheduler.acquire(make_announcement(backend_id, room=backend.room), token=100)
+            announcement = make_announcement(
+                backend_id, room=backend.room, location=backend.location
+            )
+            scheduler.acquire(announcement, token=100)
         await anyio.sleep(0.05)
         yield SchedulerHarness(scheduler, counters, backend_by_id)
         group.cancel_scope.cancel()
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -11,7 +11,7 @@
 from pool_harness import FakeBackend, SchedulerHarness, make_job, run_on_virtual_time, run_scheduler
 
 from apricotpoint._core.codes import ResultCode
-from apricotpoint._wire.pool import Room
+from apricotpoint._wire.pool import Locality, Room
 
 
 @attrs.frozen
@@ -24,6 +24,7 @@
     work_s: float
     value: float
     priority: int
+    make_locality: Callable[[random.Random], Locality | None] = lambda _: None
 
 
 # The mix of the deployments: many short, some middle and few long jobs with 14 cores a task. Each
@@ -49,6 +50,7 @@
     late: int = 0
     refused: int = 0
     failed: int = 0
+    total_s: float = 0.0
     earned_value: float = 0.0
     offered_value: float = 0.0
 
@@ -81,6 +83,9 @@
 
     async def test() -> None:
         async with run_scheduler(*fleet) as harness, anyio.create_task_group() as group:
+            location_by_job: dict[str, str] = {}
+            for backend in fleet:
+                backend.location_by_job = location_by_job
             for kind in mix:
                 group.start_soon(
                     _offer, harness, kind, load, seconds, seed, counts_by_kind[kind.name]
@@ -154,11 +159,15 @@
         ),
         room=Room(min(cpu, 20_000), 64),
         stretch=STRETCH,
+        locality=kind.make_locality(source),
     )
     for backend in harness.backend_by_id.values():
         for index, task_s in enumerate(works_s):
             backend.work_s_by_task[f"{request.job_id}.0.0.{index}"] = task_s
             backend.cpu_by_task[f"{request.job_id}.0.0.{index}"] = request.room.cpu
+        if request.locality is not None:
+            backend.penalty_by_job[request.job_id] = request.locality.remote_factor
+            backend.location_by_job.setdefault(request.job_id, request.locality.location)
     began_at = anyio.current_time()
     counts.submitted += 1
     share = 0.3 + 0.7 * sum(works_s) / (kind.tasks * kind.work_s)
@@ -171,6 +180,7 @@
     await job.answered.wait()
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
+    counts.total_s += took_s
     objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
     if job.answer.code == ResultCode.COMPLETE and took_s <= objective_s:
         counts.in_time += 1
