Replay loads with a preferred location, and decode the racks of jobs

A malformed rack is refused with 2101, a penalty that is no number from 1 to 100 with 5001. What the decision is asked about moves to _pool/decisions/locations.py.

--- a/src/apricotpoint/_pool/decisions/dispatch.py
+++ b/src/apricotpoint/_pool/decisions/dispatch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from apricotpoint._pool.decisions import joborder, placement
-from apricotpoint._pool.decisions.locality import MAX_WAITING_TASKS, LocalityPass
+from apricotpoint._pool.decisions.locations import MAX_WAITING_TASKS, LocalityPass
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Task
 
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 
-from apricotpoint._pool.decisions import admission, forecast, joborder, locality
+from apricotpoint._pool.decisions import admission, forecast, joborder, locations
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run, Task
 from apricotpoint._pool.runs.learning import KindRunTimes, mean_speed_log
@@ -60,7 +60,7 @@
         fastest = self.attainable_speed()
         if job.request.locality is None:
             return fastest
-        return locality.attainable_speed(job, self._held_by_id.values(), fastest)
+        return locations.attainable_speed(job, self._held_by_id.values(), fastest)
 
     def load(self, jobs: Iterable[Job], now: float) -> PoolLoad:
         """Return the load figures for other entry processes, with `jobs` unanswered."""
@@ -118,7 +118,7 @@
         self, job: Job, backends: list[HeldBackend], ahead: list[tuple[int, float]], now: float
     ) -> tuple[float, float]:
         """Forecast a job whose tasks each go where they end first, near their data or elsewhere."""
-        factor_of = locality.factors(job, backends, now)
+        factor_of = locations.factors(job, backends, now)
         slots = forecast.SlotForecast(backends, self._typical_cpu(), now, factor_of)
         has_free_room = not ahead and slots.free_count() >= job.request.count
         took_s = slots.predict_end(job, ahead) - now
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -19,7 +19,7 @@
     admission,
     dispatch,
     joborder,
-    locality,
+    locations,
     placement,
     trials,
 )
@@ -429,7 +429,7 @@
         eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
         if not eligible:
             return
-        preferences = locality.LocalityPass(eligible, now, fastest=fastest)
+        preferences = locations.LocalityPass(eligible, now, fastest=fastest)
         for task, held in dispatch.select_starts(
             waiting,
             eligible,
--- a/testing/platform/test_decoding.py
+++ b/testing/platform/test_decoding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +13,7 @@
 from apricotpoint._core.errors import ApricotError
 from apricotpoint._pool.routing import Route
 from apricotpoint._wire.configuration import Document
-from apricotpoint._wire.pool import PoolAnswer, Room
+from apricotpoint._wire.pool import Locality, PoolAnswer, Room
 from apricotpoint.platform.configuration import decode_document, decode_routing
 from apricotpoint.platform.heartbeats import decode_heartbeat
 from apricotpoint.platform.jobs import decode_job, encode_answer
@@ -192,6 +193,15 @@
         (make_job(phases=[{"count": 1}, {"count": 1}]), ResultCode.CANNOT_RUN),
         (make_job(phases=[{"count": 1, "gang_scheduled": True}]), ResultCode.CANNOT_RUN),
         (make_job(phases=[{"count": 1, "requirements": "b"}]), ResultCode.CANNOT_RUN),
+        (make_job(phases=[{"count": 2, "rack_local": "yes"}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "data_rack": 7}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "data_rack": None}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "data_rack": "a\n"}]), ResultCode.MALFORMED),
+        (make_job(phases=[{"count": 1, "data_rack": "a" * 201}]), ResultCode.MALFORMED),
+        (
+            make_job(phases=[{"count": 2, "rack_local": True, "gang_scheduled": True}]),
+            ResultCode.CANNOT_RUN,
+        ),
     ],
 )
 def test_a_malformed_or_unsupported_job_is_refused(body: bytes, code: ResultCode):
@@ -201,6 +211,28 @@
     assert caught.value.code == code
 
 
+@pytest.mark.parametrize(
+    ("step", "locality"),
+    [
+        ({"count": 2}, None),
+        ({"count": 2, "data_rack": "k1"}, Locality("k1", False, 3.0)),
+        ({"count": 2, "rack_local": True}, Locality("", True, 3.0)),
+        # Tasks near their data are together.
+        ({"count": 2, "data_rack": "k1", "rack_local": True}, Locality("k1", False, 3.0)),
+        ({"count": 1, "rack_local": True}, None),
+        ({"count": 2, "data_rack": "", "rack_local": False}, None),
+    ],
+)
+def test_a_job_names_the_rack_on_which_it_is_faster(
+    step: dict[str, object], locality: Locality | None
+):
+    """Guards against a penalty where there is none, and against one that counts twice."""
+    body = make_job(phases=[step])
+    decode = partial(decode_job, JOB_ID, body, route=ROUTE, deadline_s=None)
+    assert decode(remote_penalty=3.0).locality == locality
+    assert decode(remote_penalty=1.0).locality is None
+
+
 @pytest.mark.parametrize(
     ("code", "status"),
     [
@@ -244,8 +276,27 @@
         "bootstrap: true\ndata_directory: null\nsomething_new: 1\n"
     )
     settings = load_settings(path)
+    assert settings.remote_penalty == 1.0
     assert settings.failure_domains == ["a", "b"]
     assert settings.seeds == ["10.1.0.16"]
     assert settings.peer_address("10.1.0.16") == "10.1.0.16:7720"
     assert (settings.caller_bind, settings.control_bind) == ("10.1.0.13:8161", "")
     assert settings.data_folder is None
+
+
+@pytest.mark.parametrize(
+    "penalty", ["2.5", "yes", ".nan", ".inf", "0.5", "-1", "1e9", "null", "'2'"]
+)
+def test_the_penalty_of_remote_tasks_is_checked(tmp_path: Path, penalty: str):
+    """Guards against a penalty with which predicted times are negative, infinite or no numbers."""
+    path = tmp_path / "boot.yaml"
+    path.write_text(
+        "node_name: n1\nip_address: 10.1.0.13\nzone: a\nzones: {a: r}\nseed_nodes: []\n"
+        f"internal_port_range: [7720, 7735]\nbootstrap: true\n"
+        f"bounds: {{remote_penalty: {penalty}}}\n"
+    )
+    if penalty == "2.5":
+        assert load_settings(path).remote_penalty == 2.5
+        return
+    with pytest.raises(ApricotError, match=r"bounds\.remote_penalty"):
+        load_settings(path)
--- a/testing/pool/pool_harness.py
+++ b/testing/pool/pool_harness.py
@@ -117,6 +117,7 @@
         self.location_by_job: dict[str, str] = {}
         self.penalty_by_job: dict[str, float] = {}
         self.remote_starts = 0
+        self.began_at_by_run: dict[RunKey, float] = {}
         self.work_s = work_s
         self.speed = speed
         self.fails = False
@@ -218,6 +219,7 @@
         if self.guards_room and used + self._cpu(request.key) > self.room.cpu:
             return StartOutcome.NO_ROOM
         self.starts.append(request.key)
+        self.began_at_by_run[request.key] = now
         work_s = self.work_s_by_task.get(request.key.task, self.work_s)
         work_s *= self._penalty(request.key.task.partition(".")[0])
         remaining_s = float("inf") if self.stalls else work_s / self.speed
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -50,7 +50,7 @@
     late: int = 0
     refused: int = 0
     failed: int = 0
-    total_s: float = 0.0
+    sent_at_by_job: dict[str, float] = attrs.Factory(dict)
     earned_value: float = 0.0
     offered_value: float = 0.0
 
@@ -170,6 +170,7 @@
             backend.location_by_job.setdefault(request.job_id, request.locality.location)
     began_at = anyio.current_time()
     counts.submitted += 1
+    counts.sent_at_by_job[request.job_id] = began_at
     share = 0.3 + 0.7 * sum(works_s) / (kind.tasks * kind.work_s)
     value = kind.value * min(share, 4.0)
     counts.offered_value += value
@@ -180,7 +181,6 @@
     await job.answered.wait()
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
-    counts.total_s += took_s
     objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
     if job.answer.code == ResultCode.COMPLETE and took_s <= objective_s:
         counts.in_time += 1
