Prefer holders in the location of a job's data, and bound the cost of the choice

The backend servers of a location are divided among holders; a job that reached one without any of them ran far from its data.

--- a/src/apricotpoint/_pool/decisions/locality.py
+++ b/src/apricotpoint/_pool/decisions/locality.py
@@ -116,10 +116,13 @@
     remote_in_time = objective.in_time_probability(0.0, choice.remote_speed)
     if max(best_in_time, remote_in_time) < LATE_PROBABILITY:
         return False
-    near = statistics.fmean(objective.value(wait_s, choice.near_speed) for wait_s in waits_s)
     # What the remote run occupies beyond a near one is taken from others if they need it.
     cost = choice.price * (choice.remote_factor - 1)
-    return near - (objective.value(0.0, choice.remote_speed) - cost) > MIN_GAIN
+    least_value = objective.value(0.0, choice.remote_speed) - cost + MIN_GAIN
+    if least_value >= 1.0:
+        return False
+    near = statistics.fmean(objective.value(wait_s, choice.near_speed) for wait_s in waits_s)
+    return near > least_value
 
 
 def price(free: int, capacity: int) -> float:
--- a/src/apricotpoint/_pool/decisions/locations.py
+++ b/src/apricotpoint/_pool/decisions/locations.py
@@ -8,7 +8,7 @@
 
 import heapq
 import math
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from apricotpoint._pool.decisions import locality, placement
 from apricotpoint._pool.decisions.forecast import remaining_s
@@ -55,7 +55,14 @@
     Among equal ones it is the one with the least room left, so that the others keep theirs for
     larger groups. Empty if no backend server that can run the job has a location.
     """
-    request, count = job.request, len(job.waiting_tasks())
+    return _first_to_end(job, _slots_by_location(job, backends, now), now)
+
+
+def _slots_by_location(
+    job: Job, backends: Iterable[HeldBackend], now: float
+) -> dict[str, list[tuple[float, float]]]:
+    """Return the starts that are possible now or predicted, as times and speeds, by location."""
+    request = job.request
     slots_by_location: dict[str, list[tuple[float, float]]] = {}
     for held in backends:
         if not held.location or not held.can_run(request) or not held.is_schedulable(now):
@@ -63,9 +70,16 @@
         slots = slots_by_location.setdefault(held.location, [])
         slots += [(now, held.speed.value)] * fit_count(held.free(now), request.room)
         slots += ((at, held.speed.value) for at in next_starts(held, request.room, now))
-    options = []
-    for location, slots in slots_by_location.items():
-        free_count = sum(at <= now for at, _ in slots)
+    return slots_by_location
+
+
+def _first_to_end(
+    job: Job, slots_by_location: Mapping[str, list[tuple[float, float]]], now: float
+) -> str:
+    count, options = len(job.waiting_tasks()), []
+    for location, unsorted_slots in slots_by_location.items():
+        free_count = sum(at <= now for at, _ in unsorted_slots)
+        slots = unsorted_slots.copy()
         heapq.heapify(slots)
         ends_at = now
         for _ in range(min(count, MAX_WAITING_TASKS)):
@@ -122,6 +136,8 @@
         self._home_by_job: dict[str, str] = {}
         self._reserved_by_home: dict[str, list[float]] = {}
         self._slots_by_home: dict[tuple[str, Room, str], list[tuple[float, float]]] = {}
+        self._group_slots: dict[tuple[Room, str], dict[str, list[tuple[float, float]]]] = {}
+        self._price_by_room: dict[Room, float] = {}
 
     def choose(self, task: Task, fitting: Sequence[HeldBackend]) -> HeldBackend | None:
         """Return the backend server on which to start the task now, None to let it wait.
@@ -170,9 +186,26 @@
             return home
         job_id = job.request.job_id
         if job_id not in self._home_by_job:
-            self._home_by_job[job_id] = best_location(job, self._eligible, self._now)
+            key = (job.request.room, job.request.service)
+            if key not in self._group_slots:
+                self._group_slots[key] = _slots_by_location(job, self._eligible, self._now)
+            slots_by_location = self._group_slots[key]
+            home = self._home_by_job[job_id] = _first_to_end(job, slots_by_location, self._now)
+            # Another group of this dispatch finds these slots taken.
+            slots = slots_by_location.get(home, [])
+            heapq.heapify(slots)
+            for _ in job.waiting_tasks()[:MAX_WAITING_TASKS]:
+                _occupy(slots, job.longest_task_s)
         return self._home_by_job[job_id]
 
+    def _price(self, room: Room) -> float:
+        price = self._price_by_room.get(room)
+        if price is None:
+            free = sum(fit_count(held.free(self._now), room) for held in self._eligible)
+            capacity = sum(fit_count(held.announcement.room, room) for held in self._eligible)
+            price = self._price_by_room[room] = locality.price(free - 1, capacity)
+        return price
+
     def _slots(self, job: Job, home: str) -> list[tuple[float, float]]:
         """Return the next starts in a location as a heap of times and speeds."""
         request = job.request
@@ -207,10 +240,7 @@
             near_speed=near_speed,
             remote_speed=remote.speed.value / remote_factor,
             remote_factor=remote_factor,
-            price=locality.price(
-                sum(fit_count(held.free(now), request.room) for held in self._eligible) - 1,
-                sum(fit_count(held.announcement.room, request.room) for held in self._eligible),
-            ),
+            price=self._price(request.room),
             waited_s=0.0 if task.local_wait_at is None else now - task.local_wait_at,
         )
 
--- a/src/apricotpoint/_pool/holders/members.py
+++ b/src/apricotpoint/_pool/holders/members.py
@@ -165,6 +165,11 @@
     def _liveness_timeout_s(self, status: EntryStatus) -> float:
         return LIVENESS_TIMEOUT_S if self._is_near(status) else DISTANT_LIVENESS_TIMEOUT_S
 
+    def location_of(self, backend_id: str) -> str:
+        """Return the announced location of a backend server, empty if it is not known."""
+        announcement = self._roster.announcement_by_id.get(backend_id)
+        return "" if announcement is None else announcement.location
+
     def seconds_since_contact(self, entry_id: str) -> float:
         """Return the seconds since the last status of a process, infinity if there was none."""
         return self._timers.now() - self._last_contact_at_by_entry.get(entry_id, float("-inf"))
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -14,7 +14,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, Sender
-from apricotpoint._pool.decisions import claims
+from apricotpoint._pool.decisions import claims, nearholders
 from apricotpoint._pool.holders.members import EntryMembers
 from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
 from apricotpoint._pool.runs.job import Job, Origin
@@ -144,7 +144,7 @@
         )
         draining_ids: set[str] = set()
         while True:
-            target = self._scheduling_process(draining_ids)
+            target = self._scheduling_process(draining_ids, request)
             if target is not None:
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
@@ -194,17 +194,19 @@
             job.request.job_id == job_id for job in self._scheduler.unanswered_jobs()
         )
 
-    def _scheduling_process(self, excluded: set[str]) -> str | None:
+    def _scheduling_process(self, excluded: set[str], request: PoolJob) -> str | None:
         """Return the process that schedules a job: a holder of the own failure domain, if any.
 
         Of several holders one is chosen at random by its free room, so that the entry processes
-        do not all send their jobs to the same one until its next status arrives.
+        do not all send their jobs to the same one until its next status arrives. Holders in the
+        location of its data go first while they have free room.
         """
         live = {
             entry_id: status
             for entry_id, status in self._members.live_entries().items()
             if entry_id not in excluded and not status.draining and status.held
         }
+        live = nearholders.prefer_near(request, live, self._members.location_of)
         local_ids = claims.holders(self._own_domain, live)
         if local_ids:
             own_id = self._members.entry_id
--- a/testing/pool/test_locality.py
+++ b/testing/pool/test_locality.py
@@ -14,11 +14,11 @@
 )
 
 from apricotpoint._core.codes import ResultCode
-from apricotpoint._pool.decisions import locations
+from apricotpoint._pool.decisions import locations, nearholders
 from apricotpoint._pool.decisions.locality import Choice, Objective, waiting_pays
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run
-from apricotpoint._wire.pool import Locality, PoolJob
+from apricotpoint._wire.pool import EntryStatus, Locality, PoolJob, PoolLoad
 
 NEAR_P = Locality("p", False, 3.0)
 
@@ -200,3 +200,22 @@
     assert locations.next_starts(held, room, 0.0) == pytest.approx([0.1, 0.3])
     large = attrs.evolve(room, cpu=24_000)
     assert locations.next_starts(held, large, 0.0) == pytest.approx([0.3])
+
+
+def test_holders_in_the_location_of_the_data_go_first_while_they_have_room():
+    """Guards against jobs that reach a holder without their location, and against a crowd there."""
+
+    def status(held: str, free: int) -> EntryStatus:
+        return EntryStatus("a", False, 1, {}, [held], PoolLoad(0.0, free, 4))
+
+    locations_by_id = {"w1": "p", "w2": "q"}
+    live = {"e1": status("w1", 1), "e2": status("w2", 4), "e3": status("w3", 4)}
+
+    def choose(job: PoolJob) -> set[str]:
+        return set(nearholders.prefer_near(job, live, lambda key: locations_by_id.get(key, "")))
+
+    assert choose(local_job()) == {"e1"}
+    assert choose(local_job(preference=None)) == choose(local_job(preference=Locality("", True, 2)))
+    assert choose(local_job(preference=Locality("unknown", False, 3.0))) == set(live)
+    live["e1"] = status("w1", 0)
+    assert choose(local_job()) == set(live)
