Explain where a job would go, without sending it

Operators could not see why a job was refused or waited. apricotctl explain asks an entry process, which calls the functions that decide for jobs; the tests compare its answer with what then happens to the same job at idle, partly and fully used backend servers, and for refusals.

--- a/src/apricotpoint/_pool/decisions/nearholders.py
+++ b/src/apricotpoint/_pool/decisions/nearholders.py
@@ -10,9 +10,28 @@
 
 from collections.abc import Callable, Mapping
 
+import attrs
+
 from apricotpoint._wire.pool import EntryStatus, PoolJob
 
 
+@attrs.frozen
+class HolderChoice:
+    """Holders of which one gets a job at random, by `weights` or equally, if there are several.
+
+    With `any_of` one is drawn although there may be only one.
+    """
+
+    ids: list[str]
+    weights: list[float] | None = None
+    any_of: bool = False
+
+    def share_by_holder(self) -> dict[str, float]:
+        """Return the probability of each holder."""
+        weights = self.weights or [1.0] * len(self.ids)
+        return {key: weight / sum(weights) for key, weight in zip(self.ids, weights, strict=True)}
+
+
 def prefer_near(
     request: PoolJob,
     status_by_entry: Mapping[str, EntryStatus],
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -173,19 +173,27 @@
         self.request_dispatch()
         return job
 
-    def refusal(self, request: PoolJob) -> PoolAnswer | None:
-        """Return the refusal of a job that cannot be answered in time, None to accept the job."""
+    def refusal(
+        self, request: PoolJob, *, spread: Callable[[], float] | None = None
+    ) -> PoolAnswer | None:
+        """Return the refusal of a job that cannot be answered in time, None to accept the job.
+
+        `spread` replaces the random numbers from 0 to 1 that spread out the returning callers.
+        """
+        spread = spread or self._random.random
         available = [
             held
             for held in self.held_by_id.values()
             if not held.announcement.leaving and not held.handing_over
         ]
         if not available:
-            return self._make_refusal(ResultCode.NO_BACKEND, "this process holds no backend server")
+            reason = "this process holds no backend server"
+            return self._make_refusal(ResultCode.NO_BACKEND, reason, spread)
         if not any(held.can_run(request) for held in available):
             return self._make_refusal(
                 ResultCode.CANNOT_RUN,
                 "no backend server of its service has the resources that a task of the job needs",
+                spread,
             )
         job = self._make_job(request, None)
         wait_s, run_s = self.estimates.forecast(job, self.unanswered_jobs(), job.arrived_at)
@@ -202,7 +210,7 @@
             f"the latency objective of {job.objective_s:.3f} s or the deadline of "
             f"{request.deadline_s:.3f} s"
         )
-        return self._make_refusal(ResultCode.OVERLOADED, reason)
+        return self._make_refusal(ResultCode.OVERLOADED, reason, spread)
 
     def _make_job(self, request: PoolJob, origin: Origin | None) -> Job:
         return Job(
@@ -212,9 +220,11 @@
             estimate_s=self.estimates.run_time_s(request),
         )
 
-    def _make_refusal(self, code: ResultCode, reason: str) -> PoolAnswer:
+    def _make_refusal(
+        self, code: ResultCode, reason: str, spread: Callable[[], float]
+    ) -> PoolAnswer:
         backlog_s = self.estimates.backlog_s(self.unanswered_jobs(), self._timers.now())
-        after_s = admission.retry_after_s(backlog_s, self._random.random())
+        after_s = admission.retry_after_s(backlog_s, spread())
         return PoolAnswer(int(code), reason, after_s)
 
     def cancel(self, job_id: str, reason: str) -> None:
@@ -565,7 +575,8 @@
                 if job.started:
                     self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
                 else:
-                    self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
+                    refusal = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
+                    self._finish_job(job, refusal)
         self._jobs.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
             # Most processes schedule no jobs, and a timer that never rests costs each of them.
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -195,7 +195,26 @@
         )
 
     def _scheduling_process(self, excluded: set[str], request: PoolJob) -> str | None:
-        """Return the process that schedules a job: a holder of the own failure domain, if any.
+        choice = self.holder_choice(excluded, request)
+        if choice.weights is not None:
+            return self._random.choices(choice.ids, choice.weights)[0]
+        if choice.any_of and choice.ids:
+            return self._random.choice(choice.ids)
+        return choice.ids[0] if choice.ids else None
+
+    def preview(self, request: PoolJob) -> tuple[PoolAnswer | None, str]:
+        """Return how this process would refuse a job, None if it would not, and who gets it then.
+
+        The refusal has the least retry-after of those that callers get.
+        """
+        if self._scheduler.draining:
+            return self._refusal(request), ""
+        refusal = self._scheduler.refusal(request, spread=lambda: 0.0)
+        forward_to = self._less_loaded_process(request) if refusal is not None else None
+        return refusal, forward_to or ""
+
+    def holder_choice(self, excluded: set[str], request: PoolJob) -> nearholders.HolderChoice:
+        """Return the processes of which one schedules a job: those of the own domain, if any.
 
         Of several holders one is chosen at random by its free room, so that the entry processes
         do not all send their jobs to the same one until its next status arrives. Holders in the
@@ -211,11 +230,12 @@
         if local_ids:
             own_id = self._members.entry_id
             if own_id in local_ids and live[own_id].load.free:
-                return own_id
+                return nearholders.HolderChoice([own_id])
             weights = [routing_weight(live[entry_id].load) for entry_id in local_ids]
-            return self._random.choices(local_ids, weights)[0]
+            return nearholders.HolderChoice(local_ids, weights)
         if live:
-            return min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
+            best = min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
+            return nearholders.HolderChoice([best])
         # Holders of other failure domains send their status to holders only.
         distant_ids = [
             entry_id
@@ -226,7 +246,7 @@
             and entry_id != self._members.entry_id
             and summary.failure_domain != self._own_domain
         ]
-        return self._random.choice(distant_ids) if distant_ids else None
+        return nearholders.HolderChoice(distant_ids, any_of=True)
 
     async def _submit_forwarded(self, target: str, request: PoolJob, began_at: float) -> PoolAnswer:
         """Submit a job to the process that another one has named instead of running it.
--- a/src/apricotpoint/_programs/ctl.py
+++ b/src/apricotpoint/_programs/ctl.py
@@ -25,6 +25,7 @@
 from apricotpoint._operator.language import parse
 from apricotpoint._operator.printing import print_statement
 from apricotpoint._operator.statements import Statement, SubmitCommand
+from apricotpoint._programs.explain import ExplainCommand
 
 DEFAULT_SETTINGS = Path("~/.config/apricotctl.jsonc")
 # The system keeps a key until its validity ends, which may be at most 3,600 s ahead.
@@ -199,6 +200,7 @@
     for verb in _DESCRIPTION_BY_VERB:
         application.add(VerbCommand(verb, wall_clock=wall_clock, transport=transport))
     application.add(CodesCommand())
+    application.add(ExplainCommand(print_table=_print_table, write=_write, transport=transport))
     return application
 
 
--- a/src/apricotpoint/_wire/codec.py
+++ b/src/apricotpoint/_wire/codec.py
@@ -16,13 +16,13 @@
 import msgspec
 
 from apricotpoint._core.errors import DECODE_ERRORS
-from apricotpoint._wire import announce, configuration, jobs, load, pool, rows, tasks
+from apricotpoint._wire import announce, configuration, explain, jobs, load, pool, rows, tasks
 
 WIRE_VERSION = 1
 OLDEST_WIRE_VERSION = 1
 
 _MAC_BYTES = 16
-_MODULES = (announce, configuration, jobs, load, pool, rows, tasks)
+_MODULES = (announce, configuration, explain, jobs, load, pool, rows, tasks)
 
 
 # What msgspec raises for integers beyond 64 bits, values of other types and deep nesting, which
--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -123,13 +123,13 @@
             with open_request.scope:
                 response = await self._respond(request, open_request)
             if open_request.scope.cancelled_caught:
-                response = _encode_response(self._ended_answer(open_request))
+                response = encode_response(self._ended_answer(open_request))
         except Exception:
             self._counters.add("callers.internal_errors")
             _log.exception(
                 "unexpected error while {} {} is handled", request.method, request.url.path
             )
-            response = _encode_response(self._failed_answer(open_request))
+            response = encode_response(self._failed_answer(open_request))
         finally:
             self._open_requests.discard(open_request)
         if self._remaining_s() < math.inf:
@@ -169,7 +169,7 @@
                 NO_CONFIGURATION_RETRY_AFTER_S,
             )
             _log.notice("request of {} bytes refused: no configuration was received yet", len(body))
-            return _encode_response(answer)
+            return encode_response(answer)
         host = request.headers.get("host", "").partition(":")[0]
         route = routing.find(host, request.url.path)
         try:
@@ -187,17 +187,17 @@
                     job_id,
                     body,
                     route=route,
-                    deadline_s=_parse_deadline_s(request),
+                    deadline_s=parse_deadline_s(request),
                     remote_penalty=self._remote_penalty(),
                 )
                 # Includes the time since the head, and a pause during it.
                 waited_s = max(self._clock() - sent_at, self._unread_s(request.client))
                 job = attrs.evolve(job, elapsed_s=job.elapsed_s + waited_s)
-                return _encode_response(await self._submit(request, job, open_request))
+                return encode_response(await self._submit(request, job, open_request))
         except ApricotError as error:
             self._counters.add("callers.malformed")
             _log.notice("request for {} refused: {}", request.url.path, error)
-            return _encode_response(PoolAnswer(int(error.code), str(error)))
+            return encode_response(PoolAnswer(int(error.code), str(error)))
         return self._respond_about_job(request.method, job_id, route)
 
     async def _wait_for_routing(self) -> Routing:
@@ -258,13 +258,16 @@
         return answer
 
 
-def make_readiness_app(ready: Callable[[], bool]) -> Starlette:
-    """Return the ASGI app that tells the load balancer whether to open connections."""
+def make_readiness_app(ready: Callable[[], bool], *others: HttpRoute) -> Starlette:
+    """Return the ASGI app that tells the load balancer whether to open connections.
+
+    It also serves `others`, which callers do not reach.
+    """
 
     async def readiness(_: Request) -> Response:
         return Response(status_code=200 if ready() else 503)
 
-    return Starlette(routes=[HttpRoute("/readiness", readiness, methods=["GET"])])
+    return Starlette(routes=[HttpRoute("/readiness", readiness, methods=["GET"]), *others])
 
 
 def _make_stopping_answer() -> PoolAnswer:
@@ -280,7 +283,11 @@
     return JSONResponse(content, status_code=error.status_code, headers=error.headers)
 
 
-def _parse_deadline_s(request: Request) -> float | None:
+def parse_deadline_s(request: Request) -> float | None:
+    """Return how long the caller waits, None if it gives no deadline.
+
+    Raises `ApricotError` with code 2101 for a malformed header.
+    """
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return None
@@ -297,6 +304,7 @@
     return deadline_ms / 1000
 
 
-def _encode_response(answer: PoolAnswer) -> Response:
+def encode_response(answer: PoolAnswer) -> Response:
+    """Return the HTTP response to a job with this answer."""
     status, body, headers = encode_answer(answer)
     return JSONResponse(body, status_code=status, headers=headers)
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -17,6 +17,7 @@
 from apricotpoint._http.arrivals import Arrivals
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
+from apricotpoint._pool.explainer import Explainer
 from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.holders.crashreports import CrashReports
 from apricotpoint._pool.holders.discovery import Discovery
@@ -30,6 +31,7 @@
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolJob
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
 from apricotpoint.platform.configuration import decode_routing
+from apricotpoint.platform.explain import make_explain_route
 from apricotpoint.platform.process import (
     PEER_IDLE_S,
     PEER_KEY,
@@ -161,6 +163,13 @@
             counters=counters,
             random=generator,
         )
+        self._explainer = Explainer(
+            service=self._service,
+            members=self._members,
+            scheduler=self._scheduler,
+            transport=self._mesh,
+            timers=self._timers,
+        )
         self._pauses = PauseMonitor(timers=self._timers)
         self._arrivals = Arrivals()
         self._callers = CallerInterface(
@@ -185,6 +194,7 @@
             self._crash_reports,
             self._discovery,
             self._service,
+            self._explainer,
         ):
             await self._stack.enter_async_context(component)
         self._claimer.start_pause_detection()
@@ -203,9 +213,13 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._arrivals.check)
             await group.start(self._serve, self._callers.make_app(), settings.caller_bind)
-            await group.start(
-                self._serve, make_readiness_app(self._is_ready), settings.readiness_bind
+            explain_route = make_explain_route(
+                self._explainer,
+                routing=lambda: self._routing,
+                remote_penalty=lambda: self._settings_file.current.remote_penalty,
             )
+            readiness = make_readiness_app(self._is_ready, explain_route)
+            await group.start(self._serve, readiness, settings.readiness_bind)
             _log.info("listening for callers on {}", settings.caller_bind)
             await stop_requested.wait()
             await self._drain()
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -18,6 +18,7 @@
 from apricotpoint._link.peer import HEARTBEAT_PERIOD_S, RETRANSMIT_TIMEOUT_S
 from apricotpoint._link.transport import Handler, PeerUnreachable, RequestHandler, Sender
 from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.explainer import Explainer
 from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.holders.crashreports import CrashReports
 from apricotpoint._pool.holders.discovery import Discovery
@@ -276,6 +277,7 @@
     claimer: Claimer = attrs.field(init=False)
     members: EntryMembers = attrs.field(init=False)
     service: PoolService = attrs.field(init=False)
+    explainer: Explainer = attrs.field(init=False)
     scope: anyio.CancelScope = attrs.Factory(anyio.CancelScope)
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
@@ -339,6 +341,13 @@
                     # Other numbers of attempts than those of all other incarnations.
                     random=random.Random(f"{self.entry_id} {self.started_at}"),
                 )
+                self.explainer = Explainer(
+                    service=self.service,
+                    members=self.members,
+                    scheduler=self.scheduler,
+                    transport=transport,
+                    timers=timers,
+                )
                 crash_reports = CrashReports(
                     crashes=self.scheduler.crashes,
                     members=self.members,
@@ -353,6 +362,7 @@
                     crash_reports,
                     discovery,
                     self.service,
+                    self.explainer,
                 ):
                     await stack.enter_async_context(part)
                 self.claimer.start_pause_detection()
