Choose the backend server elsewhere once for the tasks of a job that wait

The example of apricotctl explain on the operations page is run by its test: it is no statement of the operator language, by which the examples there are checked.

--- a/src/apricotpoint/_pool/decisions/locations.py
+++ b/src/apricotpoint/_pool/decisions/locations.py
@@ -138,14 +138,40 @@
         self._slots_by_home: dict[tuple[str, Room, str], list[tuple[float, float]]] = {}
         self._group_slots: dict[tuple[Room, str], dict[str, list[tuple[float, float]]]] = {}
         self._price_by_room: dict[Room, float] = {}
+        self._last_wait: tuple[Job, HeldBackend] | None = None
 
     def choose(self, task: Task, fitting: Sequence[HeldBackend]) -> HeldBackend | None:
         """Return the backend server on which to start the task now, None to let it wait.
 
         `fitting` are the backend servers on which it can start now, at least one.
         """
-        job, now = task.job, self._now
-        home, preference = self._home(job), job.request.locality
+        job = task.job
+        home = self._home(job)
+        if self._last_wait is not None and self._last_wait[0] is job and not task.avoided_backends:
+            # Nothing has started since the last task of the job was looked at.
+            remote: HeldBackend | None = self._last_wait[1]
+        else:
+            near, remote = self._candidates(task, home, fitting)
+            if near is not None:
+                return near
+        self._last_wait = None
+        slots = self._slots(job, home)
+        if remote is not None and not (
+            slots and locality.waiting_pays(self._weigh(task, remote, slots))
+        ):
+            return remote
+        self.reserve(job)
+        if remote is not None:
+            self.waits.append(task)
+            if not task.avoided_backends:
+                self._last_wait = (job, remote)
+        return None
+
+    def _candidates(
+        self, task: Task, home: str, fitting: Sequence[HeldBackend]
+    ) -> tuple[HeldBackend | None, HeldBackend | None]:
+        """Return the backend servers on which to start the task near its location and elsewhere."""
+        job, now, preference = task.job, self._now, task.job.request.locality
         assert preference is not None
         usable = [held for held in fitting if held.backend_id not in task.avoided_backends]
         usable = usable or list(fitting)
@@ -154,21 +180,12 @@
             fastest = attainable_speed(job, self._eligible, self._fastest)
             held = placement.choose(task, near, now, fastest=fastest)
             if held is not None:
-                return held
+                return held, None
         remote = [held for held in usable if not home or held.location != home]
         if not remote:
-            return None
+            return None, None
         fastest = self._fastest / preference.remote_factor
-        held = placement.choose(task, remote, now, fastest=fastest)
-        slots = self._slots(job, home)
-        if held is not None and not (
-            slots and locality.waiting_pays(self._weigh(task, held, slots))
-        ):
-            return held
-        self.reserve(job)
-        if held is not None:
-            self.waits.append(task)
-        return None
+        return None, placement.choose(task, remote, now, fastest=fastest)
 
     def reserve(self, job: Job) -> None:
         """Count a task of a job that waits for the slot which is free first in its location."""
--- a/src/apricotpoint/_pool/decisions/placement.py
+++ b/src/apricotpoint/_pool/decisions/placement.py
@@ -60,7 +60,8 @@
 
 def speed_for(job: Job, held: HeldBackend) -> float:
     """Return the speed of a backend server for a job, lower away from its location."""
-    return held.speed.value / job.remote_factor(held.location)
+    speed = held.speed.value
+    return speed if job.request.locality is None else speed / job.remote_factor(held.location)
 
 
 def may_meet_deadline(job: Job, speed: float, now: float) -> bool:
--- a/testing/platform/test_explain_command.py
+++ b/testing/platform/test_explain_command.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import re
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,7 @@
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
 from apricotpoint.platform.explain import make_explain_route
 
+OPERATIONS = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 PATH = "/check/0123456789abcdef"
 ROW = BackendRow("w1", "k1", 500, 64, 1.0, 0.2, None, "room")
 HOLDER = HolderExplanation(
@@ -49,10 +51,13 @@
 
 
 def run(tmp_path: Path, body: str, options: str = "") -> CommandTester:
+    """Run the example of the operations page with another file."""
     (tmp_path / "job.json").write_text(body)
     application = make_application(transport=make_client()._transport)
     tester = CommandTester(application.find("explain"))
-    tester.execute(f"e1:80 desk.example{PATH} {tmp_path}/job.json {options}")
+    (example,) = re.findall(r"apricotctl explain (.* --.*)", OPERATIONS.read_text())
+    assert PATH in example
+    tester.execute(f"{example.replace('job.json', str(tmp_path / 'job.json'))} {options}")
     return tester
 
 
