--- a/testing/pool/locality_load.py
+++ b/testing/pool/locality_load.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
+import random
 import statistics
 from collections.abc import Callable
 from unittest.mock import patch
 
 import attrs
 from pool_harness import FakeBackend
-from pool_load import JobKind, earned_share, replay
+from pool_load import MIX, JobCounts, JobKind, earned_share, replay
 
 from apricotpoint._pool.decisions import locality
 from apricotpoint._pool.decisions.locality import Choice
@@ -28,9 +29,8 @@
     return lambda source: Locality(*source.choices(LOCATIONS, weights), False, factor)
 
 
-def prefer_some(source: object) -> Locality:
-    location = source.choice(LOCATIONS)  # type: ignore[attr-defined]
-    return Locality(location, False, source.choice([1.3, 3.0]))  # type: ignore[attr-defined]
+def prefer_some(source: random.Random) -> Locality:
+    return Locality(source.choice(LOCATIONS), False, source.choice([1.3, 3.0]))
 
 
 def make_kind(per_s: float, tasks: int, work_s: float, preference: Callable) -> JobKind:
@@ -45,6 +45,19 @@
     "crowd": make_kind(14, 2, 0.2, prefer(1.5, share=0.8)),
     "groups": make_kind(10, 3, 0.2, lambda _: Locality("", True, 3.0)),
 }
+
+
+def mix(factor: float) -> tuple[JobKind, ...]:
+    """Return the mix of the deployments, in which half of the jobs prefer a location."""
+
+    def prefer_half(source: random.Random) -> Locality | None:
+        return Locality(source.choice(LOCATIONS), False, factor) if source.random() < 0.5 else None
+
+    return tuple(attrs.evolve(kind, make_locality=prefer_half) for kind in MIX)
+
+
+# Loads of several kinds of jobs.
+MIXES = {"mix, factor 1.5": mix(1.5), "mix, factor 3": mix(3.0)}
 POLICIES: dict[str, Callable[[Choice], bool]] = {
     "decision": locality.waiting_pays,
     "start now": lambda _: False,
@@ -70,9 +83,19 @@
     fleet = [FakeBackend(location=LOCATIONS[number % 4]) for number in range(8)]
     with patch.object(locality, "waiting_pays", POLICIES[policy]):
         counts_by_kind = replay(
-            load=1.0, seconds=8.0, seed=seed, backends=fleet, mix=(LOADS[load],)
+            load=1.0,
+            seconds=8.0,
+            seed=seed,
+            backends=fleet,
+            mix=MIXES.get(load) or (LOADS[load],),
         )
-    counts = counts_by_kind["job"]
+    counts = JobCounts()
+    for one in counts_by_kind.values():
+        counts.submitted += one.submitted
+        counts.in_time += one.in_time
+        counts.late += one.late
+        counts.refused += one.refused
+        counts.sent_at_by_job |= one.sent_at_by_job
     waits_s = [
         began_at - counts.sent_at_by_job[key.task.partition(".")[0]]
         for backend in fleet
@@ -95,7 +118,7 @@
 
 
 if __name__ == "__main__":
-    for name in LOADS:
+    for name in [*LOADS, *MIXES]:
         for rule in POLICIES:
             shares = attrs.astuple(play_all(name, rule))
             print(f"| {name} | {rule} |", " | ".join(f"{share:.3f}" for share in shares), "|")
--- a/testing/pool/test_locality.py
+++ b/testing/pool/test_locality.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import logbook
 import pytest
 from locality_load import LOADS, play_all
 from pool_harness import (
@@ -91,7 +92,9 @@
     assert not waiting_pays(late)
 
 
-async def _play_one_wait(work_s: float, busy_s: float) -> tuple[list[str], dict[str, float]]:
+async def _play_one_wait(
+    work_s: float, busy_s: float, *, declared_s: float | None = None
+) -> tuple[list[str], dict[str, float]]:
     near, far = FakeBackend(location="p"), FakeBackend(location="q")
     async with run_scheduler(near, far) as harness:
         for backend in (near, far):
@@ -99,7 +102,7 @@
             backend.penalty_by_job["f" * 16] = 3.0
         for number in (1, 2):
             near.work_s_by_task[f"{number:016x}.0.0.0"] = busy_s
-            harness.scheduler.submit(local_job(number, work_s=busy_s))
+            harness.scheduler.submit(local_job(number, work_s=declared_s or busy_s))
         await harness.settle(0.01)
         near.work_s = far.work_s = work_s
         job = harness.scheduler.submit(local_job(int("f" * 16, 16), work_s=work_s))
@@ -125,6 +128,21 @@
     run_on_virtual_time(test)
 
 
+def test_a_wait_that_did_not_pay_is_counted_and_logged():
+    """Guards against a wait for a run that never ends, and against a late job without a reason."""
+
+    async def test() -> None:
+        with logbook.TestHandler() as log:
+            places, counts = await _play_one_wait(0.2, 1.2, declared_s=0.08)
+        assert places == ["q"]
+        assert counts["pool.location_waits_lost"] == 1
+        assert 100 < counts["pool.location_wait.p50_ms"] < 400
+        (line,) = [record.message for record in log.records if "for location" in record.message]
+        assert "1 of 1 tasks have waited for location 'p', of which 0 have not started" in line
+
+    run_on_virtual_time(test)
+
+
 def test_a_group_stays_in_the_location_with_room_for_all():
     """Guards against a group that is split although one location has room for all its tasks."""
 
