--- a/src/apricotpoint/_pool/decisions/placement.py
+++ b/src/apricotpoint/_pool/decisions/placement.py
@@ -44,18 +44,27 @@
     candidates = [
         held for held in fitting if held.backend_id not in task.avoided_backends
     ] or fitting
-    in_time = [held for held in candidates if _is_in_time(job, held.expected_speed(now), now)]
+    in_time = [held for held in candidates if _is_in_time(job, speed_for(job, held, now), now)]
     safe = [
-        held for held in in_time if _meets_deadline(job, held.expected_speed(now), now, SAFE_MARGIN)
+        held
+        for held in in_time
+        if _meets_deadline(job, speed_for(job, held, now), now, SAFE_MARGIN)
     ]
     if safe:
         return min(safe, key=lambda held: (held.expected_speed_class(now), held.free(now).cpu))
     if in_time:
         return max(in_time, key=lambda held: (held.expected_speed_class(now), -held.free(now).cpu))
     best = max(candidates, key=lambda held: (held.expected_speed_class(now), -held.free(now).cpu))
-    if best.expected_speed(now) * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
+    speed = speed_for(job, best, now)
+    if speed * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
-    return best if may_meet_deadline(job, best.expected_speed(now), now) else None
+    return best if may_meet_deadline(job, speed, now) else None
+
+
+def speed_for(job: Job, held: HeldBackend, now: float) -> float:
+    """Return the speed of a backend server for a job, lower away from its location."""
+    speed = held.expected_speed(now)
+    return speed if job.request.locality is None else speed / job.remote_factor(held.location)
 
 
 def may_meet_deadline(job: Job, speed: float, now: float) -> bool:
@@ -82,5 +91,5 @@
     """
     if not others or run.task.run_count >= MAX_RUNS_PER_TASK:
         return False
-    best = max(held.expected_speed(now) for held in others)
+    best = max(speed_for(run.task.job, held, now) for held in others)
     return now + STOP_DELAY_S + work_s * MOVE_MARGIN / best <= run.task.job.deadline_at
--- a/src/apricotpoint/_pool/decisions/trials.py
+++ b/src/apricotpoint/_pool/decisions/trials.py
@@ -63,7 +63,8 @@
             held.trial = None
             del in_trial[task.name]
             continue
-        if placement.may_meet_deadline(task.job, held.expected_speed(now), now):
+        speed = placement.speed_for(task.job, held, now)
+        if placement.may_meet_deadline(task.job, speed, now):
             yield task, held
         else:
             held.trial = None
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -6,7 +6,7 @@
 import statistics
 from collections.abc import Callable, Iterable, Mapping
 
-from apricotpoint._pool.decisions import admission, forecast, joborder
+from apricotpoint._pool.decisions import admission, forecast, joborder, locations
 from apricotpoint._pool.runs.coldbackends import Slowdown
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run, Task
@@ -67,6 +67,13 @@
         speeds = sorted(held.expected_speed(now) for held in usable)
         return speeds[int(len(speeds) * GOOD_SPEED_QUANTILE)] if speeds else 1.0
 
+    def attainable_speed_for(self, job: Job, now: float) -> float:
+        """Return the speed that a job may expect, near its data or elsewhere."""
+        fastest = self.attainable_speed(now)
+        if job.request.locality is None:
+            return fastest
+        return locations.attainable_speed(job, self._held_by_id.values(), fastest)
+
     def load(self, jobs: Iterable[Job], now: float) -> PoolLoad:
         """Return the load figures for other entry processes, with `jobs` unanswered."""
         eligible = [
@@ -112,7 +119,7 @@
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
         """Return the predicted wait and run time in seconds of a job that competes with `jobs`."""
         fastest = self.attainable_speed(now)
-        run_s = job.longest_task_s / fastest
+        run_s = job.longest_task_s / self.attainable_speed_for(job, now)
         schedulable = [
             held
             for held in self._held_by_id.values()
@@ -128,20 +135,35 @@
             if (count := self._startable_count(other))
             and joborder.order_key(other, now, fastest) <= key
         ]
+        if job.request.locality is not None:
+            return self._forecast_near_or_elsewhere(job, schedulable, ahead, now)
         slots = forecast.SlotForecast(schedulable, job.request.room.cpu, now)
         if not ahead and slots.free_count() >= job.request.count:
             return 0.0, run_s
         wait_s = slots.predict_end(job, ahead) - now - run_s
         return max(wait_s, 0.0), run_s
 
+    def _forecast_near_or_elsewhere(
+        self, job: Job, backends: list[HeldBackend], ahead: list[tuple[int, float]], now: float
+    ) -> tuple[float, float]:
+        """Forecast a job whose tasks each go where they end first, near their data or elsewhere."""
+        factor_of = locations.factors(job, backends, now)
+        slots = forecast.SlotForecast(backends, job.request.room.cpu, now, factor_of)
+        has_free_room = not ahead and slots.free_count() >= job.request.count
+        took_s = slots.predict_end(job, ahead) - now
+        run_s = job.longest_task_s / self.attainable_speed_for(job, now)
+        if has_free_room:
+            return 0.0, max(took_s, run_s)
+        return max(took_s - run_s, 0.0), run_s
+
     def _startable_count(self, job: Job) -> int:
         return sum(map(self._may_start, job.waiting_tasks()))
 
     def can_meet_deadline(self, job: Job, now: float) -> bool:
         """Return whether the waiting tasks of a job can still end before its deadline."""
         share = admission.STARTED_OPTIMISTIC_SHARE if job.started else admission.OPTIMISTIC_SHARE
-        fastest = self.attainable_speed(now)
-        return now + share * job.longest_task_s / fastest <= job.deadline_at
+        run_s = job.longest_task_s / self.attainable_speed_for(job, now)
+        return now + share * run_s <= job.deadline_at
 
     def learn_from(self, job: Job) -> None:
         """Update run times and speeds from all runs of a job at once, unfinished ones included.
@@ -153,12 +175,12 @@
         """
         runs = _warm(_timed_runs(job))
         self._learn_slowdown(job, runs)
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
+        work_logs = [_work_log(run, took_s) for run, took_s in runs]
         total = sum(work_logs)
         for (run, took_s), work_log in zip(runs, work_logs, strict=True):
             others = len(work_logs) - 1
             expected_s = math.exp((total - work_log) / others) if others else job.estimate_s
-            run.backend.speed.observe(expected_s, took_s, same_job=others > 0)
+            run.backend.speed.observe(expected_s, took_s / run.remote_factor, same_job=others > 0)
             self.run_times.observe(job.request.kind, job.request.estimate_s, math.exp(work_log))
         self._normalise_speeds()
 
@@ -173,7 +195,7 @@
     def refine_run_time(self, job: Job) -> None:
         """Replace the estimate of a job by the mean of its runs, which differ by only 15%."""
         runs = _warm(_timed_runs(job))
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in runs]
+        work_logs = [_work_log(run, took_s) for run, took_s in runs]
         if work_logs:
             job.refined_s = math.exp(sum(work_logs) / len(work_logs))
 
@@ -182,9 +204,12 @@
         others = [item for item in _warm(_timed_runs(run.task.job)) if item[0] is not run]
         if not others or run.cold_share:
             return
-        work_logs = [math.log(took_s * other.backend.speed.value) for other, took_s in others]
+        work_logs = [
+            math.log(took_s * other.backend.speed.value / other.remote_factor)
+            for other, took_s in others
+        ]
         expected_s = math.exp(sum(work_logs) / len(work_logs))
-        run.backend.speed.observe(expected_s, predicted_s, same_job=True)
+        run.backend.speed.observe(expected_s, predicted_s / run.remote_factor, same_job=True)
         self._normalise_speeds()
 
     def _normalise_speeds(self) -> None:
@@ -205,6 +230,11 @@
         return max(int(min(rooms, default=1) * DEFAULT_TASK_SHARE), 1)
 
 
+def _work_log(run: Run, took_s: float) -> float:
+    """Return the logarithm of the work that a run has shown, near its data and at speed 1."""
+    return math.log(took_s * run.backend.speed.value / run.remote_factor)
+
+
 def _warm(runs: list[tuple[Run, float]]) -> list[tuple[Run, float]]:
     return [item for item in runs if not item[0].cold_share]
 
--- a/src/apricotpoint/_pool/runs/heldbackend.py
+++ b/src/apricotpoint/_pool/runs/heldbackend.py
@@ -104,6 +104,11 @@
             return self.speed.speed_class
         return round(math.log(self.expected_speed(now)) / math.log(SPEED_CLASS_FACTOR))
 
+    @property
+    def location(self) -> str:
+        """Location of its machine, empty if it is not announced."""
+        return self.announcement.location
+
     def free(self, now: float) -> Room:
         """Return the resources that no run uses, by the last announcement and refused start."""
         if now < self.full_until:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -20,6 +20,7 @@
     dispatch,
     evacuation,
     joborder,
+    locations,
     overrun,
     placement,
     trials,
@@ -27,6 +28,7 @@
 from apricotpoint._pool.decisions.verdicts import Evidence, Verdict
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.runs import localwaits
 from apricotpoint._pool.runs.backendclient import (
     BackendClient,
     RunOutcome,
@@ -185,7 +187,8 @@
             if fate is evacuation.Fate.MOVES:
                 self._counters.add("pool.jobs_rerouted_evacuated")
                 reason = "the failure domain of its backend servers is evacuated"
-                self._finish_job(job, self._make_refusal(ResultCode.DRAINING, reason))
+                refusal = self._make_refusal(ResultCode.DRAINING, reason, self._random.random)
+                self._finish_job(job, refusal)
             else:
                 self._counters.add("pool.jobs_ended_evacuated")
                 reason = f"{waiting} tasks cannot start any more: their failure domain is evacuated"
@@ -224,8 +227,14 @@
         self.request_dispatch()
         return job
 
-    def refusal(self, request: PoolJob) -> PoolAnswer | None:
-        """Return the refusal of a job that cannot be answered in time, None to accept the job."""
+    def refusal(
+        self, request: PoolJob, *, spread: Callable[[], float] | None = None
+    ) -> PoolAnswer | None:
+        """Return the refusal of a job that cannot be answered in time, None to accept the job.
+
+        `spread` replaces the random numbers from 0 to 1 that spread out the returning callers.
+        """
+        spread = spread or self._random.random
         available = [
             held
             for held in self.held_by_id.values()
@@ -237,14 +246,18 @@
         ):
             self._counters.add("pool.jobs_rerouted_evacuated")
             return self._make_refusal(
-                ResultCode.DRAINING, "no job may start on the backend servers that could run it"
+                ResultCode.DRAINING,
+                "no job may start on the backend servers that could run it",
+                spread,
             )
         if not available:
-            return self._make_refusal(ResultCode.NO_BACKEND, "this process holds no backend server")
+            reason = "this process holds no backend server"
+            return self._make_refusal(ResultCode.NO_BACKEND, reason, spread)
         if not can_run:
             return self._make_refusal(
                 ResultCode.CANNOT_RUN,
                 "no backend server of its service has the resources that a task of the job needs",
+                spread,
             )
         job = self._make_job(request, None)
         wait_s, run_s = self.estimates.forecast(job, self.unanswered_jobs(), job.arrived_at)
@@ -261,7 +274,7 @@
             f"the latency objective of {job.objective_s:.3f} s or the deadline of "
             f"{request.deadline_s:.3f} s"
         )
-        return self._make_refusal(ResultCode.OVERLOADED, reason)
+        return self._make_refusal(ResultCode.OVERLOADED, reason, spread)
 
     def _make_job(self, request: PoolJob, origin: Origin | None) -> Job:
         return Job(
@@ -271,9 +284,11 @@
             estimate_s=self.estimates.run_time_s(request),
         )
 
-    def _make_refusal(self, code: ResultCode, reason: str) -> PoolAnswer:
+    def _make_refusal(
+        self, code: ResultCode, reason: str, spread: Callable[[], float]
+    ) -> PoolAnswer:
         backlog_s = self.estimates.backlog_s(self.unanswered_jobs(), self._timers.now())
-        after_s = admission.retry_after_s(backlog_s, self._random.random())
+        after_s = admission.retry_after_s(backlog_s, spread())
         return PoolAnswer(int(code), reason, after_s)
 
     def cancel(self, job_id: str, reason: str) -> None:
@@ -414,7 +429,7 @@
         if run.stopping or run.sent_at + predicted_s <= job.deadline_at:
             return
         now = self._timers.now()
-        work_s = predicted_s * run.speed
+        work_s = predicted_s * run.speed / run.remote_factor
         others = [
             held
             for held in self.held_by_id.values()
@@ -512,6 +527,7 @@
         eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
         if not eligible:
             return
+        preferences = locations.LocalityPass(eligible, now, fastest=fastest)
         for task, held in dispatch.select_starts(
             waiting,
             eligible,
@@ -519,8 +535,10 @@
             fastest=fastest,
             may_start=self._is_clear,
             allows_start=self.leases.allows_start,
+            preferences=preferences,
         ):
             self._starter.start(task, held, now)
+        localwaits.record_waits(preferences.waits, now)
 
     def _start_trials(self, waiting: list[Job], now: float, fastest: float) -> None:
         """Start the tasks that may have crashed a backend server, apart from all others."""
@@ -601,6 +619,8 @@
             self.estimates.learn_from(job)
             self._counters.add(f"pool.answers_{answer.code}")
             self._counters.record("pool.latency", now - job.sent_at)
+            if job.request.locality is not None:
+                localwaits.record_answer(job, answer.code, self._counters, now)
             if job.started and answer.code != ResultCode.COMPLETE:
                 _log.notice(
                     "job {} ended with code {}: {}",
@@ -644,7 +664,8 @@
                 if job.started:
                     self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
                 else:
-                    self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
+                    refusal = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
+                    self._finish_job(job, refusal)
         self._refuse_waiting_jobs(now)
         self._jobs.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
@@ -668,7 +689,8 @@
             )
             self._counters.add("pool.refused_waiting")
             _log.notice("job {} is {}", job.request.job_id, reason)
-            self._finish_job(job, self._make_refusal(ResultCode.OVERLOADED, reason))
+            answer = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
+            self._finish_job(job, answer)
 
 
 def _progress(run: Run, now: float) -> overrun.Progress:
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -15,7 +15,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
-from apricotpoint._pool.decisions import claims, evacuation, forwarding
+from apricotpoint._pool.decisions import claims, evacuation, forwarding, nearholders
 from apricotpoint._pool.holders.members import EntryMembers
 from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
 from apricotpoint._pool.runs.job import Job, Origin
@@ -142,7 +142,7 @@
         )
         draining_ids: set[str] = set()
         while True:
-            target = self._scheduling_process(draining_ids)
+            target = self._scheduling_process(draining_ids, request)
             if target is not None:
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
@@ -194,12 +194,32 @@
             job.request.job_id == job_id for job in self._scheduler.unanswered_jobs()
         )
 
-    def _scheduling_process(self, excluded: set[str]) -> str | None:
-        """Return the process that schedules a job: a holder of the own failure domain, if any.
+    def _scheduling_process(self, excluded: set[str], request: PoolJob) -> str | None:
+        choice = self.holder_choice(excluded, request)
+        if choice.weights is not None:
+            return self._random.choices(choice.ids, choice.weights)[0]
+        if choice.any_of and choice.ids:
+            return self._random.choice(choice.ids)
+        return choice.ids[0] if choice.ids else None
+
+    def preview(self, request: PoolJob) -> tuple[PoolAnswer | None, str]:
+        """Return how this process would refuse a job, None if it would not, and who gets it then.
+
+        The refusal has the least retry-after of those that callers get.
+        """
+        if self._scheduler.draining:
+            return self._refusal(request), ""
+        refusal = self._scheduler.refusal(request, spread=lambda: 0.0)
+        forward_to = self._less_loaded_process(request) if refusal is not None else None
+        return refusal, forward_to or ""
+
+    def holder_choice(self, excluded: set[str], request: PoolJob) -> nearholders.HolderChoice:
+        """Return the processes of which one schedules a job: those of the own domain, if any.
 
         Of several holders one is chosen at random by its free room, so that the entry processes
-        do not all send their jobs to the same one until its next status arrives. Holders of
-        evacuated failure domains only are left out.
+        do not all send their jobs to the same one until its next status arrives. Holders in the
+        location of its data go first while they have free room. Holders of evacuated failure
+        domains only are left out.
         """
         evacuated = self._scheduler.evacuations.domains
         live = {
@@ -208,6 +228,7 @@
             if entry_id not in excluded and not status.draining and status.held
         }
         live = evacuation.usable_holders(live, evacuated)
+        live = nearholders.prefer_near(request, live, self._members.location_of)
         is_evacuated = self._own_domain in evacuated
         local_ids = list(live) if is_evacuated else claims.holders(self._own_domain, live)
         if is_evacuated and local_ids:
@@ -215,11 +236,12 @@
         if local_ids:
             own_id = self._members.entry_id
             if own_id in local_ids and live[own_id].load.free:
-                return own_id
+                return nearholders.HolderChoice([own_id])
             weights = [routing_weight(live[entry_id].load) for entry_id in local_ids]
-            return self._random.choices(local_ids, weights)[0]
+            return nearholders.HolderChoice(local_ids, weights)
         if live:
-            return min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
+            best = min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
+            return nearholders.HolderChoice([best])
         # Holders of other failure domains send their status to holders only.
         distant = {
             entry_id: summary
@@ -233,7 +255,7 @@
         distant_ids = evacuation.prefer_usable(distant, evacuated)
         if is_evacuated and distant_ids:
             self._counters.add("jobs.routed_elsewhere_evacuated")
-        return self._random.choice(distant_ids) if distant_ids else None
+        return nearholders.HolderChoice(distant_ids, any_of=True)
 
     async def _submit_forwarded(
         self, target: str, request: PoolJob, began_at: float, refused_by: list[str]
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -26,6 +26,7 @@
 )
 from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
 from apricotpoint._pool.evacuationorders import EvacuationOrders
+from apricotpoint._pool.explainer import Explainer
 from apricotpoint._pool.holders.claimer import CLAIM_CHECK_PERIOD_S, Claimer
 from apricotpoint._pool.holders.crashreports import CrashReports
 from apricotpoint._pool.holders.discovery import Discovery
@@ -332,6 +333,7 @@
     claimer: Claimer = attrs.field(init=False)
     members: EntryMembers = attrs.field(init=False)
     service: PoolService = attrs.field(init=False)
+    explainer: Explainer = attrs.field(init=False)
     scope: anyio.CancelScope = attrs.Factory(anyio.CancelScope)
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
@@ -395,6 +397,13 @@
                     # Other numbers of attempts than those of all other incarnations.
                     random=random.Random(f"{self.entry_id} {self.started_at}"),
                 )
+                self.explainer = Explainer(
+                    service=self.service,
+                    members=self.members,
+                    scheduler=self.scheduler,
+                    transport=transport,
+                    timers=timers,
+                )
                 crash_reports = CrashReports(
                     crashes=self.scheduler.crashes,
                     members=self.members,
@@ -409,6 +418,7 @@
                     crash_reports,
                     discovery,
                     self.service,
+                    self.explainer,
                 ):
                     await stack.enter_async_context(part)
                 if self.network.orders is not None:
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -12,7 +12,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
-from apricotpoint._wire.pool import Room
+from apricotpoint._wire.pool import Locality, Room
 
 
 @attrs.frozen
@@ -33,6 +33,7 @@
     cpu: int = 14_000
     max_cpu: int = 20_000
     deadline_s: float = 1.5
+    make_locality: Callable[[random.Random], Locality | None] = lambda _: None
 
 
 # The mix of the deployments: many short, some middle and few long jobs with 14 cores a task. Each
@@ -71,6 +72,7 @@
     late: int = 0
     refused: int = 0
     failed: int = 0
+    sent_at_by_job: dict[str, float] = attrs.Factory(dict)
     earned_value: float = 0.0
     offered_value: float = 0.0
     vain_waits: int = 0
@@ -128,6 +130,9 @@
 
     async def test() -> None:
         async with run_scheduler(*fleet) as harness, anyio.create_task_group() as group:
+            location_by_job: dict[str, str] = {}
+            for backend in fleet:
+                backend.location_by_job = location_by_job
             for kind in mix:
                 group.start_soon(
                     _offer, harness, kind, load, swing, seconds, seed, counts_by_kind[kind.name]
@@ -217,16 +222,21 @@
         ),
         room=Room(min(cpu, kind.max_cpu), 64),
         stretch=STRETCH,
+        locality=kind.make_locality(source),
     )
     for backend in harness.backend_by_id.values():
         for index, task_s in enumerate(works_s):
             backend.work_s_by_task[f"{request.job_id}.0.0.{index}"] = task_s
             backend.cpu_by_task[f"{request.job_id}.0.0.{index}"] = request.room.cpu
+        if request.locality is not None:
+            backend.penalty_by_job[request.job_id] = request.locality.remote_factor
+            backend.location_by_job.setdefault(request.job_id, request.locality.location)
     began_at = anyio.current_time()
     counts.submitted += 1
     size = sum(works_s) * cpu
     fastest = max(backend.speed for backend in harness.backend_by_id.values())
     is_possible = max(works_s) / fastest <= kind.deadline_s
+    counts.sent_at_by_job[request.job_id] = began_at
     share = 0.3 + 0.7 * sum(works_s) / (kind.tasks * kind.work_s)
     value = kind.value * min(share, 4.0)
     counts.offered_value += value
