Use the expected speed of cold backend servers near the data

The decision on a wait, the forecast and apricotctl explain took the learned speed; and a backend server of an evacuated domain is no place to wait for.

--- a/src/apricotpoint/_pool/decisions/locations.py
+++ b/src/apricotpoint/_pool/decisions/locations.py
@@ -68,8 +68,9 @@
         if not held.location or not held.can_run(request) or not held.is_schedulable(now):
             continue
         slots = slots_by_location.setdefault(held.location, [])
-        slots += [(now, held.speed.value)] * fit_count(held.free(now), request.room)
-        slots += ((at, held.speed.value) for at in next_starts(held, request.room, now))
+        speed = held.expected_speed(now)
+        slots += [(now, speed)] * fit_count(held.free(now), request.room)
+        slots += ((at, speed) for at in next_starts(held, request.room, now))
     return slots_by_location
 
 
@@ -108,7 +109,9 @@
     return lambda held: 1.0 if not home or held.location == home else remote_factor
 
 
-def attainable_speed(job: Job, backends: Iterable[HeldBackend], fastest: float) -> float:
+def attainable_speed(
+    job: Job, backends: Iterable[HeldBackend], now: float, *, fastest: float
+) -> float:
     """Return the speed that a job with a locality may expect, near its data or elsewhere.
 
     `fastest` is the speed that a task may expect to get by waiting, of all backend servers.
@@ -116,7 +119,11 @@
     preference = job.request.locality
     if preference is None or not job.preferred_location:
         return fastest
-    near = [held.speed.value for held in backends if held.location == job.preferred_location]
+    near = [
+        held.expected_speed(now)
+        for held in backends
+        if held.location == job.preferred_location and not held.is_evacuated
+    ]
     return max(min(max(near, default=0.0), fastest), fastest / preference.remote_factor)
 
 
@@ -177,7 +184,7 @@
         usable = usable or list(fitting)
         near = [held for held in usable if home and held.location == home]
         if near:
-            fastest = attainable_speed(job, self._eligible, self._fastest)
+            fastest = attainable_speed(job, self._eligible, self._now, fastest=self._fastest)
             held = placement.choose(task, near, now, fastest=fastest)
             if held is not None:
                 return held, None
@@ -230,10 +237,10 @@
         slots = self._slots_by_home.get(key)
         if slots is None:
             slots = [
-                (at, held.speed.value)
+                (at, held.expected_speed(self._now))
                 for held in self._eligible
                 if home and held.location == home and held.can_run(request)
-                if job.started or not held.handing_over
+                if job.started or not held.is_reserved
                 for at in next_starts(held, request.room, self._now)
             ]
             heapq.heapify(slots)
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -72,7 +72,7 @@
         fastest = self.attainable_speed(now)
         if job.request.locality is None:
             return fastest
-        return locations.attainable_speed(job, self._held_by_id.values(), fastest)
+        return locations.attainable_speed(job, self._held_by_id.values(), now, fastest=fastest)
 
     def load(self, jobs: Iterable[Job], now: float) -> PoolLoad:
         """Return the load figures for other entry processes, with `jobs` unanswered."""
@@ -102,7 +102,7 @@
     def throughput(self, now: float) -> float:
         """Return the work that can be done per second, in thousandths of a core at speed 1."""
         return USABLE_SHARE * sum(
-            held.announcement.room.cpu * held.speed.value
+            held.announcement.room.cpu * held.expected_speed(now)
             for held in self._held_by_id.values()
             if held.is_schedulable(now)
         )
--- a/src/apricotpoint/_pool/explanations.py
+++ b/src/apricotpoint/_pool/explanations.py
@@ -141,7 +141,7 @@
     locality = request.locality
     is_remote = locality is not None and bool(home) and held.location != home
     factor = locality.remote_factor if locality is not None and is_remote else 1.0
-    speed = held.speed.value / factor
+    speed = held.expected_speed(now) / factor
     has_room = held.has_free_resources(request, now)
     next_starts = [now] if has_room else locations.next_starts(held, request.room, now)
     if held.backend_id == chosen:
@@ -157,7 +157,7 @@
         location=held.location,
         free_cpu=free.cpu,
         free_memory_mb=free.memory_mb,
-        speed=round(held.speed.value, 3),
+        speed=round(held.expected_speed(now), 3),
         run_s=job.longest_task_s / speed,
         room_in_s=next_starts[0] - now if next_starts else None,
         verdict=verdict,
@@ -176,6 +176,7 @@
         ("unanswered", not held.is_responsive),
         ("health", not held.health.allows_start(now, len(held.run_by_key))),
         ("trial", held.trial is not None),
+        ("evacuated", held.is_evacuated),
         ("hand-over", held.handing_over),
         ("lease", not held.is_eligible(now) or not allows_start(held, job)),
         ("room", not held.has_free_resources(request, now)),
