--- a/testing/pool/locality_load.py
+++ b/testing/pool/locality_load.py
@@ -34,7 +34,7 @@
 
 
 def make_kind(per_s: float, tasks: int, work_s: float, preference: Callable) -> JobKind:
-    return JobKind("job", per_s, tasks, work_s, 0.01, 0, preference)
+    return JobKind("job", per_s, tasks, work_s, 0.01, 0, make_locality=preference)
 
 
 # The fleet runs 16 tasks at the same time, four in each location.
