--- a/src/apricotpoint/_pool/decisions/overrun.py
+++ b/src/apricotpoint/_pool/decisions/overrun.py
@@ -34,9 +34,12 @@
 
 
 def least_run_s(progress: Progress) -> float:
-    """Return the shortest run time in seconds with which a run can have this progress."""
+    """Return the shortest run time in seconds with which a run can have this progress.
+
+    A progress below zero, which a backend server may report, counts as none.
+    """
     elapsed_s = max(progress.elapsed_s - START_DELAY_S, 0.0)
-    return elapsed_s * 100 / (progress.percent + 1)
+    return elapsed_s * 100 / (max(progress.percent, 0) + 1)
 
 
 def is_late(progress: Progress, remaining_s: float) -> bool:
--- a/testing/pool/test_overrun.py
+++ b/testing/pool/test_overrun.py
@@ -33,6 +33,7 @@
         ([report("w1", 0.4, 6), report("w1", 0.4, 6)], 2, True),
         ([report("w1", 0.4, 6)], 1, True),
         ([], 4, False),
+        ([report("w1", 0.2, -1), report("w2", 0.2, -1)], 4, True),
     ],
 )
 def test_progress_shows_that_a_job_cannot_meet_its_deadline(
