Look for room once per dispatch, and for the attainable speed once per check

Under overload most waiting jobs find no room, and each dispatch searched all backend servers for each of them; each check of deadlines sorted the speeds of all backend servers for each waiting job.

--- a/src/apricotpoint/_pool/decisions/dispatch.py
+++ b/src/apricotpoint/_pool/decisions/dispatch.py
@@ -36,11 +36,14 @@
     blocked = 0
     # What an evacuated domain starts in its grace period is what nothing else can start now.
     is_evacuating = any(held.is_evacuated for held in eligible)
+    most_free_cpu = _most_free_cpu(eligible, now)
     for job in waiting:
         request = job.request
+        # Under overload most waiting jobs find no room; this shows it without a search.
+        has_room = request.room.cpu <= most_free_cpu
         fitting = [
             held
-            for held in eligible
+            for held in (eligible if has_room else ())
             if held.can_start(request, now)
             and (job.started or not held.is_reserved)
             and allows_start(held, job)
@@ -69,3 +72,9 @@
                 fitting.remove(held)
         if blocked >= MAX_BLOCKED:
             return
+        if has_room:
+            most_free_cpu = _most_free_cpu(eligible, now)
+
+
+def _most_free_cpu(backends: Sequence[HeldBackend], now: float) -> int:
+    return max((held.free(now).cpu for held in backends), default=0)
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -46,6 +46,7 @@
         self._held_by_id = held_by_id
         self._may_start = may_start
         self._mean_cpu = 0.0
+        self._attainable_at, self._attainable_speed = -math.inf, 1.0
 
     def run_time_s(self, request: PoolJob) -> float:
         """Return the expected run time of a task of a job at speed 1, in seconds."""
@@ -62,6 +63,13 @@
 
     def attainable_speed(self, now: float) -> float:
         """Return the speed that a job may expect of fast backend servers; 1 if none is held."""
+        if now == self._attainable_at:
+            # Each check of deadlines asks for it once for each waiting job.
+            return self._attainable_speed
+        self._attainable_at, self._attainable_speed = now, self._find_attainable_speed(now)
+        return self._attainable_speed
+
+    def _find_attainable_speed(self, now: float) -> float:
         backends = self._held_by_id.values()
         usable = [held for held in backends if not held.is_evacuated] or backends
         speeds = sorted(held.expected_speed(now) for held in usable)
