Write messages between processes at once

Each message woke the task of its link, which cost a pass of the event loop, an event and a cancel scope, more than encoding and writing it: 1.5 of 7.7 busy seconds of a holder in a profile, for 2,900 messages. It is written by the sender now if the connection is open and nothing waits; otherwise it is queued as before. The tests of testing/link pass.

--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -84,8 +84,8 @@
 
     Reliable messages from this incarnation to one incarnation of the peer are
     numbered from 1. The receiver accepts them in order and without gaps; all
-    that are not acknowledged in time are sent again. `run` is the only task that
-    writes to the connection. `last_contact_at` is the time of the last message
+    that are not acknowledged in time are sent again. `run` opens the connection, and
+    writes what could not be written at once. `last_contact_at` is the time of the last message
     received from the peer, `last_alive_at` a time after which it has sent one of those
     received; both are minus infinity if there was none.
 
@@ -158,7 +158,12 @@
         if len(self._queue) >= MAX_QUEUED_MESSAGES:
             self._counters.add("link.queue_full")
             return False
-        item = _QueuedMessage(message, self._timers.now(), request_id, is_reply)
+        now = self._timers.now()
+        item = _QueuedMessage(message, now, request_id, is_reply)
+        # Waking `run` costs more than the message itself, so it is written here if nothing waits.
+        is_ready = self._socket is not None and not self._queue and not self._redial_requested
+        if is_ready and self._write_message(item, 0, now):
+            return True
         self._queue.append(item)
         self._wakeup.set()
         return True
@@ -185,8 +190,8 @@
         """Keep up heartbeats until `end_request` was called as often as this."""
         if not self._open_requests:
             self._contact_expected_since = self._timers.now()
+            self._wakeup.set()
         self._open_requests += 1
-        self._wakeup.set()
 
     def end_request(self) -> None:
         """Note the end of a request that was counted by `begin_request`."""
