Move the ends of jobs out of the scheduler

JobEnds in _pool/runs/jobends.py answers jobs, stops their runs and closes them. Nothing but the place and the names of these methods changes.

--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -38,6 +38,7 @@
 from apricotpoint._pool.runs.evacuations import Evacuations
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Origin, Run, Task
+from apricotpoint._pool.runs.jobends import JobEnds
 from apricotpoint._pool.runs.jobtable import JobTable
 from apricotpoint._pool.runs.leases import Leases
 from apricotpoint._pool.runs.review import WaitReview
@@ -104,6 +105,16 @@
             next_run=self._jobs.next_run,
             may_start=self._may_start,
         )
+        self._ends = JobEnds(
+            jobs=self._jobs,
+            starter=self._starter,
+            estimates=self.estimates,
+            crashes=self.crashes,
+            timers=timers,
+            counters=counters,
+            origin_alive_at=self._origin_alive_at,
+            request_dispatch=self.request_dispatch,
+        )
         self._dispatch_requested = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._subscription: PeriodicTimer | None = None
@@ -188,16 +199,16 @@
                 self._counters.add("pool.jobs_rerouted_evacuated")
                 reason = "the failure domain of its backend servers is evacuated"
                 refusal = self._make_refusal(ResultCode.DRAINING, reason, self._random.random)
-                self._finish_job(job, refusal)
+                self._ends.finish(job, refusal)
             else:
                 self._counters.add("pool.jobs_ended_evacuated")
                 reason = f"{waiting} tasks cannot start any more: their failure domain is evacuated"
-                self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+                self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
 
     def release(self, backend_id: str, reason: str) -> None:
         """Stop renewing the lease of a backend server and fail the jobs that have runs there."""
         for run in self.leases.release(backend_id, reason):
-            self._fail_job_without_lease(
+            self._ends.fail_without_lease(
                 run.task.job, f"backend server {backend_id} was released: {reason}"
             )
 
@@ -223,7 +234,7 @@
         self.estimates.record_resources(request)
         self._review.record_arrival(job, job.arrived_at)
         self._counters.add("pool.jobs")
-        self._end_if_given_up(job)
+        self._ends.end_if_given_up(job)
         self.request_dispatch()
         return job
 
@@ -299,7 +310,7 @@
         started = job.started
         code = ResultCode.CANCELLED_AFTER_START if started else ResultCode.CANCELLED_BEFORE_START
         self._counters.add("pool.jobs_cancelled")
-        self._finish_job(job, PoolAnswer(int(code), reason))
+        self._ends.finish(job, PoolAnswer(int(code), reason))
 
     def unanswered_jobs(self) -> list[Job]:
         """Return the jobs that have no answer yet."""
@@ -317,7 +328,7 @@
         """
         for job in self.unanswered_jobs():
             if not job.started:
-                self._finish_job(job, PoolAnswer(int(ResultCode.DRAINING), reason))
+                self._ends.finish(job, PoolAnswer(int(ResultCode.DRAINING), reason))
 
     def unstarted_jobs(self, kind: str) -> int:
         """Return the number of open jobs of a kind of which no task has started."""
@@ -332,7 +343,7 @@
         for backend_id in list(self.held_by_id):
             self.release(backend_id, reason)
         for job in self.unanswered_jobs():
-            self._fail_job_without_lease(job, reason)
+            self._ends.fail_without_lease(job, reason)
 
     def request_dispatch(self) -> None:
         """Have waiting tasks started soon; several requests before that cause one pass."""
@@ -358,7 +369,7 @@
             held.health.record_failure(now)
             task.failure_count += 1
             task.avoided_backends.add(held.backend_id)
-        self._after_run(job, task)
+        self._ends.process_run_end(job, task)
 
     def run_terminated(self, run: Run, reason: str) -> None:
         """Remove a run that was terminated with an unknown outcome; its task starts again."""
@@ -374,7 +385,7 @@
         )
         run.task.run = None
         run.task.avoided_backends.add(run.backend.backend_id)
-        self._after_run(run.task.job, run.task)
+        self._ends.process_run_end(run.task.job, run.task)
 
     def runs_lost(
         self, held: HeldBackend, runs: Sequence[Run], evidence: Evidence, reason: str
@@ -443,7 +454,7 @@
                 deadline_at=job.deadline_at,
             ):
                 reason = f"task {run.task.name} is predicted to take {predicted_s:.3f} s"
-                self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+                self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
             return
         self._counters.add("pool.runs_moved")
         _log.info(
@@ -476,7 +487,7 @@
             self._counters.add("pool.overruns")
             least_s = max(map(overrun.least_run_s, reports))
             reason = f"its tasks take at least {least_s:.3f} s by their progress"
-            self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+            self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
 
     def backend_changed(self, held: HeldBackend) -> None:
         """Start waiting tasks, as the backend server may accept some now."""
@@ -571,77 +582,18 @@
         if outcome is StartOutcome.OTHER_INCARNATION:
             self.backend_ended(held, "another incarnation answers at its address")
         elif outcome is StartOutcome.REJECTED:
-            self._finish_job(
+            self._ends.finish(
                 job,
                 PoolAnswer(
                     int(ResultCode.TASKS_FAILED),
                     f"backend server {held.backend_id} rejected the start of task {run.task.name}",
                 ),
             )
-        self._after_run(job, run.task)
-
-    # Ends of runs and jobs
-
-    def _after_run(self, job: Job, task: Task) -> None:
-        """End a job if the end of one of its runs decides it, and dispatch again."""
-        if job.answer is None:
-            if job.is_done():
-                self._finish_job(job, PoolAnswer(int(ResultCode.COMPLETE)))
-            elif task.failure_count >= job.request.max_attempts:
-                reason = f"task {task.name} failed {task.failure_count} times"
-                self._finish_job(job, PoolAnswer(int(ResultCode.TASKS_FAILED), reason))
-        elif not job.active_runs():
-            self._jobs.close(job)
-        self.request_dispatch()
+        self._ends.process_run_end(job, run.task)
 
     def _end_given_up_jobs(self) -> None:
         for job in self.unanswered_jobs():
-            self._end_if_given_up(job)
-
-    def _end_if_given_up(self, job: Job) -> None:
-        """End a job as failed if one of its tasks crashes the backend servers that start it."""
-        for task in job.tasks:
-            if self.crashes.verdict(task.name) is not Verdict.GIVEN_UP:
-                continue
-            self._counters.add("pool.tasks_given_up")
-            self.crashes.record_given_up(job.request.kind)
-            reason = (
-                f"{self.crashes.crash_count(task.name)} backend servers crashed under {task.name}"
-            )
-            _log.warning("job {} is given up: {}", job.request.job_id, reason)
-            self._finish_job(job, PoolAnswer(int(ResultCode.TASKS_FAILED), reason))
-            return
-
-    def _finish_job(self, job: Job, answer: PoolAnswer) -> None:
-        """Set the answer of a job and stop the runs that may still be active."""
-        now = self._timers.now()
-        if job.answer is None:
-            self.estimates.learn_from(job)
-            self._counters.add(f"pool.answers_{answer.code}")
-            self._counters.record("pool.latency", now - job.sent_at)
-            if job.request.locality is not None:
-                localwaits.record_answer(job, answer.code, self._counters, now)
-            if job.started and answer.code != ResultCode.COMPLETE:
-                _log.notice(
-                    "job {} ended with code {}: {}",
-                    job.request.job_id,
-                    answer.code,
-                    job.describe(now),
-                )
-        job.cancelled = True
-        # What is heard of the origin later shows nothing about this answer.
-        alive_at = now if job.origin is None else self.origin_alive_at(job.origin)
-        job.close(answer, min(now, alive_at))
-        for run in job.active_runs():
-            self._starter.stop(run)
-        if not job.active_runs():
-            self._jobs.close(job)
-        self.request_dispatch()
-
-    def _fail_job_without_lease(self, job: Job, reason: str) -> None:
-        """Answer a job whose backend servers this process has released."""
-        code = ResultCode.BACKEND_LOST if job.started else ResultCode.NO_BACKEND
-        self._finish_job(job, PoolAnswer(int(code), reason))
+            self._ends.end_if_given_up(job)
 
     def _tick(self) -> None:
         now = self._timers.now()
@@ -658,14 +610,14 @@
                         ResultCode.DEADLINE_BEFORE_START,
                         "no resources became free before the deadline",
                     )
-                self._finish_job(job, PoolAnswer(int(code), reason))
+                self._ends.finish(job, PoolAnswer(int(code), reason))
             elif job.waiting_tasks() and not self.estimates.can_meet_deadline(job, now):
                 reason = "its waiting tasks cannot meet the deadline any more"
                 if job.started:
-                    self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
+                    self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
                 else:
                     refusal = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
-                    self._finish_job(job, refusal)
+                    self._ends.finish(job, refusal)
         self._refuse_waiting_jobs(now)
         self._jobs.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
@@ -690,7 +642,7 @@
             self._counters.add("pool.refused_waiting")
             _log.notice("job {} is {}", job.request.job_id, reason)
             answer = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
-            self._finish_job(job, answer)
+            self._ends.finish(job, answer)
 
 
 def _progress(run: Run, now: float) -> overrun.Progress:
