Move the starts of waiting tasks out of the scheduler

Dispatcher in _pool/dispatcher.py owns the request for a pass, and starts waiting tasks and trials. The test of a pause between the dispatch and its requests calls the pass there.

--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -17,18 +17,14 @@
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._pool.decisions import (
     admission,
-    dispatch,
     evacuation,
-    joborder,
-    locations,
     overrun,
     placement,
-    trials,
 )
 from apricotpoint._pool.decisions.verdicts import Evidence, Verdict
+from apricotpoint._pool.dispatcher import Dispatcher
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.crashes import CrashHistory
-from apricotpoint._pool.runs import localwaits
 from apricotpoint._pool.runs.backendclient import (
     BackendClient,
     RunOutcome,
@@ -105,6 +101,17 @@
             next_run=self._jobs.next_run,
             may_start=self._may_start,
         )
+        self._dispatcher = Dispatcher(
+            leases=self.leases,
+            starter=self._starter,
+            estimates=self.estimates,
+            crashes=self.crashes,
+            timers=timers,
+            counters=counters,
+            startable_jobs=self._startable_jobs,
+            is_clear=self._is_clear,
+            may_start=self._may_start,
+        )
         self._ends = JobEnds(
             jobs=self._jobs,
             starter=self._starter,
@@ -113,16 +120,15 @@
             timers=timers,
             counters=counters,
             origin_alive_at=self._origin_alive_at,
-            request_dispatch=self.request_dispatch,
+            request_dispatch=self._dispatcher.request,
         )
-        self._dispatch_requested = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
         self._subscription: PeriodicTimer | None = None
 
     async def __aenter__(self) -> Scheduler:
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
-        self._group.start_soon(self._dispatch_loop)
+        self._group.start_soon(self._dispatcher.run)
         return self
 
     async def __aexit__(
@@ -149,6 +155,16 @@
     def _origin_alive_at(self, origin: Origin) -> float:
         return self.origin_alive_at(origin)
 
+    def _startable_jobs(self) -> list[Job]:
+        return [
+            job
+            for job in self.unanswered_jobs()
+            if job.waiting_tasks() and (job.started or not self.draining)
+        ]
+
+    def _is_clear(self, task: Task) -> bool:
+        return self.crashes.verdict(task.name) is Verdict.CLEAR
+
     # Backend servers
 
     def acquire(self, announcement: PoolBackend, token: int, *, speed: float | None = None) -> None:
@@ -347,7 +363,7 @@
 
     def request_dispatch(self) -> None:
         """Have waiting tasks started soon; several requests before that cause one pass."""
-        self._dispatch_requested.set()
+        self._dispatcher.request()
 
     # Methods of RunObserver, called by the lease renewers
 
@@ -512,70 +528,6 @@
             self.release(held.backend_id, "another holder has a higher fencing token")
             self.on_fenced(held.announcement)
 
-    # Starts of tasks
-
-    async def _dispatch_loop(self) -> None:
-        while True:
-            await self._dispatch_requested.wait()
-            self._dispatch_requested = anyio.Event()
-            try:
-                self._dispatch()
-            except Exception:
-                self._counters.add("pool.dispatch_errors")
-                _log.exception("dispatch failed; waiting tasks are looked at again")
-
-    def _dispatch(self) -> None:
-        if not self.may_start():
-            return
-        now = self._timers.now()
-        waiting = [
-            job
-            for job in self.unanswered_jobs()
-            if job.waiting_tasks() and (job.started or not self.draining)
-        ]
-        fastest = self.estimates.attainable_speed(now)
-        self._start_trials(waiting, now, fastest)
-        eligible = [held for held in self.held_by_id.values() if held.is_eligible(now)]
-        if not eligible:
-            return
-        preferences = locations.LocalityPass(eligible, now, fastest=fastest)
-        for task, held in dispatch.select_starts(
-            waiting,
-            eligible,
-            now,
-            fastest=fastest,
-            may_start=self._is_clear,
-            allows_start=self.leases.allows_start,
-            preferences=preferences,
-        ):
-            self._starter.start(task, held, now)
-        localwaits.record_waits(preferences.waits, now)
-
-    def _start_trials(self, waiting: list[Job], now: float, fastest: float) -> None:
-        """Start the tasks that may have crashed a backend server, apart from all others."""
-        backends = self.held_by_id.values()
-        trials.cancel_ended(backends, is_suspect=self._is_suspect)
-        # Kinds of jobs in which no such task was found are tried first.
-        suspects = sorted(
-            (task for job in waiting for task in job.waiting_tasks() if self._is_suspect(task)),
-            key=lambda task: (
-                self.crashes.is_suspicious_kind(task.job.request.kind),
-                joborder.order_key(task.job, now, fastest),
-            ),
-        )
-        if suspects:
-            for task, held in trials.select_trials(suspects, backends, now, fastest=fastest):
-                if not self.leases.allows_start(held, task.job):
-                    continue
-                self._counters.add("pool.trials")
-                self._starter.start(task, held, now)
-
-    def _is_clear(self, task: Task) -> bool:
-        return self.crashes.verdict(task.name) is Verdict.CLEAR
-
-    def _is_suspect(self, task: Task) -> bool:
-        return self.crashes.verdict(task.name) is Verdict.SUSPECT
-
     def run_refused(self, run: Run, outcome: StartOutcome) -> None:
         """Retry the task of a run that its backend server refused, or end its job."""
         job, held = run.task.job, run.backend
--- a/testing/pool/test_scheduler.py
+++ b/testing/pool/test_scheduler.py
@@ -364,7 +364,7 @@
             harness.scheduler.may_start = lambda: current
             harness.scheduler.submit(make_job(1))
             # The pause comes between the dispatch and the requests that it makes.
-            harness.scheduler._dispatch()
+            harness.scheduler._dispatcher.dispatch()
             current = False
             await anyio.sleep(0.2)
             harness.scheduler.submit(make_job(2))
