Move the handling of run reports out of the scheduler

RunReports in _pool/runs/runreports.py handles what lease renewers and starts report. Leases and RunStarter get their observer after their construction, as it refers back to both. JobEnds now ends the jobs that are given up.

--- a/src/apricotpoint/_pool/runs/jobends.py
+++ b/src/apricotpoint/_pool/runs/jobends.py
@@ -92,6 +92,11 @@
             self._jobs.close(job)
         self._request_dispatch()
 
+    def end_given_up_jobs(self) -> None:
+        """End all jobs as failed of which a task crashes the backend servers that start it."""
+        for job in self._jobs.unanswered():
+            self.end_if_given_up(job)
+
     def end_if_given_up(self, job: Job) -> None:
         """End a job as failed if one of its tasks crashes the backend servers that start it."""
         for task in job.tasks:
--- a/src/apricotpoint/_pool/runs/leases.py
+++ b/src/apricotpoint/_pool/runs/leases.py
@@ -24,13 +24,13 @@
     `spawn` starts a coroutine function with its arguments in the task group of the scheduler.
     `make_client` returns a client for an announced backend server, which is closed when its
     renewals end. `on_renewal_failed` is called with the id of a held backend server whose renewals
-    ended by an unexpected error. `origin_alive_at` is described at `Scheduler`.
+    ended by an unexpected error. `origin_alive_at` is described at `Scheduler`. Set `observer`
+    before the first lease is acquired; it refers back to the leases.
     """
 
     def __init__(
         self,
         *,
-        observer: RunObserver,
         timers: TimerService,
         counters: Counters,
         spawn: Callable[..., None],
@@ -38,9 +38,9 @@
         origin_alive_at: Callable[[Origin], float],
         on_renewal_failed: Callable[[str], None],
     ) -> None:
+        self.observer: RunObserver
         self.held_by_id: dict[str, HeldBackend] = {}
         self.make_client = make_client
-        self._observer = observer
         self._timers = timers
         self._counters = counters
         self._spawn = spawn
@@ -60,7 +60,7 @@
         held.lease_expires_at = self._timers.now()
         renewer = LeaseRenewer(
             held,
-            observer=self._observer,
+            observer=self.observer,
             timers=self._timers,
             counters=self._counters,
             lease_limit_at=self.lease_limit_at,
--- a/src/apricotpoint/_pool/runs/starter.py
+++ b/src/apricotpoint/_pool/runs/starter.py
@@ -35,13 +35,13 @@
     """Starts tasks on backend servers and stops their runs.
 
     `next_run` returns the number of the next run of a task. `may_start` tells whether the claims
-    of this process are known to be still its own. `spawn` is described at `Leases`.
+    of this process are known to be still its own. `spawn` is described at `Leases`. Set `observer`
+    before the first start; it refers back to the starter.
     """
 
     def __init__(
         self,
         *,
-        observer: StartObserver,
         leases: Leases,
         timers: TimerService,
         counters: Counters,
@@ -49,7 +49,7 @@
         next_run: Callable[[Task], int],
         may_start: Callable[[], bool],
     ) -> None:
-        self._observer = observer
+        self.observer: StartObserver
         self._leases = leases
         self._timers = timers
         self._counters = counters
@@ -112,7 +112,7 @@
         if outcome is StartOutcome.STARTED:
             run.state = RunState.RUNNING
             run.confirmed_at = self._timers.now()
-            self._observer.run_confirmed(run)
+            self.observer.run_confirmed(run)
             await self._leases.watch_started_run(run)
         elif outcome is StartOutcome.UNKNOWN:
             await held.client.renew_connections()
@@ -139,7 +139,7 @@
             held.is_responsive, held.refuses_connections = False, True
         elif outcome is StartOutcome.UNHEALTHY:
             held.health.record_failure(now)
-        self._observer.run_refused(run, outcome)
+        self.observer.run_refused(run, outcome)
 
     def stop(self, run: Run) -> None:
         """Have a run stopped, as soon as it is known that it was started."""
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -4,7 +4,7 @@
 
 import math
 import random as random_module
-from collections.abc import Callable, Collection, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine
 from types import TracebackType
 from typing import Any
 
@@ -18,26 +18,21 @@
 from apricotpoint._pool.decisions import (
     admission,
     evacuation,
-    overrun,
-    placement,
 )
-from apricotpoint._pool.decisions.verdicts import Evidence, Verdict
+from apricotpoint._pool.decisions.verdicts import Verdict
 from apricotpoint._pool.dispatcher import Dispatcher
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.crashes import CrashHistory
-from apricotpoint._pool.runs.backendclient import (
-    BackendClient,
-    RunOutcome,
-    StartOutcome,
-)
+from apricotpoint._pool.runs.backendclient import BackendClient
 from apricotpoint._pool.runs.coldbackends import ColdBackends
 from apricotpoint._pool.runs.evacuations import Evacuations
 from apricotpoint._pool.runs.heldbackend import HeldBackend
-from apricotpoint._pool.runs.job import Job, Origin, Run, Task
+from apricotpoint._pool.runs.job import Job, Origin, Task
 from apricotpoint._pool.runs.jobends import JobEnds
 from apricotpoint._pool.runs.jobtable import JobTable
 from apricotpoint._pool.runs.leases import Leases
 from apricotpoint._pool.runs.review import WaitReview
+from apricotpoint._pool.runs.runreports import RunReports
 from apricotpoint._pool.runs.starter import RunStarter
 from apricotpoint._wire.pool import PoolAnswer, PoolBackend, PoolJob, PoolLoad
 
@@ -68,7 +63,6 @@
         make_client: Callable[[PoolBackend], BackendClient],
     ) -> None:
         self.leases = Leases(
-            observer=self,
             timers=timers,
             counters=counters,
             spawn=self._spawn,
@@ -82,7 +76,6 @@
         self.estimates = Estimates(self.held_by_id, self._is_clear)
         self._cold = ColdBackends(now=timers.now, slowdown=self.estimates.slowdown)
         self._review = WaitReview(self.estimates)
-        self.crashes.on_given_up = self._end_given_up_jobs
         self.on_fenced: Callable[[PoolBackend], None] = lambda _: None
         self.on_backend_ended: Callable[[str], None] = lambda _: None
         self.may_start: Callable[[], bool] = lambda: True
@@ -93,7 +86,6 @@
         self._random = random
         self._jobs = JobTable(now=timers.now)
         self._starter = RunStarter(
-            observer=self,
             leases=self.leases,
             timers=timers,
             counters=counters,
@@ -122,6 +114,21 @@
             origin_alive_at=self._origin_alive_at,
             request_dispatch=self._dispatcher.request,
         )
+        self.crashes.on_given_up = self._ends.end_given_up_jobs
+        reports = RunReports(
+            leases=self.leases,
+            starter=self._starter,
+            ends=self._ends,
+            estimates=self.estimates,
+            crashes=self.crashes,
+            timers=timers,
+            counters=counters,
+            release=self.release,
+            request_dispatch=self._dispatcher.request,
+            on_fenced=self._handle_fenced,
+            on_backend_ended=self._handle_backend_ended,
+        )
+        self.leases.observer = self._starter.observer = reports
         self._group: anyio.abc.TaskGroup | None = None
         self._subscription: PeriodicTimer | None = None
 
@@ -147,14 +154,6 @@
         assert self._group is not None
         self._group.start_soon(function, *args)
 
-    # The attributes may be replaced after the construction.
-
-    def _may_start(self) -> bool:
-        return self.may_start()
-
-    def _origin_alive_at(self, origin: Origin) -> float:
-        return self.origin_alive_at(origin)
-
     def _startable_jobs(self) -> list[Job]:
         return [
             job
@@ -165,6 +164,20 @@
     def _is_clear(self, task: Task) -> bool:
         return self.crashes.verdict(task.name) is Verdict.CLEAR
 
+    # The attributes may be replaced after the construction.
+
+    def _may_start(self) -> bool:
+        return self.may_start()
+
+    def _origin_alive_at(self, origin: Origin) -> float:
+        return self.origin_alive_at(origin)
+
+    def _handle_fenced(self, announcement: PoolBackend) -> None:
+        self.on_fenced(announcement)
+
+    def _handle_backend_ended(self, backend_id: str) -> None:
+        self.on_backend_ended(backend_id)
+
     # Backend servers
 
     def acquire(self, announcement: PoolBackend, token: int, *, speed: float | None = None) -> None:
@@ -365,188 +378,6 @@
         """Have waiting tasks started soon; several requests before that cause one pass."""
         self._dispatcher.request()
 
-    # Methods of RunObserver, called by the lease renewers
-
-    def run_ended(self, run: Run, outcome: RunOutcome) -> None:
-        """Record the outcome of a run and retry its task or end its job."""
-        now = self._timers.now()
-        task, job, held = run.task, run.task.job, run.backend
-        if not held.remove(run, job.request.room):
-            return
-        task.run = None
-        self._counters.add(f"pool.ends_{outcome.value}")
-        if outcome is RunOutcome.DONE:
-            self._counters.record("pool.run_time", now - run.sent_at)
-            job.completed_runs.append((run, now - run.sent_at))
-            held.health.record_success()
-            task.done = True
-            self.estimates.refine_run_time(job)
-        elif outcome is RunOutcome.FAILED:
-            held.health.record_failure(now)
-            task.failure_count += 1
-            task.avoided_backends.add(held.backend_id)
-        self._ends.process_run_end(job, task)
-
-    def run_terminated(self, run: Run, reason: str) -> None:
-        """Remove a run that was terminated with an unknown outcome; its task starts again."""
-        if not run.backend.remove(run, run.task.job.request.room):
-            return
-        self._counters.add("pool.runs_lost")
-        _log.info(
-            "run {} of task {} on backend server {} terminated without a result: {}",
-            run.number,
-            run.task.name,
-            run.backend.backend_id,
-            reason,
-        )
-        run.task.run = None
-        run.task.avoided_backends.add(run.backend.backend_id)
-        self._ends.process_run_end(run.task.job, run.task)
-
-    def runs_lost(
-        self, held: HeldBackend, runs: Sequence[Run], evidence: Evidence, reason: str
-    ) -> None:
-        """Remove runs that were lost with their backend server; their tasks start again, or not."""
-        alone = len(held.run_by_key) + len(held.untracked_runs) == 1
-        self._counters.add(f"pool.runs_lost_{evidence.name.lower()}", len(runs))
-        if not held.announcement.leaving:
-            # The runs of one that is leaving end with it, which is no crash.
-            self.crashes.record(
-                held.announcement,
-                held.born_ms,
-                [run.task.name for run in runs],
-                evidence,
-                alone=alone,
-            )
-        for run in runs:
-            self.run_terminated(run, reason)
-
-    def run_stalled(self, run: Run) -> None:
-        """Stop a run that reports no progress, so that its task starts elsewhere."""
-        held = run.backend
-        held.health.record_failure(self._timers.now())
-        self._counters.add("pool.standstills")
-        _log.warning(
-            "run {} of task {} is stalled at {}% on backend server {}",
-            run.number,
-            run.task.name,
-            run.progress,
-            held.backend_id,
-        )
-        run.task.avoided_backends.add(held.backend_id)
-        self._starter.stop(run)
-
-    def run_confirmed(self, run: Run) -> None:
-        """Stop a confirmed run that is to be stopped or whose job was cancelled."""
-        if run.stopping or run.task.job.cancelled:
-            self._starter.stop(run)
-
-    def run_straggling(self, run: Run, predicted_s: float) -> None:
-        """Mark a run as a straggler and learn the speed of its backend server from it."""
-        run.is_straggler = True
-        self._counters.add("pool.slow_runs")
-        self.estimates.learn_from_straggler(run, predicted_s)
-
-    def run_time_predicted(self, run: Run, predicted_s: float) -> None:
-        """Refine the run time of the job; move the run or end the job if it will be too late."""
-        job = run.task.job
-        if not run.has_prediction:
-            run.has_prediction = True
-            self.estimates.refine_run_time(job)
-        if run.stopping or run.sent_at + predicted_s <= job.deadline_at:
-            return
-        now = self._timers.now()
-        work_s = predicted_s * run.speed / run.remote_factor
-        others = [
-            held
-            for held in self.held_by_id.values()
-            if held.can_start(job.request, now) and not held.is_evacuated
-        ]
-        if not placement.should_move(run, work_s, others, now):
-            if admission.will_miss_deadline(
-                progress=run.progress,
-                run_s=predicted_s,
-                ends_at=run.sent_at + predicted_s,
-                deadline_at=job.deadline_at,
-            ):
-                reason = f"task {run.task.name} is predicted to take {predicted_s:.3f} s"
-                self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
-            return
-        self._counters.add("pool.runs_moved")
-        _log.info(
-            "moving run {} of task {} at {}% away from backend server {}: "
-            "predicted to end {:.3f} s after the deadline",
-            run.number,
-            run.task.name,
-            run.progress,
-            run.backend.backend_id,
-            run.sent_at + predicted_s - job.deadline_at,
-        )
-        run.task.avoided_backends.add(run.backend.backend_id)
-        self._starter.stop(run)
-
-    def run_progressed(self, run: Run) -> None:
-        """End a job if the progress of its runs shows that it cannot meet its deadline."""
-        job, now = run.task.job, self._timers.now()
-        remaining_s = job.deadline_at - now
-        if job.answer is not None or not overrun.is_late(_progress(run, now), remaining_s):
-            return
-        reports = [
-            _progress(active, now) for active in job.active_runs() if active.progress_changed_at
-        ]
-        if overrun.cannot_meet_deadline(
-            reports,
-            task_count=job.request.count,
-            remaining_s=remaining_s,
-            fastest=self.estimates.attainable_speed(now),
-        ):
-            self._counters.add("pool.overruns")
-            least_s = max(map(overrun.least_run_s, reports))
-            reason = f"its tasks take at least {least_s:.3f} s by their progress"
-            self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
-
-    def backend_changed(self, held: HeldBackend) -> None:
-        """Start waiting tasks, as the backend server may accept some now."""
-        self.crashes.process_answer(held.backend_id, held.born_ms)
-        self.request_dispatch()
-
-    def backend_refused_connection(self, held: HeldBackend) -> None:
-        """Record that the process of a backend server has probably ended."""
-        self.crashes.strengthen(held.backend_id, Evidence.REFUSED)
-
-    def backend_ended(self, held: HeldBackend, reason: str) -> None:
-        """Release a backend server whose incarnation has ended, and restart the tasks it ran."""
-        self.crashes.strengthen(held.backend_id, Evidence.CRASHED)
-        self.runs_lost(held, list(held.run_by_key.values()), Evidence.CRASHED, reason)
-        if self.held_by_id.get(held.backend_id) is held:
-            self.release(held.backend_id, reason)
-            self.on_backend_ended(held.backend_id)
-
-    def backend_fenced(self, held: HeldBackend) -> None:
-        """Release a backend server whose lease another process holds."""
-        if self.held_by_id.get(held.backend_id) is held:
-            self.release(held.backend_id, "another holder has a higher fencing token")
-            self.on_fenced(held.announcement)
-
-    def run_refused(self, run: Run, outcome: StartOutcome) -> None:
-        """Retry the task of a run that its backend server refused, or end its job."""
-        job, held = run.task.job, run.backend
-        if outcome is StartOutcome.OTHER_INCARNATION:
-            self.backend_ended(held, "another incarnation answers at its address")
-        elif outcome is StartOutcome.REJECTED:
-            self._ends.finish(
-                job,
-                PoolAnswer(
-                    int(ResultCode.TASKS_FAILED),
-                    f"backend server {held.backend_id} rejected the start of task {run.task.name}",
-                ),
-            )
-        self._ends.process_run_end(job, run.task)
-
-    def _end_given_up_jobs(self) -> None:
-        for job in self.unanswered_jobs():
-            self._ends.end_if_given_up(job)
-
     def _tick(self) -> None:
         now = self._timers.now()
         self._review_evacuated()
@@ -595,12 +426,3 @@
             _log.notice("job {} is {}", job.request.job_id, reason)
             answer = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
             self._ends.finish(job, answer)
-
-
-def _progress(run: Run, now: float) -> overrun.Progress:
-    return overrun.Progress(
-        run.backend.backend_id,
-        run.backend.expected_speed(now),
-        run.progress_changed_at - run.sent_at,
-        run.progress,
-    )
