Move the admission of jobs out of the scheduler

JobAdmission in _pool/jobadmission.py accepts or refuses jobs, makes them, and draws the random numbers of refusals. Scheduler.refusal stays and calls it.

--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -15,14 +15,12 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._pool.decisions import (
-    admission,
-    evacuation,
-)
+from apricotpoint._pool.decisions import evacuation
 from apricotpoint._pool.decisions.verdicts import Verdict
 from apricotpoint._pool.dispatcher import Dispatcher
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.jobadmission import JobAdmission
 from apricotpoint._pool.runs.backendclient import BackendClient
 from apricotpoint._pool.runs.coldbackends import ColdBackends
 from apricotpoint._pool.runs.evacuations import Evacuations
@@ -83,8 +81,15 @@
         self.draining = False
         self._timers = timers
         self._counters = counters
-        self._random = random
         self._jobs = JobTable(now=timers.now)
+        self._admission = JobAdmission(
+            held_by_id=self.held_by_id,
+            jobs=self._jobs,
+            estimates=self.estimates,
+            timers=timers,
+            counters=counters,
+            random=random,
+        )
         self._starter = RunStarter(
             leases=self.leases,
             timers=timers,
@@ -227,7 +232,7 @@
             if fate is evacuation.Fate.MOVES:
                 self._counters.add("pool.jobs_rerouted_evacuated")
                 reason = "the failure domain of its backend servers is evacuated"
-                refusal = self._make_refusal(ResultCode.DRAINING, reason, self._random.random)
+                refusal = self._admission.make_refusal(ResultCode.DRAINING, reason)
                 self._ends.finish(job, refusal)
             else:
                 self._counters.add("pool.jobs_ended_evacuated")
@@ -256,7 +261,7 @@
 
         `origin` is the entry process that waits for the answer, None for this one.
         """
-        job = self._make_job(request, origin)
+        job = self._admission.make_job(request, origin)
         self._jobs.add(job)
         if self._subscription is None:
             self._subscription = self._timers.every(TICK_PERIOD_S, self._tick)
@@ -274,62 +279,7 @@
 
         `spread` replaces the random numbers from 0 to 1 that spread out the returning callers.
         """
-        spread = spread or self._random.random
-        available = [
-            held
-            for held in self.held_by_id.values()
-            if not held.announcement.leaving and not held.is_reserved
-        ]
-        can_run = any(held.can_run(request) for held in available)
-        if not can_run and any(
-            held.is_evacuated and held.can_run(request) for held in self.held_by_id.values()
-        ):
-            self._counters.add("pool.jobs_rerouted_evacuated")
-            return self._make_refusal(
-                ResultCode.DRAINING,
-                "no job may start on the backend servers that could run it",
-                spread,
-            )
-        if not available:
-            reason = "this process holds no backend server"
-            return self._make_refusal(ResultCode.NO_BACKEND, reason, spread)
-        if not can_run:
-            return self._make_refusal(
-                ResultCode.CANNOT_RUN,
-                "no backend server of its service has the resources that a task of the job needs",
-                spread,
-            )
-        job = self._make_job(request, None)
-        wait_s, run_s = self.estimates.forecast(job, self.unanswered_jobs(), job.arrived_at)
-        if not admission.is_infeasible(
-            wait_s=wait_s,
-            run_s=run_s,
-            elapsed_s=request.elapsed_s,
-            objective_s=job.objective_s,
-            deadline_s=request.deadline_s,
-        ):
-            return None
-        reason = (
-            f"the predicted wait of {wait_s:.3f} s and run time of {run_s:.3f} s are too long for "
-            f"the latency objective of {job.objective_s:.3f} s or the deadline of "
-            f"{request.deadline_s:.3f} s"
-        )
-        return self._make_refusal(ResultCode.OVERLOADED, reason, spread)
-
-    def _make_job(self, request: PoolJob, origin: Origin | None) -> Job:
-        return Job(
-            request=request,
-            origin=origin,
-            arrived_at=self._timers.now(),
-            estimate_s=self.estimates.run_time_s(request),
-        )
-
-    def _make_refusal(
-        self, code: ResultCode, reason: str, spread: Callable[[], float]
-    ) -> PoolAnswer:
-        backlog_s = self.estimates.backlog_s(self.unanswered_jobs(), self._timers.now())
-        after_s = admission.retry_after_s(backlog_s, spread())
-        return PoolAnswer(int(code), reason, after_s)
+        return self._admission.refusal(request, spread=spread)
 
     def cancel(self, job_id: str, reason: str) -> None:
         """Cancel a job and stop its runs; unknown and ended jobs are ignored."""
@@ -399,7 +349,7 @@
                 if job.started:
                     self._ends.finish(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
                 else:
-                    refusal = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
+                    refusal = self._admission.make_refusal(ResultCode.OVERLOADED, reason)
                     self._ends.finish(job, refusal)
         self._refuse_waiting_jobs(now)
         self._jobs.expire()
@@ -424,5 +374,5 @@
             )
             self._counters.add("pool.refused_waiting")
             _log.notice("job {} is {}", job.request.job_id, reason)
-            answer = self._make_refusal(ResultCode.OVERLOADED, reason, self._random.random)
+            answer = self._admission.make_refusal(ResultCode.OVERLOADED, reason)
             self._ends.finish(job, answer)
