Move the choice of the holder out of the service

HolderChooser in _pool/holderchoice.py draws the process that schedules a job, and names a less loaded one for a job that is refused. PoolService.holder_choice stays and calls it.

--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -15,13 +15,14 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
-from apricotpoint._pool.decisions import claims, evacuation, forwarding, nearholders
+from apricotpoint._pool.decisions import evacuation, forwarding, nearholders
+from apricotpoint._pool.holderchoice import HolderChooser
 from apricotpoint._pool.holders.members import EntryMembers
 from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
 from apricotpoint._pool.runs.job import Job, Origin
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.transport import DynamicTransport
-from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob, PoolLoad
+from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob
 
 # Time without contact after which a process counts as unreachable. The process that waits for a
 # job and the one that schedules it both use it: the first answers its caller at about the time
@@ -39,8 +40,6 @@
 # A job that could not be sent to its scheduling process may be sent again after this time, by which
 # another process has taken over its backend servers.
 NOT_SENT_RETRY_AFTER_S = 1.0
-# Backlog that halves the jobs which a holder without free room gets.
-BACKLOG_HALVING_S = 0.1
 
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
@@ -50,14 +49,6 @@
 _log = logbook.Logger("jobs")
 
 
-def routing_weight(load: PoolLoad) -> float:
-    """Return the relative share of the jobs that a holder with this load gets.
-
-    Free room counts most; without any, holders with a short backlog get more.
-    """
-    return max(load.free, 0) + 1 / (1 + max(load.backlog_s, 0.0) / BACKLOG_HALVING_S)
-
-
 class PoolService:
     """Submission and cancellation of the jobs of callers at one entry process.
 
@@ -76,7 +67,13 @@
         counters: Counters,
         random: random_module.Random,
     ) -> None:
-        self._own_domain = own_domain
+        self._chooser = HolderChooser(
+            own_domain=own_domain,
+            members=members,
+            scheduler=scheduler,
+            counters=counters,
+            random=random,
+        )
         self._random = random
         self._members = members
         self._scheduler = scheduler
@@ -142,7 +139,7 @@
         )
         draining_ids: set[str] = set()
         while True:
-            target = self._scheduling_process(draining_ids, request)
+            target = self._chooser.scheduling_process(draining_ids, request)
             if target is not None:
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
@@ -194,14 +191,6 @@
             job.request.job_id == job_id for job in self._scheduler.unanswered_jobs()
         )
 
-    def _scheduling_process(self, excluded: set[str], request: PoolJob) -> str | None:
-        choice = self.holder_choice(excluded, request)
-        if choice.weights is not None:
-            return self._random.choices(choice.ids, choice.weights)[0]
-        if choice.any_of and choice.ids:
-            return self._random.choice(choice.ids)
-        return choice.ids[0] if choice.ids else None
-
     def preview(self, request: PoolJob) -> tuple[PoolAnswer | None, str]:
         """Return how this process would refuse a job, None if it would not, and who gets it then.
 
@@ -210,52 +199,12 @@
         if self._scheduler.draining:
             return self._refusal(request), ""
         refusal = self._scheduler.refusal(request, spread=lambda: 0.0)
-        forward_to = self._less_loaded_process(request) if refusal is not None else None
+        forward_to = self._chooser.less_loaded_process(request) if refusal is not None else None
         return refusal, forward_to or ""
 
     def holder_choice(self, excluded: set[str], request: PoolJob) -> nearholders.HolderChoice:
-        """Return the processes of which one schedules a job: those of the own domain, if any.
-
-        Of several holders one is chosen at random by its free room, so that the entry processes
-        do not all send their jobs to the same one until its next status arrives. Holders in the
-        location of its data go first while they have free room. Holders of evacuated failure
-        domains only are left out.
-        """
-        evacuated = self._scheduler.evacuations.domains
-        live = {
-            entry_id: status
-            for entry_id, status in self._members.live_entries().items()
-            if entry_id not in excluded and not status.draining and status.held
-        }
-        live = evacuation.usable_holders(live, evacuated)
-        live = nearholders.prefer_near(request, live, self._members.location_of)
-        is_evacuated = self._own_domain in evacuated
-        local_ids = list(live) if is_evacuated else claims.holders(self._own_domain, live)
-        if is_evacuated and local_ids:
-            self._counters.add("jobs.routed_elsewhere_evacuated")
-        if local_ids:
-            own_id = self._members.entry_id
-            if own_id in local_ids and live[own_id].load.free:
-                return nearholders.HolderChoice([own_id])
-            weights = [routing_weight(live[entry_id].load) for entry_id in local_ids]
-            return nearholders.HolderChoice(local_ids, weights)
-        if live:
-            best = min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
-            return nearholders.HolderChoice([best])
-        # Holders of other failure domains send their status to holders only.
-        distant = {
-            entry_id: summary
-            for entry_id, summary in self._members.available_summaries().items()
-            if summary.is_holder
-            and not summary.draining
-            and entry_id not in excluded
-            and entry_id != self._members.entry_id
-            and summary.failure_domain != self._own_domain
-        }
-        distant_ids = evacuation.prefer_usable(distant, evacuated)
-        if is_evacuated and distant_ids:
-            self._counters.add("jobs.routed_elsewhere_evacuated")
-        return nearholders.HolderChoice(distant_ids, any_of=True)
+        """Return the processes of which one schedules a job; see `HolderChooser`."""
+        return self._chooser.holder_choice(excluded, request)
 
     async def _submit_forwarded(
         self, target: str, request: PoolJob, began_at: float, refused_by: list[str]
@@ -362,7 +311,7 @@
             return _CANCELLED
         refusal = self._refusal(request)
         if refusal is not None:
-            other = self._less_loaded_process(request)
+            other = self._chooser.less_loaded_process(request)
             if other is None:
                 return refusal
             self._counters.add("jobs.forwarded")
@@ -386,33 +335,6 @@
             return True
         return False
 
-    def _less_loaded_process(self, request: PoolJob) -> str | None:
-        """Return another holder that can run the job now or much sooner, None if there is none.
-
-        A job that a process which is shutting down refuses is routed anew by its origin.
-        """
-        if self._scheduler.draining:
-            return None
-        evacuated = self._scheduler.evacuations.domains
-        live = evacuation.usable_holders(self._members.live_entries(), evacuated)
-        others = [
-            forwarding.Holder(entry_id, status.load, self._members.seconds_since_contact(entry_id))
-            for entry_id, status in live.items()
-            if entry_id != self._members.entry_id and not status.draining and status.held
-        ]
-        choice = forwarding.choose_holder(request, self._scheduler.load(), others)
-        if choice is None:
-            return None
-        holder, other_s, own_s = choice
-        _log.info(
-            "job {} is moved to {}: expected wait {:.3f} s there, {:.3f} s here",
-            request.job_id,
-            holder.entry_id,
-            other_s,
-            own_s,
-        )
-        return holder.entry_id
-
     async def _on_job(self, sender: Sender, message: object) -> object:
         assert isinstance(message, PoolJob)
         if sender.age_s > PEER_TIMEOUT_S:
