Move the submission to other processes out of the service

RemoteSubmission in _pool/remotesubmission.py passes jobs on, watches the process that got them and cancels them there. The time-outs that it uses are imported from there.

--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -14,32 +14,27 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
+from apricotpoint._link.transport import Sender
 from apricotpoint._pool.decisions import evacuation, forwarding, nearholders
 from apricotpoint._pool.holderchoice import HolderChooser
 from apricotpoint._pool.holders.members import EntryMembers
-from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
+from apricotpoint._pool.remotesubmission import (
+    PEER_CHECK_PERIOD_S,
+    PEER_TIMEOUT_S,
+    RemoteSubmission,
+)
+from apricotpoint._pool.runs.attempts import Attempts
 from apricotpoint._pool.runs.job import Job, Origin
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.transport import DynamicTransport
 from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob
 
-# Time without contact after which a process counts as unreachable. The process that waits for a
-# job and the one that schedules it both use it: the first answers its caller at about the time
-# at which the second stops the job, so no run is left when the caller sends the job again.
-PEER_TIMEOUT_S = 0.9
-PEER_CHECK_PERIOD_S = 0.1
-# The answer of the scheduling process may arrive this long after the deadline of the job.
-REPLY_MARGIN_S = 0.3
 # Number of times that a job is routed again because the chosen process is draining.
 MAX_REROUTES = 3
 # Time for which a job waits while no entry process holds backend servers: another process claims
 # them within a second after their last holder became unreachable.
 HOLDER_TIMEOUT_S = 1.0
 HOLDER_POLL_S = 0.02
-# A job that could not be sent to its scheduling process may be sent again after this time, by which
-# another process has taken over its backend servers.
-NOT_SENT_RETRY_AFTER_S = 1.0
 
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
@@ -81,6 +76,13 @@
         self._timers = timers
         self._counters = counters
         self._attempts = Attempts(now=timers.now)
+        self._remote = RemoteSubmission(
+            members=members,
+            attempts=self._attempts,
+            transport=transport,
+            timers=timers,
+            counters=counters,
+        )
         # Attempts of the callers of this process that have no answer yet, with their jobs.
         self._job_id_by_attempt: dict[int, str] = {}
         self._subscription: PeriodicTimer | None = None
@@ -174,17 +176,11 @@
         for cancelled in [attempt] if attempt else own:
             self._attempts.record_cancellation(cancelled)
         for job in self._attempts.find(job_id, attempt):
-            self._cancel_passed_on(job)
+            self._remote.cancel(job)
         scheduled = self._scheduler.find(job_id)
         if scheduled is not None and attempt in (0, scheduled.request.attempt):
             self._scheduler.cancel(job_id, reason)
 
-    def _cancel_passed_on(self, job: PassedOnJob) -> None:
-        # Reliable, as nothing else ends the job while its target hears from this process.
-        request = job.request
-        message = PoolCancel(request.job_id, request.attempt)
-        self._transport.send(job.target, message, reliable=True)
-
     def is_running(self, job_id: str) -> bool:
         """Return whether a job is open that this process schedules or has passed on to another."""
         return bool(self._attempts.find(job_id)) or any(
@@ -230,66 +226,7 @@
     async def _submit_to(self, target: str, request: PoolJob) -> PoolAnswer:
         if target == self._members.entry_id:
             return await self._run_locally(request, None)
-        self._counters.add("jobs.passed_on")
-        self._members.open_link(target)
-        passed_on = PassedOnJob(request, target)
-        self._attempts.add(passed_on)
-        timeout_s = max(request.deadline_s - request.elapsed_s, 0.0) + REPLY_MARGIN_S
-        answer: PoolAnswer | None = None
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._cancel_when_unreachable, target, request, group.cancel_scope)
-                reply = await self._transport.request(target, request, timeout_s=timeout_s)
-                assert isinstance(reply, PoolAnswer)
-                answer = reply
-                group.cancel_scope.cancel()
-        except* RequestNotSent as not_sent:
-            self._counters.add("jobs.not_passed_on")
-            answer = PoolAnswer(
-                int(ResultCode.NO_BACKEND),
-                f"the job has not run: {not_sent.exceptions[0]}",
-                NOT_SENT_RETRY_AFTER_S,
-            )
-        except* PeerUnreachable as unreachable:
-            _log.warning(
-                "job {}: scheduling process {} is unreachable: {}",
-                request.job_id,
-                target,
-                unreachable.exceptions[0],
-            )
-        finally:
-            self._attempts.remove(passed_on)
-        if answer is None:
-            self._counters.add("jobs.scheduler_lost")
-            self._cancel_passed_on(passed_on)
-            return PoolAnswer(
-                int(ResultCode.COORDINATOR_UNREACHABLE),
-                f"scheduling process {target} is unreachable",
-            )
-        return answer
-
-    async def _cancel_when_unreachable(
-        self, target: str, request: PoolJob, scope: anyio.CancelScope
-    ) -> None:
-        """Cancel a scope when the process that got a job is silent, or was started again.
-
-        A request that was not written to a connection yet is withdrawn instead.
-
-        It sends at least heartbeats. The time before the job was sent does not count: an idle link
-        carries no heartbeats.
-        """
-        began_at, incarnation = self._timers.now(), self._transport.incarnation_of(target)
-        while (
-            min(self._transport.seconds_since_contact(target), self._timers.now() - began_at)
-            <= PEER_TIMEOUT_S
-        ):
-            await self._timers.sleep(PEER_CHECK_PERIOD_S)
-            current = self._transport.incarnation_of(target)
-            if incarnation is not None and current != incarnation:
-                break
-            incarnation = current
-        if not self._transport.withdraw(target, request):
-            scope.cancel()
+        return await self._remote.submit(target, request)
 
     async def _run_locally(self, request: PoolJob, origin: Origin | None) -> PoolAnswer:
         arrived_at, asked = self._timers.now(), request
--- a/testing/link/test_idle_links.py
+++ b/testing/link/test_idle_links.py
@@ -9,7 +9,7 @@
 from test_mesh import ProcessPair, run_with_pair, wait_until
 
 from apricotpoint._link.transport import PeerUnreachable, Sender
-from apricotpoint._pool.service import PEER_TIMEOUT_S
+from apricotpoint._pool.remotesubmission import PEER_TIMEOUT_S
 from apricotpoint._wire.jobs import CancelForward, JobLookup
 from apricotpoint._wire.tasks import CancelBatch
 
--- a/testing/pool/crash_soak.py
+++ b/testing/pool/crash_soak.py
@@ -14,8 +14,8 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.decisions.shares import BACKENDS_PER_CORE
+from apricotpoint._pool.remotesubmission import REPLY_MARGIN_S
 from apricotpoint._pool.runs.backendclient import EndedRun, RunKey, RunOutcome
-from apricotpoint._pool.service import REPLY_MARGIN_S
 from apricotpoint._wire.pool import PoolAnswer, PoolJob, Room
 
 BACKEND_IDS = tuple(f"{domain}{number}" for domain in "ab" for number in range(1, 7))
--- a/testing/pool/test_attempts.py
+++ b/testing/pool/test_attempts.py
@@ -12,7 +12,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._link.transport import Sender
-from apricotpoint._pool.service import PEER_TIMEOUT_S
+from apricotpoint._pool.remotesubmission import PEER_TIMEOUT_S
 from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob
 
 
