--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -14,33 +14,27 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
-from apricotpoint._pool.decisions import claims, evacuation, forwarding, nearholders
+from apricotpoint._link.transport import Sender
+from apricotpoint._pool.decisions import evacuation, forwarding, nearholders
+from apricotpoint._pool.holderchoice import HolderChooser
 from apricotpoint._pool.holders.members import EntryMembers
-from apricotpoint._pool.runs.attempts import Attempts, PassedOnJob
+from apricotpoint._pool.remotesubmission import (
+    PEER_CHECK_PERIOD_S,
+    PEER_TIMEOUT_S,
+    RemoteSubmission,
+)
+from apricotpoint._pool.runs.attempts import Attempts
 from apricotpoint._pool.runs.job import Job, Origin
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.transport import DynamicTransport
-from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob, PoolLoad
-
-# Time without contact after which a process counts as unreachable. The process that waits for a
-# job and the one that schedules it both use it: the first answers its caller at about the time
-# at which the second stops the job, so no run is left when the caller sends the job again.
-PEER_TIMEOUT_S = 0.9
-PEER_CHECK_PERIOD_S = 0.1
-# The answer of the scheduling process may arrive this long after the deadline of the job.
-REPLY_MARGIN_S = 0.3
+from apricotpoint._wire.pool import PoolAnswer, PoolCancel, PoolJob
+
 # Number of times that a job is routed again because the chosen process is draining.
 MAX_REROUTES = 3
 # Time for which a job waits while no entry process holds backend servers: another process claims
 # them within a second after their last holder became unreachable.
 HOLDER_TIMEOUT_S = 1.0
 HOLDER_POLL_S = 0.02
-# A job that could not be sent to its scheduling process may be sent again after this time, by which
-# another process has taken over its backend servers.
-NOT_SENT_RETRY_AFTER_S = 1.0
-# Backlog that halves the jobs which a holder without free room gets.
-BACKLOG_HALVING_S = 0.1
 
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
@@ -50,14 +44,6 @@
 _log = logbook.Logger("jobs")
 
 
-def routing_weight(load: PoolLoad) -> float:
-    """Return the relative share of the jobs that a holder with this load gets.
-
-    Free room counts most; without any, holders with a short backlog get more.
-    """
-    return max(load.free, 0) + 1 / (1 + max(load.backlog_s, 0.0) / BACKLOG_HALVING_S)
-
-
 class PoolService:
     """Submission and cancellation of the jobs of callers at one entry process.
 
@@ -76,7 +62,13 @@
         counters: Counters,
         random: random_module.Random,
     ) -> None:
-        self._own_domain = own_domain
+        self._chooser = HolderChooser(
+            own_domain=own_domain,
+            members=members,
+            scheduler=scheduler,
+            counters=counters,
+            random=random,
+        )
         self._random = random
         self._members = members
         self._scheduler = scheduler
@@ -84,6 +76,13 @@
         self._timers = timers
         self._counters = counters
         self._attempts = Attempts(now=timers.now)
+        self._remote = RemoteSubmission(
+            members=members,
+            attempts=self._attempts,
+            transport=transport,
+            timers=timers,
+            counters=counters,
+        )
         # Attempts of the callers of this process that have no answer yet, with their jobs.
         self._job_id_by_attempt: dict[int, str] = {}
         self._subscription: PeriodicTimer | None = None
@@ -142,7 +141,7 @@
         )
         draining_ids: set[str] = set()
         while True:
-            target = self._scheduling_process(draining_ids, request)
+            target = self._chooser.scheduling_process(draining_ids, request)
             if target is not None:
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
@@ -177,31 +176,17 @@
         for cancelled in [attempt] if attempt else own:
             self._attempts.record_cancellation(cancelled)
         for job in self._attempts.find(job_id, attempt):
-            self._cancel_passed_on(job)
+            self._remote.cancel(job)
         scheduled = self._scheduler.find(job_id)
         if scheduled is not None and attempt in (0, scheduled.request.attempt):
             self._scheduler.cancel(job_id, reason)
 
-    def _cancel_passed_on(self, job: PassedOnJob) -> None:
-        # Reliable, as nothing else ends the job while its target hears from this process.
-        request = job.request
-        message = PoolCancel(request.job_id, request.attempt)
-        self._transport.send(job.target, message, reliable=True)
-
     def is_running(self, job_id: str) -> bool:
         """Return whether a job is open that this process schedules or has passed on to another."""
         return bool(self._attempts.find(job_id)) or any(
             job.request.job_id == job_id for job in self._scheduler.unanswered_jobs()
         )
 
-    def _scheduling_process(self, excluded: set[str], request: PoolJob) -> str | None:
-        choice = self.holder_choice(excluded, request)
-        if choice.weights is not None:
-            return self._random.choices(choice.ids, choice.weights)[0]
-        if choice.any_of and choice.ids:
-            return self._random.choice(choice.ids)
-        return choice.ids[0] if choice.ids else None
-
     def preview(self, request: PoolJob) -> tuple[PoolAnswer | None, str]:
         """Return how this process would refuse a job, None if it would not, and who gets it then.
 
@@ -210,52 +195,12 @@
         if self._scheduler.draining:
             return self._refusal(request), ""
         refusal = self._scheduler.refusal(request, spread=lambda: 0.0)
-        forward_to = self._less_loaded_process(request) if refusal is not None else None
+        forward_to = self._chooser.less_loaded_process(request) if refusal is not None else None
         return refusal, forward_to or ""
 
     def holder_choice(self, excluded: set[str], request: PoolJob) -> nearholders.HolderChoice:
-        """Return the processes of which one schedules a job: those of the own domain, if any.
-
-        Of several holders one is chosen at random by its free room, so that the entry processes
-        do not all send their jobs to the same one until its next status arrives. Holders in the
-        location of its data go first while they have free room. Holders of evacuated failure
-        domains only are left out.
-        """
-        evacuated = self._scheduler.evacuations.domains
-        live = {
-            entry_id: status
-            for entry_id, status in self._members.live_entries().items()
-            if entry_id not in excluded and not status.draining and status.held
-        }
-        live = evacuation.usable_holders(live, evacuated)
-        live = nearholders.prefer_near(request, live, self._members.location_of)
-        is_evacuated = self._own_domain in evacuated
-        local_ids = list(live) if is_evacuated else claims.holders(self._own_domain, live)
-        if is_evacuated and local_ids:
-            self._counters.add("jobs.routed_elsewhere_evacuated")
-        if local_ids:
-            own_id = self._members.entry_id
-            if own_id in local_ids and live[own_id].load.free:
-                return nearholders.HolderChoice([own_id])
-            weights = [routing_weight(live[entry_id].load) for entry_id in local_ids]
-            return nearholders.HolderChoice(local_ids, weights)
-        if live:
-            best = min(live, key=lambda entry_id: (live[entry_id].load.backlog_s, entry_id))
-            return nearholders.HolderChoice([best])
-        # Holders of other failure domains send their status to holders only.
-        distant = {
-            entry_id: summary
-            for entry_id, summary in self._members.available_summaries().items()
-            if summary.is_holder
-            and not summary.draining
-            and entry_id not in excluded
-            and entry_id != self._members.entry_id
-            and summary.failure_domain != self._own_domain
-        }
-        distant_ids = evacuation.prefer_usable(distant, evacuated)
-        if is_evacuated and distant_ids:
-            self._counters.add("jobs.routed_elsewhere_evacuated")
-        return nearholders.HolderChoice(distant_ids, any_of=True)
+        """Return the processes of which one schedules a job; see `HolderChooser`."""
+        return self._chooser.holder_choice(excluded, request)
 
     async def _submit_forwarded(
         self, target: str, request: PoolJob, began_at: float, refused_by: list[str]
@@ -281,66 +226,7 @@
     async def _submit_to(self, target: str, request: PoolJob) -> PoolAnswer:
         if target == self._members.entry_id:
             return await self._run_locally(request, None)
-        self._counters.add("jobs.passed_on")
-        self._members.open_link(target)
-        passed_on = PassedOnJob(request, target)
-        self._attempts.add(passed_on)
-        timeout_s = max(request.deadline_s - request.elapsed_s, 0.0) + REPLY_MARGIN_S
-        answer: PoolAnswer | None = None
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._cancel_when_unreachable, target, request, group.cancel_scope)
-                reply = await self._transport.request(target, request, timeout_s=timeout_s)
-                assert isinstance(reply, PoolAnswer)
-                answer = reply
-                group.cancel_scope.cancel()
-        except* RequestNotSent as not_sent:
-            self._counters.add("jobs.not_passed_on")
-            answer = PoolAnswer(
-                int(ResultCode.NO_BACKEND),
-                f"the job has not run: {not_sent.exceptions[0]}",
-                NOT_SENT_RETRY_AFTER_S,
-            )
-        except* PeerUnreachable as unreachable:
-            _log.warning(
-                "job {}: scheduling process {} is unreachable: {}",
-                request.job_id,
-                target,
-                unreachable.exceptions[0],
-            )
-        finally:
-            self._attempts.remove(passed_on)
-        if answer is None:
-            self._counters.add("jobs.scheduler_lost")
-            self._cancel_passed_on(passed_on)
-            return PoolAnswer(
-                int(ResultCode.COORDINATOR_UNREACHABLE),
-                f"scheduling process {target} is unreachable",
-            )
-        return answer
-
-    async def _cancel_when_unreachable(
-        self, target: str, request: PoolJob, scope: anyio.CancelScope
-    ) -> None:
-        """Cancel a scope when the process that got a job is silent, or was started again.
-
-        A request that was not written to a connection yet is withdrawn instead.
-
-        It sends at least heartbeats. The time before the job was sent does not count: an idle link
-        carries no heartbeats.
-        """
-        began_at, incarnation = self._timers.now(), self._transport.incarnation_of(target)
-        while (
-            min(self._transport.seconds_since_contact(target), self._timers.now() - began_at)
-            <= PEER_TIMEOUT_S
-        ):
-            await self._timers.sleep(PEER_CHECK_PERIOD_S)
-            current = self._transport.incarnation_of(target)
-            if incarnation is not None and current != incarnation:
-                break
-            incarnation = current
-        if not self._transport.withdraw(target, request):
-            scope.cancel()
+        return await self._remote.submit(target, request)
 
     async def _run_locally(self, request: PoolJob, origin: Origin | None) -> PoolAnswer:
         arrived_at, asked = self._timers.now(), request
@@ -362,7 +248,7 @@
             return _CANCELLED
         refusal = self._refusal(request)
         if refusal is not None:
-            other = self._less_loaded_process(request)
+            other = self._chooser.less_loaded_process(request)
             if other is None:
                 return refusal
             self._counters.add("jobs.forwarded")
@@ -386,33 +272,6 @@
             return True
         return False
 
-    def _less_loaded_process(self, request: PoolJob) -> str | None:
-        """Return another holder that can run the job now or much sooner, None if there is none.
-
-        A job that a process which is shutting down refuses is routed anew by its origin.
-        """
-        if self._scheduler.draining:
-            return None
-        evacuated = self._scheduler.evacuations.domains
-        live = evacuation.usable_holders(self._members.live_entries(), evacuated)
-        others = [
-            forwarding.Holder(entry_id, status.load, self._members.seconds_since_contact(entry_id))
-            for entry_id, status in live.items()
-            if entry_id != self._members.entry_id and not status.draining and status.held
-        ]
-        choice = forwarding.choose_holder(request, self._scheduler.load(), others)
-        if choice is None:
-            return None
-        holder, other_s, own_s = choice
-        _log.info(
-            "job {} is moved to {}: expected wait {:.3f} s there, {:.3f} s here",
-            request.job_id,
-            holder.entry_id,
-            other_s,
-            own_s,
-        )
-        return holder.entry_id
-
     async def _on_job(self, sender: Sender, message: object) -> object:
         assert isinstance(message, PoolJob)
         if sender.age_s > PEER_TIMEOUT_S:
