--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -227,6 +227,8 @@
     async def _rewrite(self, payloads: list[bytes]) -> None:
         temporary = self._temporary_path
         record = _encode_record(1, payloads)
+        # A rewrite that is required from now on is not covered by these payloads.
+        required, self._required_rewrite = self._required_rewrite, None
         descriptor = -1
         try:
             descriptor = await self._storage.create(temporary)
@@ -235,6 +237,8 @@
         except BaseException as error:
             if descriptor >= 0:
                 os.close(descriptor)
+            if self._required_rewrite is None:
+                self._required_rewrite = required
             if isinstance(error, DiskFullError):
                 await self._storage.remove(temporary)
             raise
@@ -242,7 +246,6 @@
         self._descriptor = descriptor
         self._next_index = 2
         self.size = len(record)
-        self._required_rewrite = None
 
     @property
     def _temporary_path(self) -> Path:
--- a/testing/control/test_full_disk.py
+++ b/testing/control/test_full_disk.py
@@ -226,6 +226,30 @@
     run(test)
 
 
+def test_snapshot_that_arrives_during_a_rewrite_is_stored_before_what_follows_it(tmp_path: Path):
+    """Guards against entries that are stored after an older snapshot, at wrong indexes."""
+
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        log = Log(disk.storage(), initial_members=IDS)
+        await log.open()
+        disk.sync_s = 1.0
+        image = StateImage(Configuration(), [], {})
+        async with anyio.create_task_group() as group:
+            group.start_soon(log.install, Snapshot(index=50, term=2, state=image))
+            await anyio.sleep(0.5)
+            group.start_soon(log.install, Snapshot(index=80, term=2, state=image))
+        log.append(81, [Entry(term=2)])
+        await log.sync()
+        log.close()
+        again = Log(disk.storage(), initial_members=IDS)
+        await again.open()
+        assert (again.last_index, again.snapshot_index) == (81, 80)
+        again.close()
+
+    run(test)
+
+
 def test_rewrite_without_space_keeps_the_file_and_what_is_queued(tmp_path: Path):
     """Guards against payloads that a failed compaction has taken out of the queue."""
 
