Forget refused claims that were queued while the disk became full

A claim that came while the write before it found no free space was refused, but stayed in the queue and was stored when there was free space again. Its key then belonged to a job that no process had accepted.

--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -204,6 +204,10 @@
             if self._on_dropped is None:
                 self._pending = group + self._pending
             else:
+                # Their writers, who wait for this write, get the same error.
+                group += self._pending
+                self._pending = []
+                target = self._appended_count
                 self._dropped_sequences.append(range(self._synced_count + 1, target + 1))
                 self._synced_count = target
                 self._on_dropped(group)
--- a/testing/control/test_full_disk.py
+++ b/testing/control/test_full_disk.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import errno
+import os
+import threading
 from pathlib import Path
 
 import anyio
+import anyio.to_thread
 import attrs
 import pytest
 from control_network import IDS, Cluster, Disk, run, wait_until, with_cluster
@@ -17,9 +20,12 @@
 from apricotpoint._control.log import Log
 from apricotpoint._control.messages import Entry, Snapshot, StateImage, Vote, VoteReply
 from apricotpoint._control.records import RecordFile
+from apricotpoint._control.registry import KeyRegistry
 from apricotpoint._control.replica import Role
 from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
 from apricotpoint._wire.configuration import Configuration
 
 FIVE_IDS = [*IDS, "c4", "c5"]
@@ -303,6 +309,48 @@
     run(test)
 
 
+def test_claim_that_comes_while_a_write_finds_no_space_is_forgotten(tmp_path: Path):
+    """Guards against a refused claim that is stored when there is free space again."""
+
+    async def test() -> None:
+        is_writing, may_fail, is_full = threading.Event(), threading.Event(), True
+
+        def write(descriptor: int, data: bytes) -> int:
+            if not is_full:
+                return os.write(descriptor, data)
+            is_writing.set()
+            assert may_fail.wait(5.0)
+            raise OSError(errno.ENOSPC, "injected")
+
+        clock = Clock()
+        registry = KeyRegistry(
+            Storage(tmp_path, write=write),
+            timers=TimerService(wall_clock=lambda: clock.wall),
+            counters=Counters(),
+            disk_replaced_at=None,
+        )
+        await registry.open()
+        codes = []
+
+        async def send(key: str) -> None:
+            codes.append((await registry.claim(attrs.evolve(CLAIM, key=key))).code)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, "order-1")
+            await anyio.to_thread.run_sync(is_writing.wait, 5.0)
+            group.start_soon(send, "order-2")
+            await anyio.sleep(0.01)
+            may_fail.set()
+        assert codes == [ResultCode.OVERLOADED] * 2
+        assert registry.claims == 0
+        is_full = False
+        assert await registry._storage.retry()
+        assert not (await registry.claim(attrs.evolve(CLAIM, key="order-2"))).existing
+        registry.close()
+
+    anyio.run(test)
+
+
 def test_full_device_leaves_the_former_file(tmp_path: Path):
     """Guards against an error of the operating system that the fakes do not show."""
 
