Take a term that is queued for no stall of the disk

A reply with a higher term leaves the term in the queue until the next request is handled. After 2 s that counted as a stalled disk, and the process never campaigned again. If the others lack its entries, the group had no leader until another process asked it for a vote.

--- a/src/apricotpoint/_control/diskspace.py
+++ b/src/apricotpoint/_control/diskspace.py
@@ -84,7 +84,7 @@
 class StallDetector:
     """Decides whether the disk stalls, from samples of what is synced.
 
-    The disk stalls if something waits to be synced and nothing was synced for
+    The disk stalls if a write or sync is in progress and nothing was synced for
     `STALL_TIMEOUT_S`.
     """
 
@@ -92,9 +92,9 @@
     _progressed_at: float | None = None
     is_stalled: bool = False
 
-    def update(self, now: float, synced_count: int, is_synced: bool) -> None:
-        """Take a sample; `is_synced` says that nothing waits."""
-        if is_synced or synced_count != self._synced_count or self._progressed_at is None:
+    def update(self, now: float, synced_count: int, is_waiting: bool) -> None:
+        """Take a sample; `is_waiting` says that a write or sync is in progress."""
+        if not is_waiting or synced_count != self._synced_count or self._progressed_at is None:
             self._progressed_at = now
         self._synced_count = synced_count
         self.is_stalled = now - self._progressed_at > STALL_TIMEOUT_S
--- a/src/apricotpoint/_control/log.py
+++ b/src/apricotpoint/_control/log.py
@@ -117,6 +117,11 @@
         """Whether all that is in memory is durable."""
         return self._file.is_synced
 
+    @property
+    def is_waiting_for_disk(self) -> bool:
+        """Whether something is not durable yet and a write or sync is in progress."""
+        return self._file.is_writing and not self._file.is_synced
+
     @property
     def synced_count(self) -> int:
         """A number that grows with each sync that makes something durable."""
--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -113,6 +113,11 @@
         """Whether nothing waits to be written or synced."""
         return self._synced_count == self._appended_count
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a write or sync is in progress."""
+        return self._write_in_progress
+
     @property
     def queued_bytes(self) -> int:
         """The size of the payloads that are queued and not being written."""
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -580,7 +580,10 @@
         """Step down without contact to a majority, or with a disk that is full or stalls."""
         while True:
             await self.timers.sleep(HEARTBEAT_INTERVAL_S)
-            self.stall.update(self.timers.now(), self.log.synced_count, self.log.is_synced)
+            # A term that a reply has raised stays queued until the next request is handled.
+            self.stall.update(
+                self.timers.now(), self.log.synced_count, self.log.is_waiting_for_disk
+            )
             if self.role is not Role.LEADER:
                 continue
             if self.log.is_disk_full:
--- a/testing/control/test_full_disk.py
+++ b/testing/control/test_full_disk.py
@@ -198,6 +198,26 @@
     with_cluster(test, tmp_path)
 
 
+def test_term_that_is_not_stored_yet_is_no_stall(tmp_path: Path):
+    """Guards against a group without a leader whose only possible leader never campaigns."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        others = [key for key in IDS if key != leader]
+        await cluster.kill(*others)
+        replica = cluster.node(leader).replica
+        # The others lack this entry, so only this replica can win an election.
+        await cluster.change(leader, "first", 0)
+        await wait_until(lambda: replica.role is not Role.LEADER, within_s=5.0)
+        # As a reply to a request for votes does that comes from a higher term.
+        replica.become_follower(replica.log.term + 1, None)
+        await anyio.sleep(5.0)
+        await cluster.start(others[0])
+        assert await cluster.leader(within_s=8.0) == leader
+
+    with_cluster(test, tmp_path)
+
+
 def test_snapshot_without_space_leaves_a_log_that_can_be_read(tmp_path: Path):
     """Guards against entries that are stored without the snapshot that they follow."""
 
