Count no replica with a full disk for the majority after a membership change

A replica with a full disk answers the leader, so it was added in place of a silent member, or counted as one that stores entries. With one silent member of five and one full disk, a learner with a full disk made six members of which three could store, and changes stopped.

--- a/src/apricotpoint/_control/membership.py
+++ b/src/apricotpoint/_control/membership.py
@@ -64,6 +64,7 @@
 
     `silent_s` is the time since its last answer, `caught_up` whether it lacks
     few enough entries to become a member, `may_vote` whether it may be one.
+    With `disk_full` it answers but stores nothing for now.
     """
 
     disk_id: str
@@ -71,6 +72,7 @@
     caught_up: bool
     may_vote: bool = True
     failure_domain: str = ""
+    disk_full: bool = False
 
     @property
     def is_live(self) -> bool:
@@ -88,13 +90,18 @@
     tolerance: FaultTolerance
 
     def is_live(self, peer_id: str) -> bool:
-        """Return whether a replica stores what is committed now."""
+        """Return whether a replica has answered lately."""
         status = self.status_by_id.get(peer_id)
         return peer_id == self.own_id or (status is not None and status.is_live)
 
+    def can_store(self, peer_id: str) -> bool:
+        """Return whether a replica stores what is committed now."""
+        status = self.status_by_id.get(peer_id)
+        return self.is_live(peer_id) and (status is None or not status.disk_full)
+
     def has_live_majority(self, members: Collection[str]) -> bool:
         """Return whether the live ones of these members could commit an entry."""
-        return sum(map(self.is_live, members)) > len(members) // 2
+        return sum(map(self.can_store, members)) > len(members) // 2
 
     def covers_domains(self, members: Iterable[str]) -> bool:
         """Return whether these members tolerate the loss of a failure domain."""
@@ -150,7 +157,7 @@
 
 
 def _is_ready(status: PeerStatus) -> bool:
-    return status.caught_up and bool(status.disk_id) and status.is_live
+    return status.caught_up and bool(status.disk_id) and status.is_live and not status.disk_full
 
 
 def _leaving_member(situation: _Situation) -> str | None:
@@ -263,6 +270,7 @@
             and progress.match_index > 0,
             may_vote=progress.traits.may_vote,
             failure_domain=progress.traits.failure_domain,
+            disk_full=progress.disk_full,
         )
         for peer_id, progress in replica.progress_by_id.items()
     }
--- a/testing/control/test_membership.py
+++ b/testing/control/test_membership.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Mapping
 
+import attrs
+
 from apricotpoint._control import membership
 from apricotpoint._control.membership import FaultTolerance, PeerStatus
 
@@ -72,6 +74,20 @@
     assert next_members("1", FIVE, statuses) == {**MEMBERS, "4": "d"}
 
 
+def test_replicas_with_full_disks_do_not_raise_the_majority_and_stay_members():
+    """Guards against a membership change that a majority cannot store, or for a short shortage."""
+    full = attrs.evolve(live("b"), disk_full=True)
+    others = {"2": full, "3": live("c"), "4": live("d")}
+    assert next_members("1", FIVE, {**others, "5": live("e")}, TWO) is None
+    statuses = {**others, "5": silent("e", 2.0), "6": attrs.evolve(live("f"), disk_full=True)}
+    assert next_members("1", FIVE, statuses, TWO) is None
+    statuses["6"] = live("f")
+    assert next_members("1", FIVE, statuses, TWO) == {**FIVE, "6": "f"}
+    # Of six, three could store, which is no majority.
+    statuses["4"] = attrs.evolve(live("d"), disk_full=True)
+    assert next_members("1", FIVE, statuses, TWO) is None
+
+
 def test_a_removal_leaves_a_live_majority():
     """Guards against a removal that the remaining live members could not commit."""
     statuses = {"2": silent("b", 9.0), "3": silent("c", 2.0), "4": live("d")}
