--- a/src/apricotpoint/_control/records.py
+++ b/src/apricotpoint/_control/records.py
@@ -113,6 +113,11 @@
         """Whether nothing waits to be written or synced."""
         return self._synced_count == self._appended_count
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a write or sync is in progress."""
+        return self._write_in_progress
+
     @property
     def queued_bytes(self) -> int:
         """The size of the payloads that are queued and not being written."""
@@ -204,6 +209,10 @@
             if self._on_dropped is None:
                 self._pending = group + self._pending
             else:
+                # Their writers, who wait for this write, get the same error.
+                group += self._pending
+                self._pending = []
+                target = self._appended_count
                 self._dropped_sequences.append(range(self._synced_count + 1, target + 1))
                 self._synced_count = target
                 self._on_dropped(group)
@@ -227,6 +236,8 @@
     async def _rewrite(self, payloads: list[bytes]) -> None:
         temporary = self._temporary_path
         record = _encode_record(1, payloads)
+        # A rewrite that is required from now on is not covered by these payloads.
+        required, self._required_rewrite = self._required_rewrite, None
         descriptor = -1
         try:
             descriptor = await self._storage.create(temporary)
@@ -235,6 +246,8 @@
         except BaseException as error:
             if descriptor >= 0:
                 os.close(descriptor)
+            if self._required_rewrite is None:
+                self._required_rewrite = required
             if isinstance(error, DiskFullError):
                 await self._storage.remove(temporary)
             raise
@@ -242,7 +255,6 @@
         self._descriptor = descriptor
         self._next_index = 2
         self.size = len(record)
-        self._required_rewrite = None
 
     @property
     def _temporary_path(self) -> Path:
--- a/testing/control/test_full_disk.py
+++ b/testing/control/test_full_disk.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import errno
+import os
+import threading
 from pathlib import Path
 
 import anyio
+import anyio.to_thread
 import attrs
 import pytest
 from control_network import IDS, Cluster, Disk, run, wait_until, with_cluster
@@ -17,9 +20,12 @@
 from apricotpoint._control.log import Log
 from apricotpoint._control.messages import Entry, Snapshot, StateImage, Vote, VoteReply
 from apricotpoint._control.records import RecordFile
+from apricotpoint._control.registry import KeyRegistry
 from apricotpoint._control.replica import Role
 from apricotpoint._control.storage import DiskFullError, Storage
 from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
+from apricotpoint._core.timers import TimerService
 from apricotpoint._wire.configuration import Configuration
 
 FIVE_IDS = [*IDS, "c4", "c5"]
@@ -192,6 +198,26 @@
     with_cluster(test, tmp_path)
 
 
+def test_term_that_is_not_stored_yet_is_no_stall(tmp_path: Path):
+    """Guards against a group without a leader whose only possible leader never campaigns."""
+
+    async def test(cluster: Cluster) -> None:
+        leader = await cluster.leader()
+        others = [key for key in IDS if key != leader]
+        await cluster.kill(*others)
+        replica = cluster.node(leader).replica
+        # The others lack this entry, so only this replica can win an election.
+        await cluster.change(leader, "first", 0)
+        await wait_until(lambda: replica.role is not Role.LEADER, within_s=5.0)
+        # As a reply to a request for votes does that comes from a higher term.
+        replica.become_follower(replica.log.term + 1, None)
+        await anyio.sleep(5.0)
+        await cluster.start(others[0])
+        assert await cluster.leader(within_s=8.0) == leader
+
+    with_cluster(test, tmp_path)
+
+
 def test_snapshot_without_space_leaves_a_log_that_can_be_read(tmp_path: Path):
     """Guards against entries that are stored without the snapshot that they follow."""
 
@@ -226,6 +252,30 @@
     run(test)
 
 
+def test_snapshot_that_arrives_during_a_rewrite_is_stored_before_what_follows_it(tmp_path: Path):
+    """Guards against entries that are stored after an older snapshot, at wrong indexes."""
+
+    async def test() -> None:
+        disk = Disk(tmp_path)
+        log = Log(disk.storage(), initial_members=IDS)
+        await log.open()
+        disk.sync_s = 1.0
+        image = StateImage(Configuration(), [], {})
+        async with anyio.create_task_group() as group:
+            group.start_soon(log.install, Snapshot(index=50, term=2, state=image))
+            await anyio.sleep(0.5)
+            group.start_soon(log.install, Snapshot(index=80, term=2, state=image))
+        log.append(81, [Entry(term=2)])
+        await log.sync()
+        log.close()
+        again = Log(disk.storage(), initial_members=IDS)
+        await again.open()
+        assert (again.last_index, again.snapshot_index) == (81, 80)
+        again.close()
+
+    run(test)
+
+
 def test_rewrite_without_space_keeps_the_file_and_what_is_queued(tmp_path: Path):
     """Guards against payloads that a failed compaction has taken out of the queue."""
 
@@ -279,6 +329,48 @@
     run(test)
 
 
+def test_claim_that_comes_while_a_write_finds_no_space_is_forgotten(tmp_path: Path):
+    """Guards against a refused claim that is stored when there is free space again."""
+
+    async def test() -> None:
+        is_writing, may_fail, is_full = threading.Event(), threading.Event(), True
+
+        def write(descriptor: int, data: bytes) -> int:
+            if not is_full:
+                return os.write(descriptor, data)
+            is_writing.set()
+            assert may_fail.wait(5.0)
+            raise OSError(errno.ENOSPC, "injected")
+
+        clock = Clock()
+        registry = KeyRegistry(
+            Storage(tmp_path, write=write),
+            timers=TimerService(wall_clock=lambda: clock.wall),
+            counters=Counters(),
+            disk_replaced_at=None,
+        )
+        await registry.open()
+        codes = []
+
+        async def send(key: str) -> None:
+            codes.append((await registry.claim(attrs.evolve(CLAIM, key=key))).code)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, "order-1")
+            await anyio.to_thread.run_sync(is_writing.wait, 5.0)
+            group.start_soon(send, "order-2")
+            await anyio.sleep(0.01)
+            may_fail.set()
+        assert codes == [ResultCode.OVERLOADED] * 2
+        assert registry.claims == 0
+        is_full = False
+        assert await registry._storage.retry()
+        assert not (await registry.claim(attrs.evolve(CLAIM, key="order-2"))).existing
+        registry.close()
+
+    anyio.run(test)
+
+
 def test_full_device_leaves_the_former_file(tmp_path: Path):
     """Guards against an error of the operating system that the fakes do not show."""
 
