Leave the penalty of another location out of the learned slowdown

A run far from its data on a cold backend server was compared by its whole run time, so that the slowdown of all cold backend servers grew by the penalty.

--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -185,11 +185,11 @@
         self._normalise_speeds()
 
     def _learn_slowdown(self, job: Job, warm: list[tuple[Run, float]]) -> None:
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in warm]
+        work_logs = [_work_log(run, took_s) for run, took_s in warm]
         expected_s = math.exp(statistics.fmean(work_logs)) if work_logs else job.estimate_s
         for run, took_s in _timed_runs(job):
             if run.cold_share:
-                ratio = took_s * run.backend.speed.value / max(expected_s, 1e-3)
+                ratio = math.exp(_work_log(run, took_s)) / max(expected_s, 1e-3)
                 self.slowdown.observe(run.cold_share, ratio, same_job=bool(warm))
 
     def refine_run_time(self, job: Job) -> None:
--- a/testing/pool/test_cold.py
+++ b/testing/pool/test_cold.py
@@ -11,9 +11,12 @@
 from test_relay import Relays, announcement, run_with_relays
 
 from apricotpoint._pool.decisions import cold
+from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._pool.holders.roster import digest as digest_of
 from apricotpoint._pool.runs.coldbackends import ColdBackends, Slowdown
+from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job, Run
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._wire.pool import BackendsHeard, PoolBackend, Room
 
@@ -73,6 +76,18 @@
         assert held.expected_speed(now) == held.speed.value
 
 
+def test_runs_far_from_their_data_do_not_change_the_slowdown():
+    """Guards against a slowdown that grows by the penalty of another location."""
+    estimates = Estimates({}, lambda _: True)
+    held = HeldBackend(make_announcement(location="q"), FakeBackend(), 1)
+    for number in range(20):
+        job = Job(make_job(number), None, arrived_at=0.0, estimate_s=0.2)
+        run = Run(job.tasks[0], 1, held, 1, 0.0, 1.2, cold_share=1.0, remote_factor=3.0)
+        job.completed_runs.append((run, 0.2 * cold.INITIAL_SLOWDOWN * run.remote_factor))
+        estimates.learn_from(job)
+    assert estimates.slowdown.value == pytest.approx(cold.INITIAL_SLOWDOWN)
+
+
 def test_the_time_left_counts_from_the_arrival_of_the_announcement():
     """Guards against a warm backend server that a new holder takes for cold."""
     now = 100.0
