Judge the progress of a run by its speed where it runs

A run far from its data, or on a cold backend server, counted as one at the learned speed, so that its job ended although its tasks would have met the deadline near the data.

--- a/src/apricotpoint/_pool/decisions/overrun.py
+++ b/src/apricotpoint/_pool/decisions/overrun.py
@@ -24,7 +24,8 @@
 class Progress:
     """The progress of one run in percent, rounded down, `elapsed_s` after its start was sent.
 
-    `backend_id` is its backend server, and `speed` the expected speed of that.
+    `backend_id` is its backend server, and `speed` the speed of the run there, lower if the backend
+    server was cold at its start or is not in the location that its job prefers.
     """
 
     backend_id: str
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -462,11 +462,9 @@
         """End a job if the progress of its runs shows that it cannot meet its deadline."""
         job, now = run.task.job, self._timers.now()
         remaining_s = job.deadline_at - now
-        if job.answer is not None or not overrun.is_late(_progress(run, now), remaining_s):
+        if job.answer is not None or not overrun.is_late(_progress(run), remaining_s):
             return
-        reports = [
-            _progress(active, now) for active in job.active_runs() if active.progress_changed_at
-        ]
+        reports = [_progress(active) for active in job.active_runs() if active.progress_changed_at]
         if overrun.cannot_meet_deadline(
             reports,
             task_count=job.request.count,
@@ -693,10 +691,10 @@
             self._finish_job(job, answer)
 
 
-def _progress(run: Run, now: float) -> overrun.Progress:
+def _progress(run: Run) -> overrun.Progress:
     return overrun.Progress(
         run.backend.backend_id,
-        run.backend.expected_speed(now),
+        run.speed / run.remote_factor,
         run.progress_changed_at - run.sent_at,
         run.progress,
     )
--- a/testing/pool/test_overrun.py
+++ b/testing/pool/test_overrun.py
@@ -9,6 +9,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._pool.decisions.overrun import Progress, cannot_meet_deadline
+from apricotpoint._wire.pool import Locality
 
 DEADLINE_S = 1.5
 
@@ -79,3 +80,29 @@
             assert job.answer.code == ResultCode.COMPLETE
 
     run_on_virtual_time(test)
+
+
+def test_a_job_far_from_its_data_moves_instead_of_ending():
+    """Guards against an end by progress that would be enough near the data of the job."""
+
+    async def test() -> None:
+        near, far = FakeBackend(location="p"), FakeBackend(location="q")
+        async with run_scheduler(near, far) as harness:
+            for number in (1, 2):
+                near.work_s_by_task[f"{number:016x}.0.0.0"] = 0.3
+                blocker = make_job(number, work_s=1.2, kind="other", deadline_s=9.0)
+                locality = Locality("p", together=False, remote_factor=5.0)
+                harness.scheduler.submit(attrs.evolve(blocker, locality=locality))
+            await anyio.sleep(0.01)
+            request = make_job(3, count=2, work_s=0.2, deadline_s=DEADLINE_S)
+            near.work_s = far.work_s = 0.5
+            for backend in (near, far):
+                backend.location_by_job[request.job_id] = "p"
+                backend.penalty_by_job[request.job_id] = 5.0
+            job = harness.scheduler.submit(attrs.evolve(request, locality=locality))
+            await job.answered.wait()
+            assert far.remote_starts == 2
+            assert job.answer is not None
+            assert job.answer.code == ResultCode.COMPLETE
+
+    run_on_virtual_time(test)
