Review the waiting jobs of each service by its own backend servers

A job was refused because of a queue for the backend servers of another service, although a backend server of its own would have been free soon.

--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -107,9 +107,13 @@
             if held.is_schedulable(now)
         )
 
-    def slots(self, now: float) -> forecast.SlotForecast:
-        """Return a forecast of the slots on all backend servers that can be counted on."""
-        schedulable = [held for held in self._held_by_id.values() if held.is_schedulable(now)]
+    def slots(self, service: str, now: float) -> forecast.SlotForecast:
+        """Return a forecast of the slots on the backend servers of a service."""
+        schedulable = [
+            held
+            for held in self._held_by_id.values()
+            if held.announcement.service == service and held.is_schedulable(now)
+        ]
         return forecast.SlotForecast(schedulable, self._typical_cpu(), now)
 
     def waits_for_resources(self, job: Job) -> bool:
--- a/src/apricotpoint/_pool/runs/review.py
+++ b/src/apricotpoint/_pool/runs/review.py
@@ -63,11 +63,17 @@
         fastest = self._estimates.attainable_speed(now)
         queue = [job for job in queue if self._estimates.waits_for_resources(job)]
         queue.sort(key=lambda job: joborder.order_key(job, now, fastest))
-        refused = waiting.select_refused(
-            queue,
-            self._estimates.slots(now),
-            now,
-            fastest=fastest,
-            arrival_ratio=self.arrival_rate(now) / max(self._estimates.throughput(now), 1.0),
-        )
-        return [refusal for refusal in refused if now - refusal.job.arrived_at >= MIN_WAIT_S]
+        arrival_ratio = self.arrival_rate(now) / max(self._estimates.throughput(now), 1.0)
+        # Jobs of different services do not wait for each other.
+        return [
+            refusal
+            for service in sorted({job.request.service for job in queue})
+            for refusal in waiting.select_refused(
+                [job for job in queue if job.request.service == service],
+                self._estimates.slots(service, now),
+                now,
+                fastest=fastest,
+                arrival_ratio=arrival_ratio,
+            )
+            if now - refusal.job.arrived_at >= MIN_WAIT_S
+        ]
--- a/testing/pool/test_waiting.py
+++ b/testing/pool/test_waiting.py
@@ -17,9 +17,11 @@
 
 from apricotpoint._pool.decisions import waiting
 from apricotpoint._pool.decisions.forecast import SlotForecast
+from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run
 from apricotpoint._pool.runs.learning import Speed
+from apricotpoint._pool.runs.review import WaitReview
 from apricotpoint._wire.pool import Room
 
 SEEDS = (1, 2, 3)
@@ -92,6 +94,19 @@
     assert not list(waiting.select_refused([job], nothing, 1.0, fastest=1.0, arrival_ratio=2.0))
 
 
+def test_a_job_does_not_wait_behind_the_jobs_of_another_service():
+    """Guards against a refusal because of a queue for other backend servers."""
+    now, busy, other = 0.1, make_held(14_000, (14_000, 9.0)), make_held(14_000, (14_000, 0.15))
+    other.announcement = attrs.evolve(other.announcement, service="other")
+    review = WaitReview(Estimates({"w1": busy, "w2": other}, lambda _: True))
+    job = waiting_job(1, sent_at=0.0)
+    job.request = attrs.evolve(job.request, service="other")
+    queue = [waiting_job(number, sent_at=-0.01 * number) for number in range(2, 22)]
+    refused = [refusal.job for refusal in review.refusals([*queue, job], now)]
+    assert refused
+    assert job not in refused
+
+
 def test_slots_are_counted_by_the_room_that_runs_leave():
     """Guards against a task of 18 cores expected in the place of one of 14."""
     held = make_held(32_000, (14_000, 0.2), (17_000, 0.6))
