--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -227,10 +227,12 @@
             for entry_id, status in self._members.live_entries().items()
             if entry_id not in excluded and not status.draining and status.held
         }
-        live = evacuation.usable_holders(live, evacuated)
-        live = nearholders.prefer_near(request, live, self._members.location_of)
+        usable = evacuation.usable_holders(live, evacuated)
+        live = nearholders.prefer_near(request, usable, self._members.location_of)
         is_evacuated = self._own_domain in evacuated
-        local_ids = list(live) if is_evacuated else claims.holders(self._own_domain, live)
+        local_ids = [] if is_evacuated else claims.holders(self._own_domain, live)
+        if not local_ids and (is_evacuated or len(live) < len(usable)):
+            local_ids = list(live)
         if is_evacuated and local_ids:
             self._counters.add("jobs.routed_elsewhere_evacuated")
         if local_ids:
--- a/testing/pool/test_locality.py
+++ b/testing/pool/test_locality.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+from unittest.mock import Mock
+
 import attrs
 import logbook
 import pytest
@@ -15,10 +18,12 @@
 )
 
 from apricotpoint._core.codes import ResultCode
+from apricotpoint._core.counters import Counters
 from apricotpoint._pool.decisions import locations, nearholders
 from apricotpoint._pool.decisions.locality import Choice, Objective, waiting_pays
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run
+from apricotpoint._pool.service import PoolService
 from apricotpoint._wire.pool import EntryStatus, Locality, PoolJob, PoolLoad
 
 NEAR_P = Locality("p", False, 3.0)
@@ -237,3 +242,28 @@
     assert choose(local_job(preference=Locality("unknown", False, 3.0))) == set(live)
     live["e1"] = status("w1", 0)
     assert choose(local_job()) == set(live)
+
+
+def test_holders_near_the_data_in_another_domain_share_its_jobs():
+    """Guards against entry processes that all send the jobs of a location to the same holder."""
+
+    def status(held: str, part: str) -> EntryStatus:
+        return EntryStatus("b", False, 1, {part: 1}, [held], PoolLoad(0.0, 2, 4))
+
+    live = {"e1": status("w1", "a#0"), "e2": status("w2", "b#0"), "e3": status("w2", "b#1")}
+    members, scheduler = Mock(), Mock()
+    members.entry_id = "e0"
+    members.live_entries.return_value = live
+    members.location_of = {"w1": "q", "w2": "p"}.__getitem__
+    scheduler.evacuations.domains = frozenset()
+    service = PoolService(
+        own_domain="a",
+        members=members,
+        scheduler=scheduler,
+        transport=Mock(),
+        timers=Mock(),
+        counters=Counters(),
+        random=random.Random(1),
+    )
+    assert service.holder_choice(set(), local_job()).share_by_holder() == {"e2": 0.5, "e3": 0.5}
+    assert service.holder_choice(set(), local_job(preference=None)).ids == ["e1"]
