--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -115,9 +115,13 @@
             if held.is_schedulable(now)
         )
 
-    def slots(self, now: float) -> forecast.SlotForecast:
-        """Return a forecast of the slots on all backend servers that can be counted on."""
-        schedulable = [held for held in self._held_by_id.values() if held.is_schedulable(now)]
+    def slots(self, service: str, now: float) -> forecast.SlotForecast:
+        """Return a forecast of the slots on the backend servers of a service."""
+        schedulable = [
+            held
+            for held in self._held_by_id.values()
+            if held.announcement.service == service and held.is_schedulable(now)
+        ]
         return forecast.SlotForecast(schedulable, self._typical_cpu(), now)
 
     def waits_for_resources(self, job: Job) -> bool:
@@ -193,11 +197,11 @@
         self._normalise_speeds()
 
     def _learn_slowdown(self, job: Job, warm: list[tuple[Run, float]]) -> None:
-        work_logs = [math.log(took_s * run.backend.speed.value) for run, took_s in warm]
+        work_logs = [_work_log(run, took_s) for run, took_s in warm]
         expected_s = math.exp(statistics.fmean(work_logs)) if work_logs else job.estimate_s
         for run, took_s in _timed_runs(job):
             if run.cold_share:
-                ratio = took_s * run.backend.speed.value / max(expected_s, 1e-3)
+                ratio = math.exp(_work_log(run, took_s)) / max(expected_s, 1e-3)
                 self.slowdown.observe(run.cold_share, ratio, same_job=bool(warm))
 
     def refine_run_time(self, job: Job) -> None:
