Stop on SIGTERM also while the start waits to be recorded

A control process whose disk became full between the probe of its data folder and the record of its start waited for free space without looking at the signals, so that SIGTERM had no effect until there was space.

--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -80,7 +80,8 @@
     a newer start of this node elsewhere (5105), ends the node with
     `ApricotError`; no request is acknowledged after that. With a full disk it
     goes on without storing anything; its start waits until its start counter
-    is stored. `storage` is for tests.
+    is stored, unless `identity` is the result of `record_start` for this start.
+    `storage` is for tests.
 
     `members` are the other control processes known at the start. With
     `initial_members`, the members of a new deployment are exactly these, and
@@ -105,6 +106,7 @@
         counters: Counters,
         random: random.Random,
         storage: Storage | None = None,
+        identity: Identity | None = None,
         initial_members: Sequence[str] | None = None,
         tolerance: FaultTolerance = DEFAULT_TOLERANCE,
         may_vote: bool = True,
@@ -119,6 +121,7 @@
         self._counters = counters
         self._random = random
         self._storage = storage or Storage(data_folder)
+        self._recorded_identity = identity
         self._manages_members = initial_members is not None
         self._tolerance = tolerance
         self._connect = connect
@@ -138,12 +141,14 @@
         self.registry: KeyRegistry
 
     async def __aenter__(self) -> ControlNode:
-        identity = await retry_while_full(
-            self._storage,
-            self._timers,
-            lambda: record_start(self._storage, node_id=self.node_id, random=self._random),
-            f"start of {self.node_id}",
-        )
+        identity = self._recorded_identity
+        if identity is None:
+            identity = await retry_while_full(
+                self._storage,
+                self._timers,
+                lambda: record_start(self._storage, node_id=self.node_id, random=self._random),
+                f"start of {self.node_id}",
+            )
         self._identity = identity
         self._starts.open()
         await self._log.open()
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -14,9 +14,11 @@
 
 from apricotpoint._control.diskspace import retry_while_full
 from apricotpoint._control.identity import (
+    Identity,
     discard_incomplete_initialisation,
     initialise,
     is_initialised,
+    record_start,
 )
 from apricotpoint._control.membership import FaultTolerance
 from apricotpoint._control.node import ControlNode
@@ -66,7 +68,8 @@
             remedy="run the control program on a VM with a data disk",
         )
     timers, counters = TimerService(suspended_s=suspended_s), Counters()
-    if not await _prepare_data_folder(folder, settings, timers, signals):
+    identity = await _prepare_data_folder(folder, settings, timers, signals)
+    if identity is None:
         return
     _log.info("seeds {}, may vote: {}", settings.seeds, settings.may_vote)
     incarnation = new_incarnation()
@@ -94,6 +97,7 @@
         connect=lambda peer_id: mesh.add_peer(peer_id, settings.peer_address(peer_id)),
         seeds=settings_file.seeds,
         data_folder=folder,
+        identity=identity,
         transport=mesh,
         timers=timers,
         counters=counters,
@@ -154,17 +158,18 @@
 
 async def _prepare_data_folder(
     folder: Path, settings: PlatformSettings, timers: TimerService, signals: Signals
-) -> bool:
-    """Initialise the data folder if needed, and wait until its disk has free space.
+) -> Identity | None:
+    """Initialise the data folder if needed, and record the start once its disk has free space.
 
-    Returns False if the process was told to stop meanwhile.
+    Returns None if the process was told to stop meanwhile.
     """
-    prepared = False
+    identity: Identity | None = None
     storage = Storage(folder)
 
-    async def prepare() -> None:
+    async def prepare() -> Identity:
         await _initialise_data_folder(storage, settings)
         await storage.write_probe()
+        return await record_start(storage, node_id=settings.address, random=random.SystemRandom())
 
     async def stop(scope: anyio.CancelScope) -> None:
         await signals.stop_requested.wait()
@@ -172,10 +177,9 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(stop, group.cancel_scope)
-        await retry_while_full(storage, timers, prepare, f"start of {settings.address}")
-        prepared = True
+        identity = await retry_while_full(storage, timers, prepare, f"start of {settings.address}")
         group.cancel_scope.cancel()
-    return prepared
+    return identity
 
 
 async def _initialise_data_folder(storage: Storage, settings: PlatformSettings) -> None:
