--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -141,15 +141,20 @@
             close_server.wait,
             grace_s=SHUTDOWN_GRACE_S,
             idle_s=CONNECTION_IDLE_TIMEOUT_S,
-            arrivals=arrivals,
+            arrivals=arrivals if settings.has_places else None,
             task_status=task_status,
         )
 
     async with AsyncExitStack() as stack:
-        for component in (timers, pauses, mesh, node, relay):
+        await stack.enter_async_context(timers)
+        if settings.has_places:
+            # Only the age of orders for failure domains is of interest.
+            await stack.enter_async_context(pauses)
+        for component in (mesh, node, relay):
             await stack.enter_async_context(component)
         async with anyio.create_task_group() as group:
-            group.start_soon(arrivals.check)
+            if settings.has_places:
+                group.start_soon(arrivals.check)
             await group.start(serve_app)
             _log.info("listening for workers and operators on {}", settings.control_bind)
             await signals.stop_requested.wait()
