Find the attainable speed once per tick, and review evacuations only if held

The speeds of all held backend servers were sorted for each waiting job at each tick, and all waiting jobs were matched with all of them at processes without an evacuated one.

--- a/src/apricotpoint/_pool/decisions/evacuation.py
+++ b/src/apricotpoint/_pool/decisions/evacuation.py
@@ -78,6 +78,8 @@
 ) -> Iterator[tuple[Job, Fate]]:
     """Yield each open job that does not stay, with its fate; `backends` are all held here."""
     usable = [held for held in backends if not held.announcement.leaving]
+    if not any(held.is_evacuated for held in usable):
+        return
     for job in jobs:
         if not job.waiting_tasks():
             # Runs in progress end normally.
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -67,9 +67,11 @@
         speeds = sorted(held.expected_speed(now) for held in usable)
         return speeds[int(len(speeds) * GOOD_SPEED_QUANTILE)] if speeds else 1.0
 
-    def attainable_speed_for(self, job: Job, now: float) -> float:
-        """Return the speed that a job may expect, near its data or elsewhere."""
-        fastest = self.attainable_speed(now)
+    def attainable_speed_for(self, job: Job, now: float, *, fastest: float) -> float:
+        """Return the speed that a job may expect, near its data or elsewhere.
+
+        `fastest` is `attainable_speed`, which takes long to find anew for each job.
+        """
         if job.request.locality is None:
             return fastest
         return locations.attainable_speed(job, self._held_by_id.values(), now, fastest=fastest)
@@ -123,7 +125,7 @@
     def forecast(self, job: Job, jobs: Iterable[Job], now: float) -> tuple[float, float]:
         """Return the predicted wait and run time in seconds of a job that competes with `jobs`."""
         fastest = self.attainable_speed(now)
-        run_s = job.longest_task_s / self.attainable_speed_for(job, now)
+        run_s = job.longest_task_s / self.attainable_speed_for(job, now, fastest=fastest)
         schedulable = [
             held
             for held in self._held_by_id.values()
@@ -140,7 +142,7 @@
             and joborder.order_key(other, now, fastest) <= key
         ]
         if job.request.locality is not None:
-            return self._forecast_near_or_elsewhere(job, schedulable, ahead, now)
+            return self._forecast_near_or_elsewhere(job, schedulable, ahead, now, run_s)
         slots = forecast.SlotForecast(schedulable, job.request.room.cpu, now)
         if not ahead and slots.free_count() >= job.request.count:
             return 0.0, run_s
@@ -148,14 +150,18 @@
         return max(wait_s, 0.0), run_s
 
     def _forecast_near_or_elsewhere(
-        self, job: Job, backends: list[HeldBackend], ahead: list[tuple[int, float]], now: float
+        self,
+        job: Job,
+        backends: list[HeldBackend],
+        ahead: list[tuple[int, float]],
+        now: float,
+        run_s: float,
     ) -> tuple[float, float]:
         """Forecast a job whose tasks each go where they end first, near their data or elsewhere."""
         factor_of = locations.factors(job, backends, now)
         slots = forecast.SlotForecast(backends, job.request.room.cpu, now, factor_of)
         has_free_room = not ahead and slots.free_count() >= job.request.count
         took_s = slots.predict_end(job, ahead) - now
-        run_s = job.longest_task_s / self.attainable_speed_for(job, now)
         if has_free_room:
             return 0.0, max(took_s, run_s)
         return max(took_s - run_s, 0.0), run_s
@@ -163,10 +169,13 @@
     def _startable_count(self, job: Job) -> int:
         return sum(map(self._may_start, job.waiting_tasks()))
 
-    def can_meet_deadline(self, job: Job, now: float) -> bool:
-        """Return whether the waiting tasks of a job can still end before its deadline."""
+    def can_meet_deadline(self, job: Job, now: float, *, fastest: float) -> bool:
+        """Return whether the waiting tasks of a job can still end before its deadline.
+
+        `fastest` is as for `attainable_speed_for`.
+        """
         share = admission.STARTED_OPTIMISTIC_SHARE if job.started else admission.OPTIMISTIC_SHARE
-        run_s = job.longest_task_s / self.attainable_speed_for(job, now)
+        run_s = job.longest_task_s / self.attainable_speed_for(job, now, fastest=fastest)
         return now + share * run_s <= job.deadline_at
 
     def learn_from(self, job: Job) -> None:
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -644,6 +644,7 @@
     def _tick(self) -> None:
         now = self._timers.now()
         self._review_evacuated()
+        fastest = self.estimates.attainable_speed(now)
         for job in self.unanswered_jobs():
             if now >= job.deadline_at:
                 if job.started:
@@ -657,7 +658,9 @@
                         "no resources became free before the deadline",
                     )
                 self._finish_job(job, PoolAnswer(int(code), reason))
-            elif job.waiting_tasks() and not self.estimates.can_meet_deadline(job, now):
+            elif job.waiting_tasks() and not self.estimates.can_meet_deadline(
+                job, now, fastest=fastest
+            ):
                 reason = "its waiting tasks cannot meet the deadline any more"
                 if job.started:
                     self._finish_job(job, PoolAnswer(int(ResultCode.DEADLINE_AFTER_START), reason))
--- a/testing/pool/test_evacuation.py
+++ b/testing/pool/test_evacuation.py
@@ -19,6 +19,7 @@
 from apricotpoint._pool.decisions.verdicts import Evidence
 from apricotpoint._pool.runs.health import Health
 from apricotpoint._pool.runs.heldbackend import HeldBackend
+from apricotpoint._pool.runs.job import Job
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolJob, PoolLoad
 
 DOMAINS = (("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "c"))
@@ -324,3 +325,11 @@
     # Measured: 1.0, 0.94 and 0.705. The remaining capacity is enough but for bursts.
     assert evacuated > undisturbed - 0.1
     assert evacuated > without + 0.1
+
+
+def test_jobs_are_not_reviewed_where_no_backend_server_is_evacuated():
+    """Guards against a review of all waiting jobs at each tick of processes in other domains."""
+    held = HeldBackend(make_announcement(), FakeBackend(), 1)
+    jobs = iter([Job(make_job(), None, arrived_at=0.0, estimate_s=0.2)])
+    assert not list(evacuation.decide(jobs, [held], 0.0))
+    assert len(list(jobs)) == 1
--- a/testing/pool/test_waiting.py
+++ b/testing/pool/test_waiting.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import attrs
 import pytest
-from pool_harness import FakeBackend, make_announcement, make_job
+from pool_harness import (
+    FakeBackend,
+    make_announcement,
+    make_job,
+    on_virtual_time,
+    run_scheduler,
+)
 from pool_load import (
     VAN_BACKENDS,
     VAN_MIX,
@@ -160,3 +168,16 @@
         route = sum(item.served() for item in counts)
         assert sum(item.served(0.9, 1.0) for item in counts) >= 0.5 * route
         assert sum(item.served(0.7, 0.9) for item in counts) >= 0.5 * route
+
+
+@on_virtual_time
+async def test_the_speeds_are_compared_once_for_all_waiting_jobs():
+    """Guards against processor time that grows with the backend servers times the waiting jobs."""
+    async with run_scheduler(FakeBackend(work_s=1.0)) as harness:
+        for number in range(40):
+            harness.scheduler.submit(make_job(number, work_s=0.2, deadline_s=9.0, count=2))
+        estimates = harness.scheduler.estimates
+        with patch.object(estimates, "attainable_speed", wraps=estimates.attainable_speed) as calls:
+            await harness.settle(0.1)
+        # At most for the check, the review and the dispatch of each of five ticks.
+        assert 0 < calls.call_count <= 20
