--- a/src/apricotpoint/_pool/decisions/locations.py
+++ b/src/apricotpoint/_pool/decisions/locations.py
@@ -262,7 +262,7 @@
             near_wait_s=max(near_at - now, 0.0),
             near_wait_spread=locality.ESTIMATE_SPREAD,
             near_speed=near_speed,
-            remote_speed=remote.speed.value / remote_factor,
+            remote_speed=remote.expected_speed(now) / remote_factor,
             remote_factor=remote_factor,
             price=self._price(request.room),
             waited_s=0.0 if task.local_wait_at is None else now - task.local_wait_at,
--- a/testing/pool/test_locality.py
+++ b/testing/pool/test_locality.py
@@ -20,7 +20,9 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._pool.decisions import locations, nearholders
+from apricotpoint._pool.decisions.cold import ColdPeriod
 from apricotpoint._pool.decisions.locality import Choice, Objective, waiting_pays
+from apricotpoint._pool.runs.coldbackends import Slowdown, Warmth
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Run
 from apricotpoint._pool.service import PoolService
@@ -267,3 +269,24 @@
     )
     assert service.holder_choice(set(), local_job()).share_by_holder() == {"e2": 0.5, "e3": 0.5}
     assert service.holder_choice(set(), local_job(preference=None)).ids == ["e1"]
+
+
+def test_a_task_waits_for_its_location_if_backend_servers_elsewhere_are_cold():
+    """Guards against starts on a cold backend server elsewhere that make the job late."""
+    near, far = (
+        HeldBackend(make_announcement(key, location=place), FakeBackend(), 1, is_responsive=True)
+        for key, place in (("w1", "p"), ("w2", "q"))
+    )
+    blocker = Job(make_job(1), None, 0.0, 0.1)
+    near.add(Run(blocker.tasks[0], 1, near, 1, 0.0, 0.05), near.announcement.room)
+    blocker.request = attrs.evolve(blocker.request, room=near.announcement.room)
+    job = Job(local_job(2, preference=Locality("p", False, 1.3)), None, 0.0, 0.2)
+
+    def start_elsewhere() -> bool:
+        # Most of the other backend servers are cold as well.
+        choices = locations.LocalityPass([near, *[far] * 20], 0.0, fastest=0.25)
+        return choices.choose(job.tasks[0], [far]) is far
+
+    assert start_elsewhere()
+    far.warmth = Warmth(ColdPeriod(20.0, 20.0), Slowdown(4.0))
+    assert not start_elsewhere()
