Drop replies to lease renewals that a newer one has overtaken

While a run is watched beside a renewal of an idle backend server, two renewals are on the way at once. The older reply could be processed last: it brought back a run that had ended, which was then stopped as one of an earlier holder, or named the former incarnation, which counted as a restart. Replies are now compared by the clock of the backend server, for the time that a reply can take.

--- a/src/apricotpoint/_pool/runs/renewal.py
+++ b/src/apricotpoint/_pool/runs/renewal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -32,6 +33,10 @@
 SETTLING_S = 3.0
 # Delay after a renewal that got no answer or was refused.
 RETRY_DELAY_S = 0.03
+# Two renewals may be on the way at once, on different connections, so that the older reply may
+# arrive last. It is then at most as old as the longest renewal takes; a clock that is further
+# behind has been set anew, or an earlier reply had a wrong one.
+MAX_REPLY_DELAY_S = 1.0
 # Increment of the fencing token by a renewal that fences off earlier starts. Another holder
 # starts with a token above all of these.
 TOKEN_STEP = 1
@@ -118,6 +123,9 @@
         # Whether a renewal that was sent while nothing ran there is not answered yet.
         self._is_idle = False
         self._is_watching = False
+        # Clock of the backend server in the newest reply, in milliseconds.
+        self._reply_clock_ms: int | None = None
+        self._restarted_at = -math.inf
 
     async def run(self) -> None:
         """Renew the lease until `release` is called, then close the client."""
@@ -223,8 +231,13 @@
     def _process_reply(self, reply: LeaseReply, token: int, sent_at: float) -> None:
         held, now = self._held, self._timers.now()
         held.refuses_connections = False
+        if self._is_outdated(reply, now):
+            # What it lists is in the newer one, too, unless that has ended meanwhile.
+            self._counters.add("pool.outdated_replies")
+            return
         if reply.born_ms and held.born_ms and reply.born_ms != held.born_ms:
             self._handle_restart(reply)
+        self._reply_clock_ms = reply.clock_ms
         held.update_clock(reply, now)
         held.born_ms = reply.born_ms or held.born_ms
         earlier_runs = dict(held.run_by_key)
@@ -250,6 +263,18 @@
             held.is_responsive = True
             self._observer.backend_changed(held)
 
+    def _is_outdated(self, reply: LeaseReply, now: float) -> bool:
+        """Return whether a newer reply was processed before.
+
+        It would bring back runs that have ended, which would then be stopped as those of an
+        earlier holder, or it would be taken for one of the next incarnation.
+        """
+        held, newest_ms = self._held, self._reply_clock_ms
+        if reply.born_ms and held.born_ms and reply.born_ms != held.born_ms:
+            is_former = reply.born_ms < held.born_ms
+            return is_former and now - self._restarted_at <= MAX_REPLY_DELAY_S
+        return newest_ms is not None and 0 < newest_ms - reply.clock_ms <= MAX_REPLY_DELAY_S * 1000
+
     def _process_ended_runs(
         self, reply: LeaseReply, earlier_runs: dict[RunKey, Run]
     ) -> set[RunKey]:
@@ -284,6 +309,7 @@
 
     def _handle_restart(self, reply: LeaseReply) -> None:
         held = self._held
+        self._restarted_at = self._timers.now()
         _log.warning(
             "backend server {} has restarted: its incarnation started at {} ms instead of {} ms",
             held.backend_id,
