Register the receiving socket once, and keep the attainable speed for 50 ms

An idle entry process registered and removed its receiving socket with the event loop for each message, and a holder sorted the speeds of its backend servers several times for each start.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import math
 import secrets
@@ -80,6 +81,8 @@
     The handlers of requests of `dated_types` learn how old a request is at most. If the messages
     exchanged before do not tell that it is recent, its sender is probed first: what waited for a
     process that was stopped, or for a partition to end, is not taken for new.
+
+    Works only with the asyncio backend of anyio.
     """
 
     def __init__(
@@ -312,20 +315,35 @@
                     await link.wait_until_flushed()
 
     async def _receive(self, pull: pynng.Pull0) -> None:
-        while True:
-            await anyio.wait_readable(pull.recv_fd)
-            for _ in range(_RECEIVE_BURST_MESSAGES):
-                try:
-                    data = pull.recv(block=False)
-                except pynng.TryAgain:
-                    break
-                except RuntimeError:
-                    # pynng 0.9 raises this for an empty message, which any program that
-                    # connects can send.
-                    self._counters.add("link.undecodable")
-                    continue
-                self._handle(data)
-            await anyio.lowlevel.checkpoint()
+        # Registered once: `anyio.wait_readable` would register and remove the socket for each wait,
+        # which makes two more system calls and a pass of the event loop for each message.
+        arrived = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_reader(pull.recv_fd, arrived.set)
+        try:
+            while True:
+                await arrived.wait()
+                arrived.clear()
+                if not self._receive_burst(pull):
+                    # The socket stays readable, so the event is set again after other tasks ran.
+                    await anyio.lowlevel.checkpoint()
+        finally:
+            loop.remove_reader(pull.recv_fd)
+
+    def _receive_burst(self, pull: pynng.Pull0) -> bool:
+        """Handle the messages that have arrived, up to a limit; False if more may be left."""
+        for _ in range(_RECEIVE_BURST_MESSAGES):
+            try:
+                data = pull.recv(block=False)
+            except pynng.TryAgain:
+                return True
+            except RuntimeError:
+                # pynng 0.9 raises this for an empty message, which any program that connects can
+                # send.
+                self._counters.add("link.undecodable")
+                continue
+            self._handle(data)
+        return False
 
     def _handle(self, data: bytes) -> None:
         try:
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -13,6 +13,9 @@
 from apricotpoint._pool.runs.learning import KindRunTimes, mean_speed_log
 from apricotpoint._wire.pool import PoolJob, PoolLoad
 
+# The attainable speed is found anew after this time. Learned speeds change by a few percent with
+# each run, and it is needed several times for each start.
+ATTAINABLE_SPEED_MAX_AGE_S = 0.05
 # Expected time until a backend server that was just acquired answers its first renewal.
 ACQUISITION_WAIT_S = 0.1
 # Learned speeds scatter, so that the largest one is too optimistic. A tenth of the backend
@@ -46,6 +49,8 @@
         self._held_by_id = held_by_id
         self._may_start = may_start
         self._mean_cpu = 0.0
+        self._attainable_speed = 1.0
+        self._attainable_speed_at = -math.inf
 
     def run_time_s(self, request: PoolJob) -> float:
         """Return the expected run time of a task of a job at speed 1, in seconds."""
@@ -61,7 +66,16 @@
         return {key: round(held.speed.value, 3) for key, held in self._held_by_id.items()}
 
     def attainable_speed(self, now: float) -> float:
-        """Return the speed that a job may expect of fast backend servers; 1 if none is held."""
+        """Return the speed that a job may expect of fast backend servers; 1 if none is held.
+
+        It may be as old as `ATTAINABLE_SPEED_MAX_AGE_S`.
+        """
+        if not 0 <= now - self._attainable_speed_at < ATTAINABLE_SPEED_MAX_AGE_S:
+            self._attainable_speed = self._find_attainable_speed(now)
+            self._attainable_speed_at = now
+        return self._attainable_speed
+
+    def _find_attainable_speed(self, now: float) -> float:
         backends = self._held_by_id.values()
         usable = [held for held in backends if not held.is_evacuated] or backends
         speeds = sorted(held.expected_speed(now) for held in usable)
