Claim shares above the terms of holders that are gone

Terms of claims begin at the wall clock. A process whose clock was behind that of an earlier claimant claimed with a lower fencing token, which the backend servers refuse; after each refusal it waited for the backoff and raised the term by 3 seconds only. A share was without a holder for several seconds after a jump of 20 s. The statuses of silent holders now count, too, and the steps double.

--- a/src/apricotpoint/_pool/holders/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -44,6 +44,9 @@
 UNSEEN_DELAY_S = 3.0
 # Time before a process that was fenced off makes a new claim.
 FENCED_BACKOFF_S = 1.0
+# By how much the term of the next claim exceeds one that was fenced off. Terms follow the wall clock
+# in seconds, so the first step is more than the backoff; each further one is twice as large.
+FIRST_FENCED_STEP, MAX_FENCED_STEP = int(2 * FENCED_BACKOFF_S) + 1, 64
 
 _log = logbook.Logger("claims")
 
@@ -80,6 +83,7 @@
         self._evaluated_claims: list[ShareClaim] = []
         self._term_by_part: dict[str, int] = {}
         self._min_term_by_part: dict[str, int] = {}
+        self._fenced_step_by_part: dict[str, int] = {}
         # By the parts of a share, as the number of its backend servers changes at any time: since
         # when it has had no claimant, and whether it ever had one.
         self._unclaimed_since_by_parts: dict[tuple[str, ...], float] = {}
@@ -126,8 +130,11 @@
         if term is None:
             return
         self._counters.add("claims.fenced")
-        # If that holder turns out to be unreachable, the next claim needs a higher term.
-        self._min_term_by_part[part] = term + int(2 * FENCED_BACKOFF_S) + 1
+        # If that holder turns out to be unreachable, the next claim needs a higher term. Its term may
+        # be far ahead, as the wall clocks of machines differ, so the steps grow.
+        step = self._fenced_step_by_part.get(part, FIRST_FENCED_STEP)
+        self._fenced_step_by_part[part] = min(2 * step, MAX_FENCED_STEP)
+        self._min_term_by_part[part] = term + step
         _log.warning(
             "fenced off on backend server {}: claim on {} with term {} given up",
             announcement.backend_id,
@@ -223,7 +230,7 @@
                     and self._is_reachable(domain, members, live)
                     and self._has_contact(members)
                 ):
-                    self._claim(part, live)
+                    self._claim(part, members)
         watched.discard(live[own_id].failure_domain)
         if not watched <= members.discovery.watched_domains:
             members.discovery.request_hello()
@@ -273,9 +280,11 @@
         # Time in which this process could not claim anyway leaves the others no time to claim.
         return now - max(since, self._no_new_claims_until) >= delay_s
 
-    def _claim(self, part: str, live: dict[str, EntryStatus]) -> None:
+    def _claim(self, part: str, members: EntryMembers) -> None:
+        # The wall clock is only a start: it may be behind that of an earlier claimant, whose status
+        # counts although it is gone.
         min_term = max(int(self._timers.wall_time()), self._min_term_by_part.get(part, 0))
-        term = claims.next_term(part, live.values(), min_term)
+        term = claims.next_term(part, members.known_statuses(), min_term)
         self._term_by_part[part] = term
         self._counters.add("claims.made")
         _log.notice("claimed {} with term {}", part, term)
--- a/src/apricotpoint/_pool/holders/members.py
+++ b/src/apricotpoint/_pool/holders/members.py
@@ -155,6 +155,10 @@
         live[self.entry_id] = self._own_status()
         return live
 
+    def known_statuses(self) -> list[EntryStatus]:
+        """Return the last status of each holder of the last `ENTRY_EXPIRY_S`, live or not."""
+        return [*self._status_by_entry.values(), self._own_status()]
+
     def _own_status(self) -> EntryStatus:
         now = self._timers.now()
         if self._status is None or now - self._status_at > OWN_STATUS_MAX_AGE_S:
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -329,6 +329,8 @@
     all_domains: Sequence[str] = ("a", "b")
     counters: Counters = attrs.Factory(Counters)
     draining: bool = False
+    # By how much the wall clock of its machine is ahead, which may change while it runs.
+    clock_ahead_s: float = 0.0
     scheduler: Scheduler = attrs.field(init=False)
     claimer: Claimer = attrs.field(init=False)
     members: EntryMembers = attrs.field(init=False)
@@ -342,7 +344,9 @@
             async with AsyncExitStack() as stack:
                 group = await stack.enter_async_context(anyio.create_task_group())
                 self.network.group_by_id[self.entry_id] = group
-                timers = TimerService(wall_clock=lambda: 1_800_000_000 + anyio.current_time())
+                timers = TimerService(
+                    wall_clock=lambda: 1_800_000_000 + anyio.current_time() + self.clock_ahead_s
+                )
                 transport = FakeTransport(self.network, self.entry_id)
                 roster = Roster(now=timers.now)
                 self.scheduler = Scheduler(
