Start anew with a higher incarnation after the wall clock was set back

Incarnations follow the wall clock. A process that was restarted after a jump back ended with code 5106 at each start until the clock had caught up, and its summary counted as older than that of its former start. On the platform a process is now started anew in place with an incarnation above the one that its peers have seen, and the start in its summary is its incarnation.

--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -52,6 +52,18 @@
     return None
 
 
+class OldIncarnationError(ApricotError):
+    """A peer has seen a higher incarnation, `highest`, of this process, and drops its messages."""
+
+    def __init__(self, message: str, *, highest: int) -> None:
+        super().__init__(
+            ResultCode.OLD_INCARNATION,
+            message,
+            remedy="correct the wall clock of this VM and start the process again",
+        )
+        self.highest = highest
+
+
 @attrs.define(eq=False)
 class _PendingRequest:
     peer_id: str
@@ -68,7 +80,7 @@
     peer. Incarnations of one process id must increase, because a peer drops
     messages of an incarnation lower than the highest one it has seen. A
     process that is told by a peer of a higher incarnation than its own ends
-    with `ApricotError`, code 5106, because that peer drops its messages. Use
+    with `OldIncarnationError`, because that peer drops its messages. Use
     as an async context manager; register the handlers before it is entered.
 
     Peers may be added while the mesh runs. `address_of` is called with the id
@@ -375,11 +387,10 @@
         # A peer also sends this when late messages of an earlier incarnation reach it.
         if highest_incarnation <= self._incarnation:
             return
-        raise ApricotError(
-            ResultCode.OLD_INCARNATION,
+        raise OldIncarnationError(
             f"peer {peer_id} has seen incarnation {highest_incarnation} of {self._process_id}, "
             f"which is higher than the current one, {self._incarnation}",
-            remedy="correct the wall clock of this VM and start the process again",
+            highest=highest_incarnation,
         )
 
     def _handle_reply(self, envelope: codec.Envelope) -> None:
--- a/src/apricotpoint/_programs/incarnation.py
+++ b/src/apricotpoint/_programs/incarnation.py
@@ -6,14 +6,13 @@
 import time
 
 
-def new_incarnation() -> int:
-    """Return a number that is higher than those of earlier starts on the same VM.
+def new_incarnation(*, above: int = 0) -> int:
+    """Return a number that is higher than those of earlier starts on the same VM, and than `above`.
 
     It is the wall clock in microseconds. If the clock was set back, a peer that
-    has seen a higher incarnation of this process reports it, and the process
-    ends with code 5106; see `Mesh`.
+    has seen a higher incarnation of this process reports it by `OldIncarnationError`.
     """
-    return time.time_ns() // 1000
+    return max(time.time_ns() // 1000, above + 1)
 
 
 def make_random(process_id: str, incarnation: int) -> random.Random:
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -32,7 +32,7 @@
 from apricotpoint._http.serve import serve
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._pool.holders.relay import AnnouncementRelay
-from apricotpoint._programs.incarnation import make_random, new_incarnation
+from apricotpoint._programs.incarnation import make_random
 from apricotpoint._wire.configuration import ConfigPoll
 from apricotpoint.platform.controlapi import make_control_app
 from apricotpoint.platform.evacuations import make_evacuation_routes
@@ -58,7 +58,7 @@
     return run_program("control", _run)
 
 
-async def _run(settings_file: SettingsFile, signals: Signals) -> None:
+async def _run(settings_file: SettingsFile, signals: Signals, incarnation: int) -> None:
     settings = settings_file.current
     folder = settings.data_folder
     if folder is None:
@@ -72,7 +72,6 @@
     if identity is None:
         return
     _log.info("seeds {}, may vote: {}", settings.seeds, settings.may_vote)
-    incarnation = new_incarnation()
     mesh = Mesh(
         process_id=settings.address,
         incarnation=incarnation,
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -27,7 +27,7 @@
 from apricotpoint._pool.routing import Routing
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._pool.service import PoolService
-from apricotpoint._programs.incarnation import make_random, new_incarnation
+from apricotpoint._programs.incarnation import make_random
 from apricotpoint._wire.configuration import ConfigPoll, Configuration
 from apricotpoint._wire.pool import EntryStatus, EntrySummary, PoolJob
 from apricotpoint.platform.callers import CallerInterface, make_readiness_app
@@ -64,8 +64,8 @@
     return run_program("entry", _run)
 
 
-async def _run(settings_file: SettingsFile, signals: Signals) -> None:
-    async with EntryProcess(settings_file) as process:
+async def _run(settings_file: SettingsFile, signals: Signals, incarnation: int) -> None:
+    async with EntryProcess(settings_file, incarnation) as process:
         await process.serve_until(signals.stop_requested)
 
 
@@ -75,7 +75,7 @@
     Use as an async context manager, which starts and stops them.
     """
 
-    def __init__(self, settings_file: SettingsFile) -> None:
+    def __init__(self, settings_file: SettingsFile, incarnation: int) -> None:
         settings = settings_file.current
         self._settings_file = settings_file
         self._settings: PlatformSettings = settings
@@ -85,11 +85,11 @@
         self._routing = Routing()
         self._stack = AsyncExitStack()
         self._close_servers = anyio.Event()
-        incarnation = new_incarnation()
         counters = Counters()
         generator = make_random(settings.address, incarnation)
         self._timers = TimerService(suspended_s=suspended_s)
-        self._started_at = self._timers.wall_time()
+        # Not the wall clock, which may be behind that of an earlier start.
+        self._started_at = incarnation / 1e6
         self._mesh = Mesh(
             process_id=settings.address,
             incarnation=incarnation,
--- a/src/apricotpoint/platform/process.py
+++ b/src/apricotpoint/platform/process.py
@@ -16,6 +16,8 @@
 
 from apricotpoint._core.errors import ApricotError, find_error
 from apricotpoint._core.logs import LogFormat, LogSettings, make_handler
+from apricotpoint._link.mesh import OldIncarnationError
+from apricotpoint._programs.incarnation import new_incarnation
 from apricotpoint.platform.settings import PlatformSettings, load_settings, settings_path
 
 # Not a secret: the platform owns the network between the VMs and distributes no secrets.
@@ -116,12 +118,16 @@
     gc.enable()
 
 
-def run_program(name: str, run: Callable[[SettingsFile, Signals], Awaitable[None]]) -> int:
-    """Run a program with the settings of the platform and return its exit status."""
+def run_program(name: str, run: Callable[[SettingsFile, Signals, int], Awaitable[None]]) -> int:
+    """Run a program with the settings of the platform and return its exit status.
 
-    async def run_with_signals(settings: SettingsFile) -> None:
+    `run` gets an incarnation that is higher than those of earlier starts. It is called again with a
+    higher one if it ends with `OldIncarnationError`, as after the wall clock was set back.
+    """
+
+    async def run_with_signals(settings: SettingsFile, incarnation: int) -> None:
         async with Signals(settings) as signals:
-            await run(settings, signals)
+            await run(settings, signals, incarnation)
             # A signal would end the process before it has written its last log line, once the
             # handlers are removed. They may come at any time, so they are blocked before.
             signal.pthread_sigmask(signal.SIG_BLOCK, RECEIVED_SIGNALS)
@@ -139,7 +145,19 @@
                 current.failure_domain,
             )
             _tune_garbage_collector()
-            anyio.run(run_with_signals, settings)
+            incarnation = new_incarnation()
+            while True:
+                try:
+                    anyio.run(run_with_signals, settings, incarnation)
+                    break
+                except BaseException as error:
+                    failure = find_error(error)
+                    if not isinstance(failure, OldIncarnationError):
+                        raise
+                    _log.warning("{} process starts anew: {}", name, failure.message)
+                    # The handlers of the former run are gone.
+                    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+                    incarnation = new_incarnation(above=failure.highest)
         except BaseException as error:
             failure = find_error(error)
             if failure is None:
--- a/testing/platform/test_evacuation_orders.py
+++ b/testing/platform/test_evacuation_orders.py
@@ -26,7 +26,7 @@
     async def test() -> None:
         path = tmp_path / "settings.yaml"
         settings = write_settings(path, grace_period_s=2.0, contracts=contracts)
-        async with entry.EntryProcess(settings) as process:
+        async with entry.EntryProcess(settings, 1) as process:
             evacuations = process._scheduler.evacuations
             assert evacuations.awaits_orders == bool(contracts)
             await process._feed._accept(Configuration(version=1, evacuation_by_domain=ORDERS))
--- a/testing/platform/test_shutdown.py
+++ b/testing/platform/test_shutdown.py
@@ -255,7 +255,7 @@
     responses: list[httpx.Response] = []
 
     async def test() -> None:
-        process = entry.EntryProcess(settings_file)
+        process = entry.EntryProcess(settings_file, 1)
         stop_requested = anyio.Event()
 
         async def send(delay_s: float) -> None:
@@ -309,7 +309,7 @@
         stop_requested = anyio.Event()
         stop_requested.set()
         with anyio.fail_after(8):
-            await entry.EntryProcess(settings_file).serve_until(stop_requested)
+            await entry.EntryProcess(settings_file, 1).serve_until(stop_requested)
 
     run(test)
     assert responses[0].status_code == 503
--- a/testing/platform/test_signals.py
+++ b/testing/platform/test_signals.py
@@ -14,7 +14,9 @@
 import anyio
 import pytest
 
-from apricotpoint.platform import start
+from apricotpoint._link.mesh import OldIncarnationError
+from apricotpoint._programs.incarnation import new_incarnation
+from apricotpoint.platform import process, start
 from apricotpoint.platform.process import Signals
 
 
@@ -56,7 +58,7 @@
 import time
 from apricotpoint.platform import process
 
-async def run(settings, signals):
+async def run(settings, signals, incarnation):
     print("ready", flush=True)
     await signals.stop_requested.wait()
 
@@ -94,6 +96,31 @@
     assert program.returncode == 0
 
 
+def test_a_program_starts_anew_with_a_higher_incarnation(monkeypatch: pytest.MonkeyPatch):
+    """Guards against a process that ends at each start until the wall clock has caught up."""
+    highest = new_incarnation() + 20_000_000
+    incarnations: list[int] = []
+
+    async def run(_: object, __: object, incarnation: int) -> None:
+        incarnations.append(incarnation)
+        if incarnation <= highest:
+            raise OldIncarnationError("a peer has seen a higher incarnation", highest=highest)
+
+    settings = SimpleNamespace(current=SimpleNamespace(name="p", failure_domain="d"))
+    monkeypatch.setattr(process, "SettingsFile", lambda _: settings)
+    monkeypatch.setattr(process, "_tune_garbage_collector", lambda: None)
+    monkeypatch.setenv("APRICOTPOINT_SETTINGS", "unused")
+    former = {number: signal.getsignal(number) for number in process.RECEIVED_SIGNALS}
+    try:
+        assert process.run_program("entry", run) == 0
+    finally:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, process.RECEIVED_SIGNALS)
+        for number, handler in former.items():
+            signal.signal(number, handler)
+    assert len(incarnations) == 2
+    assert incarnations[0] <= highest < incarnations[1]
+
+
 def test_a_program_is_not_ended_by_sighup_while_it_is_imported(monkeypatch: pytest.MonkeyPatch):
     """Guards against a process that ends as its settings file changes at its start."""
 
