Move jobs that are refused after a wait to another holder

A job that had waited and was then refused went to its caller, although a holder in another failure domain might have had room; only jobs refused on arrival were moved. It is moved now as long as it can still meet its deadline, within the same limit of two forwards.

--- a/src/apricotpoint/_pool/holders/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -44,8 +44,8 @@
 UNSEEN_DELAY_S = 3.0
 # Time before a process that was fenced off makes a new claim.
 FENCED_BACKOFF_S = 1.0
-# By how much the term of the next claim exceeds one that was fenced off. Terms follow the wall clock
-# in seconds, so the first step is more than the backoff; each further one is twice as large.
+# By how much the term of the next claim exceeds one that was fenced off. Terms follow the wall
+# clock in seconds, so the first step is more than the backoff; each further one is twice as large.
 FIRST_FENCED_STEP, MAX_FENCED_STEP = int(2 * FENCED_BACKOFF_S) + 1, 64
 
 _log = logbook.Logger("claims")
@@ -130,8 +130,8 @@
         if term is None:
             return
         self._counters.add("claims.fenced")
-        # If that holder turns out to be unreachable, the next claim needs a higher term. Its term may
-        # be far ahead, as the wall clocks of machines differ, so the steps grow.
+        # If that holder turns out to be unreachable, the next claim needs a higher term. Its term
+        # may be far ahead, as the wall clocks of machines differ, so the steps grow.
         step = self._fenced_step_by_part.get(part, FIRST_FENCED_STEP)
         self._fenced_step_by_part[part] = min(2 * step, MAX_FENCED_STEP)
         self._min_term_by_part[part] = term + step
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -255,8 +255,22 @@
             return attrs.evolve(refusal, forward_to=other)
         job = self._scheduler.submit(request, origin)
         await job.answered.wait()
+        return self._forwarded_after_wait(job)
+
+    def _forwarded_after_wait(self, job: Job) -> PoolAnswer:
+        """Return the answer to a job, with another holder for one that was refused after a wait."""
         assert job.answer is not None
-        return job.answer
+        if job.started or job.answer.code != ResultCode.OVERLOADED:
+            return job.answer
+        now = self._timers.now()
+        fastest = self._scheduler.estimates.attainable_speed(now)
+        if not self._scheduler.estimates.can_meet_deadline(job, now, fastest=fastest):
+            return job.answer
+        other = self._chooser.less_loaded_process(job.request)
+        if other is None:
+            return job.answer
+        self._counters.add("jobs.forwarded_after_wait")
+        return attrs.evolve(job.answer, forward_to=other)
 
     def _refusal(self, request: PoolJob) -> PoolAnswer | None:
         if self._scheduler.draining:
--- a/testing/pool/test_forwarding.py
+++ b/testing/pool/test_forwarding.py
@@ -67,3 +67,22 @@
             assert [entry.counters.get("jobs.forwarded") for entry in (e1, e2, e3)] == [1, 1, 0]
 
     run_on_virtual_time(test)
+
+
+def test_a_job_that_is_refused_after_a_wait_is_served_in_another_domain():
+    """Guards against a refusal while others have room, as runs took far longer than declared."""
+
+    async def test() -> None:
+        async with run_cluster(domains=[("e1", "a"), ("e2", "b")]) as cluster:
+            e1 = cluster.entry_by_id["e1"]
+            for backend_id in ("a1", "a2"):
+                cluster.backend_by_id[backend_id].work_s = 1.45
+            for number in range(1, 5):
+                e1.scheduler.submit(make_job(number, work_s=0.1))
+            await anyio.sleep(0.02)
+            answer = await e1.service.submit(make_job(99, work_s=0.2))
+            assert answer.code == ResultCode.COMPLETE
+            assert e1.counters.get("jobs.forwarded_after_wait") == 1
+            assert e1.counters.get("jobs.forwarded") == 0
+
+    run_on_virtual_time(test)
