--- a/src/apricotpoint/_pool/decisions/shares.py
+++ b/src/apricotpoint/_pool/decisions/shares.py
@@ -20,7 +20,9 @@
 # a holder of 15 takes 0.14 of 0.52 core in the mean (docs/measurements-platform.md); the rest is
 # for bursts, which bring up to twice as many starts. Larger shares serve callers better: a wide job
 # finds room sooner, and fewer holders send their status to all others.
-BACKENDS_PER_CORE = 60.0
+BACKENDS_PER_CORE = 50.0
+# An entry process runs on one core at a time.
+MAX_CORES = 1.0
 
 PART_SEPARATOR = "#"
 
@@ -52,7 +54,7 @@
 
 def capacity(cores: float) -> float:
     """Return the number of backend servers that a VM with so many cores can carry."""
-    return cores * BACKENDS_PER_CORE
+    return min(cores, MAX_CORES) * BACKENDS_PER_CORE
 
 
 def part_key(domain: str, index: int) -> str:
