Keep the known entry processes while restarted control processes collect their lists

Their first lists lacked most entry processes, so holders sent those no status any more; after 1.6 s each took others for lost, shares changed their holder, and jobs were late or failed. A control process now says for how long it has collected its list, and for the first 5 s what its former lists had counts as well. An older release does not say, and is taken as before.

--- a/src/apricotpoint/_pool/holders/directory.py
+++ b/src/apricotpoint/_pool/holders/directory.py
@@ -11,21 +11,28 @@
 # A list that was not confirmed for this long is ignored while another control process answers:
 # several periods in which entry processes make themselves known.
 LIST_EXPIRY_S = 7.0
+# The list of a control process that has collected it for less than this may lack processes: those
+# without backend servers make themselves known every 2 s.
+COMPLETE_AFTER_S = 5.0
 
 
 @attrs.define(eq=False)
 class _ProcessList:
+    """The last list of a control process, and what former ones had while it may be incomplete."""
+
     digest: int
     control_ids: list[str]
     summary_by_entry: dict[str, EntrySummary]
+    former_by_entry: dict[str, EntrySummary]
     confirmed_at: float
 
 
 class EntryDirectory:
     """Control and entry processes by the lists of all control processes that answer.
 
-    The last lists are kept when no control process answers any more. `revision` rises when the
-    known entry processes change. `now` returns monotonic seconds.
+    The last lists are kept when no control process answers any more, and until one that has started
+    since then has had time to collect a list. `revision` rises when the known entry processes
+    change. `now` returns monotonic seconds.
     """
 
     def __init__(self, *, now: Callable[[], float]) -> None:
@@ -50,16 +57,21 @@
         else:
             # An answer to an earlier request; the next one brings the list.
             return
+        is_complete = welcome.listening_s >= COMPLETE_AFTER_S
+        former: dict[str, EntrySummary] = {}
+        if known is not None and not is_complete:
+            former = {**known.former_by_entry, **known.summary_by_entry}
         self._list_by_control[control_id] = _ProcessList(
-            welcome.list_digest, welcome.control_ids, summaries, self._now()
+            welcome.list_digest, welcome.control_ids, summaries, former, self._now()
         )
         is_unchanged = (
             known is not None
             and known.summary_by_entry is summaries
+            and known.former_by_entry.keys() == former.keys()
             and known.control_ids == welcome.control_ids
         )
         # A holder gets dozens of answers a second, and nearly all of them change nothing.
-        if self._remove_expired() or not is_unchanged:
+        if (is_complete and self._remove_expired()) or not is_unchanged:
             self._merge()
 
     def _remove_expired(self) -> bool:
@@ -80,7 +92,10 @@
         }
         merged: dict[str, EntrySummary] = {}
         for item in self._list_by_control.values():
-            for entry_id, summary in item.summary_by_entry.items():
+            for entry_id, summary in (
+                *item.former_by_entry.items(),
+                *item.summary_by_entry.items(),
+            ):
                 other = merged.get(entry_id)
                 if other is None or _age_key(other) < _age_key(summary):
                     merged[entry_id] = summary
--- a/src/apricotpoint/_pool/holders/relay.py
+++ b/src/apricotpoint/_pool/holders/relay.py
@@ -80,6 +80,7 @@
         # The list of live entry processes with its digest, and the time at which it was made.
         self._list: tuple[list[EntrySummary], int] = ([], 0)
         self._list_made_at = float("-inf")
+        self._listening_since = timers.now()
         self._crashes = CrashHistory(now=timers.now)
         self._lost_run_changes: list[LostRunChanges] = []
         self._subscriptions: list[PeriodicTimer] = []
@@ -87,6 +88,7 @@
         self._roster.subscribe_unreachable(self._crashes.record_gone)
 
     async def __aenter__(self) -> AnnouncementRelay:
+        self._listening_since = self._timers.now()
         self._transport.request_handlers_by_type[EntryHello] = self._on_hello
         self._transport.handlers_by_type[EntryHello] = self._on_hello_message
         self._transport.handlers_by_type[BackendsHeard] = self._on_announcements
@@ -225,6 +227,7 @@
             backends=self._roster.current_announcements() if needs_backends else [],
             lost_runs=self._lost_runs_for(message, needs_all=needs_backends),
             crash_digest=self._crashes.digest(),
+            listening_s=now - self._listening_since,
         )
 
     def _lost_runs_for(self, hello: EntryHello, *, needs_all: bool) -> list[LostRun]:
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 
@@ -162,7 +164,8 @@
 
     `entries` is None if the list has the digest that the entry process has named. `lost_runs` are
     the lost runs of the last time, for an entry process that was not known before; for others only
-    crashes, if the digest that they have named is not `crash_digest`.
+    crashes, if the digest that they have named is not `crash_digest`. The control process has
+    collected its list for `listening_s` seconds, infinity if it does not say.
     """
 
     control_ids: list[str]
@@ -171,6 +174,7 @@
     backends: list[PoolBackend]
     lost_runs: list[LostRun] = attrs.Factory(list)
     crash_digest: int | None = None
+    listening_s: float = math.inf
 
 
 @attrs.frozen
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -513,6 +513,8 @@
         """Have all control processes forget the entry processes, as after a restart."""
         for relay in self.relay_by_id.values():
             relay._entry_by_id.clear()
+            relay._list_made_at = -math.inf
+            relay._listening_since = anyio.current_time()
 
     def partition(self, domain: str) -> None:
         """Partition a failure domain, with its processes and backend servers, from the others."""
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -386,6 +386,22 @@
     run_on_virtual_time(test)
 
 
+def test_restarted_control_processes_do_not_part_the_entry_processes():
+    """Guards against holders that are taken for lost as their statuses go to nobody."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            holders, e2 = cluster.holders(), cluster.entry_by_id["e2"]
+            cluster.forget_entries()
+            for _ in range(60):
+                await anyio.sleep(0.1)
+                assert {"e1", "e2", "e3"} <= e2.members.summaries().keys()
+                assert set(e2.members.live_entries()) >= {"e1"}
+            assert cluster.holders() == holders
+
+    run_on_virtual_time(test)
+
+
 def test_a_suspended_process_may_not_start_tasks_before_its_next_check():
     """Guards against starts just after a suspension, which the monotonic clock does not count."""
 
--- a/testing/pool/test_relay.py
+++ b/testing/pool/test_relay.py
@@ -11,7 +11,11 @@
 from pool_harness import make_announcement, run_on_virtual_time
 
 from apricotpoint._core.timers import TimerService
-from apricotpoint._pool.holders.directory import LIST_EXPIRY_S, EntryDirectory
+from apricotpoint._pool.holders.directory import (
+    COMPLETE_AFTER_S,
+    LIST_EXPIRY_S,
+    EntryDirectory,
+)
 from apricotpoint._pool.holders.relay import REPEATED_RELAY_PERIOD_S, AnnouncementRelay
 from apricotpoint._pool.holders.roster import REMOVED_RETENTION_S, UNREACHABLE_TIMEOUT_S, Roster
 from apricotpoint._wire.pool import (
@@ -217,6 +221,25 @@
     assert list(directory.summary_by_entry) == ["new"]
 
 
+def test_a_control_process_that_was_restarted_hides_no_entry_processes():
+    """Guards against holders that stop their statuses to others after a restart of the core."""
+    now, old, new = 0.0, EntrySummary("old", "a", 1.0, 0.0), EntrySummary("new", "a", 1.0, 0.0)
+    directory = EntryDirectory(now=lambda: now)
+    for control_id in ("c1", "c2", "c3"):
+        directory.update(control_id, welcome(7, [old]))
+    now = 2 * LIST_EXPIRY_S
+    for control_id in ("c1", "c2"):
+        directory.update(control_id, attrs.evolve(welcome(8, [new]), listening_s=0.1))
+        assert sorted(directory.summary_by_entry) == ["new", "old"]
+    revision = directory.revision
+    directory.update("c1", attrs.evolve(welcome(8, None), listening_s=4.0))
+    assert directory.revision == revision
+    # Lists are complete by then, and say that the old process is gone.
+    for control_id in ("c1", "c2"):
+        directory.update(control_id, attrs.evolve(welcome(8, None), listening_s=COMPLETE_AFTER_S))
+    assert sorted(directory.summary_by_entry) == ["new"]
+
+
 def test_the_newer_of_two_summaries_counts():
     """Guards against a draining process that a slower control process lists as available."""
     directory = EntryDirectory(now=lambda: 0.0)
