--- a/testing/platform/test_control_start.py
+++ b/testing/platform/test_control_start.py
@@ -40,7 +40,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(stop)
             with anyio.fail_after(5.0):
-                await controller._run(settings, signals)  # type: ignore[arg-type]
+                await controller._run(settings, signals, 1)  # type: ignore[arg-type]
 
     (control_port,) = free_ports(1)
     folder = tmp_path / "data"
