Handle a request once if its first copy arrives after the repeated one

After a cut of a failure domain the request was repeated on a new connection; the holder refused that copy, and took the first one, which the old connection delivered later, for a new request, as only messages marked as repeated were compared with those that had arrived.

--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -146,6 +146,7 @@
         self._clock = PeerClock()
         self._unconfirmed = UnconfirmedMessages[_QueuedMessage]()
         self._request_ids: deque[int] = deque(maxlen=_MAX_REMEMBERED_REQUESTS)
+        self._highest_request_id = 0
         self._last_sent_at = -math.inf
         self._dialled_at = -math.inf
         self._redial_requested = False
@@ -313,21 +314,28 @@
         self._wakeup.set()
 
     def _accept_request(self, envelope: codec.Envelope, *, is_for_this_incarnation: bool) -> bool:
-        if envelope.repeated:
-            is_forgotten = (
-                len(self._request_ids) == _MAX_REMEMBERED_REQUESTS
-                and envelope.request_id < self._request_ids[0]
-            )
-            if (
-                not is_for_this_incarnation
-                or is_forgotten
-                or envelope.request_id in self._request_ids
-            ):
-                self._counters.add("link.repeated_requests")
-                return False
+        if self._is_known(envelope.request_id) or (
+            envelope.repeated and not is_for_this_incarnation
+        ):
+            self._counters.add("link.repeated_requests")
+            return False
         self._request_ids.append(envelope.request_id)
+        self._highest_request_id = max(self._highest_request_id, envelope.request_id)
         return True
 
+    def _is_known(self, request_id: int) -> bool:
+        """Return whether a request has arrived before, or is too old to tell.
+
+        The copy that a connection held back may arrive after the repeated one, so a message that is
+        not marked as repeated may be known, too. Ids rise, so most need no search.
+        """
+        if request_id > self._highest_request_id:
+            return False
+        is_forgotten = (
+            len(self._request_ids) == _MAX_REMEMBERED_REQUESTS and request_id < self._request_ids[0]
+        )
+        return is_forgotten or request_id in self._request_ids
+
     def _send_newer_incarnation(self) -> None:
         """Send `NewerIncarnation`, at most once in `PEER_TIMEOUT_S`."""
         now = self._timers.now()
@@ -345,6 +353,7 @@
         # Requests to the former incarnation must not reach this one.
         self._unconfirmed = UnconfirmedMessages[_QueuedMessage]()
         self._request_ids.clear()
+        self._highest_request_id = 0
         self._acknowledged_sequence = 0
         self._transmitted_count = 0
         self._received_sequence = 0
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -387,6 +387,38 @@
     anyio.run(run)
 
 
+def test_a_request_is_handled_once_if_its_first_copy_arrives_after_the_repeated_one():
+    """Guards against a job that runs after its repeated request was refused as not run."""
+
+    async def check(pair: ProcessPair) -> None:
+        async with pair.process("b") as b:
+            handled: list[object] = []
+
+            async def handle(_: Sender, message: object) -> object:
+                handled.append(message)
+                return message
+
+            b.request_handlers_by_type[CancelBatch] = handle
+
+            def receive(request_id: int, *, repeated: bool) -> None:
+                envelope = codec.Envelope(
+                    "a", 1, CancelBatch([request_id]), request_id=request_id,
+                    peer_incarnation=1, repeated=repeated,
+                )  # fmt: skip
+                b._handle(codec.encode(envelope, KEYS[0]))
+
+            receive(7, repeated=False)
+            receive(9, repeated=True)
+            receive(9, repeated=False)
+            receive(9, repeated=True)
+            # Not handled before, though a later one was.
+            receive(8, repeated=False)
+            await anyio.sleep(0.05)
+            assert handled == [CancelBatch([7]), CancelBatch([9]), CancelBatch([8])]
+
+    run_with_pair(check)
+
+
 def test_process_with_a_lower_incarnation_than_an_earlier_one_ends():
     """Guards against a process that runs on although all peers drop its messages.
 
