--- a/src/apricotpoint/_pool/holders/directory.py
+++ b/src/apricotpoint/_pool/holders/directory.py
@@ -24,14 +24,15 @@
     control_ids: list[str]
     summary_by_entry: dict[str, EntrySummary]
     former_by_entry: dict[str, EntrySummary]
+    is_complete: bool
     confirmed_at: float
 
 
 class EntryDirectory:
     """Control and entry processes by the lists of all control processes that answer.
 
-    The last lists are kept when no control process answers any more, and until one that has started
-    since then has had time to collect a list. `revision` rises when the known entry processes
+    The last lists are kept when no control process answers any more, and until one that answers has
+    had time to collect a list since its start. `revision` rises when the known entry processes
     change. `now` returns monotonic seconds.
     """
 
@@ -62,11 +63,17 @@
         if known is not None and not is_complete:
             former = {**known.former_by_entry, **known.summary_by_entry}
         self._list_by_control[control_id] = _ProcessList(
-            welcome.list_digest, welcome.control_ids, summaries, former, self._now()
+            welcome.list_digest,
+            welcome.control_ids,
+            summaries,
+            former,
+            is_complete,
+            self._now(),
         )
         is_unchanged = (
             known is not None
             and known.summary_by_entry is summaries
+            and known.is_complete == is_complete
             and known.former_by_entry.keys() == former.keys()
             and known.control_ids == welcome.control_ids
         )
@@ -91,11 +98,12 @@
             control_id for item in self._list_by_control.values() for control_id in item.control_ids
         }
         merged: dict[str, EntrySummary] = {}
-        for item in self._list_by_control.values():
-            for entry_id, summary in (
-                *item.former_by_entry.items(),
-                *item.summary_by_entry.items(),
-            ):
+        lists = [item.summary_by_entry for item in self._list_by_control.values()]
+        if not self._has_complete_list():
+            # Former lists name processes that may have ended since, so they are a last resort.
+            lists += [item.former_by_entry for item in self._list_by_control.values()]
+        for summary_by_entry in lists:
+            for entry_id, summary in summary_by_entry.items():
                 other = merged.get(entry_id)
                 if other is None or _age_key(other) < _age_key(summary):
                     merged[entry_id] = summary
@@ -103,6 +111,13 @@
             self.summary_by_entry = merged
             self.revision += 1
 
+    def _has_complete_list(self) -> bool:
+        now = self._now()
+        return any(
+            item.is_complete and now - item.confirmed_at <= LIST_EXPIRY_S
+            for item in self._list_by_control.values()
+        )
+
 
 def _age_key(summary: EntrySummary) -> tuple[float, int]:
     return summary.started_at, summary.revision
--- a/testing/pool/test_relay.py
+++ b/testing/pool/test_relay.py
@@ -240,6 +240,17 @@
     assert sorted(directory.summary_by_entry) == ["new"]
 
 
+def test_a_restarted_control_process_brings_no_ended_processes_back():
+    """Guards against candidates for claims that have ended while the control process was down."""
+    now, ended, new = 0.0, EntrySummary("old", "a", 1.0, 0.0), EntrySummary("new", "a", 1.0, 0.0)
+    directory = EntryDirectory(now=lambda: now)
+    directory.update("c1", welcome(7, [ended]))
+    now = LIST_EXPIRY_S - 1
+    directory.update("c2", welcome(8, [new]))
+    directory.update("c1", attrs.evolve(welcome(9, []), listening_s=0.1))
+    assert sorted(directory.summary_by_entry) == ["new"]
+
+
 def test_the_newer_of_two_summaries_counts():
     """Guards against a draining process that a slower control process lists as available."""
     directory = EntryDirectory(now=lambda: 0.0)
