Take silence of a distant holder for its loss only if its status is due

Holders of other failure domains send their status to holders only. A process without backend servers that had heard one by chance took its later silence for a loss, and so did one that had just become a holder. Now only a process that has been a holder for 1.8 s does, and its wait before a claim on another domain begins then.

The test fails on the former code: the sound holder is fenced off twice.

--- a/src/apricotpoint/_pool/holders/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -17,7 +17,12 @@
 from apricotpoint._pool.decisions.claims import ShareClaim
 from apricotpoint._pool.decisions.shares import Layout, make_layout
 from apricotpoint._pool.holders.discovery import HOLDER_HELLO_PERIOD_S, INITIAL_HELLO_PERIOD_S
-from apricotpoint._pool.holders.members import LIVENESS_TIMEOUT_S, STATUS_PERIOD_S, EntryMembers
+from apricotpoint._pool.holders.members import (
+    HOLDER_OBSERVATION_S,
+    LIVENESS_TIMEOUT_S,
+    STATUS_PERIOD_S,
+    EntryMembers,
+)
 from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._pool.scheduler import Scheduler
 from apricotpoint._wire.pool import EntryStatus, PoolBackend
@@ -275,6 +280,9 @@
         if delay_s is None:
             return False
         is_foreign = share_claim.candidates.index(own_id) >= share_claim.local_count
+        if is_foreign and members.holder_since is not None:
+            # Before that, holders of other failure domains sent no status to this process.
+            since = max(since, members.holder_since + HOLDER_OBSERVATION_S)
         if is_foreign and share.parts not in self._claimed_parts:
             delay_s += UNSEEN_DELAY_S
         # Time in which this process could not claim anyway leaves the others no time to claim.
--- a/src/apricotpoint/_pool/holders/members.py
+++ b/src/apricotpoint/_pool/holders/members.py
@@ -35,6 +35,9 @@
 # A holder is live if its last status is not older than this; the second figure is for a holder
 # without a claim in the own failure domain, which sends its status less often.
 LIVENESS_TIMEOUT_S, DISTANT_LIVENESS_TIMEOUT_S = 1.0, 1.6
+# Time after a process has become a holder until all others send their status to it: they learn of
+# it within a second, and distant holders send a status each 0.6 s.
+HOLDER_OBSERVATION_S = 1.8
 # A holder without contact for this long is asked for its status over new connections, because a
 # connection may go silent while its process is well.
 SUSPICION_TIMEOUT_S, DISTANT_SUSPICION_TIMEOUT_S = 0.5, 1.0
@@ -62,7 +65,8 @@
     `discovery` has. Holders in `shared_domains`, those of the shares of the own failure domain,
     are asked for their status when they become known. Processes in `evacuated_domains` get the
     status of each holder. `last_contact_at` is the time of the last
-    message from any process, None before it. `speed_by_backend` has the learned speeds that
+    message from any process, None before it, and `holder_since` the time since which this process
+    is a holder. `speed_by_backend` has the learned speeds that
     other processes report.
     """
 
@@ -83,6 +87,7 @@
         self.shared_domains: frozenset[str] = frozenset()
         self.evacuated_domains: frozenset[str] = frozenset()
         self.last_contact_at: float | None = None
+        self.holder_since: float | None = None
         self.speed_by_backend: dict[str, float] = {}
         self._transport = transport
         self._address_of = address_of
@@ -139,6 +144,7 @@
                 summary is not None
                 and (status.term_by_claim or status.held)
                 and summary.started_at <= status.started_at
+                and self._expects_status(status)
                 and self.seconds_since_contact(entry_id) > self._liveness_timeout_s(status)
             ):
                 del available[entry_id]
@@ -168,6 +174,16 @@
     def _is_near(self, status: EntryStatus) -> bool:
         return holds_in_domain(status, self.discovery.summary.failure_domain)
 
+    def _expects_status(self, status: EntryStatus) -> bool:
+        """Return whether the silence of a holder shows anything.
+
+        Distant holders send their status only to holders, and to others by chance.
+        """
+        if self._is_near(status):
+            return True
+        since = self.holder_since
+        return since is not None and self._timers.now() - since >= HOLDER_OBSERVATION_S
+
     def _liveness_timeout_s(self, status: EntryStatus) -> float:
         return LIVENESS_TIMEOUT_S if self._is_near(status) else DISTANT_LIVENESS_TIMEOUT_S
 
@@ -234,6 +250,10 @@
 
     def _update_summary(self, status: EntryStatus) -> None:
         known, is_holder = self.discovery.summary, bool(status.term_by_claim or status.held)
+        if not is_holder:
+            self.holder_since = None
+        elif self.holder_since is None:
+            self.holder_since = self._timers.now()
         if (known.is_holder, known.draining) == (is_holder, status.draining):
             return
         self.discovery.summary = attrs.evolve(
--- a/testing/pool/test_cluster.py
+++ b/testing/pool/test_cluster.py
@@ -457,3 +457,23 @@
             assert shared
 
     run_on_virtual_time(test)
+
+
+def test_a_process_that_hears_distant_holders_by_chance_leaves_their_shares_alone():
+    """Guards against a claim on a share whose holder sends its status to holders only."""
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            await cluster.join("e4", "a")
+            await anyio.sleep(1.0)
+            cluster.entry_by_id["e4"].members._start_probe("e3")
+            await anyio.sleep(6.0)
+            assert cluster.holders()["e3"] == ["b1", "b2"]
+            # The same holds just after it has become a holder itself.
+            for entry_id in ("e1", "e2"):
+                cluster.entry_by_id[entry_id].kill()
+            await anyio.sleep(4.0)
+            assert cluster.holders() == {"e3": ["b1", "b2"], "e4": ["a1", "a2"]}
+            assert cluster.entry_by_id["e3"].counters.get("claims.fenced") == 0
+
+    run_on_virtual_time(test)
