--- a/src/apricotpoint/_pool/decisions/forwarding.py
+++ b/src/apricotpoint/_pool/decisions/forwarding.py
@@ -1,7 +1,7 @@
-"""Choice of another holder for a job that a holder has refused, or would let wait.
+"""Choice of another holder for a job that a holder has refused.
 
 The load pattern behind it is load that swings with a different phase in each failure domain: while
-the holders of one domain refuse jobs or let them wait, those of another have free room.
+the holders of one domain refuse jobs, those of another have free room.
 """
 
 from __future__ import annotations
@@ -21,12 +21,6 @@
 # Free room reported this long ago is counted half: other holders have forwarded jobs there since.
 # Holders of the same domain report every 0.2 s, distant ones less often.
 HALVING_AGE_S = 1.0
-# A job with a shorter predicted wait stays: the way to another holder and back takes about 5 ms,
-# and a message may wait as long again in each of the processes.
-WORTHWHILE_WAIT_S = 0.02
-# Free room that another holder has to report, as a multiple of the tasks of a job. Several holders
-# may send jobs there on the same report.
-IDLE_ROOM_FACTOR = 3.0
 
 
 @attrs.frozen
@@ -64,7 +58,8 @@
     own_s = expected_wait_s(own, request)
 
     def rank(holder: Holder) -> tuple[float, int, str]:
-        load = attrs.evolve(holder.load, free=int(_likely_free(holder)))
+        recent_share = 0.5 ** (max(holder.age_s, 0.0) / HALVING_AGE_S)
+        load = attrs.evolve(holder.load, free=int(holder.load.free * recent_share))
         # Of holders with the same wait, the one with the most room is the safest.
         return expected_wait_s(load, request), -load.free, holder.entry_id
 
@@ -83,36 +78,3 @@
         return None
     best, best_s = min(candidates, key=lambda candidate: rank(candidate[0]))
     return best, best_s, own_s
-
-
-def may_go_to_idle_holder(request: PoolJob, wait_s: float) -> bool:
-    """Return whether an accepted job with this predicted wait may go to a holder that is idle.
-
-    It may do so once, from the first holder that it reaches, so that it cannot wander. A job that
-    prefers a location stays: its holder weighs the wait there.
-    """
-    return (
-        wait_s > WORTHWHILE_WAIT_S
-        and not request.forwarded
-        and not request.refused_by
-        and request.locality is None
-    )
-
-
-def weigh_idle_holders(request: PoolJob, others: Iterable[Holder]) -> dict[str, float]:
-    """Return the relative chance of each holder with ample room to get a job, by entry id.
-
-    Chances are proportional to the room, so that holders which decide at the same time on the same
-    reports do not all choose the same one.
-    """
-    least_free = IDLE_ROOM_FACTOR * request.count
-    return {
-        holder.entry_id: _likely_free(holder)
-        for holder in others
-        if math.isfinite(holder.age_s) and _likely_free(holder) >= least_free
-    }
-
-
-def _likely_free(holder: Holder) -> float:
-    """Return the free room of a report, which counts less the older the report is."""
-    return holder.load.free * math.exp2(-max(holder.age_s, 0.0) / HALVING_AGE_S)
--- a/src/apricotpoint/_pool/holderchoice.py
+++ b/src/apricotpoint/_pool/holderchoice.py
@@ -109,7 +109,14 @@
         """
         if self._scheduler.draining:
             return None
-        choice = forwarding.choose_holder(request, self._scheduler.load(), self._other_holders())
+        evacuated = self._scheduler.evacuations.domains
+        live = evacuation.usable_holders(self._members.live_entries(), evacuated)
+        others = [
+            forwarding.Holder(entry_id, status.load, self._members.seconds_since_contact(entry_id))
+            for entry_id, status in live.items()
+            if entry_id != self._members.entry_id and not status.draining and status.held
+        ]
+        choice = forwarding.choose_holder(request, self._scheduler.load(), others)
         if choice is None:
             return None
         holder, other_s, own_s = choice
@@ -121,18 +128,3 @@
             own_s,
         )
         return holder.entry_id
-
-    def idle_processes(self, request: PoolJob, wait_s: float) -> dict[str, float]:
-        """Return the chances of other holders with room to get a job that would wait here."""
-        if not forwarding.may_go_to_idle_holder(request, wait_s):
-            return {}
-        return forwarding.weigh_idle_holders(request, self._other_holders())
-
-    def _other_holders(self) -> list[forwarding.Holder]:
-        evacuated = self._scheduler.evacuations.domains
-        live = evacuation.usable_holders(self._members.live_entries(), evacuated)
-        return [
-            forwarding.Holder(entry_id, status.load, self._members.seconds_since_contact(entry_id))
-            for entry_id, status in live.items()
-            if entry_id != self._members.entry_id and not status.draining and status.held
-        ]
--- a/src/apricotpoint/_pool/jobadmission.py
+++ b/src/apricotpoint/_pool/jobadmission.py
@@ -5,8 +5,6 @@
 import random as random_module
 from collections.abc import Callable, Mapping
 
-import attrs
-
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import TimerService
@@ -18,14 +16,6 @@
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 
 
-@attrs.frozen
-class Assessment:
-    """Whether a job is accepted: its refusal, else None, and its predicted wait in seconds."""
-
-    refusal: PoolAnswer | None
-    wait_s: float = 0.0
-
-
 class JobAdmission:
     """Decides which jobs are accepted, and when the callers of the others may return."""
 
@@ -46,8 +36,10 @@
         self._counters = counters
         self._random = random
 
-    def assess(self, request: PoolJob, *, spread: Callable[[], float] | None = None) -> Assessment:
-        """Return whether a job is refused because it cannot be answered in time.
+    def refusal(
+        self, request: PoolJob, *, spread: Callable[[], float] | None = None
+    ) -> PoolAnswer | None:
+        """Return the refusal of a job that cannot be answered in time, None to accept the job.
 
         `spread` replaces the random numbers from 0 to 1 that spread out the returning callers.
         """
@@ -61,16 +53,20 @@
             held.is_evacuated and held.can_run(request) for held in self._held_by_id.values()
         ):
             self._counters.add("pool.jobs_rerouted_evacuated")
-            reason = "no job may start on the backend servers that could run it"
-            return Assessment(self.make_refusal(ResultCode.DRAINING, reason, spread))
+            return self.make_refusal(
+                ResultCode.DRAINING,
+                "no job may start on the backend servers that could run it",
+                spread,
+            )
         if not available:
             reason = "this process holds no backend server"
-            return Assessment(self.make_refusal(ResultCode.NO_BACKEND, reason, spread))
+            return self.make_refusal(ResultCode.NO_BACKEND, reason, spread)
         if not can_run:
-            reason = (
-                "no backend server of its service has the resources that a task of the job needs"
+            return self.make_refusal(
+                ResultCode.CANNOT_RUN,
+                "no backend server of its service has the resources that a task of the job needs",
+                spread,
             )
-            return Assessment(self.make_refusal(ResultCode.CANNOT_RUN, reason, spread))
         job = self.make_job(request, None)
         wait_s, run_s = self._estimates.forecast(job, self._jobs.unanswered(), job.arrived_at)
         if not admission.is_infeasible(
@@ -80,13 +76,13 @@
             objective_s=job.objective_s,
             deadline_s=request.deadline_s,
         ):
-            return Assessment(None, wait_s)
+            return None
         reason = (
             f"the predicted wait of {wait_s:.3f} s and run time of {run_s:.3f} s are too long for "
             f"the latency objective of {job.objective_s:.3f} s or the deadline of "
             f"{request.deadline_s:.3f} s"
         )
-        return Assessment(self.make_refusal(ResultCode.OVERLOADED, reason, spread), wait_s)
+        return self.make_refusal(ResultCode.OVERLOADED, reason, spread)
 
     def make_job(self, request: PoolJob, origin: Origin | None) -> Job:
         """Return a job that arrives now; `origin` is described at `Scheduler.submit`."""
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -20,7 +20,7 @@
 from apricotpoint._pool.dispatcher import Dispatcher
 from apricotpoint._pool.estimates import Estimates
 from apricotpoint._pool.holders.crashes import CrashHistory
-from apricotpoint._pool.jobadmission import Assessment, JobAdmission
+from apricotpoint._pool.jobadmission import JobAdmission
 from apricotpoint._pool.runs.backendclient import BackendClient
 from apricotpoint._pool.runs.coldbackends import ColdBackends
 from apricotpoint._pool.runs.evacuations import Evacuations
@@ -272,16 +272,14 @@
         self.request_dispatch()
         return job
 
-    def assess(self, request: PoolJob, *, spread: Callable[[], float] | None = None) -> Assessment:
-        """Return whether a job is refused because it cannot be answered in time.
+    def refusal(
+        self, request: PoolJob, *, spread: Callable[[], float] | None = None
+    ) -> PoolAnswer | None:
+        """Return the refusal of a job that cannot be answered in time, None to accept the job.
 
         `spread` replaces the random numbers from 0 to 1 that spread out the returning callers.
         """
-        return self._admission.assess(request, spread=spread)
-
-    def refusal(self, request: PoolJob) -> PoolAnswer | None:
-        """Return the refusal of a job that cannot be answered in time, None to accept the job."""
-        return self.assess(request).refusal
+        return self._admission.refusal(request, spread=spread)
 
     def cancel(self, job_id: str, reason: str) -> None:
         """Cancel a job and stop its runs; unknown and ended jobs are ignored."""
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -18,7 +18,6 @@
 from apricotpoint._pool.decisions import evacuation, forwarding, nearholders
 from apricotpoint._pool.holderchoice import HolderChooser
 from apricotpoint._pool.holders.members import EntryMembers
-from apricotpoint._pool.jobadmission import Assessment
 from apricotpoint._pool.remotesubmission import (
     PEER_CHECK_PERIOD_S,
     PEER_TIMEOUT_S,
@@ -37,13 +36,9 @@
 HOLDER_TIMEOUT_S = 1.0
 HOLDER_POLL_S = 0.02
 
-# Retry-after of a job that is named another holder, should that one be gone.
-IDLE_RETRY_AFTER_S = 1.0
-
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
 
-_DRAINING = PoolAnswer(int(ResultCode.DRAINING), "this process is shutting down")
 _CANCELLED = PoolAnswer(int(ResultCode.CANCELLED_BEFORE_START), "cancelled before its start")
 
 _log = logbook.Logger("jobs")
@@ -151,7 +146,11 @@
                 passed_s = self._timers.now() - began_at
                 current = attrs.evolve(request, elapsed_s=request.elapsed_s + passed_s)
                 answer = await self._submit_to(target, current)
-                answer, target = await self._follow_forwards(answer, target, request, began_at)
+                refused_by: list[str] = []
+                while answer.forward_to and len(refused_by) < forwarding.MAX_FORWARDS:
+                    refused_by.append(target)
+                    target = answer.forward_to
+                    answer = await self._submit_forwarded(target, request, began_at, refused_by)
                 if answer.code == ResultCode.DRAINING and len(draining_ids) < MAX_REROUTES:
                     draining_ids.add(target)
                     continue
@@ -165,24 +164,6 @@
         self._log_answer(request, answer, self._timers.now() - began_at)
         return answer
 
-    async def _follow_forwards(
-        self, answer: PoolAnswer, target: str, request: PoolJob, began_at: float
-    ) -> tuple[PoolAnswer, str]:
-        """Submit a job to the processes that its holders name.
-
-        Returns the last answer, and the process that gave it.
-        """
-        refused_by: list[str] = []
-        first = target if answer.returns else ""
-        while answer.forward_to and len(refused_by) < forwarding.MAX_FORWARDS:
-            refused_by.append(target)
-            target = answer.forward_to
-            answer = await self._submit_forwarded(target, request, began_at, refused_by)
-        if first and answer.code == ResultCode.OVERLOADED:
-            target, refused_by = first, [first] * forwarding.MAX_FORWARDS
-            answer = await self._submit_forwarded(first, request, began_at, refused_by)
-        return answer, target
-
     def cancel(
         self, job_id: str, attempt: int = 0, reason: str = "cancelled by its caller"
     ) -> None:
@@ -212,14 +193,10 @@
         The refusal has the least retry-after of those that callers get.
         """
         if self._scheduler.draining:
-            return _DRAINING, ""
-        assessment = self._scheduler.assess(request, spread=lambda: 0.0)
-        if assessment.refusal is not None:
-            return assessment.refusal, self._chooser.less_loaded_process(request) or ""
-        chances = self._chooser.idle_processes(request, assessment.wait_s)
-        if not chances:
-            return None, ""
-        return _forward_to_idle(assessment), max(chances, key=lambda key: chances[key])
+            return self._refusal(request), ""
+        refusal = self._scheduler.refusal(request, spread=lambda: 0.0)
+        forward_to = self._chooser.less_loaded_process(request) if refusal is not None else None
+        return refusal, forward_to or ""
 
     def holder_choice(self, excluded: set[str], request: PoolJob) -> nearholders.HolderChoice:
         """Return the processes of which one schedules a job; see `HolderChooser`."""
@@ -269,9 +246,13 @@
         if self._attempts.is_cancelled(request.attempt) or self._is_lost(origin):
             self._counters.add("jobs.cancelled_unstarted")
             return _CANCELLED
-        forwarded = self._refuse_or_forward(request)
-        if forwarded is not None:
-            return forwarded
+        refusal = self._refusal(request)
+        if refusal is not None:
+            other = self._chooser.less_loaded_process(request)
+            if other is None:
+                return refusal
+            self._counters.add("jobs.forwarded")
+            return attrs.evolve(refusal, forward_to=other)
         job = self._scheduler.submit(request, origin)
         await job.answered.wait()
         return self._forwarded_after_wait(job)
@@ -291,23 +272,10 @@
         self._counters.add("jobs.forwarded_after_wait")
         return attrs.evolve(job.answer, forward_to=other)
 
-    def _refuse_or_forward(self, request: PoolJob) -> PoolAnswer | None:
-        """Return the answer to a job that does not run here, None to run it."""
+    def _refusal(self, request: PoolJob) -> PoolAnswer | None:
         if self._scheduler.draining:
-            return _DRAINING
-        assessment = self._scheduler.assess(request)
-        if assessment.refusal is not None:
-            other = self._chooser.less_loaded_process(request)
-            if other is None:
-                return assessment.refusal
-            self._counters.add("jobs.forwarded")
-            return attrs.evolve(assessment.refusal, forward_to=other)
-        chances = self._chooser.idle_processes(request, assessment.wait_s)
-        if not chances:
-            return None
-        self._counters.add("jobs.forwarded_to_idle")
-        other = self._random.choices(list(chances), list(chances.values()))[0]
-        return attrs.evolve(_forward_to_idle(assessment), forward_to=other)
+            return PoolAnswer(int(ResultCode.DRAINING), "this process is shutting down")
+        return self._scheduler.refusal(request)
 
     async def _wait_for_earlier_runs(self, job: Job, request: PoolJob) -> bool:
         """Wait until no run of an earlier submission is left; False if the deadline comes first."""
@@ -387,8 +355,3 @@
             seconds,
             answer.reason,
         )
-
-
-def _forward_to_idle(assessment: Assessment) -> PoolAnswer:
-    reason = f"the predicted wait is {assessment.wait_s:.3f} s, and another holder has room"
-    return PoolAnswer(int(ResultCode.OVERLOADED), reason, IDLE_RETRY_AFTER_S, returns=True)
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -271,15 +271,13 @@
 class PoolAnswer:
     """How a job ended: result code, reason, and for refusals the time until a retry.
 
-    A refused job that another process can run sooner is to be sent to `forward_to`. With
-    `returns`, the answering process runs the job itself if that one refuses it.
+    A refused job that another process can run sooner is to be sent to `forward_to`.
     """
 
     code: int
     reason: str = ""
     retry_after_s: float = 0.0
     forward_to: str = ""
-    returns: bool = False
 
 
 @attrs.frozen
