Divide the throughput among routes by fair shares

Callers of routes with long jobs were refused after waits of 0.4 to 0.6 s under overload, though their route offers less work than the others: the queue was ordered by slack and priority alone, so a route that offers half of all work delayed all. Jobs that arrive when their route has used up its max-min fair share now go behind those of other routes.

--- a/src/apricotpoint/_pool/decisions/dispatch.py
+++ b/src/apricotpoint/_pool/decisions/dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from apricotpoint._pool.decisions import joborder, placement
+from apricotpoint._pool.decisions.admission import IDLE_OPTIMISTIC_SHARE, OPTIMISTIC_SHARE
 from apricotpoint._pool.decisions.locations import MAX_WAITING_TASKS, LocalityPass
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Task
@@ -34,6 +35,8 @@
     """
     waiting.sort(key=lambda job: joborder.order_key(job, now, fastest))
     blocked = 0
+    # A job that competes with none is worth a try even if it will probably miss its deadline.
+    share = OPTIMISTIC_SHARE if len(waiting) > 1 else IDLE_OPTIMISTIC_SHARE
     # What an evacuated domain starts in its grace period is what nothing else can start now.
     is_evacuating = any(held.is_evacuated for held in eligible)
     most_free_cpu = _most_free_cpu(eligible, now)
@@ -57,7 +60,7 @@
                 preferences.reserve(job)
                 break
             if request.locality is None:
-                held = placement.choose(task, fitting, now, fastest=fastest)
+                held = placement.choose(task, fitting, now, fastest=fastest, optimistic_share=share)
             else:
                 held = preferences.choose(task, fitting)
             if held is None:
--- a/src/apricotpoint/_pool/decisions/placement.py
+++ b/src/apricotpoint/_pool/decisions/placement.py
@@ -33,12 +33,18 @@
 
 
 def choose(
-    task: Task, fitting: Sequence[HeldBackend], now: float, *, fastest: float
+    task: Task,
+    fitting: Sequence[HeldBackend],
+    now: float,
+    *,
+    fastest: float,
+    optimistic_share: float = OPTIMISTIC_SHARE,
 ) -> HeldBackend | None:
     """Return the backend server on which to start the task now, None to let it wait.
 
     `fitting` are the backend servers on which it can start now, at least one. `fastest` is the
-    speed that it may expect to get by waiting. Times are monotonic seconds.
+    speed that it may expect to get by waiting. It does not start if it would miss its deadline even
+    with `optimistic_share` of its estimated run time. Times are monotonic seconds.
     """
     job = task.job
     candidates = [
@@ -59,7 +65,7 @@
     speed = speed_for(job, best, now)
     if speed * SPEED_CLASS_FACTOR < fastest and _is_in_time(job, fastest, now):
         return None
-    return best if may_meet_deadline(job, speed, now) else None
+    return best if _meets_deadline(job, speed, now, optimistic_share) else None
 
 
 def speed_for(job: Job, held: HeldBackend, now: float) -> float:
--- a/src/apricotpoint/_pool/estimates.py
+++ b/src/apricotpoint/_pool/estimates.py
@@ -115,12 +115,15 @@
         work_s = sum(self._startable_count(job) * job.mean_task_s for job in jobs)
         return work_s / max(rate, 1.0)
 
-    def throughput(self, now: float) -> float:
-        """Return the work that can be done per second, in thousandths of a core at speed 1."""
+    def throughput(self, now: float, *, service: str | None = None) -> float:
+        """Return the work that can be done per second, in thousandths of a core at speed 1.
+
+        With `service`, only its backend servers count.
+        """
         return USABLE_SHARE * sum(
             held.announcement.room.cpu * held.expected_speed(now)
             for held in self._held_by_id.values()
-            if held.is_schedulable(now)
+            if held.is_schedulable(now) and service in (None, held.announcement.service)
         )
 
     def slots(self, service: str, now: float) -> forecast.SlotForecast:
--- a/src/apricotpoint/_pool/explanations.py
+++ b/src/apricotpoint/_pool/explanations.py
@@ -60,7 +60,7 @@
     `refusal` is that of its admission, `forward_to` the holder that would be named with it.
     """
     estimates = scheduler.estimates
-    job = Job(request, None, now, estimates.run_time_s(request))
+    job = scheduler.draft(request)
     open_jobs = scheduler.unanswered_jobs()
     wait_s, run_s = estimates.forecast(job, open_jobs, now)
     fastest = estimates.attainable_speed(now)
@@ -88,6 +88,7 @@
         objective_s=job.objective_s,
         deadline_s=request.deadline_s,
         jobs_ahead=sum(joborder.order_key(other, now, fastest) <= key for other in waiting),
+        over_share=job.over_share,
         chosen=chosen,
         backends=rows[:MAX_ROWS],
         omitted=max(len(rows) - MAX_ROWS, 0),
--- a/src/apricotpoint/_pool/jobadmission.py
+++ b/src/apricotpoint/_pool/jobadmission.py
@@ -13,6 +13,7 @@
 from apricotpoint._pool.runs.heldbackend import HeldBackend
 from apricotpoint._pool.runs.job import Job, Origin
 from apricotpoint._pool.runs.jobtable import JobTable
+from apricotpoint._pool.runs.routedemand import RouteDemand
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 
 
@@ -35,6 +36,7 @@
         self._timers = timers
         self._counters = counters
         self._random = random
+        self._demand = RouteDemand(lambda service, now: estimates.throughput(now, service=service))
 
     def refusal(
         self, request: PoolJob, *, spread: Callable[[], float] | None = None
@@ -91,8 +93,20 @@
             origin=origin,
             arrived_at=self._timers.now(),
             estimate_s=self._estimates.run_time_s(request),
+            over_share=self._demand.exceeds_share(request, self._timers.now()),
         )
 
+    def record_accepted(self, job: Job) -> None:
+        """Count an accepted job as work that its route offers and, within its share, uses."""
+        if job.over_share:
+            self._counters.add("pool.jobs_over_share")
+        self._demand.record(job.request, _work(job), job.arrived_at, uses_share=not job.over_share)
+
+    def record_refused(self, request: PoolJob) -> None:
+        """Count a job that was refused on its arrival as work that its route offers."""
+        job = self.make_job(request, None)
+        self._demand.record(request, _work(job), job.arrived_at, uses_share=False)
+
     def make_refusal(
         self, code: ResultCode, reason: str, spread: Callable[[], float] | None = None
     ) -> PoolAnswer:
@@ -100,3 +114,8 @@
         backlog_s = self._estimates.backlog_s(self._jobs.unanswered(), self._timers.now())
         after_s = admission.retry_after_s(backlog_s, (spread or self._random.random)())
         return PoolAnswer(int(code), reason, after_s)
+
+
+def _work(job: Job) -> float:
+    """Return the work of a job in seconds at speed 1 times thousandths of a core."""
+    return job.request.count * job.mean_task_s * job.request.room.cpu
--- a/src/apricotpoint/_pool/runs/job.py
+++ b/src/apricotpoint/_pool/runs/job.py
@@ -124,7 +124,7 @@
     ended as done, with the seconds that each took. `answered` is set together with `answer`.
     The caller may send the job again from a moment after the monotonic time `given_up_at`, which is
     then set, too. `group_location` is where its first task started, if the tasks are to stay
-    together.
+    together. `over_share` tells that it arrived when its route had used up its fair share.
     """
 
     request: PoolJob
@@ -140,6 +140,7 @@
     answered: anyio.Event = attrs.Factory(anyio.Event)
     given_up_at: float | None = None
     group_location: str = ""
+    over_share: bool = False
 
     def __attrs_post_init__(self) -> None:
         names = (f"{self.request.job_id}.0.0.{index}" for index in range(self.request.count))
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -262,6 +262,7 @@
         `origin` is the entry process that waits for the answer, None for this one.
         """
         job = self._admission.make_job(request, origin)
+        self._admission.record_accepted(job)
         self._jobs.add(job)
         if self._subscription is None:
             self._subscription = self._timers.every(TICK_PERIOD_S, self._tick)
@@ -281,6 +282,14 @@
         """
         return self._admission.refusal(request, spread=spread)
 
+    def draft(self, request: PoolJob) -> Job:
+        """Return a job as it would arrive now, without accepting it."""
+        return self._admission.make_job(request, None)
+
+    def record_refused(self, request: PoolJob) -> None:
+        """Count a job that was refused on its arrival as work that its route offers."""
+        self._admission.record_refused(request)
+
     def cancel(self, job_id: str, reason: str) -> None:
         """Cancel a job and stop its runs; unknown and ended jobs are ignored."""
         job = self._jobs.find(job_id)
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -248,6 +248,7 @@
             return _CANCELLED
         refusal = self._refusal(request)
         if refusal is not None:
+            self._scheduler.record_refused(request)
             other = self._chooser.less_loaded_process(request)
             if other is None:
                 return refusal
--- a/src/apricotpoint/_wire/explain.py
+++ b/src/apricotpoint/_wire/explain.py
@@ -40,7 +40,8 @@
 
     `code` is 0 if the job would be accepted, otherwise that of the refusal, which has `reason`,
     `retry_after_s` at least, and `forward_to`, a holder that the job would be sent to instead.
-    `wait_s` and `run_s` are the figures of admission. `jobs_ahead` wait before it in the queue.
+    `wait_s` and `run_s` are the figures of admission. `jobs_ahead` wait before it in the queue;
+    with `over_share` it goes behind those of other routes, as its own has used up its fair share.
     `chosen` is the backend server of its first task, empty if that would wait. `omitted` backend
     servers are not in `backends`.
     """
@@ -58,6 +59,7 @@
     chosen: str
     backends: list[BackendRow]
     omitted: int = 0
+    over_share: bool = False
 
 
 @attrs.frozen
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -19,8 +19,8 @@
 class JobKind:
     """A kind of job: jobs per second at load 1, tasks, median work, and value if in time.
 
-    A share of `tail_share` of its tasks takes `TAIL_FACTOR` times as long. `cpu` is the median of
-    a task in thousandths of a core.
+    A share of `tail_share` of its tasks takes `TAIL_FACTOR` times as long, or with `tail_by_job`
+    all tasks of that share of its jobs. `cpu` is the median of a task in thousandths of a core.
     """
 
     name: str
@@ -34,6 +34,7 @@
     max_cpu: int = 20_000
     deadline_s: float = 1.5
     make_locality: Callable[[random.Random], Locality | None] = lambda _: None
+    tail_by_job: bool = False
 
 
 # The mix of the deployments: many short, some middle and few long jobs with 14 cores a task. Each
@@ -50,6 +51,9 @@
     JobKind("long", 16.5, 4, 0.76, 1 / 16.5, 2, 0.03, 16_000, 31_000, 1.55),
     JobKind("middle", 264.0, 2, 0.17, 1 / 264.0, 1, 0.03, 16_000, 31_000, 1.55),
 )
+# The same as it was seen in plays of that deployment: the tasks of a job take about the same time,
+# also those of the few jobs that take several times as long as others of their kind.
+VAN_JOB_TAIL_MIX = tuple(attrs.evolve(kind, tail_by_job=True) for kind in VAN_MIX)
 VAN_BACKENDS, VAN_SWING, SWING_PERIOD_S = 176, 0.55, 15.0
 TAIL_FACTOR = 7
 BASE_LATENCY_S, STRETCH = 0.06, 1.6
@@ -80,10 +84,15 @@
     # Size in core-seconds, and whether it was served, of each job that the fastest backend server
     # can end before the deadline.
     served_by_size: list[tuple[float, bool]] = attrs.Factory(list)
+    # The same for all jobs.
+    any_served_by_size: list[tuple[float, bool]] = attrs.Factory(list)
 
-    def served(self, lower: float = 0.0, upper: float = 1.0) -> float:
-        """Return the share served of the jobs whose size is between two quantiles."""
-        rows = sorted(self.served_by_size)
+    def served(self, lower: float = 0.0, upper: float = 1.0, *, of_any: bool = False) -> float:
+        """Return the share served of the jobs whose size is between two quantiles.
+
+        Jobs that cannot end before their deadline on any backend server count only with `of_any`.
+        """
+        rows = sorted(self.any_served_by_size if of_any else self.served_by_size)
         part = rows[int(lower * len(rows)) : int(upper * len(rows))]
         return sum(is_served for _, is_served in part) / max(len(part), 1)
 
@@ -199,16 +208,24 @@
             group.start_soon(_submit, harness, kind, number, random.Random(source.random()), counts)
 
 
-async def _submit(
-    harness: SchedulerHarness, kind: JobKind, number: int, source: random.Random, counts: JobCounts
-) -> None:
-    count = max(1, round(kind.tasks * math.exp(source.gauss(-0.08, 0.4))))
+def _draw_works(kind: JobKind, count: int, source: random.Random) -> tuple[float, list[float]]:
+    """Return the mean work of the tasks of a job, and that of each, in seconds."""
     work_s = kind.work_s * math.exp(source.gauss(-0.08, 0.4))
+    if kind.tail_by_job and source.random() < kind.tail_share:
+        work_s *= TAIL_FACTOR
     works_s = [work_s * source.uniform(0.85, 1.15) for _ in range(count)]
-    if kind.tail_share:
+    if kind.tail_share and not kind.tail_by_job:
         works_s = [
             task_s * (TAIL_FACTOR if source.random() < kind.tail_share else 1) for task_s in works_s
         ]
+    return work_s, works_s
+
+
+async def _submit(
+    harness: SchedulerHarness, kind: JobKind, number: int, source: random.Random, counts: JobCounts
+) -> None:
+    count = max(1, round(kind.tasks * math.exp(source.gauss(-0.08, 0.4))))
+    work_s, works_s = _draw_works(kind, count, source)
     cpu = int(kind.cpu * math.exp(source.gauss(-0.02, 0.2)))
     request = attrs.evolve(
         make_job(
@@ -241,7 +258,9 @@
     value = kind.value * min(share, 4.0)
     counts.offered_value += value
     if harness.scheduler.refusal(request) is not None:
+        harness.scheduler.record_refused(request)
         counts.refused += 1
+        counts.any_served_by_size.append((size, False))
         if is_possible:
             counts.served_by_size.append((size, False))
         return
@@ -250,8 +269,10 @@
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
     objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
+    is_served = job.answer.code == ResultCode.COMPLETE
+    counts.any_served_by_size.append((size, is_served))
     if is_possible:
-        counts.served_by_size.append((size, job.answer.code == ResultCode.COMPLETE))
+        counts.served_by_size.append((size, is_served))
     if not job.started and took_s > VAIN_AFTER_SHARE * objective_s:
         counts.vain_waits += 1
         is_long = took_s > kind.deadline_s / 2
