Number orders to evacuate also if they have no effect

An operator who gives up an order to begin and sends one to finish got an acknowledgement that the failure domain is not evacuated. If the first order was held up and arrived after that, it was accepted, as the second one had used no number, and the domain was evacuated with nobody knowing. The price is a new version of the configuration for each order that is sent again.

--- a/src/apricotpoint/_control/evacuation.py
+++ b/src/apricotpoint/_control/evacuation.py
@@ -36,7 +36,7 @@
 
     `configuration` is the latest one that the process knows, `domains` are all failure domains of
     the deployment, and `ordered_at` is the present Unix time. A copy of the order that is delayed
-    is refused if another order for the failure domain took effect in the meantime.
+    is refused if another order for the failure domain was accepted in the meantime.
     """
     known = configuration.evacuation_by_domain.get(domain)
     return Change(
@@ -68,9 +68,13 @@
             ResultCode.NOT_FOUND,
             f"failure domain {domain!r} does not exist; use one of {', '.join(arguments.domains)}",
         )
-    if begin == (last is not None and last.active):
-        return last
     number = 0 if last is None else last.order
+    if begin == (last is not None and last.active):
+        if not configuration.version:
+            return last
+        # Numbered, too: an opposite order from before, which is delayed, must not undo it.
+        in_force = last or Evacuation(False, 0, change.command_id, arguments.ordered_at)
+        return attrs.evolve(in_force, order=number + 1)
     if arguments.known_order != number:
         raise ChangeRefused(
             ResultCode.VERSION_CONFLICT,
--- a/src/apricotpoint/_control/state.py
+++ b/src/apricotpoint/_control/state.py
@@ -99,7 +99,7 @@
         return ChangeReply(code=ResultCode.ACCEPTED, version=version)
 
     def _apply_evacuation_order(self, change: Change) -> ChangeReply:
-        """Carry out an order; one for the state already in effect makes no new version."""
+        """Carry out an order, which makes a new version if there is a configuration."""
         _check_names(change)
         evacuation = apply_order(self.configuration, change)
         known = self.configuration.evacuation_by_domain
--- a/src/apricotpoint/_wire/configuration.py
+++ b/src/apricotpoint/_wire/configuration.py
@@ -55,8 +55,9 @@
 class Evacuation:
     """The last order for a failure domain; while it is `active`, nothing is started there.
 
-    `order` numbers the orders for that failure domain that took effect, from 1. `ordered_at` is
-    the Unix time at which a process received the order, for display only.
+    `order` numbers all accepted orders for that failure domain, from 1, also those for the state
+    already in effect. `command_id` is that of the last one that changed it, and `ordered_at` the
+    Unix time at which a process received that, for display only.
     """
 
     active: bool
