Count the slack to the deadline with a margin for two deviations

A job that competes with none is accepted and started by 0.75 of its estimate: below that nearly all take seven times as long as their kind.

--- a/src/apricotpoint/_pool/decisions/admission.py
+++ b/src/apricotpoint/_pool/decisions/admission.py
@@ -13,9 +13,10 @@
 # Run times scatter around their estimate. A job that has to wait for resources is accepted as
 # long as it would meet its deadline if it took only this share of its estimated run time.
 OPTIMISTIC_SHARE = 0.85
-# The same for a job that can start all its tasks now: no other job needs the resources. One job in
-# sixteen takes less than this share of its estimate.
-IDLE_OPTIMISTIC_SHARE = 0.65
+# The same for a job that can start all its tasks now: no other job needs the resources. With a
+# smaller share most would be of the few that take several times as long as their kind, and their
+# callers would get an unknown outcome instead of a refusal.
+IDLE_OPTIMISTIC_SHARE = 0.75
 # The same for tasks that have not started yet in a job of which others have: below this share
 # the job is ended early, because it uses resources that others need.
 STARTED_OPTIMISTIC_SHARE = 0.6
--- a/src/apricotpoint/_pool/decisions/joborder.py
+++ b/src/apricotpoint/_pool/decisions/joborder.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from apricotpoint._pool.decisions.placement import DEADLINE_MARGIN
+from apricotpoint._pool.decisions.placement import SAFE_MARGIN
 from apricotpoint._pool.runs.job import Job
 
 # Slack that one step of priority counts as. Larger steps serve more short jobs, but too few
@@ -31,7 +31,7 @@
 def order_key(job: Job, now: float, fastest: float) -> tuple[int, float]:
     """Return the sort key of a job with waiting tasks; the smallest key gets resources first."""
     slack = slack_s(job, now, fastest)
-    safe_slack = job.deadline_at - now - DEADLINE_MARGIN * job.longest_task_s / fastest
+    safe_slack = job.deadline_at - now - SAFE_MARGIN * job.longest_task_s / fastest
     urgency = min(slack, safe_slack) + PRIORITY_SLACK_S * job.request.priority
     if job.started:
         return (0, urgency)
