Make no claims on other failure domains from the smaller part of a partition

A process that reaches some, but at most half, of the control processes that have answered it now makes no such claims, nor for 1.8 s after it reaches more, in which the status of each holder arrives.

--- a/src/apricotpoint/_pool/holders/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -93,7 +93,8 @@
         # when it has had no claimant, and whether it ever had one.
         self._unclaimed_since_by_parts: dict[tuple[str, ...], float] = {}
         self._claimed_parts: set[tuple[str, ...]] = set()
-        self._no_new_claims_until = self._checked_at = self._checked_suspended_s = 0.0
+        self._no_new_claims_until = self._no_foreign_claims_until = 0.0
+        self._checked_at = self._checked_suspended_s = 0.0
         roster.subscribe(scheduler.announce)
         scheduler.on_backend_ended = roster.remove_ended
         scheduler.may_start = self.is_current
@@ -162,6 +163,8 @@
         self._no_new_claims_until = max(
             self._no_new_claims_until, members.discovery.first_welcome_at + START_OBSERVATION_S
         )
+        if claims.is_in_minority(members.discovery.control_silences()):
+            self._no_foreign_claims_until = self._timers.now() + HOLDER_OBSERVATION_S
         self._update_layout(members)
         live = members.live_entries()
         terms_before, held_before = self.term_by_claim(), set(self._scheduler.held_by_id)
@@ -330,8 +333,15 @@
         True for the own failure domain, and for those from which something was received within
         `REACHABLE_S`. Without this check, a process that is cut off together with its failure
         domain would claim all others, and would fence off their holders when the partition ends.
+        The same would happen just after the end, when it hears the other failure domains before
+        the status of their holders; so it also has to have reached most control processes for
+        as long as a status takes to arrive.
         """
-        if domain == live[members.entry_id].failure_domain or self._in_contact(domain):
+        if domain == live[members.entry_id].failure_domain:
+            return True
+        if self._timers.now() < self._no_foreign_claims_until:
+            return False
+        if self._in_contact(domain):
             return True
         # Processes that are cut off become unreachable one after another within one status
         # period, so it is not enough that one of them still counts as live.
--- a/src/apricotpoint/_pool/holders/discovery.py
+++ b/src/apricotpoint/_pool/holders/discovery.py
@@ -71,6 +71,8 @@
         self._address_of = address_of
         self._timers = timers
         self._roster = roster
+        # By each control process that has answered: since when a request has had no answer.
+        self._unanswered_since_by_control: dict[str, float | None] = {}
         self._greeted: set[str] = set()
         self._hello_requested = anyio.Event()
         self._needs_backends = True
@@ -98,6 +100,19 @@
         """Return the ids of the known control processes, those of the seeds included."""
         return sorted(self.directory.control_ids | set(self._seeds()))
 
+    def control_silences(self) -> list[float]:
+        """Return for how many seconds a request to each control process has had no answer.
+
+        It is 0 if none is open. Control processes that have never answered, or are no longer
+        known, are left out.
+        """
+        known, now = set(self.control_ids()), self._timers.now()
+        return [
+            0.0 if since is None else now - since
+            for control_id, since in self._unanswered_since_by_control.items()
+            if control_id in known
+        ]
+
     def request_hello(self) -> None:
         """Have an `EntryHello` sent to all control processes now."""
         self._hello_requested.set()
@@ -154,6 +169,8 @@
     async def _send_hello(self, control_id: str) -> None:
         hello = self._make_hello(control_id)
         self._needs_backends = False
+        if self._unanswered_since_by_control.get(control_id, 0.0) is None:
+            self._unanswered_since_by_control[control_id] = self._timers.now()
         try:
             welcome = await self._transport.request(control_id, hello, timeout_s=HELLO_TIMEOUT_S)
         except PeerUnreachable:
@@ -172,6 +189,7 @@
         self._process_welcome(sender.peer_id, message)
 
     def _process_welcome(self, control_id: str, welcome: EntryWelcome) -> None:
+        self._unanswered_since_by_control[control_id] = None
         if self.first_welcome_at is None:
             self.first_welcome_at = self._timers.now()
         self.directory.update(control_id, welcome)
--- a/testing/pool/pool_cluster.py
+++ b/testing/pool/pool_cluster.py
@@ -327,6 +327,7 @@
     cores: float
     started_at: float
     all_domains: Sequence[str] = ("a", "b")
+    control_ids: Sequence[str] = CONTROL_IDS
     counters: Counters = attrs.Factory(Counters)
     draining: bool = False
     # By how much the wall clock of its machine is ahead, which may change while it runs.
@@ -376,7 +377,7 @@
                         cores=self.cores,
                         started_at=self.started_at,
                     ),
-                    seeds=lambda: list(CONTROL_IDS),
+                    seeds=lambda: list(self.control_ids),
                     transport=transport,
                     address_of=str,
                     timers=timers,
@@ -518,7 +519,8 @@
 
     def partition(self, domain: str) -> None:
         """Partition a failure domain, with its processes and backend servers, from the others."""
-        domain_by_id = {**dict(DOMAINS), **{key: key[-1] for key in CONTROL_IDS}}
+        domain_by_id = {key: entry.domain for key, entry in self.entry_by_id.items()}
+        domain_by_id |= {key: key[-1] for key in self.relay_by_id}
         self.network.partitioned_domain = domain
         for one, one_domain in domain_by_id.items():
             for other, other_domain in domain_by_id.items():
@@ -532,7 +534,7 @@
 
     def reaches(self, entry_id: str, backend_id: str) -> bool:
         """Return whether no partition lies between a process and a backend server."""
-        return not self.network.separates(dict(DOMAINS)[entry_id], backend_id[0])
+        return not self.network.separates(self.entry_by_id[entry_id].domain, backend_id[0])
 
     def holders(self) -> dict[str, list[str]]:
         """Return the ids of the backend servers held, by id of the running entry process."""
@@ -551,12 +553,14 @@
     domains: Sequence[tuple[str, str]] = DOMAINS,
     backend_ids: Sequence[str] = ("a1", "a2", "b1", "b2"),
     orders: FakeOrders | None = None,
+    control_ids: Sequence[str] = CONTROL_IDS,
 ) -> AsyncIterator[Cluster]:
     """Run the cluster until all backend servers are held.
 
     `domains` has the ids of the entry processes with their failure domains; a backend server is
-    in the one that its id begins with. Each entry process has `cores`. One that can carry all
-    backend servers holds all of them; this is `leader` as long as nothing happens.
+    in the one that its id begins with, a control process in that with which its id ends. Each entry
+    process has `cores`. One that can carry all backend servers holds all of them; this is `leader`
+    as long as nothing happens.
     """
     backend_by_id = {key: FakeBackend() for key in backend_ids}
     async with anyio.create_task_group() as group:
@@ -572,12 +576,12 @@
                         own_id=control_id,
                         transport=FakeTransport(network, control_id),
                         timers=timers,
-                        control_ids=lambda: CONTROL_IDS,
+                        control_ids=lambda: control_ids,
                     )
                 )
-                for control_id in CONTROL_IDS
+                for control_id in control_ids
             }
-            for control_id in CONTROL_IDS if orders is not None else ():
+            for control_id in control_ids if orders is not None else ():
                 handlers = network.transport_by_id[control_id].request_handlers_by_type
                 handlers[ConfigPoll] = orders.answer
             unannounced: set[str] = set()
@@ -591,6 +595,7 @@
                     cores,
                     key == leader,
                     sorted({domain for _, domain in domains}),
+                    control_ids,
                 )
                 for key, key_domain in domains
             ]
