Take control processes that stay silent for lost, not for cut off

A control process that has ended for good left its requests without an answer, so each process that hears a failure domain only by relayed announcements, every 3 s, would have taken each of them for the end of a partition, and would have waited before a claim there. A silence of more than 15 s counts no more. Holders log the failure domains that are in contact again. Found by reading.

--- a/src/apricotpoint/_pool/holders/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -45,6 +45,8 @@
 # control process left a request without an answer. Without the latter, its
 # holder may just have been lost: announcements are relayed every 3 s to those who do not watch it.
 SILENT_DOMAIN_S, SILENT_CONTROL_S = 1.7, 0.6
+# A control process that is silent for longer than this has probably ended, and shows no partition.
+LOST_CONTROL_S = 15.0
 # A new claim needs a message from any other process that is not older than this. It is shorter
 # than the silence after which a holder counts as lost: a process that was cut off at the same
 # moment as it lost the holder has received nothing since then.
@@ -363,7 +365,8 @@
     def _update_contacts(self, members: EntryMembers) -> None:
         """Record the failure domains that are in contact again after a partition."""
         now = self._timers.now()
-        if members.discovery.longest_control_silence_s() > SILENT_CONTROL_S:
+        silences_s = members.discovery.control_silences_s()
+        if any(SILENT_CONTROL_S < silence_s < LOST_CONTROL_S for silence_s in silences_s):
             self._partition_seen_at = now
         may_be_over = now - self._partition_seen_at < HOLDER_OBSERVATION_S
         contact_at_by_domain: dict[str, float] = {}
@@ -380,6 +383,14 @@
             last_at = self._contact_at_by_domain.get(domain)
             if last_at is not None and contact_at - last_at > SILENT_DOMAIN_S and may_be_over:
                 self._returned_at_by_domain[domain] = contact_at
+                if self._term_by_part:
+                    _log.notice(
+                        "failure domain {} is in contact again after {:.1f} s; no claims on it "
+                        "for {:g} s",
+                        domain,
+                        contact_at - last_at,
+                        HOLDER_OBSERVATION_S,
+                    )
             if contact_at > -math.inf:
                 self._contact_at_by_domain[domain] = contact_at
 
--- a/src/apricotpoint/_pool/holders/discovery.py
+++ b/src/apricotpoint/_pool/holders/discovery.py
@@ -100,20 +100,17 @@
         """Return the ids of the known control processes, those of the seeds included."""
         return sorted(self.directory.control_ids | set(self._seeds()))
 
-    def longest_control_silence_s(self) -> float:
-        """Return for how many seconds a request to a known control process has had no answer.
+    def control_silences_s(self) -> list[float]:
+        """Return for how many seconds requests to known control processes have had no answer.
 
-        It is 0 if none is open. Control processes that have never answered are left out.
+        Those that have answered their last request, or none ever, are left out.
         """
         known, now = set(self.control_ids()), self._timers.now()
-        return max(
-            (
-                now - since
-                for control_id, since in self._unanswered_since_by_control.items()
-                if since is not None and control_id in known
-            ),
-            default=0.0,
-        )
+        return [
+            now - since
+            for control_id, since in self._unanswered_since_by_control.items()
+            if since is not None and control_id in known
+        ]
 
     def request_hello(self) -> None:
         """Have an `EntryHello` sent to all control processes now."""
