--- a/src/apricotpoint/_pool/holders/claimer.py
+++ b/src/apricotpoint/_pool/holders/claimer.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Collection
 
 import logbook
@@ -18,6 +17,7 @@
 from apricotpoint._pool.decisions.claims import ShareClaim
 from apricotpoint._pool.decisions.shares import Layout, make_layout
 from apricotpoint._pool.holders.discovery import HOLDER_HELLO_PERIOD_S, INITIAL_HELLO_PERIOD_S
+from apricotpoint._pool.holders.domaincontacts import REACHABLE_S, DomainContacts
 from apricotpoint._pool.holders.members import (
     HOLDER_OBSERVATION_S,
     LIVENESS_TIMEOUT_S,
@@ -38,15 +38,6 @@
 # A check that is delayed by this much means that the process was paused: other entry
 # processes regard it as unreachable and may have acquired its backend servers.
 PAUSE_THRESHOLD_S = 0.8
-# A failure domain counts as reachable if something was received from it within this time.
-# Its backend servers announce themselves every 1.5 s each, spread over that period.
-REACHABLE_S = 0.6
-# A failure domain may have been cut off if nothing was received from it for this long, while a
-# control process left a request without an answer. Without the latter, its
-# holder may just have been lost: announcements are relayed every 3 s to those who do not watch it.
-SILENT_DOMAIN_S, SILENT_CONTROL_S = 1.7, 0.6
-# A control process that is silent for longer than this has probably ended, and shows no partition.
-LOST_CONTROL_S = 15.0
 # A new claim needs a message from any other process that is not older than this. It is shorter
 # than the silence after which a holder counts as lost: a process that was cut off at the same
 # moment as it lost the holder has received nothing since then.
@@ -101,10 +92,7 @@
         self._unclaimed_since_by_parts: dict[tuple[str, ...], float] = {}
         self._claimed_parts: set[tuple[str, ...]] = set()
         self._no_new_claims_until = self._checked_at = self._checked_suspended_s = 0.0
-        self._partition_seen_at = -math.inf
-        # By failure domain: the last contact, and the first one after a partition.
-        self._contact_at_by_domain: dict[str, float] = {}
-        self._returned_at_by_domain: dict[str, float] = {}
+        self._contacts = DomainContacts(roster=roster, timers=timers)
         roster.subscribe(scheduler.announce)
         scheduler.on_backend_ended = roster.remove_ended
         scheduler.may_start = self.is_current
@@ -175,7 +163,7 @@
         )
         self._update_layout(members)
         live = members.live_entries()
-        self._update_contacts(members)
+        self._contacts.update(members, self._domains())
         terms_before, held_before = self.term_by_claim(), set(self._scheduler.held_by_id)
         if not self.draining:
             self._update_claims(members, live)
@@ -342,16 +330,14 @@
         True for the own failure domain, and for those from which something was received within
         `REACHABLE_S`. Without this check, a process that is cut off together with its failure
         domain would claim all others, and would fence off their holders when the partition ends.
-        On both sides the same would happen just after the end, as the announcements of backend
-        servers arrive before the status of their holder; so a failure domain that was cut off has
-        to be in contact again for as long as a status takes to arrive.
+        On both sides the same would happen just after the end, so a failure domain that was cut off
+        has to be settled again, see `DomainContacts`.
         """
         if domain == live[members.entry_id].failure_domain:
             return True
-        returned_at = self._returned_at_by_domain.get(domain, -math.inf)
-        if self._timers.now() - returned_at < HOLDER_OBSERVATION_S:
+        if not self._contacts.is_settled(domain):
             return False
-        if self._in_contact(domain):
+        if self._contacts.is_announced(domain):
             return True
         # Processes that are cut off become unreachable one after another within one status
         # period, so it is not enough that one of them still counts as live.
@@ -362,42 +348,6 @@
         )
         return min(ages_s, default=REACHABLE_S + 1) <= REACHABLE_S
 
-    def _update_contacts(self, members: EntryMembers) -> None:
-        """Record the failure domains that are in contact again after a partition."""
-        now = self._timers.now()
-        silences_s = members.discovery.control_silences_s()
-        if any(SILENT_CONTROL_S < silence_s < LOST_CONTROL_S for silence_s in silences_s):
-            self._partition_seen_at = now
-        may_be_over = now - self._partition_seen_at < HOLDER_OBSERVATION_S
-        contact_at_by_domain: dict[str, float] = {}
-        for entry_id, summary in members.summaries().items():
-            if entry_id != members.entry_id:
-                contact_at = now - members.seconds_since_contact(entry_id)
-                domain = summary.failure_domain
-                earlier = contact_at_by_domain.get(domain, -math.inf)
-                contact_at_by_domain[domain] = max(contact_at, earlier)
-        for domain in self._domains():
-            heard_at = self._roster.last_contact_at(domain)
-            contact_at = contact_at_by_domain.get(domain, -math.inf)
-            contact_at = contact_at if heard_at is None else max(contact_at, heard_at)
-            last_at = self._contact_at_by_domain.get(domain)
-            if last_at is not None and contact_at - last_at > SILENT_DOMAIN_S and may_be_over:
-                self._returned_at_by_domain[domain] = contact_at
-                if self._term_by_part:
-                    _log.notice(
-                        "failure domain {} is in contact again after {:.1f} s; no claims on it "
-                        "for {:g} s",
-                        domain,
-                        contact_at - last_at,
-                        HOLDER_OBSERVATION_S,
-                    )
-            if contact_at > -math.inf:
-                self._contact_at_by_domain[domain] = contact_at
-
-    def _in_contact(self, domain: str) -> bool:
-        last_contact_at = self._roster.last_contact_at(domain)
-        return last_contact_at is not None and self._timers.now() - last_contact_at <= REACHABLE_S
-
     def _release_backends(self, members: EntryMembers, live: dict[str, EntryStatus]) -> None:
         claimed_by_others = {
             part
--- a/src/apricotpoint/_pool/runs/routedemand.py
+++ b/src/apricotpoint/_pool/runs/routedemand.py
@@ -18,6 +18,8 @@
 BURST_S = 0.25
 # Shares are found anew after this time: the offered work changes little meanwhile.
 SHARES_MAX_AGE_S = 0.05
+# Work per second in thousandths of a core below which a route is forgotten.
+MIN_RATE = 1.0
 # A route that is limited is logged again after this time at the earliest.
 LOG_PERIOD_S = 5.0
 
@@ -62,16 +64,17 @@
     def exceeds_share(self, request: PoolJob, now: float) -> bool:
         """Return whether the route of a job that arrives now has used up its share."""
         service = self._service_by_name.get(request.service)
-        if service is None or request.kind not in service.route_by_name:
+        if service is None:
             return False
         self._update(request.service, service, now)
-        return service.route_by_name[request.kind].available <= 0
+        route = service.route_by_name.get(request.kind)
+        return route is not None and route.available <= 0
 
     def record(self, request: PoolJob, work: float, now: float, *, uses_share: bool) -> None:
         """Count a job that has arrived, and the work that it uses of the share of its route."""
         service = self._service_by_name.setdefault(request.service, _Service(now))
-        route = service.route_by_name.setdefault(request.kind, _Route())
         self._update(request.service, service, now)
+        route = service.route_by_name.setdefault(request.kind, _Route())
         route.rate += work / OFFER_WINDOW_S
         if uses_share:
             route.available -= work
@@ -93,12 +96,15 @@
         """Find the shares of the routes of a service anew."""
         throughput = self._throughput(name, now)
         routes = service.route_by_name
+        for key in [key for key, route in routes.items() if route.rate < MIN_RATE]:
+            del routes[key]
         share_by_route = routeshares.fair_shares(
             {key: route.rate for key, route in routes.items()}, throughput
         )
         for key, route in routes.items():
-            # Without a backend server nothing is known of the throughput.
-            is_limited = throughput > 0 and share_by_route[key] < route.rate
+            # Without a backend server nothing is known of the throughput, and a route alone
+            # competes with none.
+            is_limited = throughput > 0 and len(routes) > 1 and share_by_route[key] < route.rate
             route.share = share_by_route[key] if is_limited else math.inf
             route.available = min(route.available, BURST_S * route.share)
             if not is_limited:
