Let the defect of a claim before its sync reach the tests

The defect replaces the line by pass now, and is caught by test_claim_killed_at_any_step_is_not_granted_twice (run of this defect alone).

--- a/testing/defects/defects.py
+++ b/testing/defects/defects.py
@@ -67,8 +67,8 @@
     ),
     Defect(
         "a claim is granted before its sync",
-        "        await self._file.sync(sequence)\n",
-        "",
+        "            await self._file.sync(sequence)\n",
+        "            pass\n",
         (CONTROL + "test_registry.py",),
     ),
     Defect(
