Bound the work that one odd job counts for its route

A caller may declare a run time of any size. Such a job was refused, but counted as work that its route offers: the average went up to infinity and did not come back, so the route counted as offering too much for good, and its jobs went behind those of other routes without overload. Found by reading for odd entries, shown on a scheduler with a fake backend server. A task now counts for its deadline at the most, and a job that no held backend server can run counts nothing. test_a_job_with_huge_figures_does_not_limit_its_route fails before.

--- a/src/apricotpoint/_pool/jobadmission.py
+++ b/src/apricotpoint/_pool/jobadmission.py
@@ -103,7 +103,12 @@
         self._demand.record(job.request, _work(job), job.arrived_at, uses_share=not job.over_share)
 
     def record_refused(self, request: PoolJob) -> None:
-        """Count a job that was refused on its arrival as work that its route offers."""
+        """Count a job that was refused on its arrival as work that its route offers.
+
+        A job that no backend server held here could run offers none.
+        """
+        if not any(held.can_run(request) for held in self._held_by_id.values()):
+            return
         job = self.make_job(request, None)
         self._demand.record(request, _work(job), job.arrived_at, uses_share=False)
 
@@ -117,5 +122,9 @@
 
 
 def _work(job: Job) -> float:
-    """Return the work of a job in seconds at speed 1 times thousandths of a core."""
-    return job.request.count * job.mean_task_s * job.request.room.cpu
+    """Return the work of a job in seconds at speed 1 times thousandths of a core.
+
+    A task ends by the deadline at the latest, so a declared time far above it counts no more.
+    """
+    task_s = min(job.mean_task_s, job.request.deadline_s)
+    return job.request.count * task_s * job.request.room.cpu
--- a/testing/pool/test_route_shares.py
+++ b/testing/pool/test_route_shares.py
@@ -6,7 +6,7 @@
 
 import attrs
 import pytest
-from pool_harness import make_job
+from pool_harness import FakeBackend, make_job, on_virtual_time, run_scheduler
 from pool_load import (
     VAN_BACKENDS,
     VAN_JOB_TAIL_MIX,
@@ -20,7 +20,7 @@
 from apricotpoint._pool.decisions.routeshares import fair_shares
 from apricotpoint._pool.runs.job import Job
 from apricotpoint._pool.runs.routedemand import RouteDemand
-from apricotpoint._wire.pool import PoolJob
+from apricotpoint._wire.pool import PoolJob, Room
 
 SEEDS = (1, 2, 3, 4)
 THROUGHPUT = 90_000.0
@@ -179,3 +179,24 @@
     long, middle = make_waiting(1.05), make_waiting(0.2)
     assert joborder.slack_s(middle, 0.0, 1.0) < joborder.slack_s(long, 0.0, 1.0)
     assert joborder.order_key(long, 0.0, 1.0) < joborder.order_key(middle, 0.0, 1.0)
+
+
+@on_virtual_time
+async def test_a_job_with_huge_figures_does_not_limit_its_route():
+    """Guards against one odd job after which its route counts as offering too much for minutes."""
+    async with run_scheduler(FakeBackend(work_s=0.1)) as harness:
+        scheduler = harness.scheduler
+        huge = make_job(1, kind="a", work_s=1e305, deadline_s=1.0)
+        for odd in (huge, attrs.evolve(huge, room=Room(10**15, 1))):
+            assert scheduler.refusal(odd) is not None
+            scheduler.record_refused(odd)
+        await harness.settle(10.0)
+        scheduler.submit(make_job(2, kind="b", work_s=0.01))
+        await harness.settle(0.1)
+        room = Room(4_000, 1)
+        jobs = [
+            scheduler.submit(attrs.evolve(make_job(number, kind="a", work_s=0.5), room=room))
+            for number in range(3, 9)
+        ]
+        # Less than half of what the backend server does in a second.
+        assert not any(job.over_share for job in jobs)
