Show where configurations come from, lagging replicas, and messages by type

The logs did not tell which control process an entry process polls, nor whether a control process lags behind its leader, so an outdated replica, a lost request and a slow entry process looked the same.

Entry processes log the control process polled and the source of a version; control processes have a gauge of committed entries not applied and log a lag over 0.5 s. Mesh.traffic counts messages and bytes by type; programs on the platform log it with their counters and processor time each 10 s.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -80,6 +80,7 @@
         self._configuration = Configuration()
         self._confirmed_at = float("-inf")
         self._known_version = 0
+        self._polled_id = ""
         self._newer_version_known = anyio.Event()
         self._lock = anyio.Lock()
         self._callbacks: list[Callable[[Configuration], None]] = []
@@ -171,6 +172,11 @@
                 await self._timers.sleep(_RETRY_INTERVAL_S)
                 continue
             control_id = control_ids[position % len(control_ids)]
+            if control_id != self._polled_id:
+                _log.info(
+                    "configuration polled from {}, before from {}", control_id, self._polled_id
+                )
+                self._polled_id = control_id
             asked_at = self._timers.now()
             if not await self._poll_peer(control_id, wait_s=_POLL_WAIT_S):
                 position += 1
@@ -210,9 +216,12 @@
                 peer_id, poll, timeout_s=wait_s + _REPLY_TIMEOUT_S
             )
         except PeerUnreachable:
+            self._counters.add("configuration.polls_unanswered")
             return False
         if not isinstance(reply, ConfigUpdate):
             return False
+        if not reply.current:
+            self._counters.add("configuration.polls_not_current")
         if reply.configuration is not None and not await self._take(peer_id, reply):
             return False
         if reply.current:
@@ -229,6 +238,8 @@
             if text is None:
                 return False
             configuration = configuration.with_document(Document(manifest.version, text))
+        if configuration.version > self._configuration.version:
+            _log.info("configuration {} received from {}", configuration.version, peer_id)
         await self._accept(configuration)
         return True
 
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -33,6 +33,7 @@
 from apricotpoint._control.replica import (
     CHANGE_TIMEOUT_S,
     ELECTION_TIMEOUT_S,
+    HEARTBEAT_INTERVAL_S,
     NOT_ACCEPTED_MESSAGE,
     OUTCOME_UNKNOWN_MESSAGE,
     Replica,
@@ -63,6 +64,8 @@
 _REPORTS_BEFORE_NOTICE = 5
 _MAX_LEADER_WAIT_S = 2.0
 _MAX_POLL_WAIT_S = 10.0
+# A replica that lacks committed entries for longer than this logs it.
+_MAX_USUAL_LAG_S = 0.5
 _CLAIM_COMPACTION_INTERVAL_S = 10.0
 # Replicas that never vote must leave room for those that may replace a member.
 _MAX_LEARNERS, _MAX_VOTING_LEARNERS = 8, 16
@@ -277,6 +280,7 @@
                 group.start_soon(maintain_members, self.replica, self._tolerance)
             group.start_soon(self._compact_claims)
             group.start_soon(self._report_as_learner)
+            group.start_soon(self._watch_lag)
             await self.replica.run(campaign=election.campaign, replicate=replication.replicate)
 
     async def _stop_on_failure(self) -> None:
@@ -447,6 +451,31 @@
         self._configuration_changed.set()
         self._configuration_changed = anyio.Event()
 
+    async def _watch_lag(self) -> None:
+        """Log and count when this replica lags behind the entries that its leader has committed."""
+        began_at, is_logged = None, False
+        while True:
+            await self._timers.sleep(HEARTBEAT_INTERVAL_S)
+            replica, now = self.replica, self._timers.now()
+            lag = replica.unapplied_entries()
+            self._counters.set_gauge("control.unapplied_entries", lag)
+            if not lag:
+                if began_at is not None and is_logged:
+                    _log.notice("all committed entries applied after {:.1f} s", now - began_at)
+                began_at, is_logged = None, False
+                continue
+            began_at = now if began_at is None else began_at
+            if not is_logged and now - began_at > _MAX_USUAL_LAG_S:
+                is_logged = True
+                self._counters.add("control.lags")
+                _log.notice(
+                    "lags behind leader {}: {} committed entries are not applied, waits for disk: "
+                    "{}",
+                    replica.leader_id,
+                    lag,
+                    self._log.is_waiting_for_disk,
+                )
+
     async def _on_config_poll(self, _: Sender, message: ConfigPoll) -> object:
         replica = self.replica
         wait_s = min(message.wait_s, _MAX_POLL_WAIT_S)
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -140,7 +140,7 @@
         self.state = ReplicatedState(log.disk_by_member())
         if log.snapshot is not None:
             self.state.restore(log.snapshot.state)
-        self.commit_index = log.snapshot_index
+        self.commit_index = self.leader_commit_index = log.snapshot_index
         self.synced_index = 0
         self.lacks_entries = False
         self.stall = StallDetector()
@@ -479,6 +479,15 @@
         """Return whether reads here are as new as the contact to a majority."""
         return self.has_majority() and not self.lacks_entries
 
+    def unapplied_entries(self) -> int:
+        """Return how many entries the leader has committed, by its last message, but not this one.
+
+        0 for the leader itself.
+        """
+        if self.role is Role.LEADER:
+            return 0
+        return max(0, self.leader_commit_index - self.commit_index)
+
     def is_fully_committed(self) -> bool:
         """Return whether this leader has committed all entries, the last of its own term.
 
--- a/src/apricotpoint/_control/replication.py
+++ b/src/apricotpoint/_control/replication.py
@@ -53,6 +53,7 @@
     if message.term < log.term:
         return replica.append_reply(matched=False, match_index=0, next_index=0)
     _accept_leader(replica, leader_id, message.term)
+    replica.leader_commit_index = max(replica.leader_commit_index, message.commit_index)
     previous_index = message.previous_index
     # Entries up to the base index are committed and therefore the same as the leader's.
     skipped = max(0, log.base_index - previous_index)
--- a/src/apricotpoint/_core/counters.py
+++ b/src/apricotpoint/_core/counters.py
@@ -61,10 +61,15 @@
             histogram = self._histogram_by_name[name] = LatencyHistogram()
         histogram.record(seconds)
 
-    def snapshot(self) -> dict[str, float]:
-        """Return all counters and gauges, and the count, p50 and p99 (ms) of each histogram."""
+    def counts_and_gauges(self) -> dict[str, float]:
+        """Return all counters and gauges; unlike `snapshot`, it costs next to nothing."""
         values: dict[str, float] = dict(sorted(self._count_by_name.items()))
         values.update(sorted(self._gauge_by_name.items()))
+        return values
+
+    def snapshot(self) -> dict[str, float]:
+        """Return all counters and gauges, and the count, p50 and p99 (ms) of each histogram."""
+        values = self.counts_and_gauges()
         for name, histogram in sorted(self._histogram_by_name.items()):
             values[f"{name}.count"] = histogram.count()
             for percentile in (50, 99):
--- a/src/apricotpoint/_link/mesh.py
+++ b/src/apricotpoint/_link/mesh.py
@@ -27,6 +27,7 @@
     NewerIncarnation,
     PeerLink,
 )
+from apricotpoint._link.traffic import Traffic
 from apricotpoint._link.transport import (
     Handler,
     PeerUnreachable,
@@ -94,7 +95,8 @@
     exchanged before do not tell that it is recent, its sender is probed first: what waited for a
     process that was stopped, or for a partition to end, is not taken for new.
 
-    Works only with the asyncio backend of anyio.
+    `traffic` has the number and size of messages by type. Works only with the asyncio backend of
+    anyio.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
     ) -> None:
         self.handlers_by_type: dict[type, Handler] = {}
         self.request_handlers_by_type: dict[type, RequestHandler] = {ClockProbe: _return_probe}
+        self.traffic = Traffic()
         self._process_id = process_id
         self._incarnation = incarnation
         self._listen = listen
@@ -293,6 +296,7 @@
             counters=self._counters,
             on_unsent_request=self._fail_request,
             is_awaited=self._pending_request_by_id.__contains__,
+            traffic=self.traffic,
             idle_after_s=self._idle_after_s,
         )
 
@@ -364,6 +368,7 @@
             self._counters.add("link.undecodable")
             return
         self._counters.add("link.received")
+        self.traffic.received_by_type[type(envelope.message).__name__].record(len(data))
         link = self._find_or_add_link(envelope.sender)
         if link is None:
             self._counters.add("link.unknown_sender")
--- a/src/apricotpoint/_link/peer.py
+++ b/src/apricotpoint/_link/peer.py
@@ -15,6 +15,7 @@
 from apricotpoint._core.timers import TimerService
 from apricotpoint._link.clock import PeerClock
 from apricotpoint._link.confirmation import UnconfirmedMessages
+from apricotpoint._link.traffic import Traffic
 from apricotpoint._wire import codec
 
 HEARTBEAT_PERIOD_S = 0.4
@@ -99,7 +100,7 @@
     request is open in either direction. With infinity the connection stays open, and
     heartbeats are always sent. `on_unsent_request` is called with the id of a request that cannot
     be sent, and the reason; `is_awaited` tells whether a request of this process still waits for
-    its reply.
+    its reply. What is sent is counted in `traffic`.
     """
 
     def __init__(
@@ -114,9 +115,11 @@
         counters: Counters,
         on_unsent_request: Callable[[int, str], None],
         is_awaited: Callable[[int], bool],
+        traffic: Traffic,
         idle_after_s: float = math.inf,
     ) -> None:
         self.peer_id = peer_id
+        self._traffic = traffic
         self._on_unsent_request = on_unsent_request
         self._is_awaited = is_awaited
         self.peer_incarnation: int | None = None
@@ -502,6 +505,7 @@
         self._last_sent_at = now
         self._acknowledgements_due = 0
         self._counters.add("link.sent")
+        self._traffic.sent_by_type[type(item.message).__name__].record(len(data))
         return True
 
     def _encode_or_replace(
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -45,6 +45,7 @@
     suspended_s,
 )
 from apricotpoint.platform.settings import PlatformSettings
+from apricotpoint.platform.usagereport import report_usage
 
 # Time that requests in progress get to finish at shutdown.
 SHUTDOWN_GRACE_S = 1.0
@@ -146,6 +147,7 @@
 
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(timers)
+        report_usage(timers, counters, mesh.traffic)
         if settings.has_places:
             # Only the age of orders for failure domains is of interest.
             await stack.enter_async_context(pauses)
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -42,6 +42,7 @@
     suspended_s,
 )
 from apricotpoint.platform.settings import PlatformSettings
+from apricotpoint.platform.usagereport import report_usage
 from apricotpoint.platform.workers import WorkerClient
 
 # Time until the load balancer sends no more connections: it checks readiness every second
@@ -85,7 +86,7 @@
         self._routing = Routing()
         self._stack = AsyncExitStack()
         self._close_servers = anyio.Event()
-        counters = Counters()
+        counters = self._counters = Counters()
         generator = make_random(settings.address, incarnation)
         self._timers = TimerService(suspended_s=suspended_s)
         # Not the wall clock, which may be behind that of an earlier start.
@@ -207,6 +208,7 @@
             await self._stack.enter_async_context(component)
         self._claimer.start_pause_detection()
         self._timers.every(CLAIM_CHECK_PERIOD_S, self._check_cluster)
+        report_usage(self._timers, self._counters, self._mesh.traffic)
         # Started last, because it waits for the control processes, on which the claims of
         # failure domains do not depend.
         await self._stack.enter_async_context(self._feed)
--- a/testing/link/test_mesh.py
+++ b/testing/link/test_mesh.py
@@ -17,6 +17,7 @@
 from apricotpoint._link import peer
 from apricotpoint._link.mesh import Mesh
 from apricotpoint._link.peer import PeerLink
+from apricotpoint._link.traffic import Traffic
 from apricotpoint._link.transport import PeerUnreachable, RequestNotSent, Sender
 from apricotpoint._wire import codec
 from apricotpoint._wire.jobs import CancelForward, JobLookup
@@ -364,6 +365,7 @@
         async with TimerService() as timers:
             counters = Counters()
             link = PeerLink(
+                traffic=Traffic(),
                 process_id="b", incarnation=5, peer_id="a", address="", key=KEYS[0],
                 timers=timers, counters=counters, on_unsent_request=lambda *_: None,
                 is_awaited=lambda _: False,
