Take no control process for current that lacks committed changes

Cause: a follower counted as current as long as it heard its leader, whatever it had applied, and it applied committed entries only after its own disk had synced them. All entry processes polled the same control process, the first by address, so none of them learned the version from another. A version that was heard of was asked for once. Evidence: the log of core-puebla-1, which answers polls as current and applies nothing until the end of the stall; the equal delay of all processes.

A replica is current if it has applied what its leader had committed by the last message, and a leader once an entry of its own term is committed. Followers apply committed entries before their own sync, as a majority has stored them, and hear of a commit at once. Polls of a replica that is not current are answered at once instead of after their wait. Entry processes begin with a control process drawn at random, and ask for a version that they have heard of until it arrives.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -31,7 +31,7 @@
 
 _POLL_WAIT_S = 1.0
 _REPLY_TIMEOUT_S = 1.0
-_RETRY_INTERVAL_S = 0.25
+_RETRY_INTERVAL_S, _MAX_RETRY_INTERVAL_S = 0.25, 1.0
 # A configuration counts as current for this long after the latest confirmation.
 _CURRENT_FOR_S = 3.0
 # Until there is a first version, all control processes are asked with this time-out: one that
@@ -53,8 +53,9 @@
     there before it becomes active, so a restart never returns to an older
     one. Other processes without a disk may ask this one at their start.
     `control_ids` are the control processes, or a function that returns those
-    known at the time. `storage` is for tests. Long documents are fetched in chunks
-    (`DocumentDownload`), so that several answers with the same version cost little.
+    known at the time; `polled_id` is the one polled now. `storage` is for tests. Long
+    documents are fetched in chunks (`DocumentDownload`), so that several answers with the same
+    version cost little.
     """
 
     def __init__(
@@ -80,7 +81,7 @@
         self._configuration = Configuration()
         self._confirmed_at = float("-inf")
         self._known_version = 0
-        self._polled_id = ""
+        self.polled_id = ""
         self._newer_version_known = anyio.Event()
         self._lock = anyio.Lock()
         self._callbacks: list[Callable[[Configuration], None]] = []
@@ -114,7 +115,8 @@
     def fetch_if_newer(self, version: int) -> None:
         """Fetch from all processes at once if `version` is newer than any known so far.
 
-        For versions that other processes name in their load reports.
+        They are asked again until it has arrived. For versions that other processes name in their
+        load reports.
         """
         if version > max(self._known_version, self._configuration.version):
             self._known_version = version
@@ -160,7 +162,6 @@
         return self._document_chunks.answer(message)
 
     async def _run_polls(self) -> None:
-        position = 0
         while True:
             control_ids = self._control_ids()
             if not self._configuration.version:
@@ -171,20 +172,22 @@
             if not control_ids:
                 await self._timers.sleep(_RETRY_INTERVAL_S)
                 continue
-            control_id = control_ids[position % len(control_ids)]
-            if control_id != self._polled_id:
-                _log.info(
-                    "configuration polled from {}, before from {}", control_id, self._polled_id
-                )
-                self._polled_id = control_id
+            if self.polled_id not in control_ids:
+                # At random, as otherwise all processes would depend on the same one.
+                self._poll_from(self._random.choice(control_ids))
             asked_at = self._timers.now()
-            if not await self._poll_peer(control_id, wait_s=_POLL_WAIT_S):
-                position += 1
+            if not await self._poll_peer(self.polled_id, wait_s=_POLL_WAIT_S):
+                position = control_ids.index(self.polled_id)
+                self._poll_from(control_ids[(position + 1) % len(control_ids)])
                 # An unreachable replica may refuse at once: pause before asking the next one.
                 await self._timers.sleep(
                     max(0.0, asked_at + _RETRY_INTERVAL_S - self._timers.now())
                 )
 
+    def _poll_from(self, control_id: str) -> None:
+        _log.info("configuration polled from {}, before from {}", control_id, self.polled_id)
+        self.polled_id = control_id
+
     async def _fetch_first(self) -> None:
         """Ask all processes until there is a version, for at most about one reply time-out."""
         give_up_at = self._timers.now() + _REPLY_TIMEOUT_S
@@ -199,9 +202,13 @@
         while True:
             await self._newer_version_known.wait()
             self._newer_version_known = anyio.Event()
-            if self._known_version > self._configuration.version:
+            delay_s = _RETRY_INTERVAL_S
+            while self._known_version > self._configuration.version:
                 self._counters.add("configuration.fetched_heard")
                 await self._poll_all([*self._control_ids(), *self._other_peer_ids()])
+                if self._known_version > self._configuration.version:
+                    await self._timers.sleep(delay_s)
+                    delay_s = min(2 * delay_s, _MAX_RETRY_INTERVAL_S)
 
     async def _poll_all(self, peer_ids: Sequence[str]) -> None:
         async with anyio.create_task_group() as group:
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -135,7 +135,8 @@
             initial_members=list(initial_members or sorted({*members, node_id})),
         )
         self._starts = NewestStarts(self._storage)
-        self._configuration_changed = anyio.Event()
+        # Wakes the polls that wait: there is a new version, or this replica is no longer current.
+        self._polls_answerable = anyio.Event()
         self._document_chunks = DocumentChunks()
         self._start_known, self._start_checked = anyio.Event(), anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
@@ -280,7 +281,7 @@
                 group.start_soon(maintain_members, self.replica, self._tolerance)
             group.start_soon(self._compact_claims)
             group.start_soon(self._report_as_learner)
-            group.start_soon(self._watch_lag)
+            group.start_soon(self._watch_currency)
             await self.replica.run(campaign=election.campaign, replicate=replication.replicate)
 
     async def _stop_on_failure(self) -> None:
@@ -448,15 +449,20 @@
 
     def _notify_configuration_changed(self) -> None:
         self._set_evacuation_gauge()
-        self._configuration_changed.set()
-        self._configuration_changed = anyio.Event()
+        self._wake_polls()
 
-    async def _watch_lag(self) -> None:
-        """Log and count when this replica lags behind the entries that its leader has committed."""
+    def _wake_polls(self) -> None:
+        self._polls_answerable.set()
+        self._polls_answerable = anyio.Event()
+
+    async def _watch_currency(self) -> None:
+        """Answer the polls that wait when this replica ceases to be current; log a lag."""
         began_at, is_logged = None, False
         while True:
             await self._timers.sleep(HEARTBEAT_INTERVAL_S)
             replica, now = self.replica, self._timers.now()
+            if not replica.is_current():
+                self._wake_polls()
             lag = replica.unapplied_entries()
             self._counters.set_gauge("control.unapplied_entries", lag)
             if not lag:
@@ -484,8 +490,9 @@
             # accepted before, which only a confirmed leader can guarantee.
             await replica.confirm_leadership(ELECTION_TIMEOUT_S / 2)
         with anyio.move_on_after(wait_s):
-            while replica.state.configuration.version <= message.version:
-                await self._configuration_changed.wait()
+            # One that is not current is answered at once, so that it asks another process.
+            while replica.state.configuration.version <= message.version and replica.is_current():
+                await self._polls_answerable.wait()
         return self._document_chunks.make_update(
             replica.state.configuration,
             message.version,
--- a/src/apricotpoint/_control/replica.py
+++ b/src/apricotpoint/_control/replica.py
@@ -81,7 +81,8 @@
     `round` is the latest heartbeat round that the replica answered, and
     `acked_at` the time at which the answered request was sent. `match_index`
     is the last entry known to be stored there, `next_index` the next to send.
-    `is_waiting_for_space` means that it took no entry, as its disk is full.
+    `is_waiting_for_space` means that it took no entry, as its disk is full. `commit_index` is the
+    one last sent to it.
     """
 
     next_index: int
@@ -93,6 +94,7 @@
     traits: ReplicaTraits = ReplicaTraits()
     disk_full: bool = False
     is_waiting_for_space: bool = False
+    commit_index: int = 0
 
 
 @attrs.define(eq=False)
@@ -476,8 +478,14 @@
         return self.leader_id is not None and self.leader_contact_at >= limit
 
     def is_current(self) -> bool:
-        """Return whether reads here are as new as the contact to a majority."""
-        return self.has_majority() and not self.lacks_entries
+        """Return whether reads here are as new as the contact to a majority.
+
+        Contact alone does not show that: a follower may lack what its leader has committed, and a
+        new leader does not know what is committed before an entry of its own term is.
+        """
+        if self.role is Role.LEADER and self.log.term_at(self.commit_index) != self.log.term:
+            return False
+        return self.has_majority() and not self.unapplied_entries() and not self.lacks_entries
 
     def unapplied_entries(self) -> int:
         """Return how many entries the leader has committed, by its last message, but not this one.
--- a/src/apricotpoint/_control/replication.py
+++ b/src/apricotpoint/_control/replication.py
@@ -78,12 +78,13 @@
             replica.notify()
             break
     replica.lacks_entries = lacks_entries
+    # A committed entry is stored by a majority, so it may be applied before it is stored here.
+    # After the sync it would be late for as long as the disk stalls.
+    replica.commit_to(min(message.commit_index, match_index))
     stored = await log.try_sync() and not lacks_entries
     if log.term != message.term:
         return replica.append_reply(matched=False, match_index=0, next_index=0)
     replica.leader_contact_at = replica.timers.now()
-    # A committed entry is stored by a majority, so it may be applied before it is stored here.
-    replica.commit_to(min(message.commit_index, match_index))
     return replica.append_reply(
         matched=stored,
         match_index=match_index if stored else 0,
@@ -145,6 +146,7 @@
     log = replica.log
     term, round_, sent_at = log.term, replica.round, replica.timers.now()
     message: Append | InstallSnapshot
+    progress.commit_index = replica.commit_index
     previous_term = log.term_at(progress.next_index - 1)
     if previous_term is None:
         assert log.snapshot is not None
@@ -210,5 +212,6 @@
     return (
         replica.role is Role.LEADER
         and progress.next_index > replica.log.last_index
+        and progress.commit_index >= replica.commit_index
         and progress.round >= replica.round
     )
