Name the version of the configuration in the answers to hellos

An entry process polls one control process at a time and waits 2 s for one that is silent, so a change could come late if no other entry process had it. Each control process answers a hello of each entry process every 2 s, of holders every 0.2 s in turn; the answer now names the version of its configuration, and a newer one is fetched as one in a status is. An earlier release sends 0, which is never newer.

Measured: testing/pool/test_relay.py passes; its new test fails before, as there is no version.

--- a/src/apricotpoint/_pool/holders/discovery.py
+++ b/src/apricotpoint/_pool/holders/discovery.py
@@ -47,6 +47,8 @@
     monotonic time of the first answer, None before it. `on_welcome` is called after each answer,
     `on_lost_runs` with the id of the control process, the lost runs that it names and the digest of
     the crashes it knows; `crash_digest` returns that of the crashes known here.
+    `on_config_version` is called with the version of the configuration of each control process that
+    answers.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self.first_welcome_at: float | None = None
         self.on_welcome: Callable[[], None] = lambda: None
         self.on_lost_runs: Callable[[str, list[LostRun], int | None], None] = lambda *_: None
+        self.on_config_version: Callable[[int], None] = lambda _: None
         self.crash_digest: Callable[[], int | None] = lambda: None
         self._seeds = seeds
         self._transport = transport
@@ -193,5 +196,6 @@
             self.first_welcome_at = self._timers.now()
         self.directory.update(control_id, welcome)
         self._roster.update(BackendsHeard(welcome.backends))
+        self.on_config_version(welcome.config_version)
         self.on_lost_runs(control_id, welcome.lost_runs, welcome.crash_digest)
         self.on_welcome()
--- a/src/apricotpoint/_pool/holders/relay.py
+++ b/src/apricotpoint/_pool/holders/relay.py
@@ -57,7 +57,7 @@
     processes, so that none of them names a backend server that has left. What is known of tasks
     that crash backend servers is kept, and forwarded in the same way.
     `control_ids` returns the ids of all control processes known here, `own_id` is that of this
-    one.
+    one, `config_version` returns the version of the configuration here.
     """
 
     def __init__(
@@ -67,11 +67,13 @@
         transport: Transport,
         timers: TimerService,
         control_ids: Callable[[], Collection[str]],
+        config_version: Callable[[], int] = lambda: 0,
     ) -> None:
         self._own_id = own_id
         self._transport = transport
         self._timers = timers
         self._control_ids = control_ids
+        self._config_version = config_version
         self._roster = Roster(now=timers.now)
         self._changed_by_id: dict[str, PoolBackend] = {}
         self._repeated_ids: set[str] = set()
@@ -228,6 +230,7 @@
             lost_runs=self._lost_runs_for(message, needs_all=needs_backends),
             crash_digest=self._crashes.digest(),
             listening_s=now - self._listening_since,
+            config_version=self._config_version(),
         )
 
     def _lost_runs_for(self, hello: EntryHello, *, needs_all: bool) -> list[LostRun]:
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -165,7 +165,8 @@
     `entries` is None if the list has the digest that the entry process has named. `lost_runs` are
     the lost runs of the last time, for an entry process that was not known before; for others only
     crashes, if the digest that they have named is not `crash_digest`. The control process has
-    collected its list for `listening_s` seconds, infinity if it does not say.
+    collected its list for `listening_s` seconds, infinity if it does not say; `config_version` is
+    the version of its configuration, 0 if it does not say.
     """
 
     control_ids: list[str]
@@ -175,6 +176,7 @@
     lost_runs: list[LostRun] = attrs.Factory(list)
     crash_digest: int | None = None
     listening_s: float = math.inf
+    config_version: int = 0
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/controller.py
+++ b/src/apricotpoint/platform/controller.py
@@ -109,7 +109,11 @@
         return sorted(ids)
 
     relay = AnnouncementRelay(
-        own_id=settings.address, transport=mesh, timers=timers, control_ids=control_ids
+        own_id=settings.address,
+        transport=mesh,
+        timers=timers,
+        control_ids=control_ids,
+        config_version=lambda: node.replica.state.configuration.version,
     )
     pauses, arrivals = PauseMonitor(timers=timers), Arrivals()
     evacuation_routes = make_evacuation_routes(
--- a/src/apricotpoint/platform/entry.py
+++ b/src/apricotpoint/platform/entry.py
@@ -156,6 +156,7 @@
             counters=counters,
         )
         self._feed.subscribe(self._apply_configuration)
+        self._discovery.on_config_version = self._feed.fetch_if_newer
         self._service = PoolService(
             own_domain=settings.failure_domain,
             members=self._members,
--- a/testing/pool/test_relay.py
+++ b/testing/pool/test_relay.py
@@ -16,6 +16,7 @@
     LIST_EXPIRY_S,
     EntryDirectory,
 )
+from apricotpoint._pool.holders.discovery import Discovery
 from apricotpoint._pool.holders.relay import REPEATED_RELAY_PERIOD_S, AnnouncementRelay
 from apricotpoint._pool.holders.roster import REMOVED_RETENTION_S, UNREACHABLE_TIMEOUT_S, Roster
 from apricotpoint._wire.pool import (
@@ -58,6 +59,7 @@
                         transport=FakeTransport(network, key),
                         timers=timers,
                         control_ids=lambda: CONTROL_IDS,
+                        config_version=lambda: 7,
                     )
                 )
                 for key in CONTROL_IDS
@@ -260,3 +262,25 @@
     assert directory.summary_by_entry["e"].draining
     directory.update("c2", welcome(9, [EntrySummary("e", "a", 1.0, 6.0)]))
     assert not directory.summary_by_entry["e"].draining
+
+
+def test_a_control_process_names_the_version_of_its_configuration():
+    """Guards against a process that polls one silent control process and hears of no change."""
+
+    async def check(relays: Relays) -> None:
+        async with TimerService() as timers:
+            discovery = Discovery(
+                summary=EntrySummary("e", "a", 1.0, 0.0),
+                seeds=lambda: CONTROL_IDS,
+                transport=relays.entry,
+                address_of=str,
+                timers=timers,
+                roster=Roster(now=timers.now),
+            )
+            versions: list[int] = []
+            discovery.on_config_version = versions.append
+            async with discovery:
+                await anyio.sleep(0.1)
+            assert set(versions) == {7}
+
+    run_with_relays(check)
