Log new backend servers of one message in one line, and scan for silent ones only when due

A message is now one line, the scan waits until the first contact expires, and the contacts are those of the processes that have sent a status.

Measured: testing/pool/test_relay.py, test_claims.py and test_cluster.py pass. What it saves was not measured apart from other changes.

--- a/src/apricotpoint/_pool/holders/domaincontacts.py
+++ b/src/apricotpoint/_pool/holders/domaincontacts.py
@@ -61,15 +61,16 @@
 
     def _latest_contacts(self, members: EntryMembers, domains: Collection[str]) -> dict[str, float]:
         """Return the last status or announcement from each failure domain that sent any."""
-        now = self._timers.now()
         contact_at_by_domain: dict[str, float] = {}
         for domain in domains:
             announced_at = self._roster.last_contact_at(domain)
             if announced_at is not None:
                 contact_at_by_domain[domain] = announced_at
-        for entry_id, summary in members.summaries().items():
-            contact_at = now - members.seconds_since_contact(entry_id)
-            if entry_id != members.entry_id and contact_at > -math.inf:
+        # Most processes never send a status to this one.
+        summary_by_entry = members.discovery.directory.summary_by_entry
+        for entry_id, contact_at in members.contact_at_by_entry().items():
+            summary = summary_by_entry.get(entry_id)
+            if summary is not None:
                 domain = summary.failure_domain
                 known_at = contact_at_by_domain.get(domain, contact_at)
                 contact_at_by_domain[domain] = max(contact_at, known_at)
--- a/src/apricotpoint/_pool/holders/members.py
+++ b/src/apricotpoint/_pool/holders/members.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random as random_module
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from types import TracebackType
 
 import anyio
@@ -196,6 +196,10 @@
         """Return the seconds since the last status of a process, infinity if there was none."""
         return self._timers.now() - self._last_contact_at_by_entry.get(entry_id, float("-inf"))
 
+    def contact_at_by_entry(self) -> Mapping[str, float]:
+        """Return the monotonic time of the last status of each process that has sent one."""
+        return self._last_contact_at_by_entry
+
     def open_link(self, entry_id: str) -> None:
         """Make sure that messages can be sent to an entry process."""
         self._transport.add_peer(entry_id, self._address_of(entry_id))
--- a/src/apricotpoint/_pool/holders/roster.py
+++ b/src/apricotpoint/_pool/holders/roster.py
@@ -21,6 +21,8 @@
 # Ids of removed backend servers are kept for this long, because an announcement that was sent
 # before the removal may still arrive.
 REMOVED_RETENTION_S = 30.0
+# A process that starts hears of hundreds of new backend servers at once, and logs one line.
+MAX_IDS_LOGGED = 3
 
 # In the order in which msgspec encodes the fields of a class with slots.
 _DIGEST_FIELDS = sorted(
@@ -76,6 +78,8 @@
         self._last_contact_at_by_id: dict[str, float] = {}
         self.revision = 0
         self._removal_by_id: dict[str, _Removal] = {}
+        # No backend server becomes unreachable before this time: contacts only postpone it.
+        self._all_reachable_until = float("-inf")
         self._last_contact_at_by_domain: dict[str, float] = {}
         self._is_missing = False
         self._now = now
@@ -94,15 +98,23 @@
         """Process the announcements and the ids of unregistered backend servers in a message."""
         for backend_id in message.gone:
             self._remove(backend_id, "it has left", final=True)
+        new_ids: list[str] = []
         for announcement in message.heard:
             try:
-                self._update_announcement(announcement)
+                if self._update_announcement(announcement):
+                    new_ids.append(announcement.backend_id)
             except Exception:
                 # The others in the message hold.
                 _log.exception(
                     "the announcement of backend server {} cannot be processed",
                     announcement.backend_id,
                 )
+        if new_ids:
+            _log.info(
+                "{} backend servers have announced themselves, among them {}",
+                len(new_ids),
+                new_ids[:MAX_IDS_LOGGED],
+            )
         # A process of an earlier release sends no digests.
         for backend_id, value in itertools.zip_longest(message.repeated, message.repeated_digests):
             self._record_repetition(backend_id, value)
@@ -190,11 +202,7 @@
     def remove_unreachable(self) -> list[str]:
         """Remove backend servers without contact for `UNREACHABLE_TIMEOUT_S`; return their ids."""
         now = self._now()
-        unreachable = [
-            key
-            for key, last_contact_at in self._last_contact_at_by_id.items()
-            if now - last_contact_at > UNREACHABLE_TIMEOUT_S
-        ]
+        unreachable = self._find_unreachable(now) if now > self._all_reachable_until else []
         for backend_id in unreachable:
             reason = f"no contact for {UNREACHABLE_TIMEOUT_S:g} s"
             self._remove(backend_id, reason, final=False)
@@ -205,22 +213,29 @@
                 del self._removal_by_id[backend_id]
         return unreachable
 
-    def _update_announcement(self, announcement: PoolBackend) -> None:
+    def _find_unreachable(self, now: float) -> list[str]:
+        unreachable: list[str] = []
+        self._all_reachable_until = now + UNREACHABLE_TIMEOUT_S
+        for backend_id, last_contact_at in self._last_contact_at_by_id.items():
+            reachable_until = last_contact_at + UNREACHABLE_TIMEOUT_S
+            if reachable_until < now:
+                unreachable.append(backend_id)
+            else:
+                self._all_reachable_until = min(self._all_reachable_until, reachable_until)
+        return unreachable
+
+    def _update_announcement(self, announcement: PoolBackend) -> bool:
+        """Record an announcement unless it is outdated; return whether its sender is new here."""
         known = self.announcement_by_id.get(announcement.backend_id)
         if known is not None and (announcement.born_ms, announcement.sequence) <= (
             known.born_ms,
             known.sequence,
         ):
-            return
+            return False
         removal = self._removal_by_id.get(announcement.backend_id)
         if known is None and removal is not None and not removal.allows(announcement):
-            return
+            return False
         if known is None:
-            _log.info(
-                "backend server {} in failure domain {} has announced itself",
-                announcement.backend_id,
-                announcement.failure_domain,
-            )
             self.revision += 1
         self._update_countdown(known, announcement)
         self.announcement_by_id[announcement.backend_id] = announcement
@@ -229,6 +244,7 @@
         self._last_contact_at_by_domain[announcement.failure_domain] = self._now()
         for callback in self._callbacks:
             callback(announcement)
+        return known is None
 
     def _remove(self, backend_id: str, reason: str, *, final: bool) -> None:
         known = self.announcement_by_id.pop(backend_id, None)
