Send changes of the list of entry processes in place of the list

To a process that it does not know yet, it names its announcements by id and digest; that process asks one control process for those it lacks. Processes of earlier releases get lists and announcements as before.

--- a/src/apricotpoint/_pool/holders/directory.py
+++ b/src/apricotpoint/_pool/holders/directory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from apricotpoint._wire.pool import EntrySummary, EntryWelcome
+from apricotpoint._wire.pool import EntryListChanges, EntrySummary, EntryWelcome
 
 # A list that was not confirmed for this long is ignored while another control process answers:
 # several periods in which entry processes make themselves known.
@@ -53,6 +53,8 @@
         known = self._list_by_control.get(control_id)
         if welcome.entries is not None:
             summaries = {summary.entry_id: summary for summary in welcome.entries}
+        elif known is not None and welcome.changes and welcome.changes.base_digest == known.digest:
+            summaries = _apply(welcome.changes, known.summary_by_entry)
         elif known is not None and known.digest == welcome.list_digest:
             summaries = known.summary_by_entry
         else:
@@ -119,5 +121,13 @@
         )
 
 
+def _apply(
+    changes: EntryListChanges, summary_by_entry: dict[str, EntrySummary]
+) -> dict[str, EntrySummary]:
+    changed = {summary.entry_id: summary for summary in changes.changed}
+    kept = summary_by_entry.keys() - set(changes.removed)
+    return {key: summary_by_entry[key] for key in kept} | changed
+
+
 def _age_key(summary: EntrySummary) -> tuple[float, int]:
     return summary.started_at, summary.revision
--- a/src/apricotpoint/_pool/holders/discovery.py
+++ b/src/apricotpoint/_pool/holders/discovery.py
@@ -79,6 +79,7 @@
         self._greeted: set[str] = set()
         self._hello_requested = anyio.Event()
         self._needs_backends = True
+        self._is_fetching_backends = False
         self._group: anyio.abc.TaskGroup | None = None
 
     async def __aenter__(self) -> Discovery:
@@ -121,8 +122,8 @@
         self._hello_requested = anyio.Event()
 
     def request_backends(self) -> None:
-        """Have the next `EntryHello` ask for all announcements."""
-        self._needs_backends = True
+        """Have the next `EntryHello` ask for all announcements, unless they are on their way."""
+        self._needs_backends = self._needs_backends or not self._is_fetching_backends
 
     def greet_new_control_processes(self) -> None:
         """Start to greet the control processes that have become known."""
@@ -166,11 +167,13 @@
             needs_backends=self._needs_backends,
             watched_domains=sorted(self.watched_domains),
             crash_digest=self.crash_digest(),
+            accepts_changes=True,
         )
 
     async def _send_hello(self, control_id: str) -> None:
         hello = self._make_hello(control_id)
-        self._needs_backends = False
+        if hello.needs_backends:
+            self._needs_backends, self._is_fetching_backends = False, True
         if self._unanswered_since_by_control.get(control_id, 0.0) is None:
             self._unanswered_since_by_control[control_id] = self._timers.now()
         try:
@@ -179,6 +182,9 @@
             # The announcements that it would have brought are asked for again.
             self._needs_backends = self._needs_backends or hello.needs_backends
             return
+        finally:
+            if hello.needs_backends:
+                self._is_fetching_backends = False
         if not isinstance(welcome, EntryWelcome):
             _log.warning(
                 "control process {} answered a hello by {}", control_id, type(welcome).__name__
--- a/src/apricotpoint/_pool/holders/relay.py
+++ b/src/apricotpoint/_pool/holders/relay.py
@@ -6,18 +6,16 @@
 from types import TracebackType
 
 import attrs
-import msgspec
-import xxhash
 
 from apricotpoint._core.timers import PeriodicTimer, TimerService
 from apricotpoint._link.transport import Sender, Transport
 from apricotpoint._pool.decisions.verdicts import Evidence
 from apricotpoint._pool.holders.crashes import CrashHistory
+from apricotpoint._pool.holders.entrylist import EntryList
 from apricotpoint._pool.holders.roster import Roster
 from apricotpoint._wire.pool import (
     BackendsHeard,
     EntryHello,
-    EntrySummary,
     EntryWelcome,
     LostRun,
     LostRunChanges,
@@ -79,8 +77,7 @@
         self._repeated_ids: set[str] = set()
         self._unregistered: set[str] = set()
         self._entry_by_id: dict[str, _Entry] = {}
-        # The list of live entry processes with its digest, and the time at which it was made.
-        self._list: tuple[list[EntrySummary], int] = ([], 0)
+        self._list = EntryList()
         self._list_made_at = float("-inf")
         self._listening_since = timers.now()
         self._crashes = CrashHistory(now=timers.now)
@@ -204,7 +201,8 @@
         """Process a hello that asks for no answer; send one if it brings something new."""
         assert isinstance(message, EntryHello)
         welcome = self._welcome(sender, message)
-        if welcome.entries is not None or welcome.backends or welcome.lost_runs:
+        has_list = welcome.entries is not None or welcome.changes is not None
+        if has_list or welcome.backends or welcome.lost_runs:
             self._transport.send(sender.peer_id, welcome)
 
     def _welcome(self, sender: Sender, message: EntryHello) -> EntryWelcome:
@@ -219,15 +217,23 @@
             if known.hello.summary != message.summary:
                 self._list_made_at = float("-inf")
             known.hello, known.last_contact_at = message, now
-        entries, digest = self._current_list()
+        self._update_list()
+        is_changed = self._list.digest != message.list_digest
+        changes = None
+        if is_changed and message.accepts_changes:
+            changes = self._list.changes_since(message.list_digest)
         # A known entry process has got the earlier announcements and is sent each new one.
-        needs_backends = known is None or message.needs_backends
+        needs_backends = message.needs_backends
+        if known is None and not needs_backends:
+            needs_backends = not message.accepts_changes
+            self._name_announcements(sender.peer_id)
         return EntryWelcome(
             control_ids=sorted(self._control_ids()),
-            list_digest=digest,
-            entries=None if digest == message.list_digest else entries,
+            list_digest=self._list.digest,
+            entries=self._list.summaries() if is_changed and changes is None else None,
+            changes=changes,
             backends=self._roster.current_announcements() if needs_backends else [],
-            lost_runs=self._lost_runs_for(message, needs_all=needs_backends),
+            lost_runs=self._lost_runs_for(message, needs_all=known is None or needs_backends),
             crash_digest=self._crashes.digest(),
             listening_s=now - self._listening_since,
             config_version=self._config_version(),
@@ -242,12 +248,16 @@
             return []
         return self._crashes.rows(Evidence.CRASHED)
 
-    def _current_list(self) -> tuple[list[EntrySummary], int]:
-        """Return the summaries of the live entry processes and their digest."""
+    def _name_announcements(self, entry_id: str) -> None:
+        """Tell a process which announcements there are; it asks one process for what it lacks."""
+        ids = sorted(self._roster.announcement_by_id)
+        if ids:
+            message = BackendsHeard([], [], ids, self._roster.digests(ids))
+            self._transport.send(entry_id, message)
+
+    def _update_list(self) -> None:
         now = self._timers.now()
         if now - self._list_made_at > LIST_MAX_AGE_S:
             live = self._live_entries()
-            entries = [live[entry_id].hello.summary for entry_id in sorted(live)]
-            digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(entries))
-            self._list, self._list_made_at = (entries, digest), now
-        return self._list
+            self._list.update({key: entry.hello.summary for key, entry in live.items()})
+            self._list_made_at = now
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -148,7 +148,8 @@
     process, 0 if there was none. `needs_backends` asks for all announcements. Repeated
     announcements of backend servers in `watched_domains` are relayed with little delay.
     `crash_digest` is that of the crashes known to the entry process (`_pool.holders.crashes`),
-    None while they change.
+    None while they change. A process that `accepts_changes` takes changes of the list in place of
+    the list, and asks for the announcements that it lacks by itself.
     """
 
     summary: EntrySummary
@@ -156,13 +157,24 @@
     needs_backends: bool = True
     watched_domains: list[str] = attrs.Factory(list)
     crash_digest: int | None = None
+    accepts_changes: bool = False
+
+
+@attrs.frozen
+class EntryListChanges:
+    """Changes of a list of entry processes since its state with the digest `base_digest`."""
+
+    base_digest: int
+    changed: list[EntrySummary]
+    removed: list[str]
 
 
 @attrs.frozen
 class EntryWelcome:
     """The processes that a control process knows, and the backend servers announced recently.
 
-    `entries` is None if the list has the digest that the entry process has named. `lost_runs` are
+    `entries` is None if the list has the digest that the entry process has named, or if the list
+    follows from that one and `changes`. `lost_runs` are
     the lost runs of the last time, for an entry process that was not known before; for others only
     crashes, if the digest that they have named is not `crash_digest`. The control process has
     collected its list for `listening_s` seconds, infinity if it does not say; `config_version` is
@@ -177,6 +189,7 @@
     crash_digest: int | None = None
     listening_s: float = math.inf
     config_version: int = 0
+    changes: EntryListChanges | None = None
 
 
 @attrs.frozen
--- a/testing/pool/test_relay.py
+++ b/testing/pool/test_relay.py
@@ -47,6 +47,17 @@
         return welcome
 
 
+class CountingRoster(Roster):
+    """Counts the announcements that it gets, repeated ones included."""
+
+    received = 0
+
+    def update(self, message: BackendsHeard) -> None:
+        """Count the announcements and process the message."""
+        self.received += len(message.heard)
+        super().update(message)
+
+
 def run_with_relays(check: Callable[[Relays], Awaitable[None]]) -> None:
     async def run() -> None:
         async with anyio.create_task_group() as group, AsyncExitStack() as stack:
@@ -155,6 +166,60 @@
     run_with_relays(check)
 
 
+def test_a_process_that_accepts_changes_is_sent_those_of_the_list():
+    """Guards against lists of hundreds of processes for each process that starts or ends."""
+
+    async def check(relays: Relays) -> None:
+        second = FakeTransport(relays.entry._network, "e2")
+        hello = EntryHello(EntrySummary("e2", "a", 1.0, 0.0), needs_backends=False)
+        await second.request("c1", hello, timeout_s=1.0)
+        welcome = await relays.greet("c1", accepts_changes=True)
+        assert len(welcome.entries or ()) == 2
+        draining = EntrySummary("e", "a", 1.0, 0.0, draining=True, revision=1)
+        changed = await relays.greet(
+            "c1", list_digest=welcome.list_digest, summary=draining, accepts_changes=True
+        )
+        assert changed.entries is None
+        assert changed.changes is not None
+        assert changed.changes.base_digest == welcome.list_digest
+        assert (changed.changes.changed, changed.changes.removed) == ([draining], [])
+
+    run_with_relays(check)
+
+
+def test_a_process_that_starts_fetches_the_announcements_from_one_control_process():
+    """Guards against all announcements from each control process to each process that starts."""
+
+    async def check(relays: Relays) -> None:
+        for number in range(20):
+            for sequence, relay in enumerate(relays.relay_by_id.values()):
+                relay.announce(attrs.evolve(announcement(sequence + 1), backend_id=f"w{number}"))
+        await anyio.sleep(0.2)
+        async with TimerService() as timers:
+            roster = CountingRoster(now=timers.now)
+            discovery = Discovery(
+                summary=EntrySummary("e", "a", 1.0, 0.0),
+                seeds=lambda: CONTROL_IDS,
+                transport=relays.entry,
+                address_of=str,
+                timers=timers,
+                roster=roster,
+            )
+
+            def receive(_: object, message: object) -> None:
+                assert isinstance(message, BackendsHeard)
+                roster.update(message)
+                if roster.take_missing():
+                    discovery.request_backends()
+
+            relays.entry.handlers_by_type[BackendsHeard] = receive
+            async with discovery:
+                await anyio.sleep(0.5)
+            assert roster.received == len(roster.announcement_by_id) == 20
+
+    run_with_relays(check)
+
+
 def test_a_late_announcement_does_not_bring_back_an_incarnation_that_has_left():
     """Guards against a heartbeat, delayed by a partition, of a server that has left or crashed."""
     roster = Roster(now=lambda: 0.0)
