Ask all control processes at once when the polled one is silent

Found by the new soak of configuration changes: an entry process that was cut off, and then polled two more control processes in turn of which one had been killed, got changes 3.7 s after the end of the cut. It waited 2 s for each silent one.

After a poll without an answer, all control processes are asked at once until one answers, which is polled from then on; one that answers without being current is followed by the next one, as before.

--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random as random_module
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -46,6 +47,14 @@
 _log = logbook.Logger("configuration")
 
 
+class _Answer(enum.Enum):
+    """What a poll brought: `CURRENT` if the process confirms that it has the latest version."""
+
+    CURRENT = enum.auto()
+    OUTDATED = enum.auto()
+    NONE = enum.auto()
+
+
 class ConfigurationFeed:
     """Keeps the latest configuration by long polls; its version never decreases.
 
@@ -176,13 +185,45 @@
                 # At random, as otherwise all processes would depend on the same one.
                 self._poll_from(self._random.choice(control_ids))
             asked_at = self._timers.now()
-            if not await self._poll_peer(self.polled_id, wait_s=_POLL_WAIT_S):
+            answer = await self._poll_peer(self.polled_id, wait_s=_POLL_WAIT_S)
+            if answer is _Answer.CURRENT:
+                continue
+            if answer is _Answer.NONE:
+                self._poll_from(await self._find_answering())
+            else:
                 position = control_ids.index(self.polled_id)
                 self._poll_from(control_ids[(position + 1) % len(control_ids)])
-                # An unreachable replica may refuse at once: pause before asking the next one.
-                await self._timers.sleep(
-                    max(0.0, asked_at + _RETRY_INTERVAL_S - self._timers.now())
-                )
+            # An unreachable replica may refuse at once: pause before asking the next one.
+            await self._timers.sleep(max(0.0, asked_at + _RETRY_INTERVAL_S - self._timers.now()))
+
+    async def _find_answering(self) -> str:
+        """Ask all control processes at once until one answers, and return its id.
+
+        One that is current is preferred. In turn, several silent ones would take seconds.
+        """
+        while True:
+            answer_by_control: dict[str, _Answer] = {}
+            is_found = anyio.Event()
+            for control_id in self._control_ids():
+                self._start_poll(control_id, answer_by_control, is_found)
+            with anyio.move_on_after(_REPLY_TIMEOUT_S):
+                await is_found.wait()
+            for wanted in (_Answer.CURRENT, _Answer.OUTDATED):
+                for control_id, answer in answer_by_control.items():
+                    if answer is wanted:
+                        return control_id
+            await self._timers.sleep(_RETRY_INTERVAL_S)
+
+    def _start_poll(
+        self, control_id: str, answer_by_control: dict[str, _Answer], is_found: anyio.Event
+    ) -> None:
+        async def poll() -> None:
+            answer_by_control[control_id] = await self._poll_peer(control_id)
+            if answer_by_control[control_id] is _Answer.CURRENT:
+                is_found.set()
+
+        assert self._group is not None
+        self._group.start_soon(poll)
 
     def _poll_from(self, control_id: str) -> None:
         _log.info("configuration polled from {}, before from {}", control_id, self.polled_id)
@@ -215,8 +256,8 @@
             for peer_id in peer_ids:
                 group.start_soon(self._poll_peer, peer_id)
 
-    async def _poll_peer(self, peer_id: str, wait_s: float = 0.0) -> bool:
-        """Ask for a newer version; return whether the peer confirms that it has the latest."""
+    async def _poll_peer(self, peer_id: str, wait_s: float = 0.0) -> _Answer:
+        """Ask for a newer version, and accept it."""
         poll = ConfigPoll(version=self._configuration.version, wait_s=wait_s, chunked=True)
         try:
             reply = await self._transport.request(
@@ -224,16 +265,16 @@
             )
         except PeerUnreachable:
             self._counters.add("configuration.polls_unanswered")
-            return False
+            return _Answer.NONE
         if not isinstance(reply, ConfigUpdate):
-            return False
+            return _Answer.NONE
         if not reply.current:
             self._counters.add("configuration.polls_not_current")
         if reply.configuration is not None and not await self._take(peer_id, reply):
-            return False
+            return _Answer.OUTDATED
         if reply.current:
             self._confirmed_at = self._timers.now()
-        return reply.current
+        return _Answer.CURRENT if reply.current else _Answer.OUTDATED
 
     async def _take(self, peer_id: str, update: ConfigUpdate) -> bool:
         """Accept the configuration of an update; False if its document cannot be fetched now."""
