--- a/src/apricotpoint/_core/timers.py
+++ b/src/apricotpoint/_core/timers.py
@@ -62,7 +62,7 @@
         self._timers: list[PeriodicTimer] = []
         self._first_added_at: float | None = None
         # Cancelled to end the pause between two calls; a pause that times out would cost more.
-        self._pause = anyio.CancelScope()
+        self._pause: anyio.CancelScope | None = None
         self._task_group: anyio.abc.TaskGroup | None = None
         self._clock: Callable[[], float] = anyio.current_time
 
@@ -96,7 +96,8 @@
         due_at = self._next_due_at(period_s, now)
         timer = PeriodicTimer(period_s=period_s, callback=callback, due_at=due_at)
         self._timers.append(timer)
-        self._pause.cancel()
+        if self._pause is not None:
+            self._pause.cancel()
         return timer
 
     async def __aenter__(self) -> TimerService:
