--- a/src/apricotpoint/_control/feed.py
+++ b/src/apricotpoint/_control/feed.py
@@ -80,6 +80,7 @@
         storage: Storage | None = None,
         random: random_module.Random | None = None,
     ) -> None:
+        self.polled_id = ""
         self._transport = transport
         self._random = random or random_module.Random()
         self._control_ids = control_ids if callable(control_ids) else lambda: control_ids
@@ -92,7 +93,6 @@
         self._configuration = Configuration()
         self._confirmed_at = float("-inf")
         self._known_version = 0
-        self.polled_id = ""
         self._newer_version_known = anyio.Event()
         self._lock = anyio.Lock()
         self._callbacks: list[Callable[[Configuration], None]] = []
@@ -201,7 +201,7 @@
     async def _find_answering(self) -> str:
         """Ask all control processes at once until one answers, and return its id.
 
-        One that is current is preferred. In turn, several silent ones would take seconds.
+        One that is current is preferred. Asked in turn, several silent ones would take seconds.
         """
         answer_by_control: dict[str, _Answer] = {}
         is_found = anyio.Event()
--- a/src/apricotpoint/_control/node.py
+++ b/src/apricotpoint/_control/node.py
@@ -17,6 +17,7 @@
 from apricotpoint._control.diskspace import retry_while_full, watch_space
 from apricotpoint._control.documents import DocumentChunks
 from apricotpoint._control.identity import Identity, record_start
+from apricotpoint._control.lag import LagRecorder
 from apricotpoint._control.log import Log
 from apricotpoint._control.membership import DEFAULT_TOLERANCE, FaultTolerance, maintain_members
 from apricotpoint._control.messages import (
@@ -64,8 +65,6 @@
 _REPORTS_BEFORE_NOTICE = 5
 _MAX_LEADER_WAIT_S = 2.0
 _MAX_POLL_WAIT_S = 10.0
-# A replica that lacks committed entries for longer than this logs it.
-_MAX_USUAL_LAG_S = 0.5
 _CLAIM_COMPACTION_INTERVAL_S = 10.0
 # Replicas that never vote must leave room for those that may replace a member.
 _MAX_LEARNERS, _MAX_VOTING_LEARNERS = 8, 16
@@ -456,31 +455,13 @@
         self._polls_answerable = anyio.Event()
 
     async def _watch_currency(self) -> None:
-        """Answer the polls that wait when this replica ceases to be current; log a lag."""
-        began_at, is_logged = None, False
+        """Answer the polls that wait when this replica ceases to be current, and record lags."""
+        lag = LagRecorder(self._counters)
         while True:
             await self._timers.sleep(HEARTBEAT_INTERVAL_S)
-            replica, now = self.replica, self._timers.now()
-            if not replica.is_current():
+            if not self.replica.is_current():
                 self._wake_polls()
-            lag = replica.unapplied_entries()
-            self._counters.set_gauge("control.unapplied_entries", lag)
-            if not lag:
-                if began_at is not None and is_logged:
-                    _log.notice("all committed entries applied after {:.1f} s", now - began_at)
-                began_at, is_logged = None, False
-                continue
-            began_at = now if began_at is None else began_at
-            if not is_logged and now - began_at > _MAX_USUAL_LAG_S:
-                is_logged = True
-                self._counters.add("control.lags")
-                _log.notice(
-                    "lags behind leader {}: {} committed entries are not applied, waits for disk: "
-                    "{}",
-                    replica.leader_id,
-                    lag,
-                    self._log.is_waiting_for_disk,
-                )
+            lag.update(self.replica, self._timers.now())
 
     async def _on_config_poll(self, _: Sender, message: ConfigPoll) -> object:
         replica = self.replica
--- a/testing/control/test_outdated_replicas.py
+++ b/testing/control/test_outdated_replicas.py
@@ -84,6 +84,7 @@
                 )
             assert isinstance(reply, ConfigUpdate)
             assert not reply.current
+            assert cluster.counters_by_id[follower].get("control.lags") == 1
 
     with_cluster(test, tmp_path)
 
