--- a/src/apricotpoint/_pool/decisions/claims.py
+++ b/src/apricotpoint/_pool/decisions/claims.py
@@ -78,10 +78,11 @@
         key: sum(share.backend_count for share in shares)
         for key, shares in claimed_by_entry.items()
     }
+    eligible_by_domain = _eligible_by_domain(status_by_entry, summary_by_entry)
     claims = []
     for share in layout.shares:
         claimant = _claimant(share, live, claimed_by_entry)
-        candidates = _candidates(share, status_by_entry, summary_by_entry, load_by_entry)
+        candidates = _candidates(share, eligible_by_domain, load_by_entry)
         is_provisional = False
         if claimant is None:
             if candidates:
@@ -173,10 +174,21 @@
     return summary.failure_domain in share.domains, load <= capacity(summary.cores)
 
 
+def _eligible_by_domain(
+    status_by_entry: Mapping[str, EntryStatus], summary_by_entry: Mapping[str, EntrySummary]
+) -> dict[str, list[EntrySummary]]:
+    """Return the processes that are not draining, by failure domain."""
+    eligible_by_domain: dict[str, list[EntrySummary]] = {}
+    for entry_id, summary in summary_by_entry.items():
+        status = status_by_entry.get(entry_id)
+        if not summary.draining and (status is None or not status.draining):
+            eligible_by_domain.setdefault(summary.failure_domain, []).append(summary)
+    return eligible_by_domain
+
+
 def _candidates(
     share: Share,
-    status_by_entry: Mapping[str, EntryStatus],
-    summary_by_entry: Mapping[str, EntrySummary],
+    eligible_by_domain: Mapping[str, list[EntrySummary]],
     load_by_entry: Mapping[str, int],
 ) -> list[str]:
     """Return the processes that may claim a share, the best first.
@@ -185,25 +197,18 @@
     share and the largest VMs come first; then the process that started last, because in a
     rolling restart the others are still to be stopped.
     """
-    eligible_by_entry = {
-        entry_id: summary
-        for entry_id, summary in summary_by_entry.items()
-        if not summary.draining
-        and not (entry_id in status_by_entry and status_by_entry[entry_id].draining)
-    }
-    has_local = any(
-        summary.failure_domain in share.domains for summary in eligible_by_entry.values()
-    )
+    has_local = any(domain in eligible_by_domain for domain in share.domains)
     ranks = [
         (
-            summary.failure_domain not in share.domains,
-            load_by_entry.get(entry_id, 0),
+            domain not in share.domains,
+            load_by_entry.get(summary.entry_id, 0),
             -round(summary.cores, 2),
             -summary.started_at,
-            xxhash.xxh3_64_intdigest(f"{entry_id}/{share.parts[0]}".encode()),
-            entry_id,
+            xxhash.xxh3_64_intdigest(f"{summary.entry_id}/{share.parts[0]}".encode()),
+            summary.entry_id,
         )
-        for entry_id, summary in eligible_by_entry.items()
-        if summary.failure_domain in share.domains or summary.is_holder or not has_local
+        for domain, summaries in eligible_by_domain.items()
+        for summary in summaries
+        if domain in share.domains or summary.is_holder or not has_local
     ]
     return [rank[-1] for rank in sorted(ranks)]
