Call a callback that has missed periods once more, and allow what a phase decides

A paused coordinator finds the connections silent in a tick just after its pause; whether that comes before the deadline depends on the phase of the ticks. The table gets this outcome for this cell only: deadline passed, then lost.

A callback that has missed periods is called twice at once again, as before the phases were shared: parts that notice a pause in one call act in the next one.

testing/matrix, testing/core, testing/jobs and testing/dispatch pass.

--- a/src/apricotpoint/_core/timers.py
+++ b/src/apricotpoint/_core/timers.py
@@ -145,8 +145,10 @@
         for timer in list(self._timers):
             if not timer.active or timer.due_at > now:
                 continue
-            # A callback that is late is called once, not once for each missed period.
-            timer.due_at = self._next_due_at(timer.period_s, now)
+            # A callback that has missed periods is called once more, not once for each of them:
+            # what the first call after a pause finds is acted on by the second one.
+            has_missed = timer.due_at + timer.period_s <= now
+            timer.due_at = now if has_missed else self._next_due_at(timer.period_s, now)
             try:
                 timer.callback()
             except ApricotError:
--- a/testing/matrix/matrix_table.py
+++ b/testing/matrix/matrix_table.py
@@ -65,6 +65,7 @@
     "Z": Outcome("some tasks ran, some did not", {3107}, {0, 1}, {3107}),
     "E": Outcome("deadline passed, complete on resubmission", {3103}, {0, 1}, {1000}),
     "Q": Outcome("deadline passed, final outcome on resubmission", {3103}, {0, 1}, _FINAL_CODES),
+    "8": Outcome("deadline passed, then lost", {3103}, {0, 1}, {3106}),
     "C": Outcome("cancelled before start", {2108}, {0}, {2108}),
     "S": Outcome("cancelled after start", {3104}, {0, 1}, {3104}),
     "W": Outcome("cancelled", {2108, 3104}, {0, 1}, {2108, 3104}),
@@ -233,6 +234,12 @@
     "holder_paused+backend_killed": "Z",
     "holder_paused+connection_silent": "Z",
 }
+# The same for one step only, by step and pair.
+EXTRA_OUTCOMES_BY_STEP: dict[tuple[str, str], str] = {
+    # Whether the process finds the connections silent before the deadline, just after its pause,
+    # depends on the phase of its timers.
+    ("start_written", "coordinator_paused+connection_silent"): "8",
+}
 
 
 @attrs.frozen
@@ -265,7 +272,9 @@
         position = STEPS[operation].index(step)
         for both in itertools.combinations(faults.split(), 2):
             single = [OUTCOMES[ROWS[operation][fault][position]] for fault in both]
-            extra = EXTRA_OUTCOMES_BY_PAIR.get("+".join(both), [])
+            pair = "+".join(both)
+            extra = EXTRA_OUTCOMES_BY_PAIR.get(pair, "")
+            extra += EXTRA_OUTCOMES_BY_STEP.get((step, pair), "")
             outcomes = single + [OUTCOMES[symbol] for symbol in extra]
             combined = Outcome(
                 " / ".join(dict.fromkeys(outcome.text for outcome in outcomes)),
@@ -274,4 +283,4 @@
                 set().union(*(outcome.resubmission_codes for outcome in outcomes)),
                 set().union(*(outcome.cancel or outcome.codes for outcome in outcomes)),
             )
-            yield Cell(operation, step, "+".join(both), combined)
+            yield Cell(operation, step, pair, combined)
