--- a/testing/control/test_outdated_replicas.py
+++ b/testing/control/test_outdated_replicas.py
@@ -57,6 +57,8 @@
                 await cluster.change(leader, f"change-{version}", version)
                 await anyio.sleep(APPLY_S)
                 assert {feed.configuration().version for feed in feeds} == {version + 1}
+                replica = cluster.node(follower).replica
+                assert replica.state.configuration.version == version + 1
 
     with_cluster(test, tmp_path)
 
