Log who set the deadline of a job, and its size

The end of a job in the log had neither the deadline that the caller named nor the time-out of the route, nor what the job declares, so a limit from the wrong source could not be told from callers that leave early, and 'served by size' could not be read from a log. The line has them now, at the process that took the job and at the one that scheduled it, and a counter tells how many callers wait longer than the time-out of their route.

No decision changes.

--- a/src/apricotpoint/_pool/runs/job.py
+++ b/src/apricotpoint/_pool/runs/job.py
@@ -9,6 +9,7 @@
 import anyio
 import attrs
 
+from apricotpoint._pool.jobdescription import describe_job
 from apricotpoint._pool.runs.backendclient import RunKey
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
 
@@ -206,7 +207,10 @@
 
     def describe(self, now: float) -> str:
         """Return the state of each task as text for the log."""
-        parts = [f"estimate {self.estimate_s:.3f} s, age {now - self.sent_at:.3f} s"]
+        parts = [
+            f"estimate {self.estimate_s:.3f} s, age {now - self.sent_at:.3f} s",
+            describe_job(self.request),
+        ]
         for task in self.tasks:
             run = task.run
             if task.done:
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -18,6 +18,7 @@
 from apricotpoint._pool.decisions import evacuation, forwarding, nearholders
 from apricotpoint._pool.holderchoice import HolderChooser
 from apricotpoint._pool.holders.members import EntryMembers
+from apricotpoint._pool.jobdescription import describe_job
 from apricotpoint._pool.remotesubmission import (
     PEER_CHECK_PERIOD_S,
     PEER_TIMEOUT_S,
@@ -349,10 +350,11 @@
         self._counters.record("jobs.latency", seconds)
         log = _log.info if answer.code == ResultCode.COMPLETE else _log.notice
         log(
-            "job {} of kind {} ended with code {} after {:.3f} s: {}",
+            "job {} of kind {} ended with code {} after {:.3f} s: {}; {}",
             request.job_id,
             request.kind,
             answer.code,
             seconds,
             answer.reason,
+            describe_job(request),
         )
--- a/src/apricotpoint/_wire/pool.py
+++ b/src/apricotpoint/_wire/pool.py
@@ -261,6 +261,8 @@
     `refused_by` are the ids of the holders that have refused the job before.
     `attempt` differs between the requests by which a caller submits the same job
     again; 0 is not known. `locality` is None if its tasks are equally fast everywhere.
+    `caller_deadline_s` is the deadline that the caller named, and `timeout_s` the time-out of the
+    route; both are for the log, and None if there is none or it is not known.
     """
 
     job_id: str
@@ -280,6 +282,8 @@
     attempt: int = 0
     refused_by: list[str] = attrs.Factory(list)
     locality: Locality | None = None
+    caller_deadline_s: float | None = None
+    timeout_s: float | None = None
 
 
 @attrs.frozen
--- a/src/apricotpoint/platform/callers.py
+++ b/src/apricotpoint/platform/callers.py
@@ -190,6 +190,8 @@
                     deadline_s=parse_deadline_s(request),
                     remote_penalty=self._remote_penalty(),
                 )
+                if job.caller_deadline_s is not None and job.caller_deadline_s > route.timeout_s:
+                    self._counters.add("callers.deadlines_above_timeout")
                 # Includes the time since the head, and a pause during it.
                 waited_s = max(self._clock() - sent_at, self._unread_s(request.client))
                 job = attrs.evolve(job, elapsed_s=job.elapsed_s + waited_s)
--- a/src/apricotpoint/platform/jobs.py
+++ b/src/apricotpoint/platform/jobs.py
@@ -122,6 +122,8 @@
         elapsed_s=CALLER_ONE_WAY_LATENCY_S,
         deadline_s=wait_s,
         locality=_make_locality(step, remote_penalty),
+        caller_deadline_s=deadline_s,
+        timeout_s=route.timeout_s,
     )
 
 
--- a/testing/platform/test_caller_requests.py
+++ b/testing/platform/test_caller_requests.py
@@ -12,7 +12,7 @@
 from apricotpoint._core.counters import Counters
 from apricotpoint._pool.routing import Route, Routing
 from apricotpoint._wire.pool import PoolAnswer, PoolJob
-from apricotpoint.platform.callers import CallerInterface
+from apricotpoint.platform.callers import DEADLINE_HEADER, CallerInterface
 
 ROUTE = Route("check", "desk.example", "/check/", "desk", 1.5, 0.06, 1.6, 0, 2)
 JOB = {
@@ -46,7 +46,13 @@
 
 
 async def post_job(
-    service: FakeService, *, unread_s: float, leaves: bool, polls_without_configuration: int = 0
+    service: FakeService,
+    *,
+    unread_s: float = 0.0,
+    leaves: bool = False,
+    polls_without_configuration: int = 0,
+    deadline_ms: int | None = None,
+    counters: Counters | None = None,
 ) -> list[dict[str, Any]]:
     polls = 0
 
@@ -59,7 +65,7 @@
         service,  # type: ignore[arg-type]
         routing=routing,
         pending=lambda _: 0,
-        counters=Counters(),
+        counters=counters or Counters(),
         remaining_s=lambda: math.inf,
         unread_s=lambda _: unread_s,
         clock=lambda: min(polls, polls_without_configuration) * POLL_S,
@@ -78,12 +84,15 @@
     async def send(message: dict[str, Any]) -> None:
         sent.append(message)
 
+    headers = [(b"host", b"desk.example")]
+    if deadline_ms is not None:
+        headers.append((DEADLINE_HEADER.encode(), str(deadline_ms).encode()))
     scope = {
         "type": "http",
         "method": "POST",
         "path": "/check/0123456789abcdef",
         "query_string": b"",
-        "headers": [(b"host", b"desk.example")],
+        "headers": headers,
     }
     await callers.make_app()(scope, receive, send)
     return sent
@@ -138,3 +147,15 @@
         assert not service.submitted
 
     run(test)
+
+
+def test_callers_that_wait_longer_than_the_time_out_of_their_route_are_counted():
+    """Guards against a limit below what callers accept that no counter shows."""
+
+    async def test() -> None:
+        counters = Counters()
+        for deadline_ms in (None, 900, 1500, 5000):
+            await post_job(FakeService(), deadline_ms=deadline_ms, counters=counters)
+        assert counters.get("callers.deadlines_above_timeout") == 1
+
+    run(test)
