Reproduce a job that is stopped while its caller waits

The choice of the deadline moves out of the decoding of jobs, unchanged, so that replays of load use it too.

--- a/src/apricotpoint/platform/jobs.py
+++ b/src/apricotpoint/platform/jobs.py
@@ -9,6 +9,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.errors import DECODE_ERRORS, ApricotError
+from apricotpoint._pool.decisions.deadlines import job_deadline_s
 from apricotpoint._pool.routing import Route
 from apricotpoint._wire.pool import Locality, PoolAnswer, PoolJob, Room
 from apricotpoint.platform.heartbeats import MAX_NAME_LENGTH, is_name
@@ -106,7 +107,6 @@
         raise ApricotError(ResultCode.MALFORMED, f"job cannot be decoded: {error}") from None
     _validate(parsed)
     step = parsed.phases[0]
-    wait_s = route.timeout_s if deadline_s is None else min(deadline_s, route.timeout_s)
     return PoolJob(
         job_id=job_id,
         kind=route.name,
@@ -120,7 +120,7 @@
         base_latency_s=route.base_latency_s,
         stretch=route.stretch,
         elapsed_s=CALLER_ONE_WAY_LATENCY_S,
-        deadline_s=wait_s,
+        deadline_s=job_deadline_s(deadline_s, route.timeout_s),
         locality=_make_locality(step, remote_penalty),
         caller_deadline_s=deadline_s,
         timeout_s=route.timeout_s,
--- a/testing/pool/pool_load.py
+++ b/testing/pool/pool_load.py
@@ -12,6 +12,7 @@
 
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
+from apricotpoint._pool.decisions.deadlines import job_deadline_s
 from apricotpoint._wire.pool import Locality, Room
 
 
@@ -21,6 +22,8 @@
 
     A share of `tail_share` of its tasks takes `TAIL_FACTOR` times as long, or with `tail_by_job`
     all tasks of that share of its jobs. `cpu` is the median of a task in thousandths of a core.
+    `timeout_s` is the time-out of its route. Callers wait for `patience` times the objective of
+    their job beyond that, or name no deadline if it is 0.
     """
 
     name: str
@@ -32,9 +35,10 @@
     tail_share: float = 0.0
     cpu: int = 14_000
     max_cpu: int = 20_000
-    deadline_s: float = 1.5
+    timeout_s: float = 1.5
     make_locality: Callable[[random.Random], Locality | None] = lambda _: None
     tail_by_job: bool = False
+    patience: float = 0.0
 
 
 # The mix of the deployments: many short, some middle and few long jobs with 14 cores a task. Each
@@ -54,6 +58,8 @@
 # The same as it was seen in plays of that deployment: the tasks of a job take about the same time,
 # also those of the few jobs that take several times as long as others of their kind.
 VAN_JOB_TAIL_MIX = tuple(attrs.evolve(kind, tail_by_job=True) for kind in VAN_MIX)
+# Callers of the van routing deployment wait for about that long.
+VAN_PATIENT_MIX = tuple(attrs.evolve(kind, patience=3.0) for kind in VAN_JOB_TAIL_MIX)
 VAN_BACKENDS, VAN_SWING, SWING_PERIOD_S = 176, 0.55, 15.0
 TAIL_FACTOR = 7
 BASE_LATENCY_S, STRETCH = 0.06, 1.6
@@ -227,13 +233,16 @@
     count = max(1, round(kind.tasks * math.exp(source.gauss(-0.08, 0.4))))
     work_s, works_s = _draw_works(kind, count, source)
     cpu = int(kind.cpu * math.exp(source.gauss(-0.02, 0.2)))
+    objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
+    waits_s = kind.timeout_s + kind.patience * objective_s
+    caller_s = waits_s if kind.patience else None
     request = attrs.evolve(
         make_job(
             number + 1_000_000 * kind.tasks,
             kind=kind.name,
             count=count,
             work_s=work_s * math.exp(source.gauss(0, 0.4)),
-            deadline_s=kind.deadline_s,
+            deadline_s=job_deadline_s(caller_s, kind.timeout_s),
             base_latency_s=BASE_LATENCY_S,
             priority=kind.priority,
         ),
@@ -252,7 +261,7 @@
     counts.submitted += 1
     size = sum(works_s) * cpu
     fastest = max(backend.speed for backend in harness.backend_by_id.values())
-    is_possible = max(works_s) / fastest <= kind.deadline_s
+    is_possible = max(works_s) / fastest <= waits_s
     counts.sent_at_by_job[request.job_id] = began_at
     share = 0.3 + 0.7 * sum(works_s) / (kind.tasks * kind.work_s)
     value = kind.value * min(share, 4.0)
@@ -268,14 +277,13 @@
     await job.answered.wait()
     assert job.answer is not None
     took_s = anyio.current_time() - began_at
-    objective_s = BASE_LATENCY_S + STRETCH * max(works_s)
     is_served = job.answer.code == ResultCode.COMPLETE
     counts.any_served_by_size.append((size, is_served))
     if is_possible:
         counts.served_by_size.append((size, is_served))
     if not job.started and took_s > VAIN_AFTER_SHARE * objective_s:
         counts.vain_waits += 1
-        is_long = took_s > kind.deadline_s / 2
+        is_long = took_s > waits_s / 2
         counts.vain_value += value * (1.0 if is_long else VAIN_WAIT_SHARE)
     if job.answer.code == ResultCode.COMPLETE and took_s <= objective_s:
         counts.in_time += 1
