Let the caller of a job on the platform decide how long it waits

Cause: the deadline of a job was the lesser of what the caller named and the time-out of its route.

The caller knows for how long an answer is of use to it; the header says that. The time-out of a route is now the deadline of callers that name none.

--- a/src/apricotpoint/_pool/decisions/deadlines.py
+++ b/src/apricotpoint/_pool/decisions/deadlines.py
@@ -1,4 +1,9 @@
-"""The deadline of a job, from what its caller names and the time-out of its route."""
+"""The deadline of a job: how long its caller waits, which the time-out of its route replaces.
+
+The load pattern behind it: jobs that run about as long as the time-out of their route, or longer,
+while their callers wait several times that long. Ended at the time-out, the longest jobs of a
+route are stopped shortly before their end, on idle backend servers as well.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +14,7 @@
 def job_deadline_s(caller_s: float | None, timeout_s: float) -> float:
     """Return after how many seconds a job ends, counted from when its caller sent it.
 
-    `caller_s` is how long its caller waits, None if it does not say so, and `timeout_s` the
-    time-out of its route.
+    `caller_s` is how long its caller waits. Only if it is None, as the caller does not say so, the
+    time-out of its route `timeout_s` applies.
     """
-    return timeout_s if caller_s is None else min(caller_s, timeout_s)
+    return min(timeout_s if caller_s is None else caller_s, MAX_DEADLINE_S)
