End a repeated submission with its own caller

A submission that waits for an earlier one of the same job at its holder waited for the deadline of that one, without a look at its own deadline, or at whether its caller had left. That was at most the time-out of the route; it is now as long as the earlier caller waits. A cancellation is remembered for 10 s, so a submission that had waited longer would have started its job for a caller that has left.

Each submission now ends at its own deadline, with 3103, or 0.1 s after its caller has left. The time that it waited for the answer counts for the wait for the runs that are left, too. Both cases of the test fail on the parent: no answer after 0.8 s where the caller waits 0.6 s or left after 0.4 s.

--- a/src/apricotpoint/_pool/runs/attempts.py
+++ b/src/apricotpoint/_pool/runs/attempts.py
@@ -8,8 +8,8 @@
 
 from apricotpoint._wire.pool import PoolJob
 
-# Longer than a job waits anywhere for its cancellation to catch up with it: jobs that are older
-# than a time-out of about a second are not accepted.
+# Longer than a cancellation takes to catch up with its job: messages that are older than about a
+# second are not accepted, and a job that waits for an earlier submission looks for it.
 CANCELLATION_RETENTION_S = 10.0
 
 
--- a/src/apricotpoint/_pool/service.py
+++ b/src/apricotpoint/_pool/service.py
@@ -36,6 +36,8 @@
 # them within a second after their last holder became unreachable.
 HOLDER_TIMEOUT_S = 1.0
 HOLDER_POLL_S = 0.02
+# Longest time from the end of a submission that waits for an earlier one to its answer.
+CANCELLATION_CHECK_PERIOD_S = 0.1
 
 # Refusals that occur while backend servers change their holder; the job is routed again.
 NO_HOLDER_CODES = (ResultCode.NO_BACKEND, ResultCode.DRAINING)
@@ -230,20 +232,12 @@
         return await self._remote.submit(target, request)
 
     async def _run_locally(self, request: PoolJob, origin: Origin | None) -> PoolAnswer:
-        arrived_at, asked = self._timers.now(), request
-        # Another attempt may have waited for the same job, and may have been submitted first.
-        while (earlier_job := self._scheduler.find(request.job_id)) is not None:
-            await earlier_job.answered.wait()
-            assert earlier_job.answer is not None
-            if earlier_job.answer.code in (ResultCode.COMPLETE, ResultCode.TASKS_FAILED):
-                self._counters.add("jobs.repeated")
-                return earlier_job.answer
-            if not await self._wait_for_earlier_runs(earlier_job, request):
-                return earlier_job.answer
-            waited_s = self._timers.now() - arrived_at
-            request = attrs.evolve(asked, elapsed_s=asked.elapsed_s + waited_s)
-            if self._scheduler.find(request.job_id) is earlier_job:
-                break
+        arrived_at = self._timers.now()
+        answer = await self._answer_of_earlier(request, arrived_at)
+        if answer is not None:
+            return answer
+        waited_s = self._timers.now() - arrived_at
+        request = attrs.evolve(request, elapsed_s=request.elapsed_s + waited_s)
         if self._attempts.is_cancelled(request.attempt) or self._is_lost(origin):
             self._counters.add("jobs.cancelled_unstarted")
             return _CANCELLED
@@ -279,15 +273,60 @@
             return PoolAnswer(int(ResultCode.DRAINING), "this process is shutting down")
         return self._scheduler.refusal(request)
 
-    async def _wait_for_earlier_runs(self, job: Job, request: PoolJob) -> bool:
+    async def _answer_of_earlier(self, request: PoolJob, arrived_at: float) -> PoolAnswer | None:
+        """Wait for earlier submissions of a job that arrived at this monotonic time.
+
+        Returns None if this one has to run, as they did not end with a result.
+        """
+        # Another attempt may have waited for the same job, and may have been submitted first.
+        while (earlier_job := self._scheduler.find(request.job_id)) is not None:
+            ended = await self._wait_for_answer(earlier_job, request, arrived_at)
+            if ended is not None:
+                return ended
+            assert earlier_job.answer is not None
+            if earlier_job.answer.code in (ResultCode.COMPLETE, ResultCode.TASKS_FAILED):
+                self._counters.add("jobs.repeated")
+                return earlier_job.answer
+            if not await self._wait_for_earlier_runs(earlier_job, request, arrived_at):
+                return earlier_job.answer
+            if self._scheduler.find(request.job_id) is earlier_job:
+                break
+        return None
+
+    async def _wait_for_answer(
+        self, earlier_job: Job, request: PoolJob, arrived_at: float
+    ) -> PoolAnswer | None:
+        """Wait until an earlier submission is answered, and return None.
+
+        Returns the answer to `request`, which arrived at `arrived_at`, if its deadline passes
+        first or its caller leaves. The deadlines of the two are independent.
+        """
+        with anyio.move_on_after(self._remaining_s(request, arrived_at)):
+            while not earlier_job.answered.is_set():
+                if self._attempts.is_cancelled(request.attempt):
+                    return _CANCELLED
+                with anyio.move_on_after(CANCELLATION_CHECK_PERIOD_S):
+                    await earlier_job.answered.wait()
+            return None
+        self._counters.add("jobs.repeated_too_long")
+        return PoolAnswer(
+            int(ResultCode.DEADLINE_AFTER_START), "an earlier submission of the job has not ended"
+        )
+
+    async def _wait_for_earlier_runs(self, job: Job, request: PoolJob, arrived_at: float) -> bool:
         """Wait until no run of an earlier submission is left; False if the deadline comes first."""
-        with anyio.move_on_after(max(request.deadline_s - request.elapsed_s, 0.0)):
+        with anyio.move_on_after(self._remaining_s(request, arrived_at)):
             # Polling is enough: repeated submissions are rare, and the end of a run sets no event.
             while job.active_runs():  # noqa: ASYNC110
                 await self._timers.sleep(0.01)
             return True
         return False
 
+    def _remaining_s(self, request: PoolJob, arrived_at: float) -> float:
+        """Return the seconds to the deadline of a job that arrived at this monotonic time."""
+        waited_s = self._timers.now() - arrived_at
+        return max(request.deadline_s - request.elapsed_s - waited_s, 0.0)
+
     async def _on_job(self, sender: Sender, message: object) -> object:
         assert isinstance(message, PoolJob)
         if sender.age_s > PEER_TIMEOUT_S:
--- a/testing/pool/test_attempts.py
+++ b/testing/pool/test_attempts.py
@@ -224,3 +224,36 @@
             assert start_counts(cluster) == {f"{request.job_id}.0.0.0": 2}
 
     run_on_virtual_time(test)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_repeated_job_ends_with_its_own_caller(*, leaves: bool):
+    """Guards against a caller that is held until the deadline of an earlier submission.
+
+    One that has left, and is forgotten after some seconds, would start its job for nobody.
+    """
+
+    async def test() -> None:
+        async with run_cluster() as cluster:
+            e1 = cluster.entry_by_id["e1"]
+            for backend in cluster.backend_by_id.values():
+                backend.work_s = 20.0
+            request = make_job(1, work_s=20.0, deadline_s=60.0, base_latency_s=60.0)
+            second = attrs.evolve(request, attempt=2, deadline_s=60.0 if leaves else 0.6)
+            answers: list[PoolAnswer] = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(submit, e1, attrs.evolve(request, attempt=1), [])
+                await anyio.sleep(0.2)
+                group.start_soon(submit, e1, second, answers)
+                await anyio.sleep(0.2)
+                if leaves:
+                    e1.service.cancel(second.job_id, 2)
+                await anyio.sleep(0.6)
+                assert [answer.code for answer in answers] == [
+                    ResultCode.CANCELLED_BEFORE_START if leaves else ResultCode.DEADLINE_AFTER_START
+                ]
+                # The earlier submission goes on.
+                assert running_tasks(cluster) == [f"{request.job_id}.0.0.0"]
+                group.cancel_scope.cancel()
+
+    run_on_virtual_time(test)
