Refuse a job that could not start while its answer was of use

A job of which no task has started is refused once a start comes too late for three times its objective, but not within 1.5 s, in which another process takes over backend servers whose holder was lost. In the test a long job of 1.0 s is refused after 4.0 s.

--- a/src/apricotpoint/_pool/decisions/waiting.py
+++ b/src/apricotpoint/_pool/decisions/waiting.py
@@ -18,6 +18,9 @@
 
 # A late answer is of some use up to this multiple of the objective.
 USEFUL_OBJECTIVES = 3.0
+# A job waits at least this long, if its caller does: by then another process has taken over backend
+# servers whose holder was lost.
+TAKEOVER_WAIT_S = 1.5
 # Part of the time to its deadline after which a caller that waited in vain loses as much as an
 # answer in time would have been worth.
 COSTLY_WAIT_SHARE = 0.5
@@ -48,6 +51,16 @@
     return min(job.sent_at + USEFUL_OBJECTIVES * job.objective_s, job.deadline_at)
 
 
+def starts_too_late(job: Job, now: float, *, fastest: float) -> bool:
+    """Return whether a start now is too late for a job that has waited, whatever is known.
+
+    It bounds how long jobs are held whose callers wait far longer than an answer is of use, while
+    nothing is known of the backend servers. `fastest` is the speed that its tasks may expect.
+    """
+    useful_start_at = useful_until(job) - job.longest_task_s / fastest
+    return now > max(useful_start_at, job.sent_at + TAKEOVER_WAIT_S)
+
+
 def select_refused(
     queue: Iterable[Job],
     slots: SlotForecast,
--- a/src/apricotpoint/_pool/scheduler.py
+++ b/src/apricotpoint/_pool/scheduler.py
@@ -15,7 +15,7 @@
 from apricotpoint._core.codes import ResultCode
 from apricotpoint._core.counters import Counters
 from apricotpoint._core.timers import PeriodicTimer, TimerService
-from apricotpoint._pool.decisions import evacuation
+from apricotpoint._pool.decisions import evacuation, waiting
 from apricotpoint._pool.decisions.verdicts import Verdict
 from apricotpoint._pool.dispatcher import Dispatcher
 from apricotpoint._pool.estimates import Estimates
@@ -363,6 +363,11 @@
                 else:
                     refusal = self._admission.make_refusal(ResultCode.OVERLOADED, reason)
                     self._ends.finish(job, refusal)
+            elif not job.started and waiting.starts_too_late(job, now, fastest=fastest):
+                self._counters.add("pool.refused_unstarted")
+                reason = f"no task could start within {now - job.sent_at:.3f} s"
+                refusal = self._admission.make_refusal(ResultCode.OVERLOADED, reason)
+                self._ends.finish(job, refusal)
         self._refuse_waiting_jobs(now)
         self._jobs.expire()
         if not self._jobs.has_entries() and self._subscription is not None:
--- a/testing/pool/test_deadlines.py
+++ b/testing/pool/test_deadlines.py
@@ -62,3 +62,39 @@
     )["long"]
     largest, served = counts.served(0.9, 1.0, of_any=True), counts.served(of_any=True)
     assert largest >= LEAST_LARGEST_SHARE * served
+
+
+@pytest.mark.parametrize(("work_s", "latest_s"), [(0.2, 1.6), (1.0, 4.1)])
+@on_virtual_time
+async def test_a_job_is_not_held_until_its_caller_leaves_while_no_task_can_start(
+    work_s: float, latest_s: float
+):
+    """Guards against queues of jobs whose callers wait far longer than an answer is of use."""
+    backends = [FakeBackend(), FakeBackend()]
+    async with run_scheduler(*backends) as harness:
+        for backend in backends:
+            backend.unreachable = True
+        await harness.settle(1.0)
+        job = harness.scheduler.submit(make_job(work_s=work_s, deadline_s=600.0))
+        began_at = anyio.current_time()
+        with anyio.move_on_after(10.0):
+            await job.answered.wait()
+        assert anyio.current_time() - began_at <= latest_s
+        assert job.answer is not None
+        assert job.answer.code == ResultCode.OVERLOADED
+        assert job.answer.retry_after_s > 0
+
+
+@on_virtual_time
+async def test_a_late_job_is_served_as_soon_as_backend_servers_answer_again():
+    """Guards against a refusal shortly before another process has taken over."""
+    backend = FakeBackend()
+    async with run_scheduler(backend) as harness:
+        backend.unreachable = True
+        await harness.settle(1.0)
+        job = harness.scheduler.submit(make_job(work_s=0.2, deadline_s=9.0))
+        await harness.settle(1.2)
+        backend.unreachable = False
+        await job.answered.wait()
+        assert job.answer is not None
+        assert job.answer.code == ResultCode.COMPLETE
