Soak callers that wait longer than the time-out of their route

All callers of the soak named the time-out of their route as their deadline, and no task took longer, so no series could show which of the two ends a job, or a shutdown beside jobs of seconds. Half of the requests now wait 5 s, beside a time-out of 1.5 s, and a fourth kind of job takes 1.8 s.

--- a/src/apricotpoint/_soak/callers.py
+++ b/src/apricotpoint/_soak/callers.py
@@ -14,13 +14,15 @@
 from apricotpoint._soak.sightings import Attempt, Sightings
 from apricotpoint._soak.words import JobShape, Words
 
-DEADLINE_S = 1.5
+# Equal to the time-out of the route, and several times as long.
+DEADLINES_S = (1.5, 5.0)
 # Patient callers keep a request open this long after its deadline, to see how it ends.
 PATIENCE_S = 4.0
 MAX_ATTEMPTS = 3
 THINK_S = 0.5
 READINESS_INTERVAL_S, READINESS_TIMEOUT_S, MISSES = 1.0, 1.0, 2
-SHAPES = [JobShape(2, 200), JobShape(8, 60), JobShape(4, 400)]
+# The last one takes longer than the time-out of the route.
+SHAPES = [JobShape(2, 200), JobShape(8, 60), JobShape(4, 400), JobShape(2, 1800)]
 RESENT_STATUSES = {0, 502, 504}
 
 
@@ -112,11 +114,12 @@
     async def _attempt(self, job_id: str, number: int, shape: JobShape) -> Attempt:
         client = await self._connection()
         leaves = self._random.random() < self._kind.leaves_share
-        patience_s = DEADLINE_S + (PATIENCE_S if self._kind.patient else 0.0)
+        deadline_s = self._random.choice(DEADLINES_S)
+        patience_s = deadline_s + (PATIENCE_S if self._kind.patient else 0.0)
         if leaves:
-            patience_s = self._random.random() * DEADLINE_S
+            patience_s = self._random.random() * deadline_s
         attempt = Attempt(
-            job_id, number, self._entry_id, self._sightings.now(), DEADLINE_S, patience_s
+            job_id, number, self._entry_id, self._sightings.now(), deadline_s, patience_s
         )
         self._sightings.attempts.append(attempt)
         closes = not self._kind.keeps
@@ -126,7 +129,7 @@
                 response = await client.post(
                     f"http://{self._addresses[self._entry_id]}{self._words.job_path(job_id)}",
                     json=self._words.job(shape),
-                    headers=self._words.job_headers(DEADLINE_S),
+                    headers=self._words.job_headers(deadline_s),
                 )
                 attempt.status, attempt.failure = response.status_code, ""
                 attempt.body_bytes = len(response.content)
