--- a/src/apricotpoint/_pool/decisions/evacuation.py
+++ b/src/apricotpoint/_pool/decisions/evacuation.py
@@ -22,7 +22,7 @@
     from apricotpoint._pool.runs.job import Job
 
 # Jobs that had started may start their remaining tasks for this long after their process has
-# learned of the order: about the longest deadline of the deployments.
+# learned of the order: what `LATE_START_S` and the way of the order leave of the time-out of 5 s.
 EVACUATION_GRACE_S = 1.5
 # The start of a task may reach its backend server this long after it was decided: its lease, after
 # which the backend server refuses it, and the age that a confirmation has when it arrives.
--- a/src/apricotpoint/_pool/decisions/joborder.py
+++ b/src/apricotpoint/_pool/decisions/joborder.py
@@ -10,7 +10,8 @@
 
 Run times scatter. The objective of a job follows its real run time, its deadline
 does not, so the slack to the deadline is counted with a margin. Without it the
-longest jobs wait until any error of the estimate makes them miss the deadline.
+longest jobs of callers that wait little longer than these run would wait until any
+error of the estimate makes them miss the deadline.
 """
 
 from __future__ import annotations
