--- a/testing/pool/test_route_shares.py
+++ b/testing/pool/test_route_shares.py
@@ -17,6 +17,7 @@
 )
 
 from apricotpoint._pool.decisions import joborder
+from apricotpoint._pool.decisions.deadlines import MAX_DEADLINE_S
 from apricotpoint._pool.decisions.routeshares import fair_shares
 from apricotpoint._pool.runs.job import Job
 from apricotpoint._pool.runs.routedemand import RouteDemand
@@ -181,12 +182,13 @@
     assert joborder.order_key(long, 0.0, 1.0) < joborder.order_key(middle, 0.0, 1.0)
 
 
+@pytest.mark.parametrize("deadline_s", [1.0, MAX_DEADLINE_S])
 @on_virtual_time
-async def test_a_job_with_huge_figures_does_not_limit_its_route():
+async def test_a_job_with_huge_figures_does_not_limit_its_route(deadline_s: float):
     """Guards against one odd job after which its route counts as offering too much for minutes."""
     async with run_scheduler(FakeBackend(work_s=0.1)) as harness:
         scheduler = harness.scheduler
-        huge = make_job(1, kind="a", work_s=1e305, deadline_s=1.0)
+        huge = make_job(1, kind="a", work_s=1e305, deadline_s=deadline_s)
         for odd in (huge, attrs.evolve(huge, room=Room(10**15, 1))):
             assert scheduler.refusal(odd) is not None
             scheduler.record_refused(odd)
