--- a/src/apricotpoint/_pool/decisions/deadlines.py
+++ b/src/apricotpoint/_pool/decisions/deadlines.py
@@ -1,4 +1,4 @@
-"""The deadline of a job: how long its caller waits, which the time-out of its route replaces.
+"""The deadline of a job: how long its caller waits, or else the time-out of its route.
 
 The load pattern behind it: jobs that run about as long as the time-out of their route, or longer,
 while their callers wait several times that long. Ended at the time-out, the longest jobs of a
--- a/src/apricotpoint/_pool/jobdescription.py
+++ b/src/apricotpoint/_pool/jobdescription.py
@@ -6,7 +6,10 @@
 
 
 def describe_job(request: PoolJob) -> str:
-    """Return the deadline of a job with its sources, and its size as declared by its caller."""
+    """Return the deadline of a job with its sources, and its size as declared by its caller.
+
+    A deadline below both is that of a process that stops.
+    """
     return (
         f"deadline {request.deadline_s:.3f} s (caller {_seconds(request.caller_deadline_s)}, "
         f"route {_seconds(request.timeout_s)}), {request.count} tasks of {request.room.cpu} "
@@ -15,4 +18,4 @@
 
 
 def _seconds(value: float | None) -> str:
-    return "none" if value is None else f"{value:.3f} s"
+    return "none" if value is None else f"{value:.6g} s"
--- a/src/apricotpoint/platform/jobs.py
+++ b/src/apricotpoint/platform/jobs.py
@@ -91,11 +91,11 @@
 ) -> PoolJob:
     """Return the job in the body of a request of a caller.
 
-    `deadline_s` is how long the caller waits, None if it gives no deadline, for which the
-    time-out of the route is used. A task takes `remote_penalty` times as
-    long away from the rack of its data. Raises `ApricotError` with code
-    2101 for a malformed job, 2111 for a spec that is too long, and 2106 for a
-    job that uses a feature that is not supported.
+    `deadline_s` is how long the caller waits; if it is None, the time-out of the route is used.
+    A task takes `remote_penalty` times as long away from the rack of its data.
+
+    Raises `ApricotError` with code 2101 for a malformed job, 2111 for a spec that is too long, and
+    2106 for a job that uses a feature that is not supported.
     """
     if not _JOB_ID.fullmatch(job_id):
         raise ApricotError(
--- a/testing/pool/test_jobdescription.py
+++ b/testing/pool/test_jobdescription.py
@@ -13,9 +13,12 @@
     """Guards against a limit of the route that cannot be told from one of the caller."""
     request = make_job(count=4, work_s=0.76, deadline_s=1.564)
     text = describe_job(attrs.evolve(request, caller_deadline_s=5.0, timeout_s=1.564))
-    assert "deadline 1.564 s (caller 5.000 s, route 1.564 s)" in text
+    assert "deadline 1.564 s (caller 5 s, route 1.564 s)" in text
     assert "4 tasks of 14000 thousandths of a core and 0.760 s declared" in text
     assert "(caller none, route none)" in describe_job(request)
+    assert "(caller 1e+300 s, route none)" in describe_job(
+        attrs.evolve(request, caller_deadline_s=1e300)
+    )
 
 
 @on_virtual_time
